Core types, YAML documents with places, profiles and their fold

The folders and core types of the workspace. A profile and the settings are read through one reader that collects every finding with its line and key. The state of the mesh is a fold over the change stream: versions are offsets, so there is no clock and no election in it.

--- /dev/null
+++ b/crates/profile/src/lib.rs
@@ -0,0 +1,31 @@
+//! Profiles of routing, draining and limits, and the fold of the log into the state of the mesh.
+
+mod body;
+mod check;
+mod fold;
+mod record;
+mod resolve;
+
+pub use body::{
+    Draining,
+    Limits,
+    Profile,
+    RequestKind,
+    Subset, //
+};
+pub use check::parse_profile;
+pub use fold::{
+    Fold,
+    FoldState,
+    Pick,
+    ProfileVersion,
+    Verdict, //
+};
+pub use record::{
+    Change,
+    ChangeRecord, //
+};
+pub use resolve::{
+    unresolved_references,
+    Resources, //
+};
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,91 @@
+//! Settings of a node, read in one place from one YAML file.
+
+mod read;
+
+use std::net::SocketAddr;
+
+pub use read::parse_settings;
+
+/// Settings of one node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeSettings {
+    /// Name of the mesh; nodes of another mesh are refused.
+    pub cluster: String,
+    /// Name of the node, unique in the mesh.
+    pub node: String,
+    /// Region of the availability zone.
+    pub region: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Where peers reach the node's control.
+    pub control_address: SocketAddr,
+    /// Where callers, peers' calls, targets and operators reach the node.
+    pub call_address: SocketAddr,
+    /// Platform's log.
+    pub log: LogSettings,
+    /// Control addresses to try first, `ip:port`.
+    pub peers: Vec<String>,
+    /// Links that the node keeps.
+    pub links: LinkSettings,
+    /// Claims of keys.
+    pub claims: ClaimSettings,
+    /// Limits of the data plane.
+    pub calls: CallSettings,
+    /// Log lines.
+    pub output: OutputSettings,
+    /// Statsd address for metrics; none are sent when absent.
+    pub statsd_address: Option<SocketAddr>,
+}
+
+/// How the platform's log is reached.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LogSettings {
+    /// Base URL of the log service.
+    pub url: String,
+    /// Region of the log; nodes there batch claims.
+    pub region: String,
+    /// How long the log keeps a record.
+    pub retention_ms: u64,
+}
+
+/// Number of links by distance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LinkSettings {
+    /// Links within the availability zone.
+    pub zone_count: usize,
+    /// Links to other zones of the region.
+    pub region_count: usize,
+    /// Links to other regions.
+    pub other_region_count: usize,
+    /// Period of pings over the links.
+    pub ping_period_ms: u64,
+}
+
+/// How keys are claimed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClaimSettings {
+    /// Streams that keys are spread over; the same on every node.
+    pub partition_count: u32,
+    /// How long a key is remembered.
+    pub remember_ms: u64,
+}
+
+/// Limits of the data plane.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallSettings {
+    /// Largest request or answer body.
+    pub body_max_bytes: usize,
+    /// Connections kept to each peer or target.
+    pub connection_max_count: usize,
+    /// Workers that serve calls.
+    pub worker_count: usize,
+}
+
+/// Where log lines go and how they look.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OutputSettings {
+    /// Least level that is written.
+    pub level: String,
+    /// Whether lines are JSON instead of text.
+    pub json: bool,
+}
--- /dev/null
+++ b/crates/settings/src/read.rs
@@ -0,0 +1,156 @@
+//! Reads and checks the settings; every finding is reported with its line and key.
+
+use std::net::SocketAddr;
+
+use figway_document::{
+    Document,
+    MapReader, //
+};
+use figway_types::Findings;
+
+use crate::{
+    CallSettings,
+    ClaimSettings,
+    LinkSettings,
+    LogSettings,
+    NodeSettings,
+    OutputSettings, //
+};
+
+const DAY_MS: u64 = 24 * 3_600 * 1_000;
+const MEBIBYTE: u64 = 1_024 * 1_024;
+
+/// Reads the settings in `text`; `source` names them in findings.
+///
+/// # Errors
+///
+/// Everything that is wrong with the settings.
+pub fn parse_settings(source: &str, text: &str) -> Result<NodeSettings, Findings> {
+    let document = Document::parse(source, text)?;
+    let root = document.root();
+    let listen = root.map("listen");
+    let log = read_log(&root.map("log"));
+    let settings = NodeSettings {
+        cluster: required_name(&root, "cluster"),
+        node: required_name(&root, "node"),
+        region: required_name(&root, "region"),
+        zone: required_name(&root, "zone"),
+        control_address: required_address(&listen, "control"),
+        call_address: required_address(&listen, "call"),
+        peers: read_peers(&root),
+        links: read_links(&root.map("links")),
+        claims: read_claims(&root.map("claims"), log.retention_ms),
+        calls: read_calls(&root.map("calls")),
+        output: read_output(&root.map("output")),
+        statsd_address: optional_address(&root.map("metrics"), "statsd"),
+        log,
+    };
+    drop(listen);
+    drop(root);
+    document.finish(settings)
+}
+
+fn required_name(reader: &MapReader<'_>, key: &'static str) -> String {
+    let name = reader.required_text(key);
+    let allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_' || c == '.';
+    if !name.is_empty() && !name.chars().all(allowed) {
+        reader.refuse(key, "expected letters, digits, '-', '_' and '.' only");
+    }
+    name.to_owned()
+}
+
+fn required_address(reader: &MapReader<'_>, key: &'static str) -> SocketAddr {
+    let text = reader.required_text(key);
+    let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+    if text.is_empty() {
+        return unset;
+    }
+    parse_address(reader, key, text).unwrap_or(unset)
+}
+
+fn optional_address(reader: &MapReader<'_>, key: &'static str) -> Option<SocketAddr> {
+    parse_address(reader, key, reader.text(key)?)
+}
+
+fn parse_address(reader: &MapReader<'_>, key: &str, text: &str) -> Option<SocketAddr> {
+    match text.parse::<SocketAddr>() {
+        Ok(address) => Some(address),
+        Err(_) => {
+            reader.refuse(key, format!("expected IP:PORT, found {text}"));
+            None
+        }
+    }
+}
+
+fn read_peers(root: &MapReader<'_>) -> Vec<String> {
+    let mut peers = Vec::new();
+    for peer in root.texts("peers") {
+        if parse_address(root, "peers", peer).is_some() {
+            peers.push(peer.to_owned());
+        }
+    }
+    peers
+}
+
+fn read_log(reader: &MapReader<'_>) -> LogSettings {
+    let url = reader.required_text("url");
+    if !url.is_empty() && !url.starts_with("http://") {
+        reader.refuse("url", "expected http://IP:PORT");
+    }
+    LogSettings {
+        region: required_name(reader, "region"),
+        url: url.trim_end_matches('/').to_owned(),
+        retention_ms: reader
+            .whole("retention_ms", 1_000..=365 * DAY_MS)
+            .unwrap_or(DAY_MS),
+    }
+}
+
+fn read_links(reader: &MapReader<'_>) -> LinkSettings {
+    let count = |key, default| {
+        reader
+            .whole(key, 0..=32)
+            .map_or(default, |count| count as usize)
+    };
+    LinkSettings {
+        zone_count: count("zone_count", 3),
+        region_count: count("region_count", 2),
+        other_region_count: count("other_region_count", 1),
+        ping_period_ms: reader.whole("ping_period_ms", 50..=10_000).unwrap_or(1_000),
+    }
+}
+
+fn read_claims(reader: &MapReader<'_>, retention_ms: u64) -> ClaimSettings {
+    let remember_ms = reader
+        .whole("remember_ms", 1_000..=DAY_MS)
+        .unwrap_or(600_000.min(retention_ms));
+    if remember_ms > retention_ms {
+        reader.refuse("remember_ms", "can't be longer than log.retention_ms");
+    }
+    ClaimSettings {
+        partition_count: reader
+            .whole("partition_count", 1..=64)
+            .map_or(4, |count| count as u32),
+        remember_ms,
+    }
+}
+
+fn read_calls(reader: &MapReader<'_>) -> CallSettings {
+    CallSettings {
+        body_max_bytes: reader
+            .whole("body_max_bytes", 1_024..=256 * MEBIBYTE)
+            .unwrap_or(MEBIBYTE) as usize,
+        connection_max_count: reader
+            .whole("connection_max_count", 1..=100_000)
+            .unwrap_or(4_096) as usize,
+        worker_count: reader.whole("worker_count", 1..=64).unwrap_or(1) as usize,
+    }
+}
+
+fn read_output(reader: &MapReader<'_>) -> OutputSettings {
+    let levels = ["info", "off", "error", "warn", "debug", "trace"];
+    OutputSettings {
+        level: reader.choice("level", &levels).to_owned(),
+        json: reader.choice("format", &["text", "json"]) == "json",
+    }
+}
--- /dev/null
+++ b/crates/types/src/finding.rs
@@ -0,0 +1,92 @@
+//! Findings about bad input, collected with their place and reported together.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Where a finding stands in its input.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// File or record name.
+    pub source: String,
+    /// Line from 1; 0 when the input has no lines.
+    pub line: u64,
+    /// Dotted path of the key, empty for the whole input.
+    pub key: String,
+}
+
+/// One thing that is wrong with an input.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// Where it was found.
+    pub place: Place,
+    /// What is wrong and what would be right.
+    pub message: String,
+}
+
+impl std::fmt::Display for Finding {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.place.source)?;
+        if self.place.line > 0 {
+            write!(f, ":{}", self.place.line)?;
+        }
+        if !self.place.key.is_empty() {
+            write!(f, ": {}", self.place.key)?;
+        }
+        write!(f, ": {}", self.message)
+    }
+}
+
+/// All findings about one input.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Findings {
+    /// In the order in which they were found.
+    pub list: Vec<Finding>,
+}
+
+impl Findings {
+    /// Adds one finding.
+    pub fn add(&mut self, source: &str, line: u64, key: &str, message: impl Into<String>) {
+        self.list.push(Finding {
+            place: Place {
+                source: source.to_owned(),
+                line,
+                key: key.to_owned(),
+            },
+            message: message.into(),
+        });
+    }
+
+    /// Returns whether nothing was found.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// Returns `value` when nothing was found, else the findings.
+    ///
+    /// # Errors
+    ///
+    /// The findings themselves.
+    pub fn into_result<T>(self, value: T) -> Result<T, Findings> {
+        if self.is_empty() {
+            Ok(value)
+        } else {
+            Err(self)
+        }
+    }
+}
+
+impl std::fmt::Display for Findings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (index, finding) in self.list.iter().enumerate() {
+            if index > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,73 @@
+//! Core types shared by every figway crate.
+//!
+//! Nothing here knows a protocol or a library of the network: the decision crates build on these
+//! types alone.
+
+mod backoff;
+mod change;
+mod finding;
+mod member;
+mod outcome;
+mod request;
+
+pub use backoff::Backoff;
+pub use change::{
+    ChangeId,
+    LogRecord,
+    Offset, //
+};
+pub use finding::{
+    Finding,
+    Findings,
+    Place, //
+};
+pub use member::{
+    Member,
+    MemberState,
+    NodeId,
+    Target, //
+};
+pub use outcome::NotRunReason;
+pub use request::{
+    Fingerprint,
+    RequestView, //
+};
+
+/// Hash map with a fast hasher; keys come from inside the system.
+pub type FastMap<K, V> = std::collections::HashMap<K, V, rustc_hash::FxBuildHasher>;
+
+/// Hash set with a fast hasher; keys come from inside the system.
+pub type FastSet<K> = std::collections::HashSet<K, rustc_hash::FxBuildHasher>;
+
+/// Hashes `value` the same way in every process of one release.
+pub fn stable_hash(value: &str) -> u64 {
+    use std::hash::Hasher;
+
+    let mut hasher = rustc_hash::FxHasher::default();
+    hasher.write(value.as_bytes());
+    mix(hasher.finish())
+}
+
+/// Spreads the bits of `value` evenly (the finalizer of SplitMix64).
+pub fn mix(value: u64) -> u64 {
+    let mut mixed = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+/// Rendezvous weight of `candidate` for `key`; the highest weight wins.
+pub fn rendezvous_weight(key: &str, candidate: &str) -> u64 {
+    mix(stable_hash(key) ^ stable_hash(candidate).rotate_left(17))
+}
+
+/// Returns a number from the system's random source.
+pub fn entropy() -> u64 {
+    use std::hash::{
+        BuildHasher,
+        Hasher, //
+    };
+
+    let state = std::collections::hash_map::RandomState::new();
+    mix(state.build_hasher().finish())
+}
