--- /dev/null
+++ b/crates/admission/src/admission.rs
@@ -0,0 +1,262 @@
+//! Slots and the queue of one target.
+//!
+//! Waiting calls are ordered by worth per slot-second. Long kinds can't take the slots that short
+//! kinds keep. Whoever is refused has not run.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_types::NotRunReason;
+
+use crate::estimate::ServiceTimes;
+
+/// Limits of one target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdmissionLimits {
+    /// Calls that run at a time.
+    pub slot_count: u32,
+    /// Waiting calls per slot.
+    pub queue_per_slot_ratio: f64,
+    /// Share of slots that long kinds can't take.
+    pub short_share_ratio: f64,
+}
+
+impl AdmissionLimits {
+    fn queue_max_count(&self) -> usize {
+        (f64::from(self.slot_count) * self.queue_per_slot_ratio).ceil() as usize
+    }
+
+    fn long_max_count(&self) -> u32 {
+        let share = f64::from(self.slot_count) * (1.0 - self.short_share_ratio);
+        (share.floor() as u32).max(1)
+    }
+}
+
+/// What admission needs to know of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallView<'a> {
+    /// Request kind.
+    pub kind: &'a str,
+    /// Worth of serving it.
+    pub worth: f64,
+    /// Whether it is long work.
+    pub long: bool,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// Identity of a call between its entry and its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// What became of a call that entered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entered {
+    /// It holds a slot.
+    Running(Ticket),
+    /// It waits; its ticket comes up in [`Released`].
+    Waiting(Ticket),
+    /// It was refused.
+    Refused(NotRunReason),
+}
+
+/// Waiting calls whose fate an event decided.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Released {
+    /// Now hold a slot.
+    pub running: Vec<Ticket>,
+    /// Are refused.
+    pub refused: Vec<(Ticket, NotRunReason)>,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    kind: String,
+    worth: f64,
+    long: bool,
+    deadline: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    ticket: Ticket,
+    kind: String,
+    long: bool,
+    started_at: Instant,
+}
+
+/// Slots and queue of one target.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    limits: AdmissionLimits,
+    running: Vec<Running>,
+    waiting: Vec<Waiting>,
+    times: ServiceTimes,
+    next_ticket: u64,
+    closed: bool,
+}
+
+impl Admission {
+    /// Starts empty.
+    pub fn new(limits: AdmissionLimits) -> Self {
+        Self {
+            limits,
+            running: Vec::new(),
+            waiting: Vec::new(),
+            times: ServiceTimes::default(),
+            next_ticket: 0,
+            closed: false,
+        }
+    }
+
+    /// Takes new limits; calls that run or wait stay.
+    pub fn set_limits(&mut self, limits: AdmissionLimits) {
+        self.limits = limits;
+    }
+
+    /// Refuses all new work, or takes it again. Calls that wait stay.
+    pub fn set_closed(&mut self, closed: bool) {
+        self.closed = closed;
+    }
+
+    /// Returns the calls that run and wait, per slot.
+    pub fn busy_ratio(&self) -> f64 {
+        let held_count = self.running.len() + self.waiting.len();
+        held_count as f64 / f64::from(self.limits.slot_count.max(1))
+    }
+
+    /// Returns the calls that run.
+    pub fn running_count(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the calls that wait.
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Lets a call in, to a slot or to the queue; a queue that is full sheds the call of least worth
+    /// per slot-second, which may be this one.
+    pub fn enter(&mut self, call: &CallView<'_>, now: Instant) -> (Entered, Released) {
+        let mut released = Released::default();
+        if self.closed {
+            return (Entered::Refused(NotRunReason::Draining), released);
+        }
+        if call.deadline <= now {
+            return (Entered::Refused(NotRunReason::Expired), released);
+        }
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        if self.has_slot(call.long) {
+            self.run(ticket, call.kind, call.long, now);
+            return (Entered::Running(ticket), released);
+        }
+        if self.waiting.len() >= self.limits.queue_max_count() {
+            let density = self.times.density(call.kind, call.worth);
+            let Some(shed) = self.least_worth_below(density) else {
+                return (Entered::Refused(NotRunReason::Overloaded), released);
+            };
+            let shed = self.waiting.remove(shed);
+            released
+                .refused
+                .push((shed.ticket, NotRunReason::Overloaded));
+        }
+        self.waiting.push(Waiting {
+            ticket,
+            kind: call.kind.to_owned(),
+            worth: call.worth,
+            long: call.long,
+            deadline: call.deadline,
+        });
+        (Entered::Waiting(ticket), released)
+    }
+
+    /// Ends a call that runs or waits. `answered` says whether its time is a sample of the kind.
+    pub fn leave(&mut self, ticket: Ticket, answered: bool, now: Instant) -> Released {
+        if let Some(index) = self.running.iter().position(|call| call.ticket == ticket) {
+            let call = self.running.swap_remove(index);
+            if answered {
+                let took = now.saturating_duration_since(call.started_at);
+                self.times.note(&call.kind, took);
+            }
+        }
+        self.waiting.retain(|call| call.ticket != ticket);
+        self.fill(now)
+    }
+
+    /// Refuses waiting calls that can't be served before their deadline and fills free slots.
+    pub fn fill(&mut self, now: Instant) -> Released {
+        let mut released = Released::default();
+        self.refuse_late(now, &mut released);
+        while let Some(index) = self.next_to_run() {
+            let call = self.waiting.remove(index);
+            self.run(call.ticket, &call.kind, call.long, now);
+            released.running.push(call.ticket);
+        }
+        released
+    }
+
+    fn refuse_late(&mut self, now: Instant, released: &mut Released) {
+        let times = &self.times;
+        self.waiting.retain(|call| {
+            let needed = times.least(&call.kind).unwrap_or(Duration::ZERO);
+            if call.deadline > now + needed {
+                return true;
+            }
+            released.refused.push((call.ticket, NotRunReason::Expired));
+            false
+        });
+    }
+
+    fn next_to_run(&self) -> Option<usize> {
+        let mut best: Option<(usize, f64)> = None;
+        for (index, call) in self.waiting.iter().enumerate() {
+            if !self.has_slot(call.long) {
+                continue;
+            }
+            let density = self.times.density(&call.kind, call.worth);
+            if best.is_none_or(|(_, best_density)| density > best_density) {
+                best = Some((index, density));
+            }
+        }
+        best.map(|(index, _)| index)
+    }
+
+    fn least_worth_below(&self, density: f64) -> Option<usize> {
+        let mut least: Option<(usize, f64)> = None;
+        for (index, call) in self.waiting.iter().enumerate() {
+            let waiting_density = self.times.density(&call.kind, call.worth);
+            if waiting_density >= density {
+                continue;
+            }
+            // Of equals the one that came last is shed.
+            if least.is_none_or(|(_, least_density)| waiting_density <= least_density) {
+                least = Some((index, waiting_density));
+            }
+        }
+        least.map(|(index, _)| index)
+    }
+
+    fn has_slot(&self, long: bool) -> bool {
+        if self.running.len() >= self.limits.slot_count as usize {
+            return false;
+        }
+        if !long {
+            return true;
+        }
+        let long_count = self.running.iter().filter(|call| call.long).count();
+        long_count < self.limits.long_max_count() as usize
+    }
+
+    fn run(&mut self, ticket: Ticket, kind: &str, long: bool, now: Instant) {
+        self.running.push(Running {
+            ticket,
+            kind: kind.to_owned(),
+            long,
+            started_at: now,
+        });
+    }
+}
--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,20 @@
+//! Admission of calls beside a target, and what limits retries.
+
+mod admission;
+mod estimate;
+mod quarantine;
+mod retry_budget;
+
+pub use admission::{
+    Admission,
+    AdmissionLimits,
+    CallView,
+    Entered,
+    Released,
+    Ticket, //
+};
+pub use quarantine::{
+    CrashReport,
+    Quarantine, //
+};
+pub use retry_budget::RetryBudget;
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,23 @@
+//! Choice of a target for a call.
+//!
+//! [`TargetPicker`] is the border: the data plane offers candidates with what it knows of their
+//! load and gets one back.
+
+mod load;
+mod picker;
+mod quantile;
+mod share;
+
+pub use load::{
+    LoadBook,
+    LoadReport, //
+};
+pub use picker::{
+    Candidate,
+    Distance,
+    Picked,
+    TargetPicker,
+    TwoChoices, //
+};
+pub use quantile::LatencyQuantile;
+pub use share::stable_share;
--- /dev/null
+++ b/crates/routing/src/quantile.rs
@@ -0,0 +1,57 @@
+//! Running estimate of a latency quantile, in constant space.
+
+use std::time::Duration;
+
+/// Share of the estimate by which one sample moves it.
+const STEP_RATIO: f64 = 0.02;
+
+/// Samples before the estimate is used.
+const WARM_UP_COUNT: u64 = 50;
+
+/// Estimates one quantile by stochastic steps: up by `q` steps, down by `1 - q`.
+#[derive(Clone, Debug)]
+pub struct LatencyQuantile {
+    quantile_ratio: f64,
+    estimate_us: f64,
+    sample_count: u64,
+}
+
+impl LatencyQuantile {
+    /// Estimates the quantile `quantile_ratio`, like 0.95.
+    pub fn new(quantile_ratio: f64) -> Self {
+        Self {
+            quantile_ratio,
+            estimate_us: 0.0,
+            sample_count: 0,
+        }
+    }
+
+    /// Returns the quantile that is estimated.
+    pub fn quantile_ratio(&self) -> f64 {
+        self.quantile_ratio
+    }
+
+    /// Takes in a sample.
+    pub fn note(&mut self, latency: Duration) {
+        let sample_us = latency.as_secs_f64() * 1e6;
+        self.sample_count += 1;
+        if self.sample_count == 1 {
+            self.estimate_us = sample_us;
+            return;
+        }
+        let step_us = (self.estimate_us * STEP_RATIO).max(1.0);
+        if sample_us > self.estimate_us {
+            self.estimate_us += step_us * self.quantile_ratio;
+        } else {
+            self.estimate_us -= step_us * (1.0 - self.quantile_ratio);
+        }
+    }
+
+    /// Returns the estimate after enough samples.
+    pub fn estimate(&self) -> Option<Duration> {
+        if self.sample_count < WARM_UP_COUNT {
+            return None;
+        }
+        Some(Duration::from_secs_f64(self.estimate_us / 1e6))
+    }
+}
