--- /dev/null
+++ b/crates/control/src/contact.rs
@@ -0,0 +1,246 @@
+//! First contact: peers from the settings and from a short stream on the platform's log.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_log_client::{
+    read_to_head,
+    LogService,
+    ReadError,
+    CONTACT_STREAM, //
+};
+use figway_types::{
+    rendezvous_weight,
+    Backoff,
+    MemberState,
+    Offset, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::dial::{
+    context_until,
+    dial,
+    introduce,
+    prompt_context, //
+};
+use crate::mesh::Mesh;
+use crate::rpc::Missing;
+
+/// How long a contact is worth a try.
+const CONTACT_LIFE_MS: u64 = 600_000;
+
+/// Contacts of a zone that are enough.
+const FRESH_MIN_COUNT: usize = 3;
+
+/// How often a zone's first node looks after the zone's contacts.
+const TEND_EVERY: Duration = Duration::from_secs(60);
+
+/// How long an append of a contact may take.
+const APPEND_WAIT: Duration = Duration::from_secs(2);
+
+/// How long a peer may take to hand over its state.
+const STATE_WAIT: Duration = Duration::from_secs(10);
+
+/// Contacts that are tried in one round.
+const TRY_MAX_COUNT: usize = 8;
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Contact {
+    cluster: String,
+    zone: String,
+    control_address: String,
+}
+
+struct FreshContacts {
+    list: Vec<Contact>,
+}
+
+/// Joins the mesh and then looks after the zone's contacts until the process ends.
+pub(crate) async fn keep_contact(mesh: Arc<Mesh>, log: Rc<dyn LogService>, peers: Vec<String>) {
+    let mut backoff = Backoff::new(100, 2_000, mesh.random());
+    loop {
+        let joined = join(&mesh, log.as_ref(), &peers).await;
+        let next_at = if joined || has_live_peer(&mesh) {
+            backoff.reset();
+            Instant::now() + TEND_EVERY / 2 + mesh.jitter(TEND_EVERY)
+        } else {
+            backoff.next_try_at(Instant::now())
+        };
+        wait_or_lonely(&mesh, next_at).await;
+    }
+}
+
+/// Waits until `next_at`, or until no peer is live any more.
+async fn wait_or_lonely(mesh: &Mesh, next_at: Instant) {
+    let was_alone = !has_live_peer(mesh);
+    while Instant::now() < next_at {
+        let step = Duration::from_millis(500);
+        let until = next_at.min(Instant::now() + step);
+        tokio::time::sleep_until(until.into()).await;
+        if !was_alone && !has_live_peer(mesh) {
+            return;
+        }
+    }
+}
+
+/// Looks for peers and meets some of those that are not yet known; returns whether any answered.
+async fn join(mesh: &Mesh, log: &dyn LogService, peers: &[String]) -> bool {
+    let own = mesh.members().own().clone();
+    let alone = !has_live_peer(mesh);
+    let mut addresses: Vec<String> = Vec::new();
+    if alone {
+        addresses.extend_from_slice(peers);
+    }
+    if alone || tends_zone(mesh) {
+        match fresh_contacts(mesh, log).await {
+            Ok(fresh) => {
+                tend(mesh, log, &fresh).await;
+                let (near, far): (Vec<Contact>, Vec<Contact>) = fresh
+                    .list
+                    .into_iter()
+                    .partition(|contact| contact.zone == own.zone);
+                for contact in near.into_iter().chain(far) {
+                    addresses.push(contact.control_address);
+                }
+            }
+            Err(error) => log::warn!("could not read contacts: {error}"),
+        }
+    }
+    meet(mesh, &addresses).await
+}
+
+async fn meet(mesh: &Mesh, addresses: &[String]) -> bool {
+    let mut tried: BTreeSet<&str> = BTreeSet::new();
+    let own_address = mesh.members().own().control_address.clone();
+    let mut met = false;
+    for address in addresses {
+        if *address == own_address || tried.len() >= TRY_MAX_COUNT || is_known(mesh, address) {
+            continue;
+        }
+        if !tried.insert(address) {
+            continue;
+        }
+        match meet_one(mesh, address).await {
+            Ok(()) => met = true,
+            Err(error) => log::info!("contact {address} did not answer: {error:#}"),
+        }
+    }
+    met
+}
+
+/// Meets a peer: exchanges members and takes over its state.
+async fn meet_one(mesh: &Mesh, address: &str) -> anyhow::Result<()> {
+    let client = dial(mesh, address, false).await?;
+    let peer = introduce(mesh, &client).await?;
+    let buckets = mesh.members().digest().buckets().to_vec();
+    let members = client.sync_members(prompt_context(), buckets).await?;
+    mesh.merge_members(&members);
+    mesh.install_members();
+    let context = context_until(Instant::now() + STATE_WAIT);
+    let missing = client.pull(context, mesh.applied_offset()).await?;
+    if matches!(missing, Missing::Busy) {
+        log::info!(
+            "peer {} is busy; its links will bring the state",
+            peer.node_id
+        );
+    }
+    mesh.take_missing(missing);
+    log::info!(
+        "joined through peer={} applied={}",
+        peer.node_id,
+        mesh.applied_offset()
+    );
+    Ok(())
+}
+
+fn is_known(mesh: &Mesh, address: &str) -> bool {
+    for member in mesh.members().members() {
+        if member.control_address == address && member.state == MemberState::Live {
+            return true;
+        }
+    }
+    false
+}
+
+fn has_live_peer(mesh: &Mesh) -> bool {
+    let members = mesh.members();
+    for member in members.members() {
+        if member.state == MemberState::Live && member.node_id != members.own().node_id {
+            return true;
+        }
+    }
+    false
+}
+
+/// Returns whether this node is the one of its zone that looks after the contacts.
+fn tends_zone(mesh: &Mesh) -> bool {
+    let members = mesh.members();
+    let own = members.own();
+    let own_weight = rendezvous_weight(&own.zone, &own.node_id.0);
+    for member in members.members() {
+        if member.zone != own.zone || member.state != MemberState::Live {
+            continue;
+        }
+        if rendezvous_weight(&own.zone, &member.node_id.0) > own_weight {
+            return false;
+        }
+    }
+    true
+}
+
+/// Appends this node as a contact when its zone has too few that are fresh.
+async fn tend(mesh: &Mesh, log: &dyn LogService, fresh: &FreshContacts) {
+    let own = mesh.members().own().clone();
+    let mut fresh_count = 0;
+    for contact in &fresh.list {
+        if contact.control_address == own.control_address {
+            return;
+        }
+        if contact.zone == own.zone {
+            fresh_count += 1;
+        }
+    }
+    if fresh_count >= FRESH_MIN_COUNT {
+        return;
+    }
+    let contact = Contact {
+        cluster: mesh.cluster().to_owned(),
+        zone: own.zone,
+        control_address: own.control_address,
+    };
+    let body = serde_json::to_string(&contact).expect("a record of strings has a JSON form");
+    let deadline = Instant::now() + APPEND_WAIT;
+    match log.append(CONTACT_STREAM, &body, deadline).await {
+        Ok(appended) => log::info!("contact appended offset={}", appended.offset),
+        Err(error) => log::warn!("could not append a contact: {error}"),
+    }
+}
+
+async fn fresh_contacts(mesh: &Mesh, log: &dyn LogService) -> Result<FreshContacts, ReadError> {
+    let page = match read_to_head(log, CONTACT_STREAM, Offset(1)).await {
+        Err(ReadError::Expired(first)) => read_to_head(log, CONTACT_STREAM, first).await?,
+        result => result?,
+    };
+    let mut list: Vec<Contact> = Vec::new();
+    for record in page.records.iter().rev() {
+        if record.appended_at_ms + CONTACT_LIFE_MS < page.now_ms {
+            break;
+        }
+        let Ok(contact) = serde_json::from_str::<Contact>(&record.body) else {
+            continue;
+        };
+        let known = |earlier: &Contact| earlier.control_address == contact.control_address;
+        if contact.cluster == mesh.cluster() && !list.iter().any(known) {
+            list.push(contact);
+        }
+    }
+    Ok(FreshContacts { list })
+}
--- /dev/null
+++ b/crates/control/src/mesh.rs
@@ -0,0 +1,392 @@
+//! State of one node's control plane, shared by its tasks and read by the data plane.
+
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use arc_swap::ArcSwap;
+use figway_admission::Quarantine;
+use figway_membership::MemberTable;
+use figway_profile::{
+    Fold,
+    FoldState,
+    Verdict, //
+};
+use figway_types::{
+    mix,
+    FastMap,
+    LogRecord,
+    Member,
+    NodeId,
+    Offset, //
+};
+use tokio::sync::watch;
+
+use crate::meter::ControlMeter;
+use crate::records::RecentRecords;
+use crate::rpc::{
+    KeyOutcome,
+    Missing,
+    News, //
+};
+use crate::view::View;
+
+/// Rumours that one message carries at most.
+const RUMOUR_MAX_COUNT: usize = 16;
+
+/// Crash reports that one message carries at most.
+const CRASH_MAX_COUNT: usize = 16;
+
+/// How long one fetch of missing records keeps others from starting.
+const FETCH_HOLD: Duration = Duration::from_millis(500);
+
+/// States that a node hands out within one second at most, so that a herd does not stall it.
+const STATE_PER_SECOND_COUNT: u32 = 4;
+
+/// Where outcomes of keyed attempts are remembered; the data plane implements it.
+pub trait OutcomeSource: Send + Sync {
+    /// Returns the outcome of an attempt of this node.
+    fn outcome(&self, attempt_id: u64) -> KeyOutcome;
+}
+
+/// State of one node's control plane.
+pub struct Mesh {
+    cluster: String,
+    fold: Mutex<Fold>,
+    records: Mutex<RecentRecords>,
+    members: Mutex<MemberTable>,
+    quarantine: Mutex<Quarantine>,
+    view: ArcSwap<View>,
+    head: watch::Sender<Offset>,
+    member_changes: watch::Sender<u64>,
+    peer_offsets: Mutex<FastMap<NodeId, Offset>>,
+    head_fresh_until: Mutex<Instant>,
+    fetching_until: Mutex<Instant>,
+    given_states: Mutex<(Instant, u32)>,
+    seed: AtomicU64,
+    meter: ControlMeter,
+    outcomes: Mutex<Option<Arc<dyn OutcomeSource>>>,
+}
+
+impl Mesh {
+    /// Starts with nothing but the node itself; `seed` fixes its random choices.
+    pub fn new(cluster: &str, own: Member, seed: u64) -> Arc<Self> {
+        let now = Instant::now();
+        Arc::new(Self {
+            cluster: cluster.to_owned(),
+            fold: Mutex::default(),
+            records: Mutex::default(),
+            members: Mutex::new(MemberTable::new(own, now)),
+            quarantine: Mutex::default(),
+            view: ArcSwap::default(),
+            head: watch::Sender::new(Offset(0)),
+            member_changes: watch::Sender::new(0),
+            peer_offsets: Mutex::default(),
+            head_fresh_until: Mutex::new(now),
+            fetching_until: Mutex::new(now),
+            given_states: Mutex::new((now, 0)),
+            seed: AtomicU64::new(seed),
+            meter: ControlMeter::default(),
+            outcomes: Mutex::default(),
+        })
+    }
+
+    /// Returns the name of the mesh.
+    pub fn cluster(&self) -> &str {
+        &self.cluster
+    }
+
+    /// Returns the table that calls are routed by.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Returns the member table.
+    pub fn members(&self) -> MutexGuard<'_, MemberTable> {
+        self.members.lock().expect("no holder panics")
+    }
+
+    /// Returns the crashes that count.
+    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine.lock().expect("no holder panics")
+    }
+
+    /// Returns the fold of the change stream.
+    pub fn fold(&self) -> MutexGuard<'_, Fold> {
+        self.fold.lock().expect("no holder panics")
+    }
+
+    /// Returns the count of control bytes.
+    pub fn meter(&self) -> &ControlMeter {
+        &self.meter
+    }
+
+    /// Returns a random number.
+    pub fn random(&self) -> u64 {
+        mix(self
+            .seed
+            .fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed))
+    }
+
+    /// Returns a random part of `bound`.
+    pub fn jitter(&self, bound: Duration) -> Duration {
+        let bound_us = bound.as_micros().max(1) as u64;
+        Duration::from_micros(self.random() % bound_us)
+    }
+
+    /// Returns the last record that was folded.
+    pub fn applied_offset(&self) -> Offset {
+        *self.head.borrow()
+    }
+
+    /// Returns a watch of the last record that was folded.
+    pub fn watch_head(&self) -> watch::Receiver<Offset> {
+        self.head.subscribe()
+    }
+
+    /// Returns a watch of the member table's change count.
+    pub fn watch_members(&self) -> watch::Receiver<u64> {
+        self.member_changes.subscribe()
+    }
+
+    /// Names where outcomes of this node's attempts are remembered.
+    pub fn set_outcomes(&self, outcomes: Arc<dyn OutcomeSource>) {
+        *self.outcomes.lock().expect("no holder panics") = Some(outcomes);
+    }
+
+    /// Returns the outcome of an attempt of this node.
+    pub fn outcome(&self, attempt_id: u64) -> KeyOutcome {
+        match &*self.outcomes.lock().expect("no holder panics") {
+            Some(outcomes) => outcomes.outcome(attempt_id),
+            None => KeyOutcome::Unknown,
+        }
+    }
+
+    /// Folds the records that follow without a gap and puts the result in force.
+    pub fn deliver(&self, records: &[LogRecord]) {
+        let mut fold = self.fold();
+        let before = fold.as_of_offset();
+        for record in records {
+            if record.offset <= fold.as_of_offset() {
+                continue;
+            }
+            if record.offset != fold.as_of_offset().next() {
+                break;
+            }
+            let verdict = fold.apply(record);
+            log_verdict(record, verdict.as_ref());
+            self.records.lock().expect("no holder panics").push(record);
+        }
+        let after = fold.as_of_offset();
+        drop(fold);
+        if after > before {
+            self.install_changes();
+            self.head.send_replace(after);
+        }
+    }
+
+    /// Takes over a whole state if it is newer than what was folded.
+    pub fn adopt(&self, state: FoldState) {
+        let mut fold = self.fold();
+        if state.as_of_offset <= fold.as_of_offset() {
+            return;
+        }
+        let as_of_offset = state.as_of_offset;
+        *fold = Fold::from_state(state);
+        self.records.lock().expect("no holder panics").clear();
+        drop(fold);
+        log::info!("state adopted as_of_offset={as_of_offset}");
+        self.install_changes();
+        self.head.send_replace(as_of_offset);
+    }
+
+    /// Takes in what a peer handed over.
+    pub(crate) fn take_missing(&self, missing: Missing) {
+        match missing {
+            Missing::Records(records) => self.deliver(&records),
+            Missing::State(state) => self.adopt(*state),
+            Missing::Busy => {}
+        }
+        *self.fetching_until.lock().expect("no holder panics") = Instant::now();
+    }
+
+    /// Returns what follows `applied_offset`: records if they are at hand, else the whole state.
+    pub(crate) fn missing_after(&self, applied_offset: Offset) -> Missing {
+        let records = self.records.lock().expect("no holder panics");
+        if let Some(records) = records.after(applied_offset) {
+            return Missing::Records(records);
+        }
+        drop(records);
+        if !self.may_give_state(Instant::now()) {
+            return Missing::Busy;
+        }
+        Missing::State(Box::new(self.fold().state().clone()))
+    }
+
+    /// Starts a fetch of what is missing, unless one is under way.
+    pub fn begin_fetch(&self) -> bool {
+        let now = Instant::now();
+        let mut fetching_until = self.fetching_until.lock().expect("no holder panics");
+        if *fetching_until > now {
+            return false;
+        }
+        *fetching_until = now + FETCH_HOLD;
+        true
+    }
+
+    /// Rebuilds the view from the fold and the members and swaps it in.
+    pub fn install_members(&self) {
+        let fold = self.fold();
+        let members = self.members();
+        let current = self.view.load();
+        let next = current.next(&fold, Some(&members));
+        drop(members);
+        self.swap_view(&fold, &current, next);
+    }
+
+    fn install_changes(&self) {
+        let fold = self.fold();
+        let current = self.view.load();
+        let next = current.next(&fold, None);
+        self.swap_view(&fold, &current, next);
+    }
+
+    fn swap_view(&self, _fold_held: &Fold, current: &View, next: View) {
+        log_installed(current, &next);
+        // The fold stays locked, so that views are swapped in the order in which they are built.
+        self.view.store(Arc::new(next));
+    }
+
+    /// Wakes the tasks that follow the member table, if it changed.
+    pub fn note_member_changes(&self) {
+        let change_count = self.members().change_count();
+        self.member_changes.send_if_modified(|known| {
+            let modified = *known != change_count;
+            *known = change_count;
+            modified
+        });
+    }
+
+    /// Notes until when the region's view of the log's head is fresh.
+    pub fn extend_head_fresh(&self, fresh_until: Instant) {
+        let mut current = self.head_fresh_until.lock().expect("no holder panics");
+        *current = (*current).max(fresh_until);
+    }
+
+    /// Returns until when the region's view of the log's head is fresh.
+    pub fn head_fresh_until(&self) -> Instant {
+        *self.head_fresh_until.lock().expect("no holder panics")
+    }
+
+    /// Returns the offset that a peer is known to have.
+    pub fn peer_offset(&self, peer: &NodeId) -> Offset {
+        let offsets = self.peer_offsets.lock().expect("no holder panics");
+        offsets.get(peer).copied().unwrap_or_default()
+    }
+
+    /// Returns what this node has heard, for `receiver`.
+    pub(crate) fn news_for(&self, receiver: &NodeId) -> News {
+        let now = Instant::now();
+        let mut members = self.members();
+        let rumours = members.take_rumours(receiver, RUMOUR_MAX_COUNT);
+        let member_digest = members.digest().total();
+        drop(members);
+        let head_left = self.head_fresh_until().saturating_duration_since(now);
+        News {
+            applied_offset: self.applied_offset(),
+            head_left_ms: head_left.as_millis() as u64,
+            member_digest,
+            rumours,
+            crashes: self.quarantine().reports(CRASH_MAX_COUNT, now),
+        }
+    }
+
+    /// Takes in what `sender` has heard; `same_region` says whether its view of the head counts.
+    pub(crate) fn take_news(&self, sender: &NodeId, news: &News, same_region: bool) {
+        let now = Instant::now();
+        self.peer_offsets
+            .lock()
+            .expect("no holder panics")
+            .insert(sender.clone(), news.applied_offset);
+        if same_region {
+            self.extend_head_fresh(now + Duration::from_millis(news.head_left_ms));
+        }
+        self.merge_members(&news.rumours);
+        let mut quarantine = self.quarantine();
+        for report in &news.crashes {
+            quarantine.merge(report, now);
+        }
+    }
+
+    /// Merges reports about members.
+    pub fn merge_members(&self, reports: &[Member]) {
+        let now = Instant::now();
+        let mut members = self.members();
+        for report in reports {
+            members.merge(report, now);
+        }
+        drop(members);
+        self.note_member_changes();
+    }
+
+    /// Notes that a path to a node failed.
+    pub fn suspect(&self, node_id: &NodeId, why: &str) {
+        log::info!("member suspected node={node_id} why={why}");
+        self.members().suspect(node_id, Instant::now());
+        self.note_member_changes();
+    }
+
+    fn may_give_state(&self, now: Instant) -> bool {
+        let mut given = self.given_states.lock().expect("no holder panics");
+        let (window_ends_at, count) = *given;
+        if window_ends_at <= now {
+            *given = (now + Duration::from_secs(1), 1);
+            return true;
+        }
+        *given = (window_ends_at, count + 1);
+        count < STATE_PER_SECOND_COUNT
+    }
+}
+
+fn log_verdict(record: &LogRecord, verdict: Option<&Verdict>) {
+    let offset = record.offset;
+    match verdict {
+        Some(Verdict::Accepted) => log::info!("change folded offset={offset}"),
+        Some(Verdict::Snapshot) | None => {}
+        Some(other) => log::warn!("change not accepted offset={offset} verdict={other:?}"),
+    }
+}
+
+fn log_installed(current: &View, next: &View) {
+    for (service, in_force) in &next.services {
+        if current.version_in_force(service) == in_force.version_offset {
+            continue;
+        }
+        log::info!(
+            "profile in force service={service} profile={} version={}",
+            in_force.profile_name,
+            in_force.version_offset,
+        );
+    }
+    for (service, held) in &next.held {
+        if current.held.get(service) == Some(held) {
+            continue;
+        }
+        log::warn!(
+            "move held service={service} profile={} version={} why={}",
+            held.profile_name,
+            held.version_offset,
+            held.findings,
+        );
+    }
+}
--- /dev/null
+++ b/crates/control/src/server.rs
@@ -0,0 +1,174 @@
+//! Control listener: one task for each connection.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_types::{
+    Member,
+    MemberState,
+    Offset, //
+};
+use futures::StreamExt as _;
+use tarpc::context::Context;
+use tarpc::serde_transport;
+use tarpc::server::{
+    BaseChannel,
+    Channel as _, //
+};
+use tarpc::tokio_serde::formats::Json;
+use tokio::net::{
+    TcpListener,
+    TcpStream, //
+};
+
+use crate::claims::ClaimBatchers;
+use crate::dial::{
+    check_hello,
+    dial,
+    framed,
+    own_hello, //
+};
+use crate::mesh::Mesh;
+use crate::meter::Metered;
+use crate::rpc::{
+    Claim,
+    ClaimVerdict,
+    Hello,
+    KeyOutcome,
+    Missing,
+    Peer,
+    Ping,
+    Pong,
+    SurveyReport,
+    SurveyRequest, //
+};
+use crate::survey::run_survey;
+
+/// Messages of one connection that are handled at a time.
+const CONCURRENT_MAX_COUNT: usize = 256;
+
+/// Accepts connections of peers until the process ends.
+pub(crate) async fn serve_peers(
+    mesh: Arc<Mesh>,
+    listener: TcpListener,
+    batchers: Rc<ClaimBatchers>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let server = PeerServer {
+                    mesh: Arc::clone(&mesh),
+                    batchers: Rc::clone(&batchers),
+                    peer: Rc::default(),
+                };
+                tokio::task::spawn_local(serve_connection(server, stream));
+            }
+            Err(error) => {
+                log::warn!("could not accept a peer: {error}");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(server: PeerServer, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("could not set TCP_NODELAY: {error}");
+    }
+    // The region of the other side is known only after its hello; until then bytes count as near.
+    let metered = Metered::new(stream, server.mesh.meter().counter(false));
+    let transport = serde_transport::new(framed(metered), Json::default());
+    let channel = BaseChannel::with_defaults(transport);
+    channel
+        .execute(server.clone().serve())
+        .for_each_concurrent(CONCURRENT_MAX_COUNT, |handled| handled)
+        .await;
+    probe_after_loss(&server).await;
+}
+
+/// Finds out at once whether a linked peer that closed its connection is gone.
+async fn probe_after_loss(server: &PeerServer) {
+    let Some(peer) = server.peer.borrow().clone() else {
+        return;
+    };
+    let known = server.mesh.members().get(&peer.node_id).cloned();
+    let Some(known) = known.filter(|known| known.state == MemberState::Live) else {
+        return;
+    };
+    let far = known.region != server.mesh.members().own().region;
+    if let Err(error) = dial(&server.mesh, &known.control_address, far).await {
+        server.mesh.suspect(&known.node_id, &format!("{error:#}"));
+    }
+}
+
+#[derive(Clone)]
+struct PeerServer {
+    mesh: Arc<Mesh>,
+    batchers: Rc<ClaimBatchers>,
+    peer: Rc<RefCell<Option<Member>>>,
+}
+
+impl PeerServer {
+    fn is_same_region(&self) -> bool {
+        let peer = self.peer.borrow();
+        peer.as_ref()
+            .is_some_and(|peer| peer.region == self.mesh.members().own().region)
+    }
+}
+
+impl Peer for PeerServer {
+    async fn hello(self, _: Context, hello: Hello) -> Result<Hello, String> {
+        check_hello(&self.mesh, &hello)?;
+        log::debug!("link opened by node={}", hello.member.node_id);
+        self.mesh.merge_members(std::slice::from_ref(&hello.member));
+        *self.peer.borrow_mut() = Some(hello.member);
+        Ok(own_hello(&self.mesh))
+    }
+
+    async fn ping(self, _: Context, ping: Ping) -> Pong {
+        let same_region = self.is_same_region();
+        self.mesh.take_news(&ping.node_id, &ping.news, same_region);
+        let behind = ping.news.applied_offset > self.mesh.applied_offset();
+        Pong {
+            wants_delivery: behind && self.mesh.begin_fetch(),
+            news: self.mesh.news_for(&ping.node_id),
+        }
+    }
+
+    async fn pull(self, _: Context, applied_offset: Offset) -> Missing {
+        self.mesh.missing_after(applied_offset)
+    }
+
+    async fn deliver(self, _: Context, missing: Missing) -> Offset {
+        self.mesh.take_missing(missing);
+        self.mesh.applied_offset()
+    }
+
+    async fn sync_members(self, _: Context, buckets: Vec<u32>) -> Vec<Member> {
+        let members = self.mesh.members();
+        let differing = members.digest().differing(&buckets);
+        members.members_of_buckets(&differing)
+    }
+
+    async fn tell_members(self, _: Context, members: Vec<Member>) {
+        self.mesh.merge_members(&members);
+    }
+
+    async fn survey(self, _: Context, request: SurveyRequest) -> SurveyReport {
+        run_survey(&self.mesh, &request).await
+    }
+
+    async fn claim(self, _: Context, claim: Claim, left_ms: u64) -> ClaimVerdict {
+        let deadline = Instant::now() + Duration::from_millis(left_ms);
+        self.batchers.claim(claim, deadline).await
+    }
+
+    async fn outcome(self, _: Context, attempt_id: u64) -> KeyOutcome {
+        self.mesh.outcome(attempt_id)
+    }
+}
