Data plane and the figway binary

A caller's node routes, picks and hands over; the node beside the target admits. The command line has one file per command.

--- /dev/null
+++ b/crates/dataplane/src/attempt.rs
@@ -0,0 +1,206 @@
+//! One attempt of a call at one target: at the own host, or handed over to the node beside it.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_routing::{
+    Distance,
+    LoadReport, //
+};
+use figway_types::{
+    NodeId,
+    NotRunReason, //
+};
+
+use crate::admit::{
+    admit,
+    AdmittedFate, //
+};
+use crate::call::{
+    Admitted,
+    Call,
+    Fate, //
+};
+use crate::candidates::ShareEntry;
+use crate::headers;
+use crate::plane::{
+    DataPlane,
+    Worker, //
+};
+use crate::transport::{
+    Answer,
+    Outbound,
+    SendFailure, //
+};
+
+/// Makes one attempt. Dropping the future gives the attempt up and frees all that it holds.
+pub(crate) async fn attempt(worker: &Worker, call: &Call<'_>, entry: &ShareEntry) -> AdmittedFate {
+    let plane = &worker.plane;
+    let node_id = &entry.member.node_id;
+    let mut tracked = Tracked::begin(plane, node_id);
+    let ended = if entry.distance == Distance::Host {
+        admit(worker, &Admitted::from(call)).await
+    } else {
+        hand_over(worker, call, entry).await
+    };
+    let took = tracked.finish();
+    note_end(plane, call, node_id, &ended.fate, took);
+    if let Some(crash_id) = ended.crash_id {
+        let now = Instant::now();
+        plane
+            .mesh
+            .quarantine()
+            .note_crash(call.fingerprint, crash_id, now);
+    }
+    ended
+}
+
+fn note_end(plane: &DataPlane, call: &Call<'_>, node_id: &NodeId, fate: &Fate, took: Duration) {
+    let now = Instant::now();
+    let limits = &call.in_force.profile.limits;
+    match fate {
+        Fate::Answered(_) => {
+            plane.loads().note_latency(node_id, took, now);
+            plane
+                .retries
+                .note_latency(call.service, &call.kind.name, limits, took);
+        }
+        Fate::Unknown(_) => plane.loads().note_latency(node_id, took, now),
+        Fate::NotRun(NotRunReason::Overloaded) => {
+            plane.loads().note_refused(node_id, now);
+            plane.retries.note_overload(call.service, limits);
+        }
+        Fate::NotRun(
+            NotRunReason::Unreachable | NotRunReason::Draining | NotRunReason::NoTarget,
+        ) => plane.loads().note_refused(node_id, now),
+        Fate::NotRun(_) => {}
+    }
+}
+
+async fn hand_over(worker: &Worker, call: &Call<'_>, entry: &ShareEntry) -> AdmittedFate {
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Fate::NotRun(NotRunReason::Expired).into();
+    }
+    let headers = admit_headers(call, left);
+    let outbound = Outbound {
+        address: &entry.member.call_address,
+        method: call.method,
+        path: call.path,
+        headers: &headers,
+        body: call.body,
+        deadline: call.deadline,
+    };
+    let node_id = &entry.member.node_id;
+    match worker.peers.send(&outbound).await {
+        Ok(answer) => read_answer(&worker.plane, node_id, answer),
+        Err(SendFailure::Refused(why)) => {
+            worker.plane.mesh.suspect(node_id, &why);
+            Fate::NotRun(NotRunReason::Unreachable).into()
+        }
+        Err(SendFailure::Broken(why)) => {
+            log::warn!(
+                "peer broke off request={:016x} node={node_id} why={why}",
+                call.request_id
+            );
+            worker.plane.loads().note_refused(node_id, Instant::now());
+            Fate::Unknown("peer-broken").into()
+        }
+        Err(SendFailure::TooLarge) => Fate::Unknown("answer-too-large").into(),
+        Err(SendFailure::Late) => Fate::Unknown("deadline").into(),
+    }
+}
+
+fn admit_headers(call: &Call<'_>, left: Duration) -> Vec<(String, String)> {
+    let mut headers = call.headers.to_vec();
+    let mut add = |name: &str, value: String| headers.push((name.to_owned(), value));
+    add(headers::ADMIT_KIND, call.kind.name.clone());
+    add(headers::ADMIT_WORTH, call.kind.worth.to_string());
+    add(headers::ADMIT_LONG, call.kind.long.to_string());
+    add(
+        headers::ADMIT_FINGERPRINT,
+        format!("{:016x}", call.fingerprint.0),
+    );
+    add(headers::REQUEST_ID, format!("{:016x}", call.request_id));
+    // The rest of a millisecond stays here, so that the peer gives up first.
+    add(headers::BUDGET_MS, left.as_millis().to_string());
+    headers
+}
+
+fn read_answer(plane: &DataPlane, node_id: &NodeId, mut answer: Answer) -> AdmittedFate {
+    if let Some(busy_ratio) = answer
+        .header(headers::BUSY)
+        .and_then(|busy| busy.parse().ok())
+    {
+        let report = LoadReport { busy_ratio };
+        plane.loads().note_report(node_id, report, Instant::now());
+    }
+    let crash_id = answer
+        .header(headers::CRASH_ID)
+        .and_then(|id| u64::from_str_radix(id, 16).ok());
+    let fate = match answer.header(headers::OUTCOME) {
+        Some("answered") => {
+            answer
+                .headers
+                .retain(|(name, _)| !name.starts_with(headers::PREFIX));
+            Fate::Answered(answer)
+        }
+        Some("not-run") => Fate::NotRun(reason_of(&answer)),
+        Some(_) => Fate::Unknown("at-peer"),
+        None => Fate::Unknown("no-outcome"),
+    };
+    AdmittedFate { fate, crash_id }
+}
+
+fn reason_of(answer: &Answer) -> NotRunReason {
+    let named = answer.header(headers::REASON).unwrap_or("");
+    for reason in NotRunReason::ALL {
+        if reason.name() == named {
+            return reason;
+        }
+    }
+    NotRunReason::Overloaded
+}
+
+/// Counts an attempt as in flight; one that is given up is a sample of a slow target.
+struct Tracked<'a> {
+    plane: &'a DataPlane,
+    node_id: &'a NodeId,
+    started_at: Instant,
+    finished: bool,
+}
+
+impl<'a> Tracked<'a> {
+    fn begin(plane: &'a DataPlane, node_id: &'a NodeId) -> Self {
+        let started_at = Instant::now();
+        plane.loads().begin(node_id, started_at);
+        Self {
+            plane,
+            node_id,
+            started_at,
+            finished: false,
+        }
+    }
+
+    fn finish(&mut self) -> Duration {
+        self.finished = true;
+        self.started_at.elapsed()
+    }
+}
+
+impl Drop for Tracked<'_> {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let mut loads = self.plane.loads();
+        loads.end(self.node_id, now);
+        if self.finished {
+            return;
+        }
+        let took = now.saturating_duration_since(self.started_at);
+        if took.as_secs_f64() * 1e6 > loads.latency_us(self.node_id, now) {
+            loads.note_latency(self.node_id, took, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dataplane/src/candidates.rs
@@ -0,0 +1,138 @@
+//! Targets that a node calls for a service and subset, kept until the view changes.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use figway_control::{
+    has_labels,
+    View, //
+};
+use figway_profile::{
+    Profile,
+    Subset, //
+};
+use figway_routing::{
+    stable_share,
+    Candidate,
+    Distance, //
+};
+use figway_types::{
+    FastMap,
+    Member,
+    MemberState, //
+};
+
+/// A target of the share and how far it is.
+#[derive(Clone, Debug)]
+pub(crate) struct ShareEntry {
+    pub(crate) member: Arc<Member>,
+    pub(crate) distance: Distance,
+}
+
+impl ShareEntry {
+    /// Returns the target as the choice sees it.
+    pub(crate) fn candidate(&self) -> Candidate<'_> {
+        let target = self.member.target.as_ref();
+        Candidate {
+            node_id: &self.member.node_id,
+            slot_count: target.map_or(1, |target| target.slot_count),
+            distance: self.distance,
+            suspect: self.member.state == MemberState::Suspect,
+        }
+    }
+}
+
+/// Route of a call to a set of targets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ShareKey<'a> {
+    pub(crate) service: &'a str,
+    pub(crate) subset_name: &'a str,
+    pub(crate) profile: &'a Profile,
+    pub(crate) profile_name: &'a str,
+}
+
+/// Shares by service and subset, for one view.
+#[derive(Default)]
+pub(crate) struct CandidateCache {
+    view: Option<Arc<View>>,
+    shares: FastMap<String, Rc<[ShareEntry]>>,
+    name: String,
+}
+
+impl CandidateCache {
+    /// Returns the share, nearest targets first.
+    pub(crate) fn share(
+        &mut self,
+        view: &Arc<View>,
+        own: &Member,
+        key: ShareKey<'_>,
+    ) -> Rc<[ShareEntry]> {
+        if !self
+            .view
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, view))
+        {
+            self.shares.clear();
+            self.view = Some(Arc::clone(view));
+        }
+        self.name.clear();
+        for part in [key.service, "/", key.profile_name, "/", key.subset_name] {
+            self.name.push_str(part);
+        }
+        if let Some(share) = self.shares.get(&self.name) {
+            return Rc::clone(share);
+        }
+        let share: Rc<[ShareEntry]> = Rc::from(build_share(view, own, key));
+        self.shares.insert(self.name.clone(), Rc::clone(&share));
+        share
+    }
+}
+
+fn build_share(view: &View, own: &Member, key: ShareKey<'_>) -> Vec<ShareEntry> {
+    let everything = Subset::default();
+    let subset = key.profile.subsets.get(key.subset_name);
+    let labels = &subset.unwrap_or(&everything).labels;
+    let mut entries = Vec::new();
+    for member in view
+        .targets
+        .get(key.service)
+        .into_iter()
+        .flat_map(|list| list.iter())
+    {
+        if member.serving_target().is_none() || !has_labels(member, labels) {
+            continue;
+        }
+        entries.push(ShareEntry {
+            distance: distance(own, member),
+            member: Arc::clone(member),
+        });
+    }
+    let mut candidates: Vec<Candidate<'_>> = entries.iter().map(ShareEntry::candidate).collect();
+    stable_share(
+        &own.node_id,
+        &mut candidates,
+        key.profile.limits.share_target_count,
+    );
+    let mut share = Vec::new();
+    for candidate in candidates {
+        for entry in &entries {
+            if entry.member.node_id == *candidate.node_id {
+                share.push(entry.clone());
+            }
+        }
+    }
+    share
+}
+
+fn distance(own: &Member, member: &Member) -> Distance {
+    if member.node_id == own.node_id {
+        return Distance::Host;
+    }
+    if member.zone == own.zone {
+        return Distance::Zone;
+    }
+    if member.region == own.region {
+        return Distance::Region;
+    }
+    Distance::Far
+}
--- /dev/null
+++ b/crates/dataplane/src/headers.rs
@@ -0,0 +1,37 @@
+//! Names of the headers that figway reads and writes.
+
+/// Service that a caller wants; without it the `Host` header names the service.
+pub(crate) const SERVICE: &str = "x-figway-service";
+
+/// Time that the caller waits, in milliseconds; also what is left of it between nodes.
+pub(crate) const BUDGET_MS: &str = "x-figway-budget-ms";
+
+/// Outcome of a call: `answered`, `not-run` or `unknown`.
+pub(crate) const OUTCOME: &str = "x-figway-outcome";
+
+/// Why a call was not answered.
+pub(crate) const REASON: &str = "x-figway-reason";
+
+/// Id of a call, the same on all nodes that it passes.
+pub(crate) const REQUEST_ID: &str = "x-figway-request-id";
+
+/// Marks a call that a peer's node hands over for admission; holds the request kind.
+pub(crate) const ADMIT_KIND: &str = "x-figway-admit-kind";
+
+/// Worth of a call that is handed over.
+pub(crate) const ADMIT_WORTH: &str = "x-figway-admit-worth";
+
+/// Whether a call that is handed over is long work.
+pub(crate) const ADMIT_LONG: &str = "x-figway-admit-long";
+
+/// Fingerprint of a call that is handed over.
+pub(crate) const ADMIT_FINGERPRINT: &str = "x-figway-admit-fingerprint";
+
+/// Calls per slot that run and wait beside the answering target.
+pub(crate) const BUSY: &str = "x-figway-busy";
+
+/// Id of the crash that ended a call, if its target crashed.
+pub(crate) const CRASH_ID: &str = "x-figway-crash-id";
+
+/// Start of all names above.
+pub(crate) const PREFIX: &str = "x-figway-";
--- /dev/null
+++ b/crates/figway/src/cmd/mod.rs
@@ -0,0 +1,42 @@
+//! Commands, one file each.
+
+mod check;
+mod node;
+mod publish;
+mod retreat;
+mod status;
+mod switch;
+mod watch;
+
+use std::process::ExitCode;
+
+use crate::flags::{
+    Figway,
+    FigwayCmd, //
+};
+
+/// Exit code of a change that was accepted but is not in force everywhere in time.
+pub(crate) const NOT_IN_FORCE: u8 = 2;
+
+/// Exit code of a change or an input that was refused.
+pub(crate) const REFUSED: u8 = 3;
+
+/// A command.
+pub(crate) trait Run {
+    /// Runs the command to its end.
+    async fn run(&self) -> anyhow::Result<ExitCode>;
+}
+
+impl Run for Figway {
+    async fn run(&self) -> anyhow::Result<ExitCode> {
+        match &self.subcommand {
+            FigwayCmd::Node(command) => command.run().await,
+            FigwayCmd::Publish(command) => command.run().await,
+            FigwayCmd::Switch(command) => command.run().await,
+            FigwayCmd::Retreat(command) => command.run().await,
+            FigwayCmd::Status(command) => command.run().await,
+            FigwayCmd::Check(command) => command.run().await,
+            FigwayCmd::Watch(command) => command.run().await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/figway/src/main.rs
@@ -0,0 +1,24 @@
+//! figway: configuration distribution for a service mesh.
+
+mod change;
+mod cmd;
+mod flags;
+mod logger;
+mod node_client;
+mod waiting;
+
+use std::process::ExitCode;
+
+use crate::cmd::Run;
+
+#[ntex::main]
+async fn main() -> ExitCode {
+    let flags = flags::Figway::from_env_or_exit();
+    match flags.run().await {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("figway: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
