--- /dev/null
+++ b/crates/testbed/src/cmd/mod.rs
@@ -0,0 +1,43 @@
+//! Commands of the test bed, one file each.
+
+mod log;
+mod target;
+
+xflags::xflags! {
+    /// Stand-ins of the platform and experiments with figway.
+    cmd testbed {
+        /// Runs the stand-in of the platform's log.
+        cmd log {
+            /// Where to listen; a free port of the loopback if absent.
+            optional --listen address: String
+        }
+        /// Runs the stand-in of a target.
+        cmd target {
+            /// Name that its answers bear.
+            required --name name: String
+            /// Service that it runs.
+            required --service service: String
+            /// Requests that it runs at a time.
+            required --slots count: u32
+            /// Call address of the node beside it.
+            required --node address: String
+            /// Label like track=stable.
+            repeated --label label: String
+        }
+    }
+}
+
+/// A command.
+pub(crate) trait Run {
+    /// Runs the command to its end.
+    async fn run(&self) -> anyhow::Result<()>;
+}
+
+impl Run for Testbed {
+    async fn run(&self) -> anyhow::Result<()> {
+        match &self.subcommand {
+            TestbedCmd::Log(command) => command.run().await,
+            TestbedCmd::Target(command) => command.run().await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/fleet.rs
@@ -0,0 +1,391 @@
+//! A fleet of processes: the log stand-in, and nodes each beside a target stand-in.
+
+use std::path::{
+    Path,
+    PathBuf, //
+};
+use std::process::Output;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use anyhow::{
+    bail,
+    Context as _, //
+};
+use ntex::client::Client;
+use serde_json::Value;
+
+use crate::deployment::Zone;
+use crate::http::{
+    client,
+    send,
+    Reply,
+    Request, //
+};
+use crate::log_server::LogFaults;
+use crate::process::{
+    Process,
+    Programs, //
+};
+
+/// Longest wait for an answer of a stand-in or a node.
+const ANSWER_WAIT: Duration = Duration::from_secs(10);
+
+/// What a node of the fleet is started with.
+#[derive(Clone, Debug)]
+pub struct NodeSpec<'a> {
+    /// Name of the node.
+    pub name: &'a str,
+    /// Its zone.
+    pub zone: Zone,
+    /// Service of the target beside it.
+    pub service: &'a str,
+    /// Slots of the target.
+    pub slot_count: u32,
+    /// Labels of the target, like `track=stable`.
+    pub labels: &'a [&'a str],
+    /// Further lines of the settings.
+    pub extra_settings: &'a str,
+}
+
+/// A node and the target beside it.
+pub struct Host {
+    /// Name of the node.
+    pub name: String,
+    /// The node.
+    pub node: Process,
+    /// The target.
+    pub target: Process,
+    settings_path: PathBuf,
+    target_args: Vec<String>,
+}
+
+impl Host {
+    /// Returns the node's call address.
+    pub fn call_address(&self) -> &str {
+        self.node.address("call")
+    }
+}
+
+/// A log stand-in and hosts, in a folder of their own.
+pub struct Fleet {
+    programs: Programs,
+    folder: PathBuf,
+    cluster: String,
+    log_region: String,
+    /// The log stand-in.
+    pub log: Process,
+    /// The hosts in the order in which they were added.
+    pub hosts: Vec<Host>,
+    http: Client,
+    /// URL by which nodes reach the log, if not its own.
+    pub log_url: String,
+}
+
+impl Fleet {
+    /// Starts a log stand-in; `name` names the folder and the mesh.
+    ///
+    /// # Errors
+    ///
+    /// It does not start.
+    pub async fn start(name: &str, log_region: &str) -> anyhow::Result<Self> {
+        let programs = Programs::find()?;
+        let folder = std::env::temp_dir().join(format!("figway-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let log = Process::start(&programs.testbed, &["log"], None)?;
+        let log_url = format!("http://{}", log.address("log"));
+        Ok(Self {
+            programs,
+            folder,
+            cluster: name.to_owned(),
+            log_region: log_region.to_owned(),
+            log,
+            hosts: Vec::new(),
+            http: client().await?,
+            log_url,
+        })
+    }
+
+    /// Starts a node and a target beside it.
+    ///
+    /// # Errors
+    ///
+    /// One of them does not start.
+    pub fn add_host(&mut self, spec: &NodeSpec<'_>) -> anyhow::Result<()> {
+        let settings_path = self.folder.join(format!("{}.yaml", spec.name));
+        std::fs::write(&settings_path, self.settings(spec))?;
+        let node = self.start_node(spec.name, &settings_path)?;
+        let mut target_args: Vec<String> = Vec::new();
+        for arg in [
+            "target",
+            "--name",
+            spec.name,
+            "--service",
+            spec.service,
+            "--slots",
+        ] {
+            target_args.push(arg.to_owned());
+        }
+        target_args.push(spec.slot_count.to_string());
+        for label in spec.labels {
+            target_args.push("--label".to_owned());
+            target_args.push((*label).to_owned());
+        }
+        let target = self.start_target(&target_args, node.address("call"))?;
+        self.hosts.push(Host {
+            name: spec.name.to_owned(),
+            node,
+            target,
+            settings_path,
+            target_args,
+        });
+        Ok(())
+    }
+
+    /// Starts the node of a host again, with the same settings; its target goes on announcing only
+    /// to the old address, so it is replaced too.
+    ///
+    /// # Errors
+    ///
+    /// One of them does not start.
+    pub fn restart_host(&mut self, index: usize) -> anyhow::Result<()> {
+        let name = self.hosts[index].name.clone();
+        let settings_path = self.hosts[index].settings_path.clone();
+        self.hosts[index].node = self.start_node(&name, &settings_path)?;
+        self.restart_target(index)
+    }
+
+    /// Starts the target of a host again.
+    ///
+    /// # Errors
+    ///
+    /// It does not start.
+    pub fn restart_target(&mut self, index: usize) -> anyhow::Result<()> {
+        let host = &self.hosts[index];
+        let target = self.start_target(&host.target_args, host.call_address())?;
+        self.hosts[index].target = target;
+        Ok(())
+    }
+
+    fn start_node(&self, name: &str, settings_path: &Path) -> anyhow::Result<Process> {
+        let log_path = self.folder.join(format!("{name}.log"));
+        let path = settings_path.to_string_lossy();
+        Process::start(
+            &self.programs.figway,
+            &["node", "--settings", &path],
+            Some(&log_path),
+        )
+    }
+
+    fn start_target(&self, args: &[String], call_address: &str) -> anyhow::Result<Process> {
+        let mut args: Vec<&str> = args.iter().map(String::as_str).collect();
+        args.extend(["--node", call_address]);
+        Process::start(&self.programs.testbed, &args, None)
+    }
+
+    fn settings(&self, spec: &NodeSpec<'_>) -> String {
+        format!(
+            "cluster: {}\n\
+             node: {}\n\
+             region: {}\n\
+             zone: {}\n\
+             listen:\n  control: 127.0.0.1:0\n  call: 127.0.0.1:0\n\
+             log:\n  url: {}\n  region: {}\n  retention_ms: 86400000\n{}\n",
+            self.cluster,
+            spec.name,
+            spec.zone.region,
+            spec.zone.name,
+            self.log_url,
+            self.log_region,
+            spec.extra_settings,
+        )
+    }
+
+    /// Writes a file into the fleet's folder and returns its path.
+    ///
+    /// # Errors
+    ///
+    /// It can't be written.
+    pub fn write(&self, name: &str, text: &str) -> anyhow::Result<String> {
+        let path = self.folder.join(name);
+        std::fs::write(&path, text)?;
+        Ok(path.to_string_lossy().into_owned())
+    }
+
+    /// Runs a command of the figway binary to its end, against the log and the first live node.
+    ///
+    /// # Errors
+    ///
+    /// It does not start.
+    pub async fn figway(&self, args: &[&str]) -> anyhow::Result<Output> {
+        let mut command = tokio::process::Command::new(&self.programs.figway);
+        command
+            .args(args)
+            .env("FIGWAY_LOG", format!("http://{}", self.log.address("log")))
+            .env("USER", "operator");
+        if let Some(host) = self.hosts.first() {
+            command.env("FIGWAY_NODE", host.call_address());
+        }
+        command.output().await.context("could not run figway")
+    }
+
+    /// Runs a command of the figway binary and returns what it printed; it must succeed.
+    ///
+    /// # Errors
+    ///
+    /// It failed.
+    pub async fn figway_ok(&self, args: &[&str]) -> anyhow::Result<String> {
+        let output = self.figway(args).await?;
+        if !output.status.success() {
+            bail!(
+                "figway {args:?} ended with {}: {}{}",
+                output.status,
+                String::from_utf8_lossy(&output.stdout),
+                String::from_utf8_lossy(&output.stderr)
+            );
+        }
+        Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+    }
+
+    /// Switches faults of the log on or off.
+    ///
+    /// # Errors
+    ///
+    /// The stand-in does not answer.
+    pub async fn set_log_faults(&self, faults: LogFaults) -> anyhow::Result<()> {
+        let url = format!("http://{}/testbed/faults", self.log.address("log"));
+        let body = serde_json::to_string(&faults)?;
+        let headers = [("content-type", "application/json")];
+        self.post(&url, &headers, &body).await?;
+        Ok(())
+    }
+
+    /// Posts to a stand-in or a node.
+    ///
+    /// # Errors
+    ///
+    /// There is no answer in time.
+    pub async fn post(
+        &self,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> anyhow::Result<Reply> {
+        let request = Request {
+            method: "POST",
+            url,
+            headers,
+            body,
+        };
+        send(&self.http, request, ANSWER_WAIT).await
+    }
+
+    /// Gets from a stand-in or a node.
+    ///
+    /// # Errors
+    ///
+    /// There is no answer in time.
+    pub async fn get(&self, url: &str, headers: &[(&str, &str)]) -> anyhow::Result<Reply> {
+        let request = Request {
+            method: "GET",
+            url,
+            headers,
+            body: "",
+        };
+        send(&self.http, request, ANSWER_WAIT).await
+    }
+
+    /// Returns the status of a host's node.
+    ///
+    /// # Errors
+    ///
+    /// The node does not answer.
+    pub async fn status(&self, index: usize) -> anyhow::Result<Value> {
+        let url = format!("http://{}/figway/status", self.hosts[index].call_address());
+        self.get(&url, &[]).await?.json()
+    }
+
+    /// Returns the journal of a host's target.
+    ///
+    /// # Errors
+    ///
+    /// The target does not answer.
+    pub async fn journal(&self, index: usize) -> anyhow::Result<Vec<Value>> {
+        let address = self.hosts[index].target.address("target");
+        let journal = self
+            .get(&format!("http://{address}/testbed/journal"), &[])
+            .await?;
+        Ok(serde_json::from_slice(&journal.body)?)
+    }
+
+    /// Waits until `service` follows `profile` on every host, or `wait` has passed.
+    ///
+    /// # Errors
+    ///
+    /// It does not in time; says which host.
+    pub async fn wait_in_force(
+        &self,
+        service: &str,
+        profile: &str,
+        wait: Duration,
+    ) -> anyhow::Result<Duration> {
+        let started_at = Instant::now();
+        for index in 0..self.hosts.len() {
+            self.wait_status(index, wait, &|status| {
+                status["services"][service]["profile"] == profile
+            })
+            .await
+            .with_context(|| format!("{profile} is not in force for {service}"))?;
+        }
+        Ok(started_at.elapsed())
+    }
+
+    /// Waits until every node sees `live_count` live nodes.
+    ///
+    /// # Errors
+    ///
+    /// It does not in time; says which host.
+    pub async fn wait_live(&self, live_count: u64, wait: Duration) -> anyhow::Result<()> {
+        for index in 0..self.hosts.len() {
+            self.wait_status(index, wait, &|status| status["live_count"] == live_count)
+                .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until the status of a host's node is as wanted.
+    ///
+    /// # Errors
+    ///
+    /// It is not in time.
+    pub async fn wait_status(
+        &self,
+        index: usize,
+        wait: Duration,
+        wanted: &dyn Fn(&Value) -> bool,
+    ) -> anyhow::Result<Value> {
+        let deadline = Instant::now() + wait;
+        loop {
+            let status = self.status(index).await;
+            if let Ok(status) = &status {
+                if wanted(status) {
+                    return Ok(status.clone());
+                }
+            }
+            if Instant::now() >= deadline {
+                bail!("{} is not as wanted: {status:?}", self.hosts[index].name);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if std::env::var_os("FIGWAY_KEEP").is_none() {
+            std::fs::remove_dir_all(&self.folder).ok();
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/lib.rs
@@ -0,0 +1,11 @@
+//! Test bed of figway: stand-ins of the platform's log and of targets, a load generator, the demo
+//! and the experiments. Never shipped.
+
+pub mod deployment;
+pub mod fleet;
+pub mod http;
+pub mod load;
+pub mod log_server;
+pub mod process;
+pub mod relay;
+pub mod target_server;
--- /dev/null
+++ b/crates/testbed/src/log_server.rs
@@ -0,0 +1,302 @@
+//! Stand-in of the platform's append-only log, with the faults that the real one has.
+
+use std::collections::VecDeque;
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard, //
+};
+use std::time::{
+    Duration,
+    Instant,
+    SystemTime,
+    UNIX_EPOCH, //
+};
+
+use figway_log_client::{
+    Appended,
+    Page, //
+};
+use figway_types::{
+    FastMap,
+    LogRecord,
+    Offset, //
+};
+use ntex::util::Bytes;
+use ntex::web::types::{
+    Json,
+    Path,
+    PayloadConfig,
+    Query,
+    State, //
+};
+use ntex::web::{
+    self,
+    App,
+    HttpResponse,
+    HttpServer, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::json;
+use tokio::sync::watch;
+
+/// Records of one page at most.
+const PAGE_MAX_COUNT: usize = 1_000;
+
+/// Faults that are switched on from outside.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct LogFaults {
+    /// Answers nothing but 503.
+    pub down: bool,
+    /// Delays every answer, in milliseconds.
+    pub slow_ms: u64,
+    /// Appends that take effect and whose answer is lost.
+    pub lose_answer_count: u64,
+    /// Age at which records expire, in milliseconds; 0 for never.
+    pub retention_ms: u64,
+    /// Appends in a second, above which the log answers 429; 0 for no limit.
+    pub append_max_per_s: u64,
+}
+
+#[derive(Default)]
+struct Stream {
+    records: VecDeque<LogRecord>,
+    appended_count: u64,
+}
+
+struct Store {
+    streams: FastMap<String, Stream>,
+    faults: LogFaults,
+    appended: watch::Sender<u64>,
+    append_count: u64,
+    read_count: u64,
+    read_bytes: u64,
+    window_ends_at: Instant,
+    window_count: u64,
+}
+
+/// State of the stand-in.
+#[derive(Clone)]
+pub struct LogServer {
+    store: Arc<Mutex<Store>>,
+}
+
+#[derive(Deserialize)]
+struct ReadQuery {
+    from: u64,
+    wait_ms: u64,
+}
+
+impl Default for LogServer {
+    fn default() -> Self {
+        Self {
+            store: Arc::new(Mutex::new(Store {
+                streams: FastMap::default(),
+                faults: LogFaults::default(),
+                appended: watch::Sender::new(0),
+                append_count: 0,
+                read_count: 0,
+                read_bytes: 0,
+                window_ends_at: Instant::now(),
+                window_count: 0,
+            })),
+        }
+    }
+}
+
+impl LogServer {
+    /// Serves on `listener` until stopped.
+    ///
+    /// # Errors
+    ///
+    /// The listener can't be served.
+    pub fn serve(&self, listener: std::net::TcpListener) -> anyhow::Result<ntex::server::Server> {
+        let server = self.clone();
+        let running = HttpServer::new(async move || {
+            App::new()
+                .state(server.clone())
+                .state(PayloadConfig::new(32 * 1_024 * 1_024))
+                .service(
+                    web::resource("/streams/{stream}/records")
+                        .route(web::post().to(append))
+                        .route(web::get().to(read)),
+                )
+                .service(web::resource("/testbed/faults").route(web::post().to(set_faults)))
+                .service(web::resource("/testbed/counts").route(web::get().to(counts)))
+        })
+        .workers(1)
+        .disable_signals()
+        .listen(listener)?
+        .run();
+        Ok(running)
+    }
+
+    fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().expect("no holder panics")
+    }
+
+    async fn delay(&self) {
+        let slow_ms = self.store().faults.slow_ms;
+        if slow_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(slow_ms)).await;
+        }
+    }
+
+    /// Appends a record and returns the answer, or none if it is lost.
+    fn append(&self, stream: &str, body: &str) -> Option<HttpResponse> {
+        let mut store = self.store();
+        if store.faults.down {
+            return Some(HttpResponse::ServiceUnavailable().finish());
+        }
+        if store.is_over_rate() {
+            return Some(HttpResponse::TooManyRequests().finish());
+        }
+        let appended = store.append(stream, body);
+        if store.faults.lose_answer_count > 0 {
+            store.faults.lose_answer_count -= 1;
+            return None;
+        }
+        Some(HttpResponse::Ok().json(&appended))
+    }
+
+    fn page(&self, stream: &str, from: u64) -> Result<Page, Offset> {
+        let mut store = self.store();
+        store.expire(stream);
+        let stream = store.streams.entry(stream.to_owned()).or_default();
+        let first_offset = Offset(stream.appended_count + 1 - stream.records.len() as u64);
+        if Offset(from.max(1)) < first_offset {
+            return Err(first_offset);
+        }
+        let skip = (from.max(1) - first_offset.0) as usize;
+        let mut records = Vec::new();
+        for record in stream.records.iter().skip(skip).take(PAGE_MAX_COUNT) {
+            records.push(record.clone());
+        }
+        Ok(Page {
+            first_offset,
+            next_offset: Offset(stream.appended_count + 1),
+            now_ms: now_ms(),
+            records,
+        })
+    }
+}
+
+impl Store {
+    fn append(&mut self, stream: &str, body: &str) -> Appended {
+        let appended_at_ms = now_ms();
+        let stream = self.streams.entry(stream.to_owned()).or_default();
+        stream.appended_count += 1;
+        let offset = Offset(stream.appended_count);
+        stream.records.push_back(LogRecord {
+            offset,
+            appended_at_ms,
+            body: body.to_owned(),
+        });
+        self.append_count += 1;
+        self.appended.send_modify(|count| *count += 1);
+        Appended {
+            offset,
+            appended_at_ms,
+        }
+    }
+
+    fn expire(&mut self, stream: &str) {
+        if self.faults.retention_ms == 0 {
+            return;
+        }
+        let oldest_ms = now_ms().saturating_sub(self.faults.retention_ms);
+        let Some(stream) = self.streams.get_mut(stream) else {
+            return;
+        };
+        while let Some(record) = stream.records.front() {
+            if record.appended_at_ms >= oldest_ms {
+                return;
+            }
+            stream.records.pop_front();
+        }
+    }
+
+    fn is_over_rate(&mut self) -> bool {
+        if self.faults.append_max_per_s == 0 {
+            return false;
+        }
+        let now = Instant::now();
+        if self.window_ends_at <= now {
+            self.window_ends_at = now + Duration::from_secs(1);
+            self.window_count = 0;
+        }
+        self.window_count += 1;
+        self.window_count > self.faults.append_max_per_s
+    }
+}
+
+async fn append(server: State<LogServer>, stream: Path<String>, body: Bytes) -> HttpResponse {
+    server.delay().await;
+    let body = String::from_utf8_lossy(&body).into_owned();
+    match server.append(&stream, &body) {
+        Some(response) => response,
+        // The record is in the stream, but its writer never hears of it.
+        None => futures::future::pending().await,
+    }
+}
+
+async fn read(
+    server: State<LogServer>,
+    stream: Path<String>,
+    query: Query<ReadQuery>,
+) -> HttpResponse {
+    server.delay().await;
+    let wait_until = Instant::now() + Duration::from_millis(query.wait_ms);
+    let mut appended = server.store().appended.subscribe();
+    loop {
+        if server.store().faults.down {
+            return HttpResponse::ServiceUnavailable().finish();
+        }
+        let page = match server.page(&stream, query.from) {
+            Ok(page) => page,
+            Err(first_offset) => {
+                return HttpResponse::Gone().json(&json!({"first_offset": first_offset}));
+            }
+        };
+        if !page.records.is_empty() || Instant::now() >= wait_until {
+            let body = serde_json::to_vec(&page).unwrap_or_default();
+            let mut store = server.store();
+            store.read_count += 1;
+            store.read_bytes += body.len() as u64;
+            return HttpResponse::Ok()
+                .content_type("application/json")
+                .body(body);
+        }
+        let changed = appended.changed();
+        tokio::time::timeout_at(wait_until.into(), changed)
+            .await
+            .ok();
+    }
+}
+
+async fn set_faults(server: State<LogServer>, faults: Json<LogFaults>) -> HttpResponse {
+    let mut store = server.store();
+    store.faults = faults.into_inner();
+    // Wakes the readers that wait, so that an outage cuts them too.
+    store.appended.send_modify(|count| *count += 1);
+    HttpResponse::NoContent().finish()
+}
+
+async fn counts(server: State<LogServer>) -> HttpResponse {
+    let store = server.store();
+    HttpResponse::Ok().json(&json!({
+        "appends": store.append_count,
+        "reads": store.read_count,
+        "read_bytes": store.read_bytes,
+    }))
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/testbed/src/process.rs
@@ -0,0 +1,163 @@
+//! Child processes of the test bed: stand-ins and nodes, ended when dropped.
+
+use std::io::{
+    BufRead as _,
+    BufReader, //
+};
+use std::path::{
+    Path,
+    PathBuf, //
+};
+use std::process::{
+    Child,
+    Command,
+    Stdio, //
+};
+
+use anyhow::{
+    bail,
+    Context as _, //
+};
+use serde_json::Value;
+
+/// A signal that the test bed sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Planned stop.
+    Terminate,
+    /// Sudden death.
+    Kill,
+    /// Pause.
+    Stop,
+    /// End of a pause.
+    Continue,
+}
+
+impl Signal {
+    fn name(self) -> &'static str {
+        match self {
+            Signal::Terminate => "TERM",
+            Signal::Kill => "KILL",
+            Signal::Stop => "STOP",
+            Signal::Continue => "CONT",
+        }
+    }
+}
+
+/// A child process that printed where it listens.
+pub struct Process {
+    child: Child,
+    /// What it printed when it was ready.
+    pub ready: Value,
+}
+
+impl Process {
+    /// Starts `program` and waits for the JSON line that it prints when it is ready. Its log lines
+    /// go to `log_path`, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// It does not start or is not ready.
+    pub fn start(program: &Path, args: &[&str], log_path: Option<&Path>) -> anyhow::Result<Self> {
+        let stderr = match log_path {
+            Some(path) => Stdio::from(
+                std::fs::File::options()
+                    .create(true)
+                    .append(true)
+                    .open(path)?,
+            ),
+            None => Stdio::null(),
+        };
+        let mut child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(stderr)
+            .spawn()
+            .with_context(|| format!("could not start {}", program.display()))?;
+        let stdout = child.stdout.take().context("the child has no output")?;
+        let mut line = String::new();
+        BufReader::new(stdout).read_line(&mut line)?;
+        let Ok(ready) = serde_json::from_str(&line) else {
+            child.kill().ok();
+            child.wait().ok();
+            bail!("{} {args:?} was not ready: {line:?}", program.display());
+        };
+        Ok(Self { child, ready })
+    }
+
+    /// Returns an address that the process printed.
+    pub fn address(&self, name: &str) -> &str {
+        self.ready[name].as_str().unwrap_or("")
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal to this process alone.
+    ///
+    /// # Errors
+    ///
+    /// The signal can't be sent.
+    pub fn signal(&self, signal: Signal) -> anyhow::Result<()> {
+        let status = Command::new("kill")
+            .arg(format!("-{}", signal.name()))
+            .arg(self.child.id().to_string())
+            .status()?;
+        if !status.success() {
+            bail!("could not send {} to {}", signal.name(), self.child.id());
+        }
+        Ok(())
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Errors
+    ///
+    /// The process can't be waited for.
+    pub fn wait(&mut self) -> anyhow::Result<std::process::ExitStatus> {
+        Ok(self.child.wait()?)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+/// Where the programs of this build are.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The figway binary.
+    pub figway: PathBuf,
+    /// The testbed binary.
+    pub testbed: PathBuf,
+}
+
+impl Programs {
+    /// Finds both beside the running program, or one folder above it, as for tests.
+    ///
+    /// # Errors
+    ///
+    /// They are not built.
+    pub fn find() -> anyhow::Result<Self> {
+        let own = std::env::current_exe()?;
+        for folder in own.ancestors().skip(1).take(2) {
+            let figway = folder.join("figway");
+            let testbed = folder.join("testbed");
+            if figway.is_file() && testbed.is_file() {
+                return Ok(Self { figway, testbed });
+            }
+        }
+        bail!("could not find the programs; build them with `cargo build --workspace`")
+    }
+}
