Test bed: open-loop load and the latency experiment

Cause looked for: where the added latency of a two-node call goes. strace of a node at 4 connections shows that ntex's timers come from a thread of their own (futures-timer), which wakes the worker through an eventfd: 6.4 wake-ups a call at 4 connections and 0.5 at 110, where four are needed. perf shows no hot spot in our code (malloc and free about 15%). Idle, a node uses 0.2% of a core and 9 MB. The machine itself stalls: the 99th of a direct call was 1.7 to 4.9 ms in the same runs, so the 99th says little here; the median of two nodes was 670 to 990 us above direct at 4 connections.

--- a/crates/figway/tests/check.rs
+++ b/crates/figway/tests/check.rs
@@ -57,7 +57,8 @@
     assert_eq!(code, Some(3));
     expect![[r#"
         no-yaml.yaml:3: not valid YAML: error: line 3 column 7: illegal placement of ':' indicator
-    "#]].assert_eq(&printed);
+    "#]]
+    .assert_eq(&printed);
 }
 
 #[test]
--- a/crates/testbed/src/cmd/mod.rs
+++ b/crates/testbed/src/cmd/mod.rs
@@ -1,8 +1,11 @@
 //! Commands of the test bed, one file each.
 
+mod latency;
 mod log;
 mod target;
 
+use std::path::PathBuf;
+
 xflags::xflags! {
     /// Stand-ins of the platform and experiments with figway.
     cmd testbed {
@@ -24,6 +27,15 @@
             /// Label like track=stable.
             repeated --label label: String
         }
+        /// Measures what figway adds to a call, against calling the target directly.
+        cmd latency {
+            /// Folder of the profiles.
+            required profiles: PathBuf
+            /// Rounds of alternating phases for each number of connections.
+            optional --rounds count: usize
+            /// Log level of the nodes.
+            optional --level level: String
+        }
     }
 }
 
@@ -36,6 +48,7 @@
 impl Run for Testbed {
     async fn run(&self) -> anyhow::Result<()> {
         match &self.subcommand {
+            TestbedCmd::Latency(command) => command.run().await,
             TestbedCmd::Log(command) => command.run().await,
             TestbedCmd::Target(command) => command.run().await,
         }
--- a/crates/testbed/src/load.rs
+++ b/crates/testbed/src/load.rs
@@ -1,2 +1,401 @@
 //! Open-loop load: requests start when they are due, whether or not earlier ones were answered, and
 //! latency counts from when they were due.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_types::mix;
+use futures::stream::{
+    FuturesUnordered,
+    StreamExt as _, //
+};
+use hdrhistogram::Histogram;
+use ntex::client::Client;
+
+use crate::http::{
+    send,
+    Request, //
+};
+
+/// Highest latency that is told apart, in microseconds.
+const LATENCY_MAX_US: u64 = 120_000_000;
+
+/// Wait of a caller beyond the call's budget.
+const CALLER_GRACE: Duration = Duration::from_millis(500);
+
+/// A kind of request that the load is made of.
+#[derive(Clone, Debug)]
+pub struct LoadKind {
+    /// Name in reports.
+    pub name: &'static str,
+    /// Service that is called.
+    pub service: &'static str,
+    /// `GET` or `POST`.
+    pub method: &'static str,
+    /// Path without query.
+    pub path: &'static str,
+    /// Mean service time, in milliseconds; each call draws between half and one and a half of it.
+    pub work_ms: f64,
+    /// Share of calls that take `straggle_factor` times as long.
+    pub straggle_ratio: f64,
+    /// How much longer a straggler takes.
+    pub straggle_factor: f64,
+    /// Worth of one served call.
+    pub worth: f64,
+    /// Share of all calls, relative to the other kinds.
+    pub weight: f64,
+    /// Whether the caller waits for at most this long, in milliseconds.
+    pub budget_ms: u64,
+    /// Whether each call bears a key of its own.
+    pub keyed: bool,
+}
+
+/// How a call finds its target.
+pub trait Way {
+    /// Sends one call and returns its end.
+    fn call<'a>(
+        &'a self,
+        kind: &'a LoadKind,
+        drawn: &'a Drawn,
+    ) -> futures::future::LocalBoxFuture<'a, CallEnd>;
+}
+
+/// What was drawn for one call.
+#[derive(Clone, Debug)]
+pub struct Drawn {
+    /// Identity of the call.
+    pub call_id: String,
+    /// Path with the drawn service time.
+    pub path: String,
+    /// A random number for the way's own choices.
+    pub random: u64,
+}
+
+/// How a call ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CallEnd {
+    /// A whole answer of the target.
+    Answered,
+    /// Refused, not run.
+    NotRun,
+    /// Its fate is not known.
+    Unknown,
+    /// No usable answer at all.
+    Failed,
+}
+
+/// What became of the calls of one kind.
+#[derive(Clone, Debug)]
+pub struct KindReport {
+    /// Latency of answered calls, in microseconds.
+    pub latency_us: Histogram<u64>,
+    /// Calls by their end.
+    pub ends: BTreeMap<CallEnd, u64>,
+    /// Worth of the answered calls.
+    pub worth: f64,
+    /// Worth of all calls.
+    pub offered_worth: f64,
+}
+
+impl Default for KindReport {
+    fn default() -> Self {
+        Self {
+            latency_us: Histogram::new_with_bounds(1, LATENCY_MAX_US, 3)
+                .expect("the bounds are good"),
+            ends: BTreeMap::new(),
+            worth: 0.0,
+            offered_worth: 0.0,
+        }
+    }
+}
+
+impl KindReport {
+    /// Returns the calls that ended this way.
+    pub fn count(&self, end: CallEnd) -> u64 {
+        self.ends.get(&end).copied().unwrap_or(0)
+    }
+
+    /// Returns a quantile of the latency, in milliseconds.
+    pub fn latency_ms(&self, quantile: f64) -> f64 {
+        self.latency_us.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+
+    fn note(&mut self, kind: &LoadKind, end: CallEnd, took: Duration) {
+        *self.ends.entry(end).or_default() += 1;
+        self.offered_worth += kind.worth;
+        if end == CallEnd::Answered {
+            self.worth += kind.worth;
+            self.latency_us.saturating_record(took.as_micros() as u64);
+        }
+    }
+}
+
+/// What became of all calls.
+pub type LoadReport = BTreeMap<&'static str, KindReport>;
+
+/// Offered calls a second, by the time since the start.
+pub trait RatePlan {
+    /// Returns the rate at `elapsed`, in calls a second; `None` at the end.
+    fn rate_per_s(&self, elapsed: Duration) -> Option<f64>;
+}
+
+/// The same rate all the time.
+#[derive(Clone, Copy, Debug)]
+pub struct Constant {
+    /// Calls a second.
+    pub rate_per_s: f64,
+    /// How long, in seconds.
+    pub for_s: f64,
+}
+
+impl RatePlan for Constant {
+    fn rate_per_s(&self, elapsed: Duration) -> Option<f64> {
+        (elapsed.as_secs_f64() < self.for_s).then_some(self.rate_per_s)
+    }
+}
+
+/// A rate that rises within seconds, holds, and falls back.
+#[derive(Clone, Copy, Debug)]
+pub struct Crest {
+    /// Calls a second outside the crest.
+    pub base_per_s: f64,
+    /// Calls a second at its top.
+    pub top_per_s: f64,
+    /// Time before the rise, and after the fall, in seconds.
+    pub calm_s: f64,
+    /// Time of the rise, and of the fall, in seconds.
+    pub rise_s: f64,
+    /// Time at the top, in seconds.
+    pub hold_s: f64,
+}
+
+impl RatePlan for Crest {
+    fn rate_per_s(&self, elapsed: Duration) -> Option<f64> {
+        let at_s = elapsed.as_secs_f64();
+        let rise_ends_s = self.calm_s + self.rise_s;
+        let fall_starts_s = rise_ends_s + self.hold_s;
+        let fall_ends_s = fall_starts_s + self.rise_s;
+        if at_s >= fall_ends_s + self.calm_s {
+            return None;
+        }
+        let height = if at_s < self.calm_s {
+            0.0
+        } else if at_s < rise_ends_s {
+            (at_s - self.calm_s) / self.rise_s
+        } else if at_s < fall_starts_s {
+            1.0
+        } else if at_s < fall_ends_s {
+            (fall_ends_s - at_s) / self.rise_s
+        } else {
+            0.0
+        };
+        Some(self.base_per_s + height * (self.top_per_s - self.base_per_s))
+    }
+}
+
+/// Offers calls by `plan` and returns what became of them. `seed` fixes arrivals and draws.
+pub async fn offer(
+    kinds: &[LoadKind],
+    plan: &dyn RatePlan,
+    way: Rc<dyn Way>,
+    seed: u64,
+) -> LoadReport {
+    let report: Rc<RefCell<LoadReport>> = Rc::default();
+    let mut draws = Draws::new(kinds, seed);
+    let started_at = Instant::now();
+    let mut due = Duration::ZERO;
+    let mut under_way = FuturesUnordered::new();
+    while let Some(rate_per_s) = plan.rate_per_s(due) {
+        let due_at = started_at + due;
+        let (index, drawn) = draws.next();
+        let sleep = tokio::time::sleep_until(due_at.into());
+        tokio::pin!(sleep);
+        loop {
+            tokio::select! {
+                () = &mut sleep => break,
+                Some(()) = under_way.next() => {}
+            }
+        }
+        under_way.push(one_call(
+            &kinds[index],
+            drawn,
+            due_at,
+            Rc::clone(&way),
+            Rc::clone(&report),
+        ));
+        due += Duration::from_secs_f64(draws.gap(rate_per_s));
+    }
+    while under_way.next().await.is_some() {}
+    drop(under_way);
+    report.take()
+}
+
+async fn one_call(
+    kind: &LoadKind,
+    drawn: Drawn,
+    due_at: Instant,
+    way: Rc<dyn Way>,
+    report: Rc<RefCell<LoadReport>>,
+) {
+    let end = way.call(kind, &drawn).await;
+    let took = due_at.elapsed();
+    let mut report = report.borrow_mut();
+    report.entry(kind.name).or_default().note(kind, end, took);
+}
+
+/// Random draws of a load.
+struct Draws<'a> {
+    kinds: &'a [LoadKind],
+    weight_sum: f64,
+    seed: u64,
+    state: u64,
+    count: u64,
+}
+
+impl<'a> Draws<'a> {
+    fn new(kinds: &'a [LoadKind], seed: u64) -> Self {
+        Self {
+            kinds,
+            weight_sum: kinds.iter().map(|kind| kind.weight).sum(),
+            seed,
+            state: seed,
+            count: 0,
+        }
+    }
+
+    fn unit(&mut self) -> f64 {
+        self.state = mix(self.state);
+        (self.state >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    /// Draws the gap to the next arrival of a Poisson process, in seconds.
+    fn gap(&mut self, rate_per_s: f64) -> f64 {
+        -(1.0 - self.unit()).ln() / rate_per_s.max(0.001)
+    }
+
+    fn next(&mut self) -> (usize, Drawn) {
+        let mut place = self.unit() * self.weight_sum;
+        let mut index = 0;
+        for (candidate, kind) in self.kinds.iter().enumerate() {
+            index = candidate;
+            place -= kind.weight;
+            if place <= 0.0 {
+                break;
+            }
+        }
+        let kind = &self.kinds[index];
+        let mut work_ms = kind.work_ms * (0.5 + self.unit());
+        if self.unit() < kind.straggle_ratio {
+            work_ms *= kind.straggle_factor;
+        }
+        self.count += 1;
+        let call_id = format!("{:x}-{}", self.seed, self.count);
+        let drawn = Drawn {
+            path: format!("{}?work_ms={work_ms:.2}", kind.path),
+            call_id,
+            random: mix(self.state ^ self.count),
+        };
+        (index, drawn)
+    }
+}
+
+/// Calls through figway's nodes, each at a random one.
+pub struct ThroughNodes {
+    /// Client of the callers.
+    pub http: Client,
+    /// Call addresses of the nodes.
+    pub nodes: Vec<String>,
+}
+
+impl Way for ThroughNodes {
+    fn call<'a>(
+        &'a self,
+        kind: &'a LoadKind,
+        drawn: &'a Drawn,
+    ) -> futures::future::LocalBoxFuture<'a, CallEnd> {
+        Box::pin(async move {
+            let node = &self.nodes[(drawn.random % self.nodes.len() as u64) as usize];
+            let url = format!("http://{node}{}", drawn.path);
+            let budget_ms = kind.budget_ms.to_string();
+            let mut headers = vec![
+                ("x-figway-service", kind.service),
+                ("x-figway-budget-ms", budget_ms.as_str()),
+                ("x-call-id", drawn.call_id.as_str()),
+            ];
+            if kind.keyed {
+                headers.push(("idempotency-key", drawn.call_id.as_str()));
+            }
+            let request = Request {
+                method: kind.method,
+                url: &url,
+                headers: &headers,
+                body: "",
+            };
+            let wait = Duration::from_millis(kind.budget_ms) + CALLER_GRACE;
+            match send(&self.http, request, wait).await {
+                Ok(reply) => match (reply.outcome.as_str(), reply.status) {
+                    ("answered", 200) => CallEnd::Answered,
+                    ("not-run", _) => CallEnd::NotRun,
+                    ("unknown", _) => CallEnd::Unknown,
+                    _ => CallEnd::Failed,
+                },
+                Err(_) => CallEnd::Failed,
+            }
+        })
+    }
+}
+
+/// The baseline: round robin straight to the targets, no queue limits, two retries.
+pub struct RoundRobin {
+    /// Client of the callers.
+    pub http: Client,
+    /// Addresses of the targets, by service.
+    pub targets: BTreeMap<String, Vec<String>>,
+    /// Next target of each service.
+    pub turn: RefCell<BTreeMap<String, usize>>,
+    /// Tries of a call.
+    pub try_count: usize,
+}
+
+impl RoundRobin {
+    fn next(&self, service: &str) -> &str {
+        let targets = &self.targets[service];
+        let mut turns = self.turn.borrow_mut();
+        let turn = turns.entry(service.to_owned()).or_default();
+        *turn += 1;
+        &targets[*turn % targets.len()]
+    }
+}
+
+impl Way for RoundRobin {
+    fn call<'a>(
+        &'a self,
+        kind: &'a LoadKind,
+        drawn: &'a Drawn,
+    ) -> futures::future::LocalBoxFuture<'a, CallEnd> {
+        Box::pin(async move {
+            let give_up_at = Instant::now() + Duration::from_millis(kind.budget_ms);
+            for _ in 0..self.try_count {
+                let url = format!("http://{}{}", self.next(kind.service), drawn.path);
+                let request = Request {
+                    method: kind.method,
+                    url: &url,
+                    headers: &[("x-call-id", drawn.call_id.as_str())],
+                    body: "",
+                };
+                let left = give_up_at.saturating_duration_since(Instant::now());
+                if let Ok(reply) = send(&self.http, request, left).await {
+                    if reply.status == 200 {
+                        return CallEnd::Answered;
+                    }
+                }
+            }
+            CallEnd::Failed
+        })
+    }
+}
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -134,6 +134,51 @@
     }
 }
 
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// Processor time, in microseconds.
+    pub cpu_us: u64,
+    /// Times that a thread of it went to sleep and was woken.
+    pub wake_count: u64,
+    /// Resident memory, in bytes.
+    pub resident_bytes: u64,
+}
+
+impl Usage {
+    /// Reads what the process has used, from the kernel's process table.
+    ///
+    /// # Errors
+    ///
+    /// The process is gone.
+    pub fn of(process: &Process) -> anyhow::Result<Self> {
+        let folder = format!("/proc/{}", process.id());
+        let mut usage = Usage::default();
+        for task in std::fs::read_dir(format!("{folder}/task"))? {
+            let task = task?.path();
+            let runtime = std::fs::read_to_string(task.join("schedstat"))?;
+            let runtime_ns = runtime.split(' ').next().unwrap_or("0");
+            usage.cpu_us += runtime_ns.parse::<u64>()? / 1_000;
+            let status = std::fs::read_to_string(task.join("status"))?;
+            usage.wake_count += status_value(&status, "voluntary_ctxt_switches:");
+        }
+        let status = std::fs::read_to_string(format!("{folder}/status"))?;
+        usage.resident_bytes = status_value(&status, "VmRSS:") * 1_024;
+        Ok(usage)
+    }
+}
+
+fn status_value(status: &str, name: &str) -> u64 {
+    for line in status.lines() {
+        let Some(value) = line.strip_prefix(name) else {
+            continue;
+        };
+        let digits = value.trim().split(' ').next().unwrap_or("");
+        return digits.parse().unwrap_or(0);
+    }
+    0
+}
+
 /// Where the programs of this build are.
 #[derive(Clone, Debug)]
 pub struct Programs {
