A node that can't resolve a pick stands on the latest earlier one it can

Now a pick keeps up to four earlier ones, and the latest that resolves stands in, under its own pick's offset, so that it stays older than the held move.

--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -121,8 +121,8 @@
         self
     }
 
-    /// Starts the tasks on the current thread. The address of `listener` becomes the node's control
-    /// address.
+    /// Starts the tasks on the current thread. Unless the node names another, the address of
+    /// `listener` becomes its control address.
     ///
     /// # Errors
     ///
@@ -131,7 +131,9 @@
         let address = listener
             .local_addr()
             .context("could not read the control listener's address")?;
-        self.own.control_address = address.to_string();
+        if self.own.control_address.is_empty() {
+            self.own.control_address = address.to_string();
+        }
         let mesh = Mesh::new(&self.cluster, self.own, self.seed);
         let batchers = Rc::new(ClaimBatchers::start(
             &mesh,
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -6,6 +6,7 @@
 use figway_membership::MemberTable;
 use figway_profile::{
     unresolved_references,
+    EarlierPick,
     Fold,
     Profile,
     Resources, //
@@ -52,8 +53,9 @@
 }
 
 impl View {
-    /// Builds the next view; without `members` the targets stay as they are. What can't be resolved
-    /// yet keeps its earlier version in force; nothing goes back to an older one.
+    /// Builds the next view; without `members` the targets stay as they are. A pick that can't be
+    /// resolved yet is held whole, and the latest earlier pick that can be is in force instead;
+    /// nothing goes back to an older version.
     pub fn next(&self, fold: &Fold, members: Option<&MemberTable>) -> View {
         let targets = match members {
             Some(members) => targets_by_service(members),
@@ -68,31 +70,68 @@
             let Some(version_offset) = fold.service_version(service) else {
                 continue;
             };
-            let in_force = self.services.get(service);
-            if in_force.is_some_and(|current| current.version_offset >= version_offset) {
+            if self.version_in_force(service) >= version_offset {
                 continue;
             }
-            let Some(profile) = fold.profile(&pick.profile) else {
+            match next.resolve(fold, service, &pick.profile, version_offset) {
+                Ok(in_force) => {
+                    next.services.insert(service.clone(), Arc::new(in_force));
+                }
+                Err(held) => {
+                    next.held.insert(service.clone(), held);
+                    next.fall_back(fold, service, &pick.earlier);
+                }
+            }
+        }
+        next
+    }
+
+    /// Puts the latest of the earlier picks in force that can be resolved, if it is news.
+    fn fall_back(&mut self, fold: &Fold, service: &str, earlier: &[EarlierPick]) {
+        for pick in earlier {
+            if self.version_in_force(service) >= pick.pick_offset {
+                return;
+            }
+            // Counts as its pick alone, whatever was published since: it must stay older than the
+            // pick that is held.
+            let resolved = self.resolve(fold, service, &pick.profile, pick.pick_offset);
+            let Ok(in_force) = resolved else {
                 continue;
             };
-            let findings = unresolved_references(service, &pick.profile, profile, &next);
-            if !findings.is_empty() {
-                let held = HeldMove {
-                    version_offset,
-                    profile_name: pick.profile.clone(),
-                    findings,
-                };
-                next.held.insert(service.clone(), held);
-                continue;
-            }
-            let in_force = ServiceInForce {
-                profile_name: pick.profile.clone(),
+            self.services.insert(service.to_owned(), Arc::new(in_force));
+            return;
+        }
+    }
+
+    fn resolve(
+        &self,
+        fold: &Fold,
+        service: &str,
+        profile_name: &str,
+        version_offset: Offset,
+    ) -> Result<ServiceInForce, HeldMove> {
+        let mut findings = Findings::default();
+        let Some(profile) = fold.profile(profile_name) else {
+            findings.add(profile_name, 0, "", "this release can't read the profile");
+            return Err(HeldMove {
                 version_offset,
-                profile: Arc::clone(profile),
-            };
-            next.services.insert(service.clone(), Arc::new(in_force));
+                profile_name: profile_name.to_owned(),
+                findings,
+            });
+        };
+        findings = unresolved_references(service, profile_name, profile, self);
+        if !findings.is_empty() {
+            return Err(HeldMove {
+                version_offset,
+                profile_name: profile_name.to_owned(),
+                findings,
+            });
         }
-        next
+        Ok(ServiceInForce {
+            profile_name: profile_name.to_owned(),
+            version_offset,
+            profile: Arc::clone(profile),
+        })
     }
 
     /// Returns the offset in force for `service`, 0 if none.
--- /dev/null
+++ b/crates/control/tests/claims.rs
@@ -0,0 +1,169 @@
+//! Claims against a set that is scanned: two batchers that see the stream at different times, lost
+//! answers, takeovers of attempts that did not run, and keys that expire.
+
+use std::collections::BTreeMap;
+
+use figway_control::{
+    Claim,
+    ClaimBatch,
+    ClaimBook,
+    ClaimVerdict, //
+};
+use figway_types::{
+    NodeId,
+    Offset, //
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const REMEMBER_MS: u64 = 1_000;
+
+fn config() -> ProptestConfig {
+    let cases = std::env::var("FIGWAY_CASES").ok();
+    ProptestConfig {
+        cases: cases.and_then(|text| text.parse().ok()).unwrap_or(512),
+        rng_seed: RngSeed::Fixed(46),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    key: u8,
+    attempt_id: u64,
+    after: Option<u64>,
+    gap_ms: u64,
+    batcher: usize,
+}
+
+fn entry() -> impl Strategy<Value = Entry> {
+    (
+        0..4_u8,
+        0..12_u64,
+        prop::option::weighted(0.3, 0..12_u64),
+        0..300_u64,
+        0..2_usize,
+    )
+        .prop_map(|(key, attempt_id, after, gap_ms, batcher)| Entry {
+            key,
+            attempt_id,
+            after,
+            gap_ms,
+            batcher,
+        })
+}
+
+fn claim(entry: &Entry) -> Claim {
+    Claim {
+        key: format!("orderbook/{}", entry.key),
+        attempt_id: entry.attempt_id,
+        owner: NodeId("muscat-a-1".to_owned()),
+        owner_address: String::new(),
+        after_attempt_id: entry.after,
+    }
+}
+
+/// Scans the list from its start for who holds a key at its end.
+fn scan(records: &[(u64, Entry)], key: u8) -> Option<u64> {
+    let mut holder: Option<(u64, u64)> = None;
+    for (at_ms, entry) in records {
+        if entry.key != key {
+            continue;
+        }
+        let free = match holder {
+            None => true,
+            Some((attempt_id, since_ms)) => {
+                since_ms + REMEMBER_MS <= *at_ms || entry.after == Some(attempt_id)
+            }
+        };
+        if free {
+            holder = Some((entry.attempt_id, *at_ms));
+        }
+    }
+    holder.map(|(attempt_id, _)| attempt_id)
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn verdicts_at_the_own_offset_equal_a_scan(
+        entries in prop::collection::vec(entry(), 1..60),
+    ) {
+        let mut records: Vec<(u64, Entry)> = Vec::new();
+        let mut batches: Vec<(u64, ClaimBatch)> = Vec::new();
+        let mut books = [ClaimBook::new(REMEMBER_MS), ClaimBook::new(REMEMBER_MS)];
+        let mut now_ms = 10_000;
+        for entry in &entries {
+            now_ms += entry.gap_ms;
+            records.push((now_ms, entry.clone()));
+            batches.push((now_ms, ClaimBatch { batch_id: 1, claims: vec![claim(entry)] }));
+            // Only the batcher that appended reads on, up to its own record; twice does no harm.
+            let book = &mut books[entry.batcher];
+            for (index, (at_ms, batch)) in batches.iter().enumerate() {
+                book.apply(Offset(index as u64 + 1), *at_ms, batch);
+            }
+            let holder = scan(&records, entry.key);
+            let won = book.verdict(&claim(entry)) == Some(ClaimVerdict::Won);
+            prop_assert_eq!(won, holder == Some(entry.attempt_id));
+        }
+    }
+
+    #[test]
+    fn at_most_one_attempt_of_a_key_runs_unless_it_follows_one_that_did_not(
+        entries in prop::collection::vec(entry(), 1..60),
+    ) {
+        let mut books = [ClaimBook::new(u64::MAX / 2), ClaimBook::new(u64::MAX / 2)];
+        let mut batches: Vec<ClaimBatch> = Vec::new();
+        let mut winners: BTreeMap<u8, Vec<u64>> = BTreeMap::new();
+        for (index, entry) in entries.iter().enumerate() {
+            // Attempts are named once, by their place.
+            let mut claim = claim(entry);
+            claim.attempt_id = index as u64;
+            let holders = winners.entry(entry.key).or_default();
+            // A takeover names an attempt that its owner closed without running it: the latest.
+            claim.after_attempt_id = entry.after.and(holders.last().copied());
+            batches.push(ClaimBatch { batch_id: 1, claims: vec![claim.clone()] });
+            let book = &mut books[entry.batcher];
+            for (index, batch) in batches.iter().enumerate() {
+                book.apply(Offset(index as u64 + 1), 1, batch);
+            }
+            if book.verdict(&claim) == Some(ClaimVerdict::Won) {
+                prop_assert!(holders.is_empty() || claim.after_attempt_id.is_some());
+                holders.push(claim.attempt_id);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_claim_that_was_appended_twice_is_still_the_holder() {
+    let mut book = ClaimBook::new(REMEMBER_MS);
+    let first = claim(&Entry {
+        key: 1,
+        attempt_id: 7,
+        after: None,
+        gap_ms: 0,
+        batcher: 0,
+    });
+    let other = claim(&Entry {
+        key: 1,
+        attempt_id: 8,
+        after: None,
+        gap_ms: 0,
+        batcher: 0,
+    });
+    let batch = |claim: &Claim| ClaimBatch {
+        batch_id: 1,
+        claims: vec![claim.clone()],
+    };
+    book.apply(Offset(1), 1, &batch(&first));
+    book.apply(Offset(2), 2, &batch(&first));
+    book.apply(Offset(3), 3, &batch(&other));
+    assert_eq!(book.verdict(&first), Some(ClaimVerdict::Won));
+    assert_eq!(
+        book.verdict(&other),
+        Some(ClaimVerdict::Lost(Box::new(first)))
+    );
+}
--- a/crates/figway/src/cmd/node.rs
+++ b/crates/figway/src/cmd/node.rs
@@ -106,7 +106,7 @@
         state: MemberState::Live,
         region: settings.region.clone(),
         zone: settings.zone.clone(),
-        control_address: String::new(),
+        control_address: settings.advertised_control.clone().unwrap_or_default(),
         call_address,
         target: None,
     })
--- a/crates/figway/src/cmd/retreat.rs
+++ b/crates/figway/src/cmd/retreat.rs
@@ -59,8 +59,8 @@
                 self.service
             )
         })?;
-        match &pick.previous_profile {
-            Some(previous) => Ok(previous.clone()),
+        match pick.earlier.first() {
+            Some(earlier) => Ok(earlier.profile.clone()),
             None => bail!(
                 "service {} never followed another profile than {}; name one with --to",
                 self.service,
--- a/crates/profile/src/fold.rs
+++ b/crates/profile/src/fold.rs
@@ -23,6 +23,9 @@
     ChangeRecord, //
 };
 
+/// Earlier picks that a service keeps.
+const EARLIER_PICK_MAX_COUNT: usize = 4;
+
 /// Records for which the id of a change is remembered.
 const CHANGE_ID_WINDOW_RECORDS: u64 = 4_096;
 
@@ -44,12 +47,22 @@
     pub pick_offset: Offset,
     /// Name of the profile.
     pub profile: String,
-    /// Profile that the service followed before, which a retreat goes back to by default.
-    pub previous_profile: Option<String>,
+    /// Picks of other profiles before this one, latest first.
+    pub earlier: Vec<EarlierPick>,
     /// Who switched it.
     pub author: String,
 }
 
+/// An earlier pick of a service: what a retreat goes back to by default, and what a node falls back
+/// on that can't resolve the later ones.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EarlierPick {
+    /// Record that switched the service.
+    pub pick_offset: Offset,
+    /// Name of the profile.
+    pub profile: String,
+}
+
 /// What became of a change; the same on every node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -187,7 +200,7 @@
                 Pick {
                     pick_offset: record.offset,
                     profile,
-                    previous_profile: None,
+                    earlier: Vec::new(),
                     author: change.author,
                 },
             ),
@@ -225,12 +238,8 @@
         if !self.state.profiles.contains_key(&pick.profile) {
             return Verdict::UnknownProfile;
         }
-        if let Some(current) = self.state.picks.get(service) {
-            pick.previous_profile = if current.profile == pick.profile {
-                current.previous_profile.clone()
-            } else {
-                Some(current.profile.clone())
-            };
+        if let Some(current) = self.state.picks.remove(service) {
+            pick.earlier = earlier_picks(current, &pick.profile);
         }
         self.state.picks.insert(service.to_owned(), pick);
         Verdict::Accepted
@@ -245,3 +254,15 @@
         self.state.change_ids.retain(|_, offset| *offset > oldest);
     }
 }
+
+/// Returns the picks before one of `profile`, which replaces `current`.
+fn earlier_picks(current: Pick, profile: &str) -> Vec<EarlierPick> {
+    let mut earlier = vec![EarlierPick {
+        pick_offset: current.pick_offset,
+        profile: current.profile,
+    }];
+    earlier.extend(current.earlier);
+    earlier.retain(|pick| pick.profile != profile);
+    earlier.truncate(EARLIER_PICK_MAX_COUNT);
+    earlier
+}
--- a/crates/profile/src/lib.rs
+++ b/crates/profile/src/lib.rs
@@ -15,6 +15,7 @@
 };
 pub use check::parse_profile;
 pub use fold::{
+    EarlierPick,
     Fold,
     FoldState,
     Pick,
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -37,6 +37,8 @@
         zone: required_name(&root, "zone"),
         control_address: required_address(&listen, "control"),
         call_address: required_address(&listen, "call"),
+        advertised_control: optional_address(&root.map("advertise"), "control")
+            .map(|address| address.to_string()),
         peers: read_peers(&root),
         links: read_links(&root.map("links")),
         claims: read_claims(&root.map("claims"), log.retention_ms),
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -17,7 +17,10 @@
 use ntex::client::Client;
 use serde_json::Value;
 
-use crate::deployment::Zone;
+use crate::deployment::{
+    Deployment,
+    Zone, //
+};
 use crate::http::{
     client,
     send,
@@ -108,6 +111,55 @@
         })
     }
 
+    /// Starts one host of each service in each of the first `zone_count` zones of a deployment, and
+    /// waits until all see each other.
+    ///
+    /// # Errors
+    ///
+    /// One of them does not start.
+    pub async fn start_deployment(
+        name: &str,
+        deployment: &Deployment,
+        services: &[&str],
+        zone_count: usize,
+    ) -> anyhow::Result<Self> {
+        let mut fleet = Self::start(name, deployment.log_region).await?;
+        for zone in &deployment.zones[..zone_count] {
+            for service in services {
+                fleet.add_host(&NodeSpec {
+                    name: &format!("{}-{service}", zone.name),
+                    zone: *zone,
+                    service,
+                    slot_count: deployment.slot_count,
+                    labels: &[],
+                    extra_settings: "",
+                })?;
+            }
+        }
+        let live_count = (zone_count * services.len()) as u64;
+        fleet.wait_live(live_count, Duration::from_secs(20)).await?;
+        Ok(fleet)
+    }
+
+    /// Publishes the profiles steady, trial and fallback of a deployment from `deploy/`, and
+    /// switches `services` to steady.
+    ///
+    /// # Errors
+    ///
+    /// One of the commands fails.
+    pub async fn take_up_steady(&self, profiles: &Path, services: &[&str]) -> anyhow::Result<()> {
+        for profile in ["steady", "trial", "fallback"] {
+            let file = profiles.join(format!("{profile}.yaml"));
+            self.figway_ok(&["publish", profile, &file.to_string_lossy()])
+                .await?;
+        }
+        for service in services {
+            self.figway_ok(&["switch", service, "steady", "--wait"])
+                .await?;
+        }
+        Ok(())
+    }
+
     /// Starts a node and a target beside it.
     ///
     /// # Errors
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -32,33 +32,41 @@
     /// Where it listens.
     pub address: SocketAddr,
     state: watch::Sender<LinkState>,
+    target: watch::Sender<String>,
     byte_count: Arc<AtomicU64>,
 }
 
 impl Relay {
-    /// Starts a relay to `target` on the current thread.
+    /// Starts a relay on the current thread; it takes no connections before it has a target.
     ///
     /// # Errors
     ///
     /// No port is free.
-    pub async fn start(target: &str) -> anyhow::Result<Self> {
+    pub async fn start() -> anyhow::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let state = watch::Sender::new(LinkState::default());
         let byte_count = Arc::new(AtomicU64::new(0));
+        let target = watch::Sender::new(String::new());
         tokio::task::spawn_local(accept(
             listener,
-            target.to_owned(),
+            target.subscribe(),
             state.subscribe(),
             Arc::clone(&byte_count),
         ));
         Ok(Self {
             address,
             state,
+            target,
             byte_count,
         })
     }
 
+    /// Names where the relay leads to, `ip:port`.
+    pub fn set_target(&self, target: &str) {
+        self.target.send_replace(target.to_owned());
+    }
+
     /// Changes the state of the link.
     pub fn set(&self, state: LinkState) {
         self.state.send_replace(state);
@@ -72,7 +80,7 @@
 
 async fn accept(
     listener: TcpListener,
-    target: String,
+    target: watch::Receiver<String>,
     state: watch::Receiver<LinkState>,
     byte_count: Arc<AtomicU64>,
 ) {
@@ -80,7 +88,8 @@
         if state.borrow().cut {
             continue;
         }
-        let Ok(far) = TcpStream::connect(&target).await else {
+        let address = target.borrow().clone();
+        let Ok(far) = TcpStream::connect(&address).await else {
             continue;
         };
         near.set_nodelay(true).ok();
