--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -1,5 +1,6 @@
 //! State of one node's control plane, shared by its tasks and read by the data plane.
 
+use std::net::IpAddr;
 use std::sync::atomic::{
     AtomicU64,
     Ordering, //
@@ -62,6 +63,7 @@
 /// State of one node's control plane.
 pub struct Mesh {
     cluster: String,
+    control_ip: Option<IpAddr>,
     fold: Mutex<Fold>,
     records: Mutex<RecentRecords>,
     members: Mutex<MemberTable>,
@@ -79,11 +81,13 @@
 }
 
 impl Mesh {
-    /// Starts with nothing but the node itself; `seed` fixes its random choices.
-    pub fn new(cluster: &str, own: Member, seed: u64) -> Arc<Self> {
+    /// Starts with nothing but the node itself; `seed` fixes its random choices. Control connections
+    /// leave from `control_ip`, if there is one.
+    pub fn new(cluster: &str, own: Member, control_ip: Option<IpAddr>, seed: u64) -> Arc<Self> {
         let now = Instant::now();
         Arc::new(Self {
             cluster: cluster.to_owned(),
+            control_ip,
             fold: Mutex::default(),
             records: Mutex::default(),
             members: Mutex::new(MemberTable::new(own, now)),
@@ -106,6 +110,11 @@
         &self.cluster
     }
 
+    /// Returns the address from which control connections leave, if it is fixed.
+    pub(crate) fn control_ip(&self) -> Option<IpAddr> {
+        self.control_ip
+    }
+
     /// Returns the table that calls are routed by.
     pub fn view(&self) -> Arc<View> {
         self.view.load_full()
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -134,7 +134,8 @@
         if self.own.control_address.is_empty() {
             self.own.control_address = address.to_string();
         }
-        let mesh = Mesh::new(&self.cluster, self.own, self.seed);
+        let control_ip = Some(address.ip()).filter(|ip| !ip.is_unspecified());
+        let mesh = Mesh::new(&self.cluster, self.own, control_ip, self.seed);
         let batchers = Rc::new(ClaimBatchers::start(
             &mesh,
             &self.log,
--- a/crates/control/tests/mesh_view.rs
+++ b/crates/control/tests/mesh_view.rs
@@ -266,7 +266,7 @@
         ops in prop::collection::vec(op(), 0..80),
     ) {
         let mut world = World {
-            mesh: Mesh::new("al-ramla", member("own"), 1),
+            mesh: Mesh::new("al-ramla", member("own"), None, 1),
             folds: folds_of(&records),
             records,
             applied: Offset(0),
@@ -313,7 +313,7 @@
 
 #[test]
 fn a_retreat_does_not_wait_for_what_a_held_move_lacks() {
-    let mesh = Mesh::new("al-ramla", member("own"), 1);
+    let mesh = Mesh::new("al-ramla", member("own"), None, 1);
     let mut host = member("host");
     host.target = Some(target("stockdesk", false));
     mesh.merge_members(&[host]);
--- a/crates/dataplane/src/transport.rs
+++ b/crates/dataplane/src/transport.rs
@@ -3,7 +3,10 @@
 use std::time::Instant;
 
 use futures::future::LocalBoxFuture;
-use ntex::client::error::ClientError;
+use ntex::client::error::{
+    ClientError,
+    ConnectError, //
+};
 use ntex::client::{
     Client,
     Connector, //
@@ -169,8 +172,13 @@
     }
 }
 
+/// Tells failures before the first byte from those after it. The client reports a connection that
+/// ended before the answer as a `ConnectError` too, the one without a cause.
 fn send_failure(error: ClientError) -> SendFailure {
     match error {
+        ClientError::Connect(ConnectError::Disconnected(None)) => {
+            SendFailure::Broken("the connection ended before the answer".to_owned())
+        }
         ClientError::Connect(error) => SendFailure::Refused(error.to_string()),
         ClientError::Url(error) => SendFailure::Refused(error.to_string()),
         other => SendFailure::Broken(other.to_string()),
--- a/crates/figway/src/change.rs
+++ b/crates/figway/src/change.rs
@@ -80,38 +80,57 @@
         let mut backoff = Backoff::new(100, 1_000, figway_types::entropy());
         let mut maybe_written = false;
         loop {
-            let deadline = Instant::now() + APPEND_WAIT;
-            let failure = match self.log.append(CHANGE_STREAM, &body, deadline).await {
-                Ok(appended) => {
-                    return self.find(record.change_id).await?.with_context(|| {
-                        format!(
-                            "could not find the change at offset {}; look at `figway watch`",
-                            appended.offset
-                        )
-                    });
-                }
-                Err(failure) => failure,
+            let looked = if maybe_written {
+                // Appended again only once the log shows that the earlier try is not there.
+                self.find(record.change_id).await
+            } else {
+                Ok(None)
+            };
+            let failure = match looked {
+                Ok(Some(judged)) => return Ok(judged),
+                Ok(None) => match self.append_once(&record, &body).await? {
+                    Ok(judged) => return Ok(judged),
+                    Err(failure) => {
+                        maybe_written |= matches!(failure, AppendError::Unknown(_));
+                        failure.to_string()
+                    }
+                },
+                Err(error) => format!("{error:#}"),
             };
-            maybe_written |= matches!(failure, AppendError::Unknown(_));
-            if maybe_written {
-                if let Ok(Some(judged)) = self.find(record.change_id).await {
-                    return Ok(judged);
-                }
-            }
             if Instant::now() >= give_up_at {
-                if maybe_written {
-                    bail!(
-                        "{failure}; the change may still come into force, \
-                         look at `figway watch` before you try again"
-                    );
-                }
-                bail!("{failure}; nothing was changed, try again when the log is back");
+                let advice = if maybe_written {
+                    "the change may still come into force, look at `figway watch` before you \
+                     try again"
+                } else {
+                    "nothing was changed, try again when the log is back"
+                };
+                bail!("{failure}; {advice}");
             }
             let next_try_at = backoff.next_try_at(Instant::now());
             tokio::time::sleep_until(next_try_at.into()).await;
         }
     }
 
+    async fn append_once(
+        &mut self,
+        record: &ChangeRecord,
+        body: &str,
+    ) -> anyhow::Result<Result<Judged, AppendError>> {
+        let deadline = Instant::now() + APPEND_WAIT;
+        let appended = match self.log.append(CHANGE_STREAM, body, deadline).await {
+            Ok(appended) => appended,
+            Err(failure) => return Ok(Err(failure)),
+        };
+        let judged = self.find(record.change_id).await?;
+        let judged = judged.with_context(|| {
+            format!(
+                "could not find the change at offset {}; look at `figway watch`",
+                appended.offset
+            )
+        })?;
+        Ok(Ok(judged))
+    }
+
     /// Folds on to the head and returns the verdict of the change if it is there.
     async fn find(&mut self, id: ChangeId) -> anyhow::Result<Option<Judged>> {
         loop {
--- a/crates/log-client/src/http.rs
+++ b/crates/log-client/src/http.rs
@@ -7,6 +7,10 @@
 
 use figway_types::Offset;
 use futures::future::LocalBoxFuture;
+use ntex::client::error::{
+    ClientError,
+    ConnectError, //
+};
 use ntex::client::{
     Client,
     Connector, //
@@ -138,10 +142,13 @@
     }
 }
 
-fn append_error(error: ntex::client::error::ClientError) -> AppendError {
-    use ntex::client::error::ClientError;
-
+/// Tells an append that was never sent from one whose answer was lost. The client reports a
+/// connection that ended before the answer as a `ConnectError` too, the one without a cause.
+fn append_error(error: ClientError) -> AppendError {
     match error {
+        ClientError::Connect(ConnectError::Disconnected(None)) => {
+            AppendError::Unknown("the connection ended before the answer".to_owned())
+        }
         ClientError::Connect(error) => AppendError::Refused(error.to_string()),
         other => AppendError::Unknown(other.to_string()),
     }
--- a/crates/testbed/src/cmd/latency.rs
+++ b/crates/testbed/src/cmd/latency.rs
@@ -100,6 +100,7 @@
             service,
             slot_count: 200,
             labels: &[],
+            control_ip: "127.0.0.1",
             extra_settings: &extra_settings,
         })?;
     }
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -49,6 +49,8 @@
     pub slot_count: u32,
     /// Labels of the target, like `track=stable`.
     pub labels: &'a [&'a str],
+    /// Loopback address of the control listener, from which the node's control connects too.
+    pub control_ip: &'a str,
     /// Further lines of the settings.
     pub extra_settings: &'a str,
 }
@@ -85,6 +87,8 @@
     http: Client,
     /// URL by which nodes reach the log, if not its own.
     pub log_url: String,
+    /// How long nodes are told that the log keeps records, in milliseconds.
+    pub retention_ms: u64,
 }
 
 impl Fleet {
@@ -108,6 +112,7 @@
             hosts: Vec::new(),
             http: client().await?,
             log_url,
+            retention_ms: 86_400_000,
         })
     }
 
@@ -132,6 +137,7 @@
                     service,
                     slot_count: deployment.slot_count,
                     labels: &[],
+                    control_ip: "127.0.0.1",
                     extra_settings: "",
                 })?;
             }
@@ -243,14 +249,16 @@
              node: {}\n\
              region: {}\n\
              zone: {}\n\
-             listen:\n  control: 127.0.0.1:0\n  call: 127.0.0.1:0\n\
-             log:\n  url: {}\n  region: {}\n  retention_ms: 86400000\n{}\n",
+             listen:\n  control: {}:0\n  call: 127.0.0.1:0\n\
+             log:\n  url: {}\n  region: {}\n  retention_ms: {}\n{}\n",
             self.cluster,
             spec.name,
             spec.zone.region,
             spec.zone.name,
+            spec.control_ip,
             self.log_url,
             self.log_region,
+            self.retention_ms,
             spec.extra_settings,
         )
     }
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -1,6 +1,10 @@
 //! A TCP relay that the test bed can cut, heal and slow, in place of a network between zones.
 
-use std::net::SocketAddr;
+use std::net::{
+    IpAddr,
+    Ipv4Addr,
+    SocketAddr, //
+};
 use std::sync::atomic::{
     AtomicU64,
     Ordering, //
@@ -23,10 +27,24 @@
 pub struct LinkState {
     /// Takes no connections and ends those there are.
     pub cut: bool,
+    /// Limits a cut to connections from the network `a.b.c.0/24` of this address.
+    pub cut_from: Option<Ipv4Addr>,
     /// Delay of each direction, in milliseconds.
     pub delay_ms: u64,
 }
 
+impl LinkState {
+    fn cuts(&self, from: SocketAddr) -> bool {
+        let Some(network) = self.cut_from else {
+            return self.cut;
+        };
+        let IpAddr::V4(from) = from.ip() else {
+            return self.cut;
+        };
+        self.cut && from.octets()[..3] == network.octets()[..3]
+    }
+}
+
 /// A relay to one address.
 pub struct Relay {
     /// Where it listens.
@@ -84,8 +102,8 @@
     state: watch::Receiver<LinkState>,
     byte_count: Arc<AtomicU64>,
 ) {
-    while let Ok((near, _)) = listener.accept().await {
-        if state.borrow().cut {
+    while let Ok((near, from)) = listener.accept().await {
+        if state.borrow().cuts(from) {
             continue;
         }
         let address = target.borrow().clone();
@@ -94,12 +112,19 @@
         };
         near.set_nodelay(true).ok();
         far.set_nodelay(true).ok();
-        tokio::task::spawn_local(carry(near, far, state.clone(), Arc::clone(&byte_count)));
+        tokio::task::spawn_local(carry(
+            near,
+            from,
+            far,
+            state.clone(),
+            Arc::clone(&byte_count),
+        ));
     }
 }
 
 async fn carry(
     near: TcpStream,
+    from: SocketAddr,
     far: TcpStream,
     mut state: watch::Receiver<LinkState>,
     byte_count: Arc<AtomicU64>,
@@ -111,7 +136,7 @@
     tokio::select! {
         () = there => {}
         () = back => {}
-        _ = state.wait_for(|state| state.cut) => {}
+        _ = state.wait_for(|state| state.cuts(from)) => {}
     }
 }
 
--- a/crates/testbed/tests/whole_path.rs
+++ b/crates/testbed/tests/whole_path.rs
@@ -25,6 +25,7 @@
         service,
         slot_count: 4,
         labels: &[],
+        control_ip: "127.0.0.1",
         extra_settings: "",
     }
 }
