--- a/crates/testbed/src/cmd/latency.rs
+++ b/crates/testbed/src/cmd/latency.rs
@@ -89,7 +89,7 @@
 
 async fn start(profiles: &Path, level: &str) -> anyhow::Result<Fleet> {
     let mut fleet = Fleet::start("latency", AL_RAMLA.log_region).await?;
-    let extra_settings = format!("output:\n  level: {level}");
+    fleet.quiet = level == "warn";
     for (name, zone, service) in [
         ("muscat-a-1", 0, "orderbook"),
         ("muscat-b-1", 1, "stockdesk"),
@@ -101,7 +101,7 @@
             slot_count: 200,
             labels: &[],
             control_ip: "127.0.0.1",
-            extra_settings: &extra_settings,
+            extra_settings: "",
         })?;
     }
     fleet.wait_live(2, Duration::from_secs(10)).await?;
--- a/crates/testbed/src/cmd/mod.rs
+++ b/crates/testbed/src/cmd/mod.rs
@@ -1,5 +1,8 @@
 //! Commands of the test bed, one file each.
 
+mod convergence;
+mod demo;
+mod experiment;
 mod latency;
 mod log;
 mod target;
@@ -24,9 +27,34 @@
             required --slots count: u32
             /// Call address of the node beside it.
             required --node address: String
+            /// Where to listen; a free port of the loopback if absent.
+            optional --listen address: String
             /// Label like track=stable.
             repeated --label label: String
         }
+        /// Runs a whole deployment here, with a switch and a retreat under load.
+        cmd demo {
+            /// Folder of the profiles.
+            required profiles: PathBuf
+        }
+        /// Measures policy under load, figway and a baseline side by side.
+        cmd experiment {
+            /// Folder `deploy/`.
+            required profiles: PathBuf
+            /// al-ramla or verband; verband if absent.
+            optional --deployment name: String
+            /// crest, head-of-line, slowed or churn; all if absent.
+            optional --case name: String
+            /// figway or baseline; both if absent.
+            optional --way name: String
+            /// Start of all random draws.
+            optional --seed number: u64
+        }
+        /// Measures how fast a change is in force everywhere, and what control costs.
+        cmd convergence {
+            /// Nodes, all in this process.
+            required nodes: usize
+        }
         /// Measures what figway adds to a call, against calling the target directly.
         cmd latency {
             /// Folder of the profiles.
@@ -48,6 +76,9 @@
 impl Run for Testbed {
     async fn run(&self) -> anyhow::Result<()> {
         match &self.subcommand {
+            TestbedCmd::Demo(command) => command.run().await,
+            TestbedCmd::Experiment(command) => command.run().await,
+            TestbedCmd::Convergence(command) => command.run().await,
             TestbedCmd::Latency(command) => command.run().await,
             TestbedCmd::Log(command) => command.run().await,
             TestbedCmd::Target(command) => command.run().await,
--- a/crates/testbed/src/cmd/target.rs
+++ b/crates/testbed/src/cmd/target.rs
@@ -22,7 +22,7 @@
             labels.insert(name.to_owned(), value.to_owned());
         }
         server.set_labels(labels);
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = TcpListener::bind(self.listen.as_deref().unwrap_or("127.0.0.1:0"))?;
         let address = listener.local_addr()?;
         let running = server.serve(listener)?;
         println!(r#"{{"target":"{address}"}}"#);
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -30,7 +30,8 @@
 use crate::log_server::LogFaults;
 use crate::process::{
     Process,
-    Programs, //
+    Programs,
+    Signal, //
 };
 
 /// Longest wait for an answer of a stand-in or a node.
@@ -87,6 +88,8 @@
     http: Client,
     /// URL by which nodes reach the log, if not its own.
     pub log_url: String,
+    /// Whether nodes that start from now on write warnings only.
+    pub quiet: bool,
     /// How long nodes are told that the log keeps records, in milliseconds.
     pub retention_ms: u64,
 }
@@ -112,6 +115,7 @@
             hosts: Vec::new(),
             http: client().await?,
             log_url,
+            quiet: false,
             retention_ms: 86_400_000,
         })
     }
@@ -127,8 +131,10 @@
         deployment: &Deployment,
         services: &[&str],
         zone_count: usize,
+        quiet: bool,
     ) -> anyhow::Result<Self> {
         let mut fleet = Self::start(name, deployment.log_region).await?;
+        fleet.quiet = quiet;
         for zone in &deployment.zones[..zone_count] {
             for service in services {
                 fleet.add_host(&NodeSpec {
@@ -227,6 +233,23 @@
         Ok(())
     }
 
+    /// Kills the target of a host and starts it again on the same port.
+    ///
+    /// # Errors
+    ///
+    /// It does not start.
+    pub fn bounce_target(&mut self, index: usize) -> anyhow::Result<()> {
+        let host = &mut self.hosts[index];
+        let address = host.target.address("target").to_owned();
+        host.target.signal(Signal::Kill)?;
+        host.target.wait()?;
+        if !host.target_args.iter().any(|arg| arg == "--listen") {
+            host.target_args.push("--listen".to_owned());
+            host.target_args.push(address);
+        }
+        self.restart_target(index)
+    }
+
     fn start_node(&self, name: &str, settings_path: &Path) -> anyhow::Result<Process> {
         let log_path = self.folder.join(format!("{name}.log"));
         let path = settings_path.to_string_lossy();
@@ -250,7 +273,8 @@
              region: {}\n\
              zone: {}\n\
              listen:\n  control: {}:0\n  call: 127.0.0.1:0\n\
-             log:\n  url: {}\n  region: {}\n  retention_ms: {}\n{}\n",
+             log:\n  url: {}\n  region: {}\n  retention_ms: {}\n\
+             output:\n  level: {}\n{}\n",
             self.cluster,
             spec.name,
             spec.zone.region,
@@ -259,6 +283,7 @@
             self.log_url,
             self.log_region,
             self.retention_ms,
+            if self.quiet { "warn" } else { "info" },
             spec.extra_settings,
         )
     }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod http;
 pub mod load;
 pub mod log_server;
+pub mod mesh_farm;
 pub mod process;
 pub mod relay;
 pub mod target_server;
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -13,6 +13,7 @@
     Command,
     Stdio, //
 };
+use std::time::Duration;
 
 use anyhow::{
     bail,
@@ -168,6 +169,22 @@
     }
 }
 
+/// Returns the processor time of this process.
+///
+/// # Errors
+///
+/// The kernel's process table can't be read.
+pub fn cpu_time() -> anyhow::Result<Duration> {
+    let mut runtime_ns = 0;
+    for task in std::fs::read_dir("/proc/self/task")? {
+        let Ok(runtime) = std::fs::read_to_string(task?.path().join("schedstat")) else {
+            continue;
+        };
+        runtime_ns += runtime.split(' ').next().unwrap_or("0").parse::<u64>()?;
+    }
+    Ok(Duration::from_nanos(runtime_ns))
+}
+
 fn status_value(status: &str, name: &str) -> u64 {
     for line in status.lines() {
         let Some(value) = line.strip_prefix(name) else {
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -26,7 +26,7 @@
 
 /// Starts Al Ramla with one host for each service in each of the first zones, on steady.
 pub(crate) async fn al_ramla(name: &str, services: &[&str], zone_count: usize) -> Fleet {
-    let fleet = Fleet::start_deployment(name, &AL_RAMLA, services, zone_count)
+    let fleet = Fleet::start_deployment(name, &AL_RAMLA, services, zone_count, false)
         .await
         .unwrap();
     fleet
@@ -38,7 +38,7 @@
 
 /// Starts the Verband likewise.
 pub(crate) async fn verband(name: &str, services: &[&str], zone_count: usize) -> Fleet {
-    let fleet = Fleet::start_deployment(name, &VERBAND, services, zone_count)
+    let fleet = Fleet::start_deployment(name, &VERBAND, services, zone_count, false)
         .await
         .unwrap();
     fleet
