Rumours and digests: bytes that do not grow with the mesh

Cause, from convergence at 64 nodes: 16.7 KB/s a node when idle (each byte counted at both ends). Every message carried 16 rumours of 380 bytes for as long as any were left, also to peers whose table was equal; a rumour was sent 21 times. Now a message to a peer whose digest is equal carries none, a rumour is sent log2(n) + 2 times, and tables are compared at once when their counts are more than 8 apart, else when no rumour is under way or in one of 32 exchanges.

Also: the log's client kept idle connections for 15 s and the server for 5 s, so that a request after a pause could have an open fate; it gives up after 3 s. The wait of the operator's commands starts at 10 ms instead of 100 ms.

--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -26,6 +26,7 @@
 use crate::mesh::Mesh;
 use crate::rpc::{
     Missing,
+    News,
     PeerClient,
     Ping, //
 };
@@ -42,6 +43,12 @@
 /// Wait after a peer was told and is not yet up to date.
 const SETTLE_WAIT: Duration = Duration::from_millis(200);
 
+/// While rumours are under way, one in this many exchanges compares the tables all the same.
+const SYNC_SAMPLE: u64 = 32;
+
+/// Difference of member counts above which two tables are compared at once.
+const SYNC_GAP_COUNT: usize = 8;
+
 /// What all links share.
 #[derive(Clone, Copy, Debug)]
 pub struct LinkPlan {
@@ -165,19 +172,27 @@
         let missing = client.pull(prompt_context(), mesh.applied_offset()).await;
         mesh.take_missing(missing.unwrap_or(Missing::Busy));
     }
-    if pong.news.member_digest != mesh.members().digest().total() {
-        sync_members(mesh, client, pong.news.rumours.is_empty()).await?;
+    if tables_are_far_apart(mesh, &pong.news) {
+        sync_members(mesh, client).await?;
     }
     let applied = mesh.applied_offset();
     Ok(theirs != applied)
 }
 
-/// Evens out two member tables, unless rumours that are under way will do it.
-async fn sync_members(mesh: &Mesh, client: &PeerClient, quiet: bool) -> anyhow::Result<()> {
-    let one_in_four = mesh.random().is_multiple_of(4);
-    if !quiet && !one_in_four {
-        return Ok(());
+/// Returns whether two member tables differ by more than the rumours under way will even out.
+fn tables_are_far_apart(mesh: &Mesh, theirs: &News) -> bool {
+    let members = mesh.members();
+    if theirs.member_digest == members.digest().total() {
+        return false;
     }
+    let quiet = theirs.rumours.is_empty();
+    let sampled = mesh.random().is_multiple_of(SYNC_SAMPLE);
+    let gap_count = members.present_count().abs_diff(theirs.member_count);
+    quiet || sampled || gap_count > SYNC_GAP_COUNT
+}
+
+/// Evens out two member tables.
+async fn sync_members(mesh: &Mesh, client: &PeerClient) -> anyhow::Result<()> {
     let buckets = mesh.members().digest().buckets().to_vec();
     let theirs = client.sync_members(prompt_context(), buckets).await?;
     let mut newer = Vec::new();
--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -60,6 +60,13 @@
     fn outcome(&self, attempt_id: u64) -> KeyOutcome;
 }
 
+/// What a peer said last.
+#[derive(Clone, Copy, Debug)]
+struct PeerHeard {
+    applied_offset: Offset,
+    member_digest: u64,
+}
+
 /// State of one node's control plane.
 pub struct Mesh {
     cluster: String,
@@ -71,7 +78,7 @@
     view: ArcSwap<View>,
     head: watch::Sender<Offset>,
     member_changes: watch::Sender<u64>,
-    peer_offsets: Mutex<FastMap<NodeId, Offset>>,
+    peers: Mutex<FastMap<NodeId, PeerHeard>>,
     head_fresh_until: Mutex<Instant>,
     fetching_until: Mutex<Instant>,
     given_states: Mutex<(Instant, u32)>,
@@ -95,7 +102,7 @@
             view: ArcSwap::default(),
             head: watch::Sender::new(Offset(0)),
             member_changes: watch::Sender::new(0),
-            peer_offsets: Mutex::default(),
+            peers: Mutex::default(),
             head_fresh_until: Mutex::new(now),
             fetching_until: Mutex::new(now),
             given_states: Mutex::new((now, 0)),
@@ -299,22 +306,25 @@
 
     /// Returns the offset that a peer is known to have.
     pub fn peer_offset(&self, peer: &NodeId) -> Offset {
-        let offsets = self.peer_offsets.lock().expect("no holder panics");
-        offsets.get(peer).copied().unwrap_or_default()
+        self.heard(peer)
+            .map_or(Offset(0), |heard| heard.applied_offset)
     }
 
     /// Returns what this node has heard, for `receiver`.
     pub(crate) fn news_for(&self, receiver: &NodeId) -> News {
         let now = Instant::now();
+        let heard_digest = self.heard(receiver).map(|heard| heard.member_digest);
         let mut members = self.members();
-        let rumours = members.take_rumours(receiver, RUMOUR_MAX_COUNT);
+        let rumours = members.take_rumours(receiver, heard_digest, RUMOUR_MAX_COUNT);
         let member_digest = members.digest().total();
+        let member_count = members.present_count();
         drop(members);
         let head_left = self.head_fresh_until().saturating_duration_since(now);
         News {
             applied_offset: self.applied_offset(),
             head_left_ms: head_left.as_millis() as u64,
             member_digest,
+            member_count,
             rumours,
             crashes: self.quarantine().reports(CRASH_MAX_COUNT, now),
         }
@@ -323,10 +333,14 @@
     /// Takes in what `sender` has heard; `same_region` says whether its view of the head counts.
     pub(crate) fn take_news(&self, sender: &NodeId, news: &News, same_region: bool) {
         let now = Instant::now();
-        self.peer_offsets
+        let heard = PeerHeard {
+            applied_offset: news.applied_offset,
+            member_digest: news.member_digest,
+        };
+        self.peers
             .lock()
             .expect("no holder panics")
-            .insert(sender.clone(), news.applied_offset);
+            .insert(sender.clone(), heard);
         if same_region {
             self.extend_head_fresh(now + Duration::from_millis(news.head_left_ms));
         }
@@ -355,6 +369,14 @@
         self.note_member_changes();
     }
 
+    fn heard(&self, peer: &NodeId) -> Option<PeerHeard> {
+        self.peers
+            .lock()
+            .expect("no holder panics")
+            .get(peer)
+            .copied()
+    }
+
     fn may_give_state(&self, now: Instant) -> bool {
         let mut given = self.given_states.lock().expect("no holder panics");
         let (window_ends_at, count) = *given;
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -45,6 +45,9 @@
     pub head_left_ms: u64,
     /// Hash of the member table.
     pub member_digest: u64,
+    /// Members that have not left.
+    #[serde(default)]
+    pub member_count: usize,
     /// Members that changed lately.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rumours: Vec<Member>,
--- a/crates/figway/src/waiting.rs
+++ b/crates/figway/src/waiting.rs
@@ -8,7 +8,10 @@
 
 use figway_control::SurveyReport;
 use figway_profile::Verdict;
-use figway_types::Offset;
+use figway_types::{
+    Backoff,
+    Offset, //
+};
 use serde_json::json;
 
 use crate::change::Judged;
@@ -21,8 +24,11 @@
 /// Longest wait unless a flag says otherwise, in seconds.
 pub(crate) const DEFAULT_WAIT_S: u64 = 30;
 
-/// Pause between two surveys.
-const ASK_EVERY: Duration = Duration::from_millis(100);
+/// Pause after the first survey; it doubles up to the longest.
+const FIRST_PAUSE_MS: u64 = 10;
+
+/// Longest pause between two surveys.
+const MAX_PAUSE_MS: u64 = 1_000;
 
 /// How a command tells its result.
 #[derive(Clone, Copy, Debug)]
@@ -92,6 +98,7 @@
         let give_up_at = started_at + Duration::from_secs(wait_s);
         let path = format!("/figway/in-force?service={service}&version={version}");
         let mut last = None;
+        let mut backoff = Backoff::new(FIRST_PAUSE_MS, MAX_PAUSE_MS, figway_types::entropy());
         while Instant::now() < give_up_at {
             match node.get::<SurveyReport>(&path).await {
                 Ok(survey) => {
@@ -104,7 +111,8 @@
                 }
                 Err(error) => eprintln!("{error:#}"),
             }
-            tokio::time::sleep(ASK_EVERY).await;
+            let next_survey_at = backoff.next_try_at(Instant::now());
+            tokio::time::sleep_until(next_survey_at.into()).await;
         }
         self.end(last.as_ref(), version, started_at)
     }
--- a/crates/log-client/src/http.rs
+++ b/crates/log-client/src/http.rs
@@ -16,6 +16,7 @@
     Connector, //
 };
 use ntex::http::StatusCode;
+use ntex::time::Seconds;
 use ntex::SharedCfg;
 use serde::Deserialize;
 
@@ -33,6 +34,10 @@
 /// Grace beyond the wait that a read asks for, for the answer's way back.
 const READ_GRACE: Duration = Duration::from_secs(2);
 
+/// Idle connections are closed after this, before the server does so after 5 s: a request on a
+/// connection that is just being closed has an open fate.
+const KEEP_ALIVE: Seconds = Seconds(3);
+
 /// Client of one log service.
 pub struct HttpLog {
     url: String,
@@ -51,7 +56,7 @@
     ///
     /// The HTTP client could not be built.
     pub async fn new(url: &str) -> anyhow::Result<Self> {
-        let connector = Connector::default().limit(64);
+        let connector = Connector::default().limit(64).keep_alive(KEEP_ALIVE);
         let client = Client::builder()
             .connector::<&str>(connector)
             .disable_redirects()
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -95,6 +95,13 @@
         self.entries.values().map(|entry| &entry.member)
     }
 
+    /// Returns how many members have not left.
+    pub fn present_count(&self) -> usize {
+        self.members()
+            .filter(|member| member.state != MemberState::Left)
+            .count()
+    }
+
     /// Returns a count that grows with every change of the table.
     pub fn change_count(&self) -> u64 {
         self.change_count
@@ -208,15 +215,24 @@
         }
     }
 
-    /// Returns up to `max_count` rumours for `receiver`; one that doubts the receiver itself comes
-    /// first, so that it can refute.
-    pub fn take_rumours(&mut self, receiver: &NodeId, max_count: usize) -> Vec<Member> {
+    /// Returns up to `max_count` rumours for `receiver`, whose table had `digest_total` when it was
+    /// last heard of; none if that is equal. One that doubts the receiver itself comes first, so that
+    /// it can refute.
+    pub fn take_rumours(
+        &mut self,
+        receiver: &NodeId,
+        digest_total: Option<u64>,
+        max_count: usize,
+    ) -> Vec<Member> {
         let mut members = Vec::new();
         if let Some(entry) = self.entries.get(receiver) {
             if entry.member.state != MemberState::Live {
                 members.push(entry.member.clone());
             }
         }
+        if digest_total == Some(self.digest.total()) {
+            return members;
+        }
         for _ in 0..self.rumours.len().min(max_count) {
             let Some(mut rumour) = self.rumours.pop_front() else {
                 break;
@@ -257,7 +273,7 @@
     }
 }
 
-/// Sends of a rumour that reach a mesh of `member_count` with high probability.
+/// Sends of a rumour after which it has reached most of `member_count`; digests find the rest.
 fn rumour_send_count(member_count: usize) -> u32 {
-    3 * (member_count.max(2).ilog2() + 1)
+    member_count.max(2).ilog2() + 2
 }
--- a/crates/membership/tests/last_writer.rs
+++ b/crates/membership/tests/last_writer.rs
@@ -203,7 +203,7 @@
     for name in 2..30 {
         own.merge(&member(name, 1, 0, MemberState::Live), now);
     }
-    assert_eq!(own.take_rumours(&doubted, 4)[0].node_id, doubted);
+    assert_eq!(own.take_rumours(&doubted, None, 4)[0].node_id, doubted);
 }
 
 #[test]
--- a/crates/testbed/src/cmd/convergence.rs
+++ b/crates/testbed/src/cmd/convergence.rs
@@ -73,19 +73,18 @@
             log_url: log_url.clone(),
             zones: AL_RAMLA.zones.to_vec(),
         })?;
-        let joined = farm.wait_joined(Duration::from_secs(120))?;
-        std::thread::sleep(Duration::from_secs(3));
-        let idle = measure(&farm, || {
-            std::thread::sleep(IDLE);
-            Ok(())
-        })?;
+        let joined = farm.wait_joined(Duration::from_secs(120)).await?;
+        eprintln!("{node_count} nodes joined after {} ms", joined.as_millis());
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let idle = idle_costs(&farm).await?;
         let mut writer = Writer::new(&log_url).await?;
         writer.take_up(&farm).await?;
+        eprintln!("every service follows a profile");
         let mut times = Vec::new();
         let before = farm.control_bytes();
         for turn in 0..SWITCH_COUNT {
             times.extend(writer.switch(&farm, turn).await?);
-            std::thread::sleep(Duration::from_millis(250));
+            tokio::time::sleep(Duration::from_millis(250)).await;
         }
         let after = farm.control_bytes();
         let busy_s = 0.25 * SWITCH_COUNT as f64;
@@ -122,10 +121,10 @@
     cpu_ratio: f64,
 }
 
-fn measure(farm: &Farm, run: impl FnOnce() -> anyhow::Result<()>) -> anyhow::Result<Costs> {
+async fn idle_costs(farm: &Farm) -> anyhow::Result<Costs> {
     let (bytes_before, cpu_before) = (farm.control_bytes(), cpu_time()?);
     let started_at = Instant::now();
-    run()?;
+    tokio::time::sleep(IDLE).await;
     let (bytes_after, cpu_after) = (farm.control_bytes(), cpu_time()?);
     let took_s = started_at.elapsed().as_secs_f64();
     Ok(Costs {
@@ -182,7 +181,7 @@
     /// Switches one service and returns when it was in force on each node.
     async fn switch(&mut self, farm: &Farm, turn: usize) -> anyhow::Result<Vec<Duration>> {
         let (service, version) = self.append_switch(turn).await?;
-        farm.wait_in_force(&service, version, WAIT)
+        farm.wait_in_force(&service, version, WAIT).await
     }
 
     async fn append_switch(&mut self, turn: usize) -> anyhow::Result<(String, Offset)> {
@@ -215,7 +214,7 @@
             body: &body,
         };
         send(&client().await?, request, WAIT).await?;
-        let times = farm.wait_in_force(&service, version, WAIT)?;
+        let times = farm.wait_in_force(&service, version, WAIT).await?;
         times.into_iter().max().context("the farm has no nodes")
     }
 }
--- a/crates/testbed/src/http.rs
+++ b/crates/testbed/src/http.rs
@@ -7,6 +7,7 @@
     Client,
     Connector, //
 };
+use ntex::time::Seconds;
 use ntex::util::Bytes;
 use ntex::SharedCfg;
 
@@ -52,6 +53,9 @@
     pub body: &'a str,
 }
 
+/// Idle connections are closed after this, before servers do so after 5 s.
+const KEEP_ALIVE: Seconds = Seconds(3);
+
 /// Builds a client with as many connections as needed.
 ///
 /// # Errors
@@ -59,7 +63,7 @@
 /// The client can't be built.
 pub async fn client() -> anyhow::Result<Client> {
     Client::builder()
-        .connector::<&str>(Connector::default().limit(16_384))
+        .connector::<&str>(Connector::default().limit(16_384).keep_alive(KEEP_ALIVE))
         .disable_redirects()
         .disable_timeout()
         .response_payload_limit(64 * 1_024 * 1_024)
--- a/crates/testbed/src/mesh_farm.rs
+++ b/crates/testbed/src/mesh_farm.rs
@@ -91,7 +91,7 @@
     /// # Errors
     ///
     /// They do not in time.
-    pub fn wait_joined(&self, wait: Duration) -> anyhow::Result<Duration> {
+    pub async fn wait_joined(&self, wait: Duration) -> anyhow::Result<Duration> {
         let started_at = Instant::now();
         loop {
             let joined_count = self.joined_count();
@@ -101,7 +101,7 @@
             if started_at.elapsed() > wait {
                 bail!("only {joined_count} of {} nodes see all", self.meshes.len());
             }
-            std::thread::sleep(Duration::from_millis(50));
+            tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
 
@@ -110,7 +110,7 @@
     /// # Errors
     ///
     /// Some do not in time.
-    pub fn wait_in_force(
+    pub async fn wait_in_force(
         &self,
         service: &str,
         version: Offset,
@@ -130,7 +130,7 @@
             if started_at.elapsed() > wait {
                 bail!("{} nodes are not on version {version}", open.len());
             }
-            std::thread::sleep(Duration::from_millis(1));
+            tokio::time::sleep(Duration::from_millis(1)).await;
         }
         Ok(times)
     }
