Tables whose member counts differ are compared in one of 4 exchanges

In the tail the tables were within 8 of each other and waited for rumours or for one exchange in 32. In a steady mesh restarts leave the counts equal, so one in 32 holds there.

--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -46,6 +46,9 @@
 /// While rumours are under way, one in this many exchanges compares the tables all the same.
 const SYNC_SAMPLE: u64 = 32;
 
+/// The same, while one table has members that the other lacks.
+const GAP_SYNC_SAMPLE: u64 = 4;
+
 /// Difference of member counts above which two tables are compared at once.
 const SYNC_GAP_COUNT: usize = 8;
 
@@ -185,10 +188,16 @@
     if theirs.member_digest == members.digest().total() {
         return false;
     }
-    let quiet = theirs.rumours.is_empty();
-    let sampled = mesh.random().is_multiple_of(SYNC_SAMPLE);
     let gap_count = members.present_count().abs_diff(theirs.member_count);
-    quiet || sampled || gap_count > SYNC_GAP_COUNT
+    if theirs.rumours.is_empty() || gap_count > SYNC_GAP_COUNT {
+        return true;
+    }
+    let sample = if gap_count > 0 {
+        GAP_SYNC_SAMPLE
+    } else {
+        SYNC_SAMPLE
+    };
+    mesh.random().is_multiple_of(sample)
 }
 
 /// Evens out two member tables.
