Links carry news both ways: a ping's answer waits for news

Cause, from convergence at 200 nodes: a switch took 5.75 s to reach the last node, the same each time, against 25 ms at 64 nodes. A node announced changes only over links that it had opened, and with five random ones each, 0.7% of nodes are opened to by nobody of their region; those heard of a change from their own ping only, every 6 s. Ruled out: processor time (0.07% of a core a node) and the log (the reader had the record at once). Now each link always has a ping under way whose answer waits for records that the asker lacks, so every node hears from all whom it chose; the reader of the log tells its peers too.

--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -13,15 +13,16 @@
 };
 use figway_types::{
     Member,
-    NodeId,
-    Offset, //
+    NodeId, //
 };
 use tokio::sync::oneshot;
 
 use crate::dial::{
+    context_until,
     dial,
     introduce,
-    prompt_context, //
+    prompt_context,
+    PEER_WAIT, //
 };
 use crate::mesh::Mesh;
 use crate::rpc::{
@@ -37,11 +38,8 @@
 /// Pause before a link to a peer that failed is opened again.
 const REOPEN_AFTER: Duration = Duration::from_secs(1);
 
-/// Spread of announcements, so that a peer that hears a change elsewhere is not told twice.
-const ANNOUNCE_JITTER: Duration = Duration::from_millis(10);
-
-/// Wait after a peer was told and is not yet up to date.
-const SETTLE_WAIT: Duration = Duration::from_millis(200);
+/// Longest pause before a peer is asked again while another link fetches.
+const FETCH_PAUSE: Duration = Duration::from_millis(100);
 
 /// While rumours are under way, one in this many exchanges compares the tables all the same.
 const SYNC_SAMPLE: u64 = 32;
@@ -128,45 +126,66 @@
     let client = dial(mesh, &peer.control_address, far).await?;
     introduce(mesh, &client).await?;
     let mut head = mesh.watch_head();
-    let mut ping_at = Instant::now() + mesh.jitter(ping_every);
-    let mut told = Offset(0);
-    exchange_news(mesh, peer, &client, far).await?;
+    exchange_news(mesh, peer, &client, Duration::ZERO).await?;
+    if far {
+        return ping_now_and_then(mesh, peer, &client, ping_every).await;
+    }
     loop {
-        tokio::select! {
-            () = tokio::time::sleep_until(ping_at.into()) => {}
-            // The paid link between regions waits for the periodic ping: each region reads the log.
-            _ = head.changed(), if !far => {
-                tokio::time::sleep(mesh.jitter(ANNOUNCE_JITTER)).await;
-                let applied = *head.borrow_and_update();
-                if mesh.peer_offset(&peer.node_id) >= applied || told >= applied {
-                    continue;
+        let wait = ping_every / 2 + mesh.jitter(ping_every);
+        let subscription = exchange_news(mesh, peer, &client, wait);
+        tokio::pin!(subscription);
+        loop {
+            tokio::select! {
+                result = &mut subscription => {
+                    if result? {
+                        // Another link fetches; asking again at once would be answered at once.
+                        tokio::time::sleep(mesh.jitter(FETCH_PAUSE)).await;
+                    }
+                    break;
+                }
+                // Everyone hears of a change from those it subscribes to; the node that read it
+                // from the log tells its own peers too, since nobody may subscribe to it.
+                _ = head.changed() => {
+                    let applied = *head.borrow_and_update();
+                    if mesh.reads_log() && mesh.peer_offset(&peer.node_id) < applied {
+                        exchange_news(mesh, peer, &client, Duration::ZERO).await?;
+                    }
                 }
-                told = applied;
             }
         }
-        let behind = exchange_news(mesh, peer, &client, far).await?;
-        ping_at = Instant::now() + ping_every;
-        if behind {
-            ping_at = Instant::now() + SETTLE_WAIT;
-        }
     }
 }
 
-/// Exchanges news with the peer and evens out what either lacks; returns whether one is still
-/// behind the other.
+/// Follows a peer of another region. The paid link is spared: each region reads the log itself.
+async fn ping_now_and_then(
+    mesh: &Mesh,
+    peer: &Member,
+    client: &PeerClient,
+    ping_every: Duration,
+) -> anyhow::Result<std::convert::Infallible> {
+    loop {
+        tokio::time::sleep(ping_every / 2 + mesh.jitter(ping_every)).await;
+        exchange_news(mesh, peer, client, Duration::ZERO).await?;
+    }
+}
+
+/// Exchanges news with the peer, whose answer may wait for news, and evens out what either lacks.
+/// Returns whether this node is still behind the peer.
 async fn exchange_news(
     mesh: &Mesh,
     peer: &Member,
     client: &PeerClient,
-    far: bool,
+    wait: Duration,
 ) -> anyhow::Result<bool> {
-    let own_id = mesh.members().own().node_id.clone();
+    let own = mesh.members().own().clone();
     let ping = Ping {
         news: mesh.news_for(&peer.node_id),
-        node_id: own_id,
+        wait_ms: wait.as_millis() as u64,
+        node_id: own.node_id,
     };
-    let pong = client.ping(prompt_context(), ping).await?;
-    mesh.take_news(&peer.node_id, &pong.news, !far);
+    let context = context_until(Instant::now() + wait + PEER_WAIT);
+    let pong = client.ping(context, ping).await?;
+    mesh.take_news(&peer.node_id, &pong.news, peer.region == own.region);
     let theirs = pong.news.applied_offset;
     if pong.wants_delivery {
         let missing = mesh.missing_after(theirs);
@@ -178,8 +197,7 @@
     if tables_are_far_apart(mesh, &pong.news) {
         sync_members(mesh, client).await?;
     }
-    let applied = mesh.applied_offset();
-    Ok(theirs != applied)
+    Ok(theirs > mesh.applied_offset())
 }
 
 /// Returns whether two member tables differ by more than the rumours under way will even out.
--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 use std::sync::atomic::{
+    AtomicBool,
     AtomicU64,
     Ordering, //
 };
@@ -79,6 +80,7 @@
     head: watch::Sender<Offset>,
     member_changes: watch::Sender<u64>,
     peers: Mutex<FastMap<NodeId, PeerHeard>>,
+    reads_log: AtomicBool,
     head_fresh_until: Mutex<Instant>,
     fetching_until: Mutex<Instant>,
     given_states: Mutex<(Instant, u32)>,
@@ -103,6 +105,7 @@
             head: watch::Sender::new(Offset(0)),
             member_changes: watch::Sender::new(0),
             peers: Mutex::default(),
+            reads_log: AtomicBool::new(false),
             head_fresh_until: Mutex::new(now),
             fetching_until: Mutex::new(now),
             given_states: Mutex::new((now, 0)),
@@ -293,6 +296,16 @@
         });
     }
 
+    /// Notes whether this node follows the log itself.
+    pub(crate) fn set_reads_log(&self, reads_log: bool) {
+        self.reads_log.store(reads_log, Ordering::Relaxed);
+    }
+
+    /// Returns whether this node follows the log itself, and so is where changes come from.
+    pub(crate) fn reads_log(&self) -> bool {
+        self.reads_log.load(Ordering::Relaxed)
+    }
+
     /// Notes until when the region's view of the log's head is fresh.
     pub fn extend_head_fresh(&self, fresh_until: Instant) {
         let mut current = self.head_fresh_until.lock().expect("no holder panics");
--- a/crates/control/src/reader.rs
+++ b/crates/control/src/reader.rs
@@ -57,7 +57,9 @@
 pub(crate) async fn follow_log(mesh: Arc<Mesh>, log: Rc<dyn LogService>, retention_ms: u64) {
     let mut backoff = Backoff::new(50, RETRY_MAX_MS, mesh.random());
     loop {
-        if !may_read(&mesh) {
+        let may_read = may_read(&mesh);
+        mesh.set_reads_log(may_read);
+        if !may_read {
             tokio::time::sleep(RANK_CHECK).await;
             continue;
         }
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -27,11 +27,15 @@
     pub member: Member,
 }
 
-/// Periodic message on a link, sent at once when the sender's offset grows.
+/// Message that is always under way on a link: the answer comes when there is news for the sender,
+/// or after its wait.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Ping {
     /// Sender.
     pub node_id: NodeId,
+    /// How long the answer may wait for records that the sender lacks, in milliseconds.
+    #[serde(default)]
+    pub wait_ms: u64,
     /// What the sender has heard.
     pub news: News,
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -11,6 +11,7 @@
 use figway_types::{
     Member,
     MemberState,
+    NodeId,
     Offset, //
 };
 use futures::StreamExt as _;
@@ -52,6 +53,9 @@
 /// Messages of one connection that are handled at a time.
 const CONCURRENT_MAX_COUNT: usize = 256;
 
+/// Spread of answers with news, so that a peer that hears a change elsewhere is not told twice.
+const NEWS_JITTER: Duration = Duration::from_millis(10);
+
 /// Accepts connections of peers until the process ends.
 pub(crate) async fn serve_peers(
     mesh: Arc<Mesh>,
@@ -106,6 +110,17 @@
     }
 }
 
+/// Waits until this node has records that the peer is not known to have.
+async fn wait_for_news(mesh: &Mesh, peer: &NodeId, wait_until: Instant) {
+    let mut head = mesh.watch_head();
+    while mesh.peer_offset(peer) >= *head.borrow_and_update() {
+        tokio::select! {
+            _ = head.changed() => tokio::time::sleep(mesh.jitter(NEWS_JITTER)).await,
+            () = tokio::time::sleep_until(wait_until.into()) => return,
+        }
+    }
+}
+
 #[derive(Clone)]
 struct PeerServer {
     mesh: Arc<Mesh>,
@@ -134,6 +149,10 @@
         let same_region = self.is_same_region();
         self.mesh.take_news(&ping.node_id, &ping.news, same_region);
         let behind = ping.news.applied_offset > self.mesh.applied_offset();
+        if !behind {
+            let wait_until = Instant::now() + Duration::from_millis(ping.wait_ms);
+            wait_for_news(&self.mesh, &ping.node_id, wait_until).await;
+        }
         Pong {
             wants_delivery: behind && self.mesh.begin_fetch(),
             news: self.mesh.news_for(&ping.node_id),
--- a/crates/testbed/src/cmd/convergence.rs
+++ b/crates/testbed/src/cmd/convergence.rs
@@ -83,7 +83,11 @@
         let mut times = Vec::new();
         let before = farm.control_bytes();
         for turn in 0..SWITCH_COUNT {
-            times.extend(writer.switch(&farm, turn).await?);
+            let switched = writer.switch(&farm, turn).await?;
+            if let Some(slowest) = switched.iter().max() {
+                eprintln!("switch {turn}: in force after {} ms", slowest.as_millis());
+            }
+            times.extend(switched);
             tokio::time::sleep(Duration::from_millis(250)).await;
         }
         let after = farm.control_bytes();
