Distance is measured and the own target's load is known exactly

The way to a zone is now the shortest time that opening a link to it took, and the own load comes from the admission beside it.

--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -123,7 +123,9 @@
 ) -> anyhow::Result<std::convert::Infallible> {
     let own = mesh.members().own().clone();
     let far = peer.region != own.region;
+    let dialled_at = Instant::now();
     let client = dial(mesh, &peer.control_address, far).await?;
+    mesh.note_round_trip(&peer.zone, dialled_at.elapsed());
     introduce(mesh, &client).await?;
     let mut head = mesh.watch_head();
     exchange_news(mesh, peer, &client, Duration::ZERO).await?;
--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -86,6 +86,7 @@
     given_states: Mutex<(Instant, u32)>,
     seed: AtomicU64,
     meter: ControlMeter,
+    round_trips_us: Mutex<FastMap<String, f64>>,
     outcomes: Mutex<Option<Arc<dyn OutcomeSource>>>,
 }
 
@@ -111,6 +112,7 @@
             given_states: Mutex::new((now, 0)),
             seed: AtomicU64::new(seed),
             meter: ControlMeter::default(),
+            round_trips_us: Mutex::default(),
             outcomes: Mutex::default(),
         })
     }
@@ -268,8 +270,13 @@
         let fold = self.fold();
         let members = self.members();
         let current = self.view.load();
-        let next = current.next(&fold, Some(&members));
+        let mut next = current.next(&fold, Some(&members));
         drop(members);
+        next.round_trips_us = self
+            .round_trips_us
+            .lock()
+            .expect("no holder panics")
+            .clone();
         self.swap_view(&fold, &current, next);
     }
 
@@ -323,6 +330,14 @@
             .map_or(Offset(0), |heard| heard.applied_offset)
     }
 
+    /// Notes how long a connection to a peer of `zone` took to open, which is one way there and back.
+    pub(crate) fn note_round_trip(&self, zone: &str, took: Duration) {
+        let took_us = took.as_secs_f64() * 1e6;
+        let mut round_trips_us = self.round_trips_us.lock().expect("no holder panics");
+        let known_us = round_trips_us.entry(zone.to_owned()).or_insert(took_us);
+        *known_us = known_us.min(took_us);
+    }
+
     /// Returns what this node has heard, for `receiver`.
     pub(crate) fn news_for(&self, receiver: &NodeId) -> News {
         let now = Instant::now();
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -48,6 +48,8 @@
     pub services: FastMap<String, Arc<ServiceInForce>>,
     /// Members with a target, by service.
     pub targets: FastMap<String, Arc<[Arc<Member>]>>,
+    /// Shortest way there and back to each zone, in microseconds.
+    pub round_trips_us: FastMap<String, f64>,
     /// Moves that are held, by service.
     pub held: BTreeMap<String, HeldMove>,
 }
@@ -64,6 +66,7 @@
         let mut next = View {
             services: self.services.clone(),
             targets,
+            round_trips_us: self.round_trips_us.clone(),
             held: BTreeMap::new(),
         };
         for (service, pick) in &fold.state().picks {
--- a/crates/dataplane/src/candidates.rs
+++ b/crates/dataplane/src/candidates.rs
@@ -27,6 +27,7 @@
 pub(crate) struct ShareEntry {
     pub(crate) member: Arc<Member>,
     pub(crate) distance: Distance,
+    pub(crate) round_trip_us: f64,
 }
 
 impl ShareEntry {
@@ -37,6 +38,7 @@
             node_id: &self.member.node_id,
             slot_count: target.map_or(1, |target| target.slot_count),
             distance: self.distance,
+            round_trip_us: self.round_trip_us,
             suspect: self.member.state == MemberState::Suspect,
         }
     }
@@ -102,8 +104,14 @@
         if member.serving_target().is_none() || !has_labels(member, labels) {
             continue;
         }
+        let distance = distance(own, member);
+        let measured_us = view.round_trips_us.get(&member.zone).copied();
         entries.push(ShareEntry {
-            distance: distance(own, member),
+            distance,
+            round_trip_us: match distance {
+                Distance::Host => 0.0,
+                _ => measured_us.unwrap_or(distance.assumed_round_trip_us()),
+            },
             member: Arc::clone(member),
         });
     }
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -5,6 +5,7 @@
     Instant, //
 };
 
+use figway_routing::LoadReport;
 use figway_types::{
     NodeId,
     NotRunReason,
@@ -254,7 +255,12 @@
         candidates.push(entry.candidate());
     }
     let excluded: Vec<&NodeId> = tried.iter().collect();
-    let loads = plane.loads();
+    let mut loads = plane.loads();
+    // Beside this node the load is known, whoever sent the calls.
+    let own_load = LoadReport {
+        busy_ratio: plane.gate.busy_ratio(),
+    };
+    loads.note_report(&own.node_id, own_load, Instant::now());
     let mut picker = worker.picker.borrow_mut();
     let picked = picker.pick(&candidates, &excluded, &loads, Instant::now())?;
     let entry = share[picked.index].clone();
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -32,8 +32,8 @@
 }
 
 impl Distance {
-    /// Way there and back that a nearer target saves, in microseconds.
-    fn round_trip_us(self) -> f64 {
+    /// Way there and back that is assumed until one is measured, in microseconds.
+    pub fn assumed_round_trip_us(self) -> f64 {
         match self {
             Distance::Host => 0.0,
             Distance::Zone => 200.0,
@@ -52,6 +52,8 @@
     pub slot_count: u32,
     /// How far it is.
     pub distance: Distance,
+    /// Way there and back, in microseconds.
+    pub round_trip_us: f64,
     /// Whether some peer lost its link to it.
     pub suspect: bool,
 }
@@ -197,7 +199,7 @@
         .latency_us(candidate.node_id, now)
         .max(UNKNOWN_LATENCY_US);
     let busy_ratio = loads.busy_ratio(candidate.node_id, candidate.slot_count, now);
-    latency_us * (1.0 + busy_ratio) + candidate.distance.round_trip_us()
+    latency_us * (1.0 + busy_ratio) + candidate.round_trip_us
 }
 
 /// Returns whether a call would wait at the pick, or the pick is slower than any other known.
--- a/crates/routing/tests/full_scan.rs
+++ b/crates/routing/tests/full_scan.rs
@@ -100,6 +100,7 @@
                 node_id: id,
                 slot_count: 4,
                 distance: distance(spec.distance),
+                round_trip_us: distance(spec.distance).assumed_round_trip_us(),
                 suspect: spec.suspect,
             });
         }
@@ -218,6 +219,7 @@
             node_id,
             slot_count: 1,
             distance: Distance::Zone,
+            round_trip_us: 200.0,
             suspect: false,
         };
         let share = |without: Option<usize>| {
@@ -247,6 +249,7 @@
             node_id,
             slot_count: 8,
             distance: Distance::Zone,
+            round_trip_us: 200.0,
             suspect: false,
         })
         .collect();
