Hedges go only where a slot is free

Cause of head-of-line blocking behind stragglers: a straggler is slow by its own work, so its hedge is too; with 1% of calls 50 times as long each hedge doubled the straggling work and the targets ran over their capacity. A hedge now needs a target with at most 0.5 calls a slot.

--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -29,6 +29,9 @@
 /// Targets that one call tries at most.
 const ATTEMPT_MAX_COUNT: usize = 4;
 
+/// Calls per slot at a target up to which it takes hedges.
+const HEDGE_BUSY_RATIO: f64 = 0.5;
+
 /// Status by which a target itself sheds load.
 const SHED_STATUS: u16 = 503;
 
@@ -211,7 +214,8 @@
     let Some(other) = pick(worker, call, tried) else {
         return first.await;
     };
-    if !worker.plane.retries.try_withdraw(call.service, limits) {
+    let has_room = has_room_for_hedge(worker, &other);
+    if !has_room || !worker.plane.retries.try_withdraw(call.service, limits) {
         return first.await;
     }
     worker.plane.metrics.count("hedge");
@@ -224,6 +228,15 @@
     }
 }
 
+/// Returns whether a hedge would find a free slot. A call that is slow by its own work is slow
+/// everywhere; hedging it must not take slots from calls that wait.
+fn has_room_for_hedge(worker: &Worker, entry: &ShareEntry) -> bool {
+    let slot_count = entry.candidate().slot_count;
+    let loads = worker.plane.loads();
+    let busy_ratio = loads.busy_ratio(&entry.member.node_id, slot_count, Instant::now());
+    busy_ratio <= HEDGE_BUSY_RATIO
+}
+
 /// Returns the first answer; an attempt that ended without one waits for the other.
 async fn first_or(
     ended: AdmittedFate,
