--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -14,9 +14,6 @@
     LogService,
     ReadError, //
 };
-use figway_types::{
-    Offset, //
-};
 use tokio::sync::{
     mpsc,
     oneshot, //
@@ -234,10 +231,8 @@
         );
         self.catch_up().await?;
         if self.book.next_offset() <= appended.offset {
-            return Err(format!(
-                "the stream ends before offset {}",
-                Offset(appended.offset.0)
-            ));
+            let why = format!("the stream ends before offset {}", appended.offset);
+            return Err(why);
         }
         Ok(())
     }
--- /dev/null
+++ b/crates/control/src/mesh/news.rs
@@ -0,0 +1,129 @@
+//! What nodes tell each other: news, members, and how fresh the region's view of the log is.
+
+use std::sync::atomic::Ordering;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_types::{
+    Member,
+    NodeId,
+    Offset, //
+};
+
+use super::{
+    Mesh,
+    PeerHeard, //
+};
+use crate::rpc::News;
+
+/// Rumours that one message carries at most.
+const RUMOUR_MAX_COUNT: usize = 16;
+
+/// Crash reports that one message carries at most.
+const CRASH_MAX_COUNT: usize = 16;
+
+impl Mesh {
+    /// Notes whether this node follows the log itself.
+    pub(crate) fn set_reads_log(&self, reads_log: bool) {
+        self.reads_log.store(reads_log, Ordering::Relaxed);
+    }
+
+    /// Returns whether this node follows the log itself, and so is where changes come from.
+    pub(crate) fn reads_log(&self) -> bool {
+        self.reads_log.load(Ordering::Relaxed)
+    }
+
+    /// Notes until when the region's view of the log's head is fresh.
+    pub fn extend_head_fresh(&self, fresh_until: Instant) {
+        let mut current = self.head_fresh_until.lock().expect("no holder panics");
+        *current = (*current).max(fresh_until);
+    }
+
+    /// Returns until when the region's view of the log's head is fresh.
+    pub fn head_fresh_until(&self) -> Instant {
+        *self.head_fresh_until.lock().expect("no holder panics")
+    }
+
+    /// Returns the offset that a peer is known to have.
+    pub fn peer_offset(&self, peer: &NodeId) -> Offset {
+        self.heard(peer)
+            .map_or(Offset(0), |heard| heard.applied_offset)
+    }
+
+    /// Notes how long a connection to a peer of `zone` took to open, which is one way there and back.
+    pub(crate) fn note_round_trip(&self, zone: &str, took: Duration) {
+        let took_us = took.as_secs_f64() * 1e6;
+        let mut round_trips_us = self.round_trips_us.lock().expect("no holder panics");
+        let known_us = round_trips_us.entry(zone.to_owned()).or_insert(took_us);
+        *known_us = known_us.min(took_us);
+    }
+
+    /// Returns what this node has heard, for `receiver`.
+    pub(crate) fn news_for(&self, receiver: &NodeId) -> News {
+        let now = Instant::now();
+        let heard_digest = self.heard(receiver).map(|heard| heard.member_digest);
+        let mut members = self.members();
+        let rumours = members.take_rumours(receiver, heard_digest, RUMOUR_MAX_COUNT);
+        let member_digest = members.digest().total();
+        let member_count = members.present_count();
+        drop(members);
+        let head_left = self.head_fresh_until().saturating_duration_since(now);
+        News {
+            applied_offset: self.applied_offset(),
+            head_left_ms: head_left.as_millis() as u64,
+            member_digest,
+            member_count,
+            rumours,
+            crashes: self.quarantine().reports(CRASH_MAX_COUNT, now),
+        }
+    }
+
+    /// Takes in what `sender` has heard; `same_region` says whether its view of the head counts.
+    pub(crate) fn take_news(&self, sender: &NodeId, news: &News, same_region: bool) {
+        let now = Instant::now();
+        let heard = PeerHeard {
+            applied_offset: news.applied_offset,
+            member_digest: news.member_digest,
+        };
+        self.peers
+            .lock()
+            .expect("no holder panics")
+            .insert(sender.clone(), heard);
+        if same_region {
+            self.extend_head_fresh(now + Duration::from_millis(news.head_left_ms));
+        }
+        self.merge_members(&news.rumours);
+        let mut quarantine = self.quarantine();
+        for report in &news.crashes {
+            quarantine.merge(report, now);
+        }
+    }
+
+    /// Merges reports about members.
+    pub fn merge_members(&self, reports: &[Member]) {
+        let now = Instant::now();
+        let mut members = self.members();
+        for report in reports {
+            members.merge(report, now);
+        }
+        drop(members);
+        self.note_member_changes();
+    }
+
+    /// Notes that a path to a node failed.
+    pub fn suspect(&self, node_id: &NodeId, why: &str) {
+        log::info!("member suspected node={node_id} why={why}");
+        self.members().suspect(node_id, Instant::now());
+        self.note_member_changes();
+    }
+
+    fn heard(&self, peer: &NodeId) -> Option<PeerHeard> {
+        self.peers
+            .lock()
+            .expect("no holder panics")
+            .get(peer)
+            .copied()
+    }
+}
--- a/crates/testbed/src/cmd/demo.rs
+++ b/crates/testbed/src/cmd/demo.rs
@@ -11,9 +11,9 @@
     CallEnd,
     Constant,
     LoadKind,
-    LoadReport,
-    ThroughNodes, //
+    LoadReport, //
 };
+use figway_testbed::ways::ThroughNodes;
 use serde_json::Value;
 
 use crate::cmd::{
--- a/crates/testbed/src/cmd/experiment.rs
+++ b/crates/testbed/src/cmd/experiment.rs
@@ -20,10 +20,12 @@
     LoadKind,
     LoadReport,
     RatePlan,
-    RoundRobin,
-    ThroughNodes,
     Way, //
 };
+use figway_testbed::ways::{
+    RoundRobin,
+    ThroughNodes, //
+};
 use figway_types::mix;
 
 use crate::cmd::{
--- a/crates/testbed/src/cmd/mod.rs
+++ b/crates/testbed/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod experiment;
 mod latency;
 mod log;
+mod slopes;
 mod target;
 
 use std::path::PathBuf;
@@ -55,6 +56,8 @@
             /// Nodes, all in this process.
             required nodes: usize
         }
+        /// Measures state, bytes and processor time of control by services and members.
+        cmd slopes {}
         /// Measures what figway adds to a call, against calling the target directly.
         cmd latency {
             /// Folder of the profiles.
@@ -80,6 +83,7 @@
             TestbedCmd::Experiment(command) => command.run().await,
             TestbedCmd::Convergence(command) => command.run().await,
             TestbedCmd::Latency(command) => command.run().await,
+            TestbedCmd::Slopes(command) => command.run().await,
             TestbedCmd::Log(command) => command.run().await,
             TestbedCmd::Target(command) => command.run().await,
         }
--- /dev/null
+++ b/crates/testbed/src/cmd/slopes.rs
@@ -0,0 +1,187 @@
+//! `testbed slopes`: state, bytes and processor time of the control plane by size, in one process.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use figway_control::Mesh;
+use figway_profile::{
+    Change,
+    ChangeRecord,
+    Fold, //
+};
+use figway_types::{
+    ChangeId,
+    LogRecord,
+    Member,
+    MemberState,
+    NodeId,
+    Offset,
+    Target, //
+};
+
+use crate::cmd::{
+    Run,
+    Slopes, //
+};
+
+/// Sizes of the sweep over services.
+const SERVICE_COUNTS: [usize; 5] = [10, 100, 1_300, 5_000, 10_000];
+
+/// Sizes of the sweep over members.
+const MEMBER_COUNTS: [usize; 5] = [10, 100, 1_000, 6_700, 10_000];
+
+/// Profiles that services pick from.
+const PROFILE_COUNT: usize = 3;
+
+/// Repetitions of a step that is timed.
+const REPEAT_COUNT: u32 = 20;
+
+impl Run for Slopes {
+    async fn run(&self) -> anyhow::Result<()> {
+        println!("services fold_us_per_record state_bytes state_load_ms");
+        for service_count in SERVICE_COUNTS {
+            by_services(service_count)?;
+        }
+        println!(
+            "members member_bytes merge_us_per_member view_rebuild_ms change_install_ms \
+             resident_mib"
+        );
+        for member_count in MEMBER_COUNTS {
+            by_members(member_count)?;
+        }
+        Ok(())
+    }
+}
+
+fn record(offset: u64, change: Change) -> LogRecord {
+    let record = ChangeRecord {
+        change_id: ChangeId(figway_types::mix(offset)),
+        author: "operator".to_owned(),
+        change,
+    };
+    LogRecord {
+        offset: Offset(offset),
+        appended_at_ms: 1,
+        body: record.to_body(),
+    }
+}
+
+/// Writes the profiles and one switch for each service.
+fn stream(service_count: usize) -> Vec<LogRecord> {
+    let mut records = Vec::new();
+    for profile in 0..PROFILE_COUNT {
+        let mut body = String::from("kinds:\n");
+        for kind in 0..8 {
+            body += &format!("  - {{name: kind-{kind}, path_prefix: /kind-{kind}, worth: 2}}\n");
+        }
+        let change = Change::Publish {
+            profile: format!("profile-{profile}"),
+            expected_version_offset: Offset(0),
+            body,
+        };
+        records.push(record(records.len() as u64 + 1, change));
+    }
+    for service in 0..service_count {
+        let change = Change::Switch {
+            service: format!("service-{service}"),
+            expected_pick_offset: Offset(0),
+            profile: format!("profile-{}", service % PROFILE_COUNT),
+        };
+        records.push(record(records.len() as u64 + 1, change));
+    }
+    records
+}
+
+fn by_services(service_count: usize) -> anyhow::Result<()> {
+    let records = stream(service_count);
+    let started_at = Instant::now();
+    let mut fold = Fold::default();
+    for record in &records {
+        fold.apply(record);
+    }
+    let fold_us = started_at.elapsed().as_micros() as f64 / records.len() as f64;
+    let text = serde_json::to_string(fold.state())?;
+    let started_at = Instant::now();
+    let loaded = Fold::from_state(serde_json::from_str(&text)?);
+    anyhow::ensure!(
+        loaded.as_of_offset() == fold.as_of_offset(),
+        "the state was not loaded"
+    );
+    println!(
+        "{service_count} {fold_us:.1} {} {:.1}",
+        text.len(),
+        started_at.elapsed().as_secs_f64() * 1e3
+    );
+    Ok(())
+}
+
+fn member(index: usize, service_count: usize) -> Member {
+    Member {
+        node_id: NodeId(format!("zone-{}-host-{index:05}", index % 12)),
+        generation_ms: 1_796_000_000_000,
+        incarnation: 3,
+        state: MemberState::Live,
+        region: format!("region-{}", index % 3),
+        zone: format!("zone-{}", index % 12),
+        control_address: format!("10.{}.{}.7:7100", index / 250, index % 250),
+        call_address: format!("10.{}.{}.7:7101", index / 250, index % 250),
+        target: Some(Target {
+            service: format!("service-{}", index % service_count),
+            address: format!("10.{}.{}.7:8080", index / 250, index % 250),
+            slot_count: 17,
+            labels: BTreeMap::from([("track".to_owned(), "stable".to_owned())]),
+            draining: false,
+        }),
+    }
+}
+
+fn by_members(member_count: usize) -> anyhow::Result<()> {
+    // One service for every five targets, as at the size to design for.
+    let service_count = (member_count / 5).max(1);
+    let members: Vec<Member> = (0..member_count)
+        .map(|index| member(index, service_count))
+        .collect();
+    let member_bytes = serde_json::to_string(&members[0])?.len();
+    let mesh = Mesh::new("farm", member(member_count, service_count), None, 1);
+    let started_at = Instant::now();
+    mesh.merge_members(&members);
+    let merge_us = started_at.elapsed().as_micros() as f64 / member_count as f64;
+    mesh.deliver(&stream(service_count));
+    mesh.install_members();
+    let started_at = Instant::now();
+    for _ in 0..REPEAT_COUNT {
+        mesh.install_members();
+    }
+    let rebuild_ms = started_at.elapsed().as_secs_f64() * 1e3 / f64::from(REPEAT_COUNT);
+    let mut offset = mesh.applied_offset().0;
+    let started_at = Instant::now();
+    for turn in 0..REPEAT_COUNT {
+        offset += 1;
+        let change = Change::Switch {
+            service: "service-0".to_owned(),
+            expected_pick_offset: pick_offset(&mesh),
+            profile: format!("profile-{}", turn % 2),
+        };
+        mesh.deliver(&[record(offset, change)]);
+    }
+    let install_ms = started_at.elapsed().as_secs_f64() * 1e3 / f64::from(REPEAT_COUNT);
+    println!(
+        "{member_count} {member_bytes} {merge_us:.1} {rebuild_ms:.2} {install_ms:.2} {:.1}",
+        resident_mib()?
+    );
+    Ok(())
+}
+
+fn pick_offset(mesh: &Mesh) -> Offset {
+    let fold = mesh.fold();
+    fold.state()
+        .picks
+        .get("service-0")
+        .map_or(Offset(0), |pick| pick.pick_offset)
+}
+
+fn resident_mib() -> anyhow::Result<f64> {
+    let status = std::fs::read_to_string("/proc/self/statm")?;
+    let pages: f64 = status.split(' ').nth(1).unwrap_or("0").parse()?;
+    Ok(pages * 4.0 / 1_024.0)
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod process;
 pub mod relay;
 pub mod target_server;
+pub mod ways;
--- a/crates/testbed/src/load.rs
+++ b/crates/testbed/src/load.rs
@@ -15,19 +15,10 @@
     StreamExt as _, //
 };
 use hdrhistogram::Histogram;
-use ntex::client::Client;
-
-use crate::http::{
-    send,
-    Request, //
-};
 
 /// Highest latency that is told apart, in microseconds.
 const LATENCY_MAX_US: u64 = 120_000_000;
 
-/// Wait of a caller beyond the call's budget.
-const CALLER_GRACE: Duration = Duration::from_millis(500);
-
 /// A kind of request that the load is made of.
 #[derive(Clone, Debug)]
 pub struct LoadKind {
@@ -303,99 +294,3 @@
         (index, drawn)
     }
 }
-
-/// Calls through figway's nodes, each at a random one.
-pub struct ThroughNodes {
-    /// Client of the callers.
-    pub http: Client,
-    /// Call addresses of the nodes.
-    pub nodes: Vec<String>,
-}
-
-impl Way for ThroughNodes {
-    fn call<'a>(
-        &'a self,
-        kind: &'a LoadKind,
-        drawn: &'a Drawn,
-    ) -> futures::future::LocalBoxFuture<'a, CallEnd> {
-        Box::pin(async move {
-            let node = &self.nodes[(drawn.random % self.nodes.len() as u64) as usize];
-            let url = format!("http://{node}{}", drawn.path);
-            let budget_ms = kind.budget_ms.to_string();
-            let mut headers = vec![
-                ("x-figway-service", kind.service),
-                ("x-figway-budget-ms", budget_ms.as_str()),
-                ("x-call-id", drawn.call_id.as_str()),
-            ];
-            if kind.keyed {
-                headers.push(("idempotency-key", drawn.call_id.as_str()));
-            }
-            let request = Request {
-                method: kind.method,
-                url: &url,
-                headers: &headers,
-                body: "",
-            };
-            let wait = Duration::from_millis(kind.budget_ms) + CALLER_GRACE;
-            match send(&self.http, request, wait).await {
-                Ok(reply) => match (reply.outcome.as_str(), reply.status) {
-                    ("answered", 200) => CallEnd::Answered,
-                    ("not-run", _) => CallEnd::NotRun,
-                    ("unknown", _) => CallEnd::Unknown,
-                    _ => CallEnd::Failed,
-                },
-                Err(_) => CallEnd::Failed,
-            }
-        })
-    }
-}
-
-/// The baseline: round robin straight to the targets, no queue limits, two retries.
-pub struct RoundRobin {
-    /// Client of the callers.
-    pub http: Client,
-    /// Addresses of the targets, by service.
-    pub targets: BTreeMap<String, Vec<String>>,
-    /// Next target of each service.
-    pub turn: RefCell<BTreeMap<String, usize>>,
-    /// Tries of a call.
-    pub try_count: usize,
-}
-
-impl RoundRobin {
-    fn next(&self, service: &str) -> &str {
-        let targets = &self.targets[service];
-        let mut turns = self.turn.borrow_mut();
-        let turn = turns.entry(service.to_owned()).or_default();
-        *turn += 1;
-        &targets[*turn % targets.len()]
-    }
-}
-
-impl Way for RoundRobin {
-    fn call<'a>(
-        &'a self,
-        kind: &'a LoadKind,
-        drawn: &'a Drawn,
-    ) -> futures::future::LocalBoxFuture<'a, CallEnd> {
-        Box::pin(async move {
-            let give_up_at = Instant::now() + Duration::from_millis(kind.budget_ms);
-            for _ in 0..self.try_count {
-                let url = format!("http://{}{}", self.next(kind.service), drawn.path);
-                let request = Request {
-                    method: kind.method,
-                    url: &url,
-                    headers: &[("x-call-id", drawn.call_id.as_str())],
-                    body: "",
-                };
-                let left = give_up_at.saturating_duration_since(Instant::now());
-                if let Ok(reply) = send(&self.http, request, left).await {
-                    if reply.status == 200 {
-                        return CallEnd::Answered;
-                    }
-                }
-            }
-            CallEnd::Failed
-        })
-    }
-}
