The planned-stop run keeps callers on the stopping node

With the drain taken out on a scratch copy the run still passed: its callers left the node just before the signal. They now stay for a second after it.

--- a/crates/testbed/tests/calls.rs
+++ b/crates/testbed/tests/calls.rs
@@ -275,9 +275,9 @@
         let (fleet, stopping) = (&fleet, &stopping);
         async move {
             tokio::time::sleep(Duration::from_millis(n as u64 * 4)).await;
-            // Callers of the node that stops turn to others once it answers that it drains.
+            // Callers of the node that stops stay with it for a second after the signal.
             let node = match n % 4 {
-                3 if n < 200 => stopping.call_address(),
+                3 if n < 450 => stopping.call_address(),
                 other => fleet.hosts[other % 3].call_address(),
             };
             let url = format!("http://{node}/stock?work_ms=60");
