--- a/crates/testbed/tests/calls.rs
+++ b/crates/testbed/tests/calls.rs
@@ -322,3 +322,19 @@
     }
     assert_eq!(fleet.journal(1).await.unwrap().len(), before);
 }
+
+#[ntex::test]
+async fn a_booking_whose_target_died_is_not_sent_to_another() {
+    let mut fleet = verband("died", &["werkbuch"], 4).await;
+    let node = fleet.hosts[0].call_address().to_owned();
+    let url = format!("http://{node}/bookings?crash=1");
+    let headers = [("x-figway-service", "werkbuch"), ("x-call-id", "booking-1")];
+    let reply = fleet.post(&url, &headers, "").await.unwrap();
+    assert_eq!(reply.outcome, "unknown", "{}", reply.reason);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let mut crashed_count = 0;
+    for host in &mut fleet.hosts {
+        crashed_count += usize::from(host.target.has_ended());
+    }
+    assert_eq!(crashed_count, 1);
+}
