Doubled logic joined: ranks, reads of what is retained, names of laggards

Readers and the keeper of contacts counted their rank each on their own, three places handled an expired first offset, two printed who is behind, and six test files held one proptest configuration.

--- a/crates/admission/tests/naive_admission.rs
+++ b/crates/admission/tests/naive_admission.rs
@@ -15,22 +15,12 @@
     RetryBudget,
     Ticket, //
 };
+use figway_test_support::differential;
 use figway_types::{
     Fingerprint,
     NotRunReason, //
 };
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
-
-fn config() -> ProptestConfig {
-    let cases = std::env::var("FIGWAY_CASES").ok();
-    ProptestConfig {
-        cases: cases.and_then(|text| text.parse().ok()).unwrap_or(512),
-        rng_seed: RngSeed::Fixed(43),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
 
 const LIMITS: AdmissionLimits = AdmissionLimits {
     slot_count: 4,
@@ -142,7 +132,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(differential(43, 512))]
 
     #[test]
     fn every_decision_equals_the_naive_one(ops in prop::collection::vec(op(), 0..120)) {
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -9,10 +9,9 @@
 
 use figway_log_client::{
     claim_stream,
-    read_to_head,
+    read_retained,
     AppendError,
-    LogService,
-    ReadError, //
+    LogService, //
 };
 use tokio::sync::{
     mpsc,
@@ -176,17 +175,11 @@
 
     async fn catch_up(&mut self) -> Result<(), String> {
         let from_offset = self.book.next_offset();
-        let page = match read_to_head(self.log.as_ref(), &self.stream, from_offset).await {
-            Ok(page) => page,
-            Err(ReadError::Expired(first_offset)) => {
-                // Expired records are older than any key is remembered.
-                self.book.skip_to(first_offset);
-                read_to_head(self.log.as_ref(), &self.stream, first_offset)
-                    .await
-                    .map_err(|error| error.to_string())?
-            }
-            Err(error) => return Err(error.to_string()),
-        };
+        let page = read_retained(self.log.as_ref(), &self.stream, from_offset)
+            .await
+            .map_err(|error| error.to_string())?;
+        // Expired records are older than any key is remembered.
+        self.book.skip_to(page.first_offset);
         for record in &page.records {
             let batch = serde_json::from_str(&record.body).unwrap_or_else(|error| {
                 log::error!("claim record {} is unreadable: {error}", record.offset);
--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -9,13 +9,12 @@
 };
 
 use figway_log_client::{
-    read_to_head,
+    read_retained,
     LogService,
     ReadError,
     CONTACT_STREAM, //
 };
 use figway_types::{
-    rendezvous_weight,
     Backoff,
     MemberState,
     Offset, //
@@ -59,10 +58,6 @@
     control_address: String,
 }
 
-struct FreshContacts {
-    list: Vec<Contact>,
-}
-
 /// Joins the mesh and then looks after the zone's contacts until the process ends.
 pub(crate) async fn keep_contact(mesh: Arc<Mesh>, log: Rc<dyn LogService>, peers: Vec<String>) {
     let mut backoff = Backoff::new(100, 2_000, mesh.random());
@@ -104,7 +99,6 @@
             Ok(fresh) => {
                 tend(mesh, log, &fresh).await;
                 let (near, far): (Vec<Contact>, Vec<Contact>) = fresh
-                    .list
                     .into_iter()
                     .partition(|contact| contact.zone == own.zone);
                 for contact in near.into_iter().chain(far) {
@@ -182,25 +176,15 @@
 
 /// Returns whether this node is the one of its zone that looks after the contacts.
 fn tends_zone(mesh: &Mesh) -> bool {
-    let members = mesh.members();
-    let own = members.own();
-    let own_weight = rendezvous_weight(&own.zone, &own.node_id.0);
-    for member in members.members() {
-        if member.zone != own.zone || member.state != MemberState::Live {
-            continue;
-        }
-        if rendezvous_weight(&own.zone, &member.node_id.0) > own_weight {
-            return false;
-        }
-    }
-    true
+    let zone = mesh.members().own().zone.clone();
+    mesh.own_rank(&zone, &|member| member.zone == zone) == Some(0)
 }
 
 /// Appends this node as a contact when its zone has too few that are fresh.
-async fn tend(mesh: &Mesh, log: &dyn LogService, fresh: &FreshContacts) {
+async fn tend(mesh: &Mesh, log: &dyn LogService, fresh: &[Contact]) {
     let own = mesh.members().own().clone();
     let mut fresh_count = 0;
-    for contact in &fresh.list {
+    for contact in fresh {
         if contact.control_address == own.control_address {
             return;
         }
@@ -224,11 +208,8 @@
     }
 }
 
-async fn fresh_contacts(mesh: &Mesh, log: &dyn LogService) -> Result<FreshContacts, ReadError> {
-    let page = match read_to_head(log, CONTACT_STREAM, Offset(1)).await {
-        Err(ReadError::Expired(first)) => read_to_head(log, CONTACT_STREAM, first).await?,
-        result => result?,
-    };
+async fn fresh_contacts(mesh: &Mesh, log: &dyn LogService) -> Result<Vec<Contact>, ReadError> {
+    let page = read_retained(log, CONTACT_STREAM, Offset(1)).await?;
     let mut list: Vec<Contact> = Vec::new();
     for record in page.records.iter().rev() {
         if record.appended_at_ms + CONTACT_LIFE_MS < page.now_ms {
@@ -242,5 +223,5 @@
             list.push(contact);
         }
     }
-    Ok(FreshContacts { list })
+    Ok(list)
 }
--- a/crates/control/src/mesh/news.rs
+++ b/crates/control/src/mesh/news.rs
@@ -7,7 +7,9 @@
 };
 
 use figway_types::{
+    rendezvous_weight,
     Member,
+    MemberState,
     NodeId,
     Offset, //
 };
@@ -101,6 +103,27 @@
         }
     }
 
+    /// Returns how many live members that match `within` come before this node for `key`, by
+    /// rendezvous hash; `None` unless this node is live itself.
+    pub(crate) fn own_rank(&self, key: &str, within: &dyn Fn(&Member) -> bool) -> Option<usize> {
+        let members = self.members();
+        let own = members.own();
+        if own.state != MemberState::Live {
+            return None;
+        }
+        let own_weight = rendezvous_weight(key, &own.node_id.0);
+        let mut rank = 0;
+        for member in members.members() {
+            if member.state != MemberState::Live || !within(member) {
+                continue;
+            }
+            if rendezvous_weight(key, &member.node_id.0) > own_weight {
+                rank += 1;
+            }
+        }
+        Some(rank)
+    }
+
     /// Merges reports about members.
     pub fn merge_members(&self, reports: &[Member]) {
         let now = Instant::now();
--- a/crates/control/src/reader.rs
+++ b/crates/control/src/reader.rs
@@ -9,6 +9,7 @@
 };
 
 use figway_log_client::{
+    read_retained,
     read_to_head,
     LogService,
     Page,
@@ -22,11 +23,9 @@
     FoldState, //
 };
 use figway_types::{
-    rendezvous_weight,
     Backoff,
     ChangeId,
     LogRecord,
-    MemberState,
     Offset, //
 };
 
@@ -90,7 +89,8 @@
 /// Returns whether this node is to read: the first in rank always, the next ones when the region's
 /// view is stale.
 fn may_read(mesh: &Mesh) -> bool {
-    let Some(rank) = region_rank(mesh) else {
+    let region = mesh.members().own().region.clone();
+    let Some(rank) = mesh.own_rank(&region, &|member| member.region == region) else {
         return false;
     };
     if rank == 0 {
@@ -99,25 +99,6 @@
     rank < READER_MAX_COUNT && mesh.head_fresh_until() + RANK_STEP * rank as u32 <= Instant::now()
 }
 
-fn region_rank(mesh: &Mesh) -> Option<usize> {
-    let members = mesh.members();
-    let own = members.own();
-    if own.state != MemberState::Live {
-        return None;
-    }
-    let own_weight = rendezvous_weight(&own.region, &own.node_id.0);
-    let mut rank = 0;
-    for member in members.members() {
-        if member.region != own.region || member.state != MemberState::Live {
-            continue;
-        }
-        if rendezvous_weight(&own.region, &member.node_id.0) > own_weight {
-            rank += 1;
-        }
-    }
-    Some(rank)
-}
-
 async fn take_page(mesh: &Mesh, log: &dyn LogService, page: &Page, retention_ms: u64) {
     if mesh.applied_offset() >= page.next_offset {
         log::error!(
@@ -189,12 +170,8 @@
 ///
 /// The log is unavailable.
 pub async fn read_fold(log: &dyn LogService) -> Result<Fold, ReadError> {
-    let (first_offset, page) = match read_to_head(log, CHANGE_STREAM, Offset(1)).await {
-        Ok(page) => (Offset(1), page),
-        Err(ReadError::Expired(first)) => (first, read_to_head(log, CHANGE_STREAM, first).await?),
-        Err(error) => return Err(error),
-    };
-    let mut fold = match newest_snapshot(&page.records, first_offset, Offset(0)) {
+    let page = read_retained(log, CHANGE_STREAM, Offset(1)).await?;
+    let mut fold = match newest_snapshot(&page.records, page.first_offset, Offset(0)) {
         Some(state) => Fold::from_state(state),
         None => Fold::default(),
     };
--- a/crates/control/tests/claims.rs
+++ b/crates/control/tests/claims.rs
@@ -9,25 +9,15 @@
     ClaimBook,
     ClaimVerdict, //
 };
+use figway_test_support::differential;
 use figway_types::{
     NodeId,
     Offset, //
 };
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 const REMEMBER_MS: u64 = 1_000;
 
-fn config() -> ProptestConfig {
-    let cases = std::env::var("FIGWAY_CASES").ok();
-    ProptestConfig {
-        cases: cases.and_then(|text| text.parse().ok()).unwrap_or(512),
-        rng_seed: RngSeed::Fixed(46),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Entry {
     key: u8,
@@ -85,7 +75,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(differential(46, 512))]
 
     #[test]
     fn verdicts_at_the_own_offset_equal_a_scan(
--- a/crates/control/tests/mesh_view.rs
+++ b/crates/control/tests/mesh_view.rs
@@ -14,6 +14,7 @@
     ChangeRecord,
     Fold, //
 };
+use figway_test_support::differential;
 use figway_types::{
     ChangeId,
     LogRecord,
@@ -24,17 +25,6 @@
     Target, //
 };
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
-
-fn config() -> ProptestConfig {
-    let cases = std::env::var("FIGWAY_CASES").ok();
-    ProptestConfig {
-        cases: cases.and_then(|text| text.parse().ok()).unwrap_or(256),
-        rng_seed: RngSeed::Fixed(45),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
 
 const PLAIN: &str = "kinds:\n  - {name: lookup, path_prefix: /}\n";
 const TRIAL: &str = "subsets:\n  trial:\n    labels: {track: trial}\n\
@@ -258,7 +248,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(differential(45, 256))]
 
     #[test]
     fn nothing_goes_back_is_partial_or_points_nowhere(
--- a/crates/figway/src/cmd/status.rs
+++ b/crates/figway/src/cmd/status.rs
@@ -11,6 +11,7 @@
 use crate::cmd::Run;
 use crate::flags::Status;
 use crate::node_client::NodeClient;
+use crate::waiting::nodes_behind;
 
 impl Run for Status {
     async fn run(&self) -> anyhow::Result<ExitCode> {
@@ -46,14 +47,8 @@
         survey.lagging_count,
         survey.silent_count
     );
-    for laggard in &survey.lagging {
-        println!(
-            "  behind: {} at offset {} {}",
-            laggard.node_id, laggard.applied_offset, laggard.findings
-        );
-    }
-    for node_id in &survey.silent {
-        println!("  silent: {node_id}");
+    for line in nodes_behind(survey) {
+        println!("  {line}");
     }
 }
 
--- a/crates/figway/src/waiting.rs
+++ b/crates/figway/src/waiting.rs
@@ -162,14 +162,24 @@
             eprintln!("no node answered; ask another one with --node");
             return;
         };
-        for laggard in &survey.lagging {
-            eprintln!(
-                "behind: {} at offset {} {}",
-                laggard.node_id, laggard.applied_offset, laggard.findings
-            );
-        }
-        for node_id in &survey.silent {
-            eprintln!("silent: {node_id}");
+        for line in nodes_behind(survey) {
+            eprintln!("{line}");
         }
     }
 }
+
+/// Names the nodes on which a version is not in force, and why.
+pub(crate) fn nodes_behind(survey: &SurveyReport) -> Vec<String> {
+    let mut lines = Vec::new();
+    for laggard in &survey.lagging {
+        let line = format!(
+            "behind: {} at offset {} {}",
+            laggard.node_id, laggard.applied_offset, laggard.findings
+        );
+        lines.push(line);
+    }
+    for node_id in &survey.silent {
+        lines.push(format!("silent: {node_id}"));
+    }
+    lines
+}
--- a/crates/log-client/src/lib.rs
+++ b/crates/log-client/src/lib.rs
@@ -137,3 +137,20 @@
         page.now_ms = more.now_ms;
     }
 }
+
+/// Reads all records from `from_offset`, or from the first that the log still keeps, to the head of
+/// `stream`.
+///
+/// # Errors
+///
+/// The log is unavailable.
+pub async fn read_retained(
+    log: &dyn LogService,
+    stream: &str,
+    from_offset: Offset,
+) -> Result<Page, ReadError> {
+    match read_to_head(log, stream, from_offset).await {
+        Err(ReadError::Expired(first_offset)) => read_to_head(log, stream, first_offset).await,
+        result => result,
+    }
+}
--- a/crates/membership/tests/last_writer.rs
+++ b/crates/membership/tests/last_writer.rs
@@ -12,23 +12,13 @@
     MemberTable,
     Merge, //
 };
+use figway_test_support::differential;
 use figway_types::{
     Member,
     MemberState,
     NodeId, //
 };
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
-
-fn config() -> ProptestConfig {
-    let cases = std::env::var("FIGWAY_CASES").ok();
-    ProptestConfig {
-        cases: cases.and_then(|text| text.parse().ok()).unwrap_or(256),
-        rng_seed: RngSeed::Fixed(44),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
 
 const STATES: [MemberState; 4] = [
     MemberState::Live,
@@ -80,7 +70,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(differential(44, 256))]
 
     #[test]
     fn tables_equal_the_last_writer_in_any_order(
--- a/crates/profile/tests/fold_replay.rs
+++ b/crates/profile/tests/fold_replay.rs
@@ -10,27 +10,17 @@
     FoldState,
     Verdict, //
 };
+use figway_test_support::differential;
 use figway_types::{
     ChangeId,
     LogRecord,
     Offset, //
 };
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 const GOOD: &str = "kinds:\n  - name: lookup\n    path_prefix: /\n";
 const BAD: &str = "kinds: []\n";
 
-fn config() -> ProptestConfig {
-    let cases = std::env::var("FIGWAY_CASES").ok();
-    ProptestConfig {
-        cases: cases.and_then(|text| text.parse().ok()).unwrap_or(256),
-        rng_seed: RngSeed::Fixed(41),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 #[derive(Clone, Debug)]
 enum Op {
     Publish {
@@ -235,7 +225,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(differential(41, 256))]
 
     #[test]
     fn verdicts_and_state_equal_a_plain_replay(ops in prop::collection::vec(op(), 0..60)) {
--- a/crates/routing/tests/full_scan.rs
+++ b/crates/routing/tests/full_scan.rs
@@ -14,19 +14,9 @@
     TargetPicker,
     TwoChoices, //
 };
+use figway_test_support::differential;
 use figway_types::NodeId;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
-
-fn config() -> ProptestConfig {
-    let cases = std::env::var("FIGWAY_CASES").ok();
-    ProptestConfig {
-        cases: cases.and_then(|text| text.parse().ok()).unwrap_or(512),
-        rng_seed: RngSeed::Fixed(42),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
 
 #[derive(Clone, Debug)]
 struct Spec {
@@ -144,7 +134,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(differential(42, 512))]
 
     #[test]
     fn a_pick_is_one_that_a_full_scan_leaves(
