--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -26,6 +26,7 @@
     TargetPicker,
     TwoChoices, //
 };
+use figway_types::Member;
 
 use crate::admit::TargetGate;
 use crate::candidates::CandidateCache;
@@ -210,6 +211,8 @@
 /// One worker's part: connections and choices that stay on its thread.
 pub(crate) struct Worker {
     pub(crate) plane: Arc<DataPlane>,
+    /// The node as it started; its name, zone and region never change.
+    pub(crate) home: Member,
     pub(crate) peers: Box<dyn Transport>,
     pub(crate) targets: Box<dyn Transport>,
     pub(crate) picker: RefCell<Box<dyn TargetPicker>>,
@@ -226,8 +229,10 @@
         let peers = HttpTransport::new(limits(PEER_KEEP_ALIVE_S)).await?;
         let targets = HttpTransport::new(limits(TARGET_KEEP_ALIVE_S)).await?;
         let picker = TwoChoices::new(plane.mesh.random());
+        let home = plane.mesh.members().own().clone();
         Ok(Rc::new(Self {
             plane,
+            home,
             peers: Box::new(peers),
             targets: Box::new(targets),
             picker: RefCell::new(Box::new(picker)),
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -255,14 +255,14 @@
 fn pick(worker: &Worker, call: &Call<'_>, tried: &[NodeId]) -> Option<ShareEntry> {
     let plane = &worker.plane;
     let view = plane.mesh.view();
-    let own = plane.mesh.members().own().clone();
+    let home = &worker.home;
     let key = ShareKey {
         service: call.runs_at(),
         subset_name: &call.kind.subset,
         profile: &call.in_force.profile,
         profile_name: &call.in_force.profile_name,
     };
-    let share = worker.candidates.borrow_mut().share(&view, &own, key);
+    let share = worker.candidates.borrow_mut().share(&view, home, key);
     let mut candidates = Vec::with_capacity(share.len());
     for entry in share.iter() {
         candidates.push(entry.candidate());
@@ -273,7 +273,7 @@
     let own_load = LoadReport {
         busy_ratio: plane.gate.busy_ratio(),
     };
-    loads.note_report(&own.node_id, own_load, Instant::now());
+    loads.note_report(&home.node_id, own_load, Instant::now());
     let mut picker = worker.picker.borrow_mut();
     let picked = picker.pick(&candidates, &excluded, &loads, Instant::now())?;
     let entry = share[picked.index].clone();
--- a/crates/testbed/src/target_server.rs
+++ b/crates/testbed/src/target_server.rs
@@ -1,10 +1,6 @@
 //! Stand-in of a target: slots, service times, shedding, crashes, and a journal of what it ran.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{
-    AtomicBool,
-    Ordering, //
-};
 use std::sync::{
     Arc,
     Mutex,
@@ -73,7 +69,6 @@
     slots: Semaphore,
     journal: Mutex<Vec<JournalEntry>>,
     slow: Mutex<(f64, Instant)>,
-    silent: AtomicBool,
 }
 
 /// State of the stand-in.
@@ -99,7 +94,6 @@
                 slots: Semaphore::new(slot_count as usize),
                 journal: Mutex::default(),
                 slow: Mutex::new((1.0, Instant::now())),
-                silent: AtomicBool::new(false),
             }),
         }
     }
@@ -114,11 +108,6 @@
         self.target().draining = draining;
     }
 
-    /// Stops announcing, or goes on.
-    pub fn set_silent(&self, silent: bool) {
-        self.inner.silent.store(silent, Ordering::Relaxed);
-    }
-
     /// Serves on `listener` until stopped.
     ///
     /// # Errors
@@ -159,10 +148,8 @@
                 headers: &[("content-type", "application/json")],
                 body: &body,
             };
-            if !self.inner.silent.load(Ordering::Relaxed) {
-                // A node that is down hears of the target when it is back.
-                send(&http, request, ANNOUNCE_EVERY).await.ok();
-            }
+            // A node that is down hears of the target when it is back.
+            send(&http, request, ANNOUNCE_EVERY).await.ok();
             tokio::time::sleep(ANNOUNCE_EVERY).await;
         }
     }
