--- a/crates/admission/src/retry_budget.rs
+++ b/crates/admission/src/retry_budget.rs
@@ -1,8 +1,5 @@
 //! Budget of retries and hedges: a share of recent calls, not a count per call.
 
-/// Calls that a full budget pays for in a burst.
-const BURST_COUNT: f64 = 10.0;
-
 /// Tokens that one overload refusal takes away, so that the budget shrinks under overload.
 const OVERLOAD_COST: f64 = 0.5;
 
@@ -10,26 +7,35 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     ratio: f64,
+    burst_count: f64,
     token_count: f64,
 }
 
 impl RetryBudget {
-    /// Allows retries for `ratio` of calls, and a small burst at the start.
-    pub fn new(ratio: f64) -> Self {
+    /// Allows retries for `ratio` of calls, and a burst of `burst_count` at the start.
+    pub fn new(ratio: f64, burst_count: f64) -> Self {
         Self {
             ratio,
-            token_count: if ratio > 0.0 { BURST_COUNT } else { 0.0 },
+            burst_count,
+            token_count: if ratio > 0.0 { burst_count } else { 0.0 },
         }
     }
 
-    /// Takes a new ratio.
-    pub fn set_ratio(&mut self, ratio: f64) {
+    /// Takes a new ratio and burst.
+    pub fn set_limits(&mut self, ratio: f64, burst_count: f64) {
         self.ratio = ratio;
+        self.burst_count = burst_count;
+        self.token_count = self.token_count.min(burst_count);
+    }
+
+    /// Returns the retries that it pays for now.
+    pub fn token_count(&self) -> f64 {
+        self.token_count
     }
 
     /// Notes a first attempt.
     pub fn deposit(&mut self) {
-        self.token_count = (self.token_count + self.ratio).min(BURST_COUNT);
+        self.token_count = (self.token_count + self.ratio).min(self.burst_count);
     }
 
     /// Notes that a target refused a call for overload.
--- a/crates/admission/tests/naive_admission.rs
+++ b/crates/admission/tests/naive_admission.rs
@@ -184,7 +184,7 @@
         ratio in 0.0..0.5_f64,
         asks in prop::collection::vec(prop::bool::ANY, 0..500),
     ) {
-        let mut budget = RetryBudget::new(ratio);
+        let mut budget = RetryBudget::new(ratio, 10.0);
         let (mut call_count, mut retry_count) = (0, 0);
         for ask in asks {
             if ask {
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -127,11 +127,8 @@
     let client = dial(mesh, &peer.control_address, far).await?;
     mesh.note_round_trip(&peer.zone, dialled_at.elapsed());
     introduce(mesh, &client).await?;
-    let mut head = mesh.watch_head();
+    let mut news = mesh.watch_news();
     exchange_news(mesh, peer, &client, Duration::ZERO).await?;
-    if far {
-        return ping_now_and_then(mesh, peer, &client, ping_every).await;
-    }
     loop {
         let wait = ping_every / 2 + mesh.jitter(ping_every);
         let subscription = exchange_news(mesh, peer, &client, wait);
@@ -145,11 +142,11 @@
                     }
                     break;
                 }
-                // Everyone hears of a change from those it subscribes to; the node that read it
-                // from the log tells its own peers too, since nobody may subscribe to it.
-                _ = head.changed() => {
-                    let applied = *head.borrow_and_update();
-                    if mesh.reads_log() && mesh.peer_offset(&peer.node_id) < applied {
+                // Everyone hears of news from those it subscribes to; where news begin they are told
+                // to this node's own peers too, since nobody may subscribe to it.
+                _ = news.changed() => {
+                    news.borrow_and_update();
+                    if mesh.begins_news() && mesh.has_news_for(&peer.node_id) {
                         exchange_news(mesh, peer, &client, Duration::ZERO).await?;
                     }
                 }
@@ -158,19 +155,6 @@
     }
 }
 
-/// Follows a peer of another region. The paid link is spared: each region reads the log itself.
-async fn ping_now_and_then(
-    mesh: &Mesh,
-    peer: &Member,
-    client: &PeerClient,
-    ping_every: Duration,
-) -> anyhow::Result<std::convert::Infallible> {
-    loop {
-        tokio::time::sleep(ping_every / 2 + mesh.jitter(ping_every)).await;
-        exchange_news(mesh, peer, client, Duration::ZERO).await?;
-    }
-}
-
 /// Exchanges news with the peer, whose answer may wait for news, and evens out what either lacks.
 /// Returns whether this node is still behind the peer.
 async fn exchange_news(
@@ -187,7 +171,12 @@
     };
     let context = context_until(Instant::now() + wait + PEER_WAIT);
     let pong = client.ping(context, ping).await?;
-    mesh.take_news(&peer.node_id, &pong.news, peer.region == own.region);
+    let same_region = peer.region == own.region;
+    let lacks_routes = mesh.take_news(&peer.node_id, &pong.news, same_region);
+    if lacks_routes {
+        let missing = client.pull_routes(prompt_context(), mesh.routes().version);
+        mesh.take_missing_routes(missing.await?);
+    }
     let theirs = pong.news.applied_offset;
     if pong.wants_delivery {
         let missing = mesh.missing_after(theirs);
--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -2,6 +2,7 @@
 
 mod news;
 mod report;
+mod routes;
 
 use std::net::IpAddr;
 use std::sync::atomic::{
@@ -42,6 +43,7 @@
 };
 use crate::meter::ControlMeter;
 use crate::records::RecentRecords;
+use crate::route_book::RouteBook;
 use crate::rpc::{
     KeyOutcome,
     Missing, //
@@ -64,6 +66,7 @@
 #[derive(Clone, Copy, Debug)]
 struct PeerHeard {
     applied_offset: Offset,
+    route_version: u64,
     member_digest: u64,
 }
 
@@ -73,14 +76,17 @@
     control_ip: Option<IpAddr>,
     fold: Mutex<Fold>,
     records: Mutex<RecentRecords>,
+    routes: Mutex<RouteBook>,
     members: Mutex<MemberTable>,
     quarantine: Mutex<Quarantine>,
     view: ArcSwap<View>,
     head: watch::Sender<Offset>,
+    news: watch::Sender<u64>,
     member_changes: watch::Sender<u64>,
     peers: Mutex<FastMap<NodeId, PeerHeard>>,
     reads_log: AtomicBool,
     head_fresh_until: Mutex<Instant>,
+    routes_fresh_until: Mutex<Instant>,
     fetching_until: Mutex<Instant>,
     given_states: Mutex<(Instant, u32)>,
     seed: AtomicU64,
@@ -99,14 +105,17 @@
             control_ip,
             fold: Mutex::default(),
             records: Mutex::default(),
+            routes: Mutex::default(),
             members: Mutex::new(MemberTable::new(own, now)),
             quarantine: Mutex::default(),
             view: ArcSwap::default(),
             head: watch::Sender::new(Offset(0)),
+            news: watch::Sender::new(0),
             member_changes: watch::Sender::new(0),
             peers: Mutex::default(),
             reads_log: AtomicBool::new(false),
             head_fresh_until: Mutex::new(now),
+            routes_fresh_until: Mutex::new(now),
             fetching_until: Mutex::new(now),
             given_states: Mutex::new((now, 0)),
             seed: AtomicU64::new(seed),
@@ -122,7 +131,7 @@
     }
 
     /// Returns the address from which control connections leave, if it is fixed.
-    pub(crate) fn control_ip(&self) -> Option<IpAddr> {
+    pub fn control_ip(&self) -> Option<IpAddr> {
         self.control_ip
     }
 
@@ -174,6 +183,15 @@
         self.head.subscribe()
     }
 
+    /// Returns a watch that changes with whatever peers are to be told of.
+    pub fn watch_news(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+
+    fn note_news(&self) {
+        self.news.send_modify(|count| *count += 1);
+    }
+
     /// Returns a watch of the member table's change count.
     pub fn watch_members(&self) -> watch::Receiver<u64> {
         self.member_changes.subscribe()
@@ -212,6 +230,7 @@
         if after > before {
             self.install_changes();
             self.head.send_replace(after);
+            self.note_news();
         }
     }
 
@@ -228,6 +247,7 @@
         log::info!("state adopted as_of_offset={as_of_offset}");
         self.install_changes();
         self.head.send_replace(as_of_offset);
+        self.note_news();
     }
 
     /// Takes in what a peer handed over.
@@ -295,11 +315,14 @@
     /// Wakes the tasks that follow the member table, if it changed.
     pub fn note_member_changes(&self) {
         let change_count = self.members().change_count();
-        self.member_changes.send_if_modified(|known| {
+        let modified = self.member_changes.send_if_modified(|known| {
             let modified = *known != change_count;
             *known = change_count;
             modified
         });
+        if modified {
+            self.note_news();
+        }
     }
 
     fn may_give_state(&self, now: Instant) -> bool {
--- a/crates/control/src/mesh/news.rs
+++ b/crates/control/src/mesh/news.rs
@@ -23,6 +23,9 @@
 /// Rumours that one message carries at most.
 const RUMOUR_MAX_COUNT: usize = 16;
 
+/// Nodes, first in rank at the log, that tell their peers of routes at once.
+const ROUTE_TELLER_COUNT: usize = 2;
+
 /// Crash reports that one message carries at most.
 const CRASH_MAX_COUNT: usize = 16;
 
@@ -32,9 +35,13 @@
         self.reads_log.store(reads_log, Ordering::Relaxed);
     }
 
-    /// Returns whether this node follows the log itself, and so is where changes come from.
-    pub(crate) fn reads_log(&self) -> bool {
+    /// Returns whether news come to this node from elsewhere than its peers: it follows the log
+    /// itself.
+    pub(crate) fn begins_news(&self) -> bool {
         self.reads_log.load(Ordering::Relaxed)
+            || self
+                .log_rank()
+                .is_some_and(|rank| rank < ROUTE_TELLER_COUNT)
     }
 
     /// Notes until when the region's view of the log's head is fresh.
@@ -79,14 +86,31 @@
             member_count,
             rumours,
             crashes: self.quarantine().reports(CRASH_MAX_COUNT, now),
+            routes: self.route_news_for(self.peer_route_version(receiver)),
+        }
+    }
+
+    /// Returns whether `peer` is to be told of something that it is not known to have.
+    pub(crate) fn has_news_for(&self, peer: &NodeId) -> bool {
+        let Some(heard) = self.heard(peer) else {
+            return true;
+        };
+        if heard.applied_offset < self.applied_offset()
+            || heard.route_version < self.routes().version
+        {
+            return true;
         }
+        let members = self.members();
+        members.has_rumours() && heard.member_digest != members.digest().total()
     }
 
     /// Takes in what `sender` has heard; `same_region` says whether its view of the head counts.
-    pub(crate) fn take_news(&self, sender: &NodeId, news: &News, same_region: bool) {
+    /// Returns whether this node still lacks some of the sender's routes.
+    pub(crate) fn take_news(&self, sender: &NodeId, news: &News, same_region: bool) -> bool {
         let now = Instant::now();
         let heard = PeerHeard {
             applied_offset: news.applied_offset,
+            route_version: news.routes.version,
             member_digest: news.member_digest,
         };
         self.peers
@@ -101,6 +125,8 @@
         for report in &news.crashes {
             quarantine.merge(report, now);
         }
+        drop(quarantine);
+        self.take_route_news(&news.routes)
     }
 
     /// Returns how many live members that match `within` come before this node for `key`, by
@@ -142,7 +168,7 @@
         self.note_member_changes();
     }
 
-    fn heard(&self, peer: &NodeId) -> Option<PeerHeard> {
+    pub(super) fn heard(&self, peer: &NodeId) -> Option<PeerHeard> {
         self.peers
             .lock()
             .expect("no holder panics")
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -8,7 +8,10 @@
 };
 
 use anyhow::Context as _;
-use figway_log_client::LogService;
+use figway_log_client::{
+    LogService,
+    RouteSource, //
+};
 use figway_membership::LinkCounts;
 use figway_types::{
     Member,
@@ -34,7 +37,9 @@
     LinkPlan, //
 };
 use crate::mesh::Mesh;
+use crate::reach::reach_lost;
 use crate::reader::follow_log;
+use crate::route_reader::follow_routes;
 use crate::server::serve_peers;
 
 /// Least time between two rebuilds of the view for member changes.
@@ -55,6 +60,7 @@
     cluster: String,
     own: Member,
     log: Rc<dyn LogService>,
+    routes: Option<Rc<dyn RouteSource>>,
     peers: Vec<String>,
     plan: LinkPlan,
     retention_ms: u64,
@@ -73,6 +79,7 @@
             seed: own.generation_ms ^ figway_types::stable_hash(&own.node_id.0),
             own,
             log,
+            routes: None,
             peers: Vec::new(),
             plan: LinkPlan {
                 counts: LinkCounts {
@@ -88,6 +95,12 @@
         }
     }
 
+    /// Sets where the operator's route table is read.
+    pub fn routes(mut self, routes: Rc<dyn RouteSource>) -> Self {
+        self.routes = Some(routes);
+        self
+    }
+
     /// Sets control addresses to try first.
     pub fn peers(mut self, peers: &[String]) -> Self {
         self.peers = peers.to_vec();
@@ -162,7 +175,11 @@
             Rc::clone(&self.log),
             self.peers,
         ));
+        spawn_local(reach_lost(Arc::clone(&mesh)));
         spawn_local(follow_log(Arc::clone(&mesh), self.log, self.retention_ms));
+        if let Some(routes) = self.routes {
+            spawn_local(follow_routes(Arc::clone(&mesh), routes));
+        }
         Ok(ControlPlane { mesh, agent })
     }
 }
--- /dev/null
+++ b/crates/control/src/route_book.rs
@@ -0,0 +1,76 @@
+//! Route table that was applied last, and the changes that led to it, kept for peers that are a
+//! little behind.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use figway_profile::{
+    RouteChange,
+    RouteTable, //
+};
+
+/// Changes that are kept at most.
+const CHANGE_MAX_COUNT: usize = 256;
+
+/// Routes that one message carries as changes at most; beyond it the whole table is cheaper.
+const CHANGED_MAX_COUNT: usize = 200;
+
+/// Applied table and recent changes; the version only grows.
+#[derive(Debug, Default)]
+pub(crate) struct RouteBook {
+    table: Arc<RouteTable>,
+    changes: VecDeque<Arc<RouteChange>>,
+}
+
+impl RouteBook {
+    /// Returns the applied table.
+    pub(crate) fn table(&self) -> &Arc<RouteTable> {
+        &self.table
+    }
+
+    /// Takes a whole table over, if it is newer; returns whether it is.
+    pub(crate) fn adopt(&mut self, table: RouteTable) -> bool {
+        if table.version <= self.table.version {
+            return false;
+        }
+        if self.table.version == 0 {
+            self.changes.clear();
+        } else {
+            self.keep(table.change_since(&self.table));
+        }
+        self.table = Arc::new(table);
+        true
+    }
+
+    /// Applies a change that starts from the applied version; returns whether it does.
+    pub(crate) fn apply(&mut self, change: &RouteChange) -> bool {
+        let Some(next) = self.table.after(change) else {
+            return false;
+        };
+        self.keep(change.clone());
+        self.table = Arc::new(next);
+        true
+    }
+
+    /// Returns the changes that lead from `version` to the applied one, if they are at hand and not
+    /// larger than the table.
+    pub(crate) fn changes_after(&self, version: u64) -> Option<Vec<Arc<RouteChange>>> {
+        if version == self.table.version {
+            return Some(Vec::new());
+        }
+        let first = self
+            .changes
+            .iter()
+            .position(|change| change.base_version == version)?;
+        let changes: Vec<Arc<RouteChange>> = self.changes.iter().skip(first).cloned().collect();
+        let changed_count: usize = changes.iter().map(|change| change.changed.len()).sum();
+        (changed_count <= CHANGED_MAX_COUNT).then_some(changes)
+    }
+
+    fn keep(&mut self, change: RouteChange) {
+        self.changes.push_back(Arc::new(change));
+        if self.changes.len() > CHANGE_MAX_COUNT {
+            self.changes.pop_front();
+        }
+    }
+}
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -1,7 +1,11 @@
 //! Messages between nodes.
 
 use figway_admission::CrashReport;
-use figway_profile::FoldState;
+use figway_profile::{
+    FoldState,
+    RouteChange,
+    RouteTable, //
+};
 use figway_types::{
     LogRecord,
     Member,
@@ -58,6 +62,30 @@
     /// Crashes that count.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<CrashReport>,
+    /// Routes by host and path.
+    #[serde(default)]
+    pub routes: RouteNews,
+}
+
+/// What a node has heard of the route table.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct RouteNews {
+    /// Version that is applied.
+    pub version: u64,
+    /// Time for which no newer version is to be expected, in milliseconds.
+    pub fresh_left_ms: u64,
+    /// Changes from the receiver's version, if they are at hand.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub changes: Vec<RouteChange>,
+}
+
+/// Routes that a node lacks.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum MissingRoutes {
+    /// The receiver has as much.
+    Nothing,
+    /// The whole table.
+    Table(Box<RouteTable>),
 }
 
 /// Answer to a ping.
@@ -189,6 +217,8 @@
     async fn pull(applied_offset: Offset) -> Missing;
     /// Hands over what the receiver lacks and returns its offset after.
     async fn deliver(missing: Missing) -> Offset;
+    /// Asks for the routes, if they are newer than `version`.
+    async fn pull_routes(version: u64) -> MissingRoutes;
     /// Returns the members of the buckets that differ from `buckets`.
     async fn sync_members(buckets: Vec<u32>) -> Vec<Member>;
     /// Tells members that the receiver may not know.
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -42,6 +42,7 @@
     Hello,
     KeyOutcome,
     Missing,
+    MissingRoutes,
     Peer,
     Ping,
     Pong,
@@ -110,12 +111,17 @@
     }
 }
 
-/// Waits until this node has records that the peer is not known to have.
+/// Waits until this node has news that the peer is not known to have.
 async fn wait_for_news(mesh: &Mesh, peer: &NodeId, wait_until: Instant) {
-    let mut head = mesh.watch_head();
-    while mesh.peer_offset(peer) >= *head.borrow_and_update() {
+    let mut news = mesh.watch_news();
+    loop {
+        news.borrow_and_update();
+        if mesh.has_news_for(peer) {
+            tokio::time::sleep(mesh.jitter(NEWS_JITTER)).await;
+            return;
+        }
         tokio::select! {
-            _ = head.changed() => tokio::time::sleep(mesh.jitter(NEWS_JITTER)).await,
+            _ = news.changed() => {}
             () = tokio::time::sleep_until(wait_until.into()) => return,
         }
     }
@@ -168,6 +174,10 @@
         self.mesh.applied_offset()
     }
 
+    async fn pull_routes(self, _: Context, version: u64) -> MissingRoutes {
+        self.mesh.missing_routes_after(version)
+    }
+
     async fn sync_members(self, _: Context, buckets: Vec<u32>) -> Vec<Member> {
         let members = self.mesh.members();
         let differing = members.digest().differing(&buckets);
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -9,7 +9,8 @@
     EarlierPick,
     Fold,
     Profile,
-    Resources, //
+    Resources,
+    RouteIndex, //
 };
 use figway_types::{
     FastMap,
@@ -52,6 +53,10 @@
     pub round_trips_us: FastMap<String, f64>,
     /// Moves that are held, by service.
     pub held: BTreeMap<String, HeldMove>,
+    /// Routes by host and path, of the newest table that was applied.
+    pub routes: Arc<RouteIndex>,
+    /// Nodes that have not left.
+    pub node_count: usize,
 }
 
 impl View {
@@ -68,6 +73,8 @@
             targets,
             round_trips_us: self.round_trips_us.clone(),
             held: BTreeMap::new(),
+            routes: Arc::clone(&self.routes),
+            node_count: members.map_or(self.node_count, MemberTable::present_count),
         };
         for (service, pick) in &fold.state().picks {
             let Some(version_offset) = fold.service_version(service) else {
--- a/crates/control/tests/mesh_view.rs
+++ b/crates/control/tests/mesh_view.rs
@@ -111,6 +111,7 @@
         zone: "muscat-a".to_owned(),
         control_address: "127.0.0.1:1".to_owned(),
         call_address: "127.0.0.1:2".to_owned(),
+        log_round_trip_ms: 0,
         target: None,
     }
 }
@@ -240,6 +241,7 @@
     }
     Target {
         service: service.to_owned(),
+        instance: String::new(),
         address: "127.0.0.1:3".to_owned(),
         slot_count: 1,
         labels,
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -4,7 +4,10 @@
     Arc,
     Mutex, //
 };
-use std::time::Instant;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use figway_admission::{
     Admission,
@@ -14,6 +17,10 @@
     Released,
     Ticket, //
 };
+use figway_http::{
+    Outbound,
+    SendFailure, //
+};
 use figway_types::{
     FastMap,
     NotRunReason,
@@ -23,17 +30,17 @@
 
 use crate::call::{
     Admitted,
-    Fate, //
+    Fate,
+    LATE, //
 };
-use crate::headers;
+use crate::interface::Onward;
 use crate::plane::{
     DataPlane,
     Worker, //
 };
-use crate::transport::{
-    Outbound,
-    SendFailure, //
-};
+
+/// Least time that a target is given for a call; less is not worth a try.
+const TARGET_TIME_MIN: Duration = Duration::from_millis(2);
 
 type Decision = Result<(), NotRunReason>;
 
@@ -170,17 +177,31 @@
     }
 }
 
-/// Fate of an admitted call, with the crash that ended it.
+/// Fate of an admitted call.
 pub(crate) struct AdmittedFate {
     pub(crate) fate: Fate,
+    /// Crash of the target that ended the call.
     pub(crate) crash_id: Option<u64>,
+    /// Whether a byte of the call may have reached a target.
+    pub(crate) sent: bool,
 }
 
-impl From<Fate> for AdmittedFate {
-    fn from(fate: Fate) -> Self {
+impl AdmittedFate {
+    /// The call never left this mesh.
+    pub(crate) fn not_sent(reason: NotRunReason) -> Self {
+        Self {
+            fate: Fate::NotRun(reason),
+            crash_id: None,
+            sent: false,
+        }
+    }
+
+    /// The call reached a target, or may have.
+    pub(crate) fn sent(fate: Fate) -> Self {
         Self {
             fate,
             crash_id: None,
+            sent: true,
         }
     }
 }
@@ -188,12 +209,12 @@
 /// Admits a call to the target beside this node and runs it there.
 pub(crate) async fn admit(worker: &Worker, call: &Admitted<'_>) -> AdmittedFate {
     let plane = &worker.plane;
-    let target = plane.mesh.members().own().target.clone();
-    let Some(target) = target else {
-        return Fate::NotRun(NotRunReason::NoTarget).into();
+    let target = match own_target(plane, call) {
+        Ok(target) => target,
+        Err(reason) => return AdmittedFate::not_sent(reason),
     };
     if target.draining || plane.is_draining() {
-        return Fate::NotRun(NotRunReason::Draining).into();
+        return AdmittedFate::not_sent(NotRunReason::Draining);
     }
     let view = CallView {
         kind: call.kind,
@@ -202,35 +223,62 @@
         deadline: call.deadline,
     };
     let limits = limits_of(plane, &target);
+    let entered_at = Instant::now();
     let mut slot = match plane.gate.enter(&view, limits).await {
         Ok(slot) => slot,
         Err(reason) => {
+            let (running_count, waiting_count) = plane.gate.counts();
             log::info!(
-                "call refused request={:016x} kind={} why={}",
+                "call refused request={} kind={} why={} running={running_count} \
+                 waiting={waiting_count} slots={} waited_ms={} left_ms={}",
                 call.request_id,
                 call.kind,
-                reason.name()
+                reason.name(),
+                target.slot_count,
+                entered_at.elapsed().as_millis(),
+                left_of(call).as_millis(),
             );
-            return Fate::NotRun(reason).into();
+            return AdmittedFate::not_sent(reason);
         }
     };
-    // The process may have been paused while the call waited.
-    if call.deadline <= Instant::now() {
-        return Fate::NotRun(NotRunReason::Expired).into();
+    // While the call waited the process may have been paused, or the target replaced.
+    if left_of(call) < TARGET_TIME_MIN {
+        return AdmittedFate::not_sent(NotRunReason::Expired);
+    }
+    let target = match own_target(plane, call) {
+        Ok(target) => target,
+        Err(reason) => return AdmittedFate::not_sent(reason),
+    };
+    if plane.target_watch.has_left(Instant::now()) {
+        return AdmittedFate::not_sent(NotRunReason::Draining);
     }
     let ended = run_at_target(worker, call, &target).await;
     slot.answered = matches!(ended.fate, Fate::Answered(_));
     ended
 }
 
+fn left_of(call: &Admitted<'_>) -> Duration {
+    call.deadline.saturating_duration_since(Instant::now())
+}
+
+fn own_target(plane: &DataPlane, call: &Admitted<'_>) -> Result<Target, NotRunReason> {
+    let members = plane.mesh.members();
+    match &members.own().target {
+        Some(target) if target.service == call.service => Ok(target.clone()),
+        _ => Err(NotRunReason::NoTarget),
+    }
+}
+
 async fn run_at_target(worker: &Worker, call: &Admitted<'_>, target: &Target) -> AdmittedFate {
-    let left = call.deadline.saturating_duration_since(Instant::now());
-    let mut headers = call.headers.to_vec();
-    headers.push((headers::BUDGET_MS.to_owned(), left.as_millis().to_string()));
-    headers.push((
-        headers::REQUEST_ID.to_owned(),
-        format!("{:016x}", call.request_id),
-    ));
+    let plane = &worker.plane;
+    let mut headers = call.headers.clone();
+    let onward = Onward {
+        request_id: call.request_id,
+        left: left_of(call),
+        origin: call.origin,
+        instance: &target.instance,
+    };
+    plane.interface.tell_target(&mut headers, &onward);
     let outbound = Outbound {
         address: &target.address,
         method: call.method,
@@ -238,46 +286,73 @@
         headers: &headers,
         body: call.body,
         deadline: call.deadline,
+        echo: plane.interface.echo(),
+        idempotent: call.idempotent,
     };
     match worker.targets.send(&outbound).await {
-        Ok(answer) => Fate::Answered(answer).into(),
-        Err(SendFailure::Late) => Fate::Unknown("deadline").into(),
-        Err(SendFailure::TooLarge) => Fate::Unknown("answer-too-large").into(),
+        Ok(answer) => match plane.interface.not_run(&answer) {
+            Some(reason) => {
+                log::info!(
+                    "target refused request={} kind={} instance={} status={} why={}",
+                    call.request_id,
+                    call.kind,
+                    target.instance,
+                    answer.status,
+                    reason.name(),
+                );
+                if reason == NotRunReason::Misdirected {
+                    plane.target_watch.lose(&plane.mesh, "another one answers");
+                }
+                AdmittedFate::sent(Fate::NotRun(reason))
+            }
+            None if !plane.interface.is_sound(&answer) => {
+                log::warn!(
+                    "answer discarded request={} kind={} instance={} status={}",
+                    call.request_id,
+                    call.kind,
+                    target.instance,
+                    answer.status,
+                );
+                AdmittedFate::sent(Fate::Unknown("unsound-answer"))
+            }
+            None => AdmittedFate::sent(Fate::Answered(answer)),
+        },
+        Err(SendFailure::Late) => AdmittedFate::sent(Fate::Unknown(LATE)),
+        Err(SendFailure::TooLarge) => AdmittedFate::sent(Fate::Unknown("answer-too-large")),
         Err(SendFailure::Refused(why)) => {
-            worker.plane.target_watch.lose(&worker.plane.mesh, &why);
-            Fate::NotRun(NotRunReason::Unreachable).into()
+            plane.target_watch.lose(&plane.mesh, &why);
+            AdmittedFate::not_sent(NotRunReason::Unreachable)
         }
         Err(SendFailure::Broken(why)) => {
-            let crash_id = note_crash(&worker.plane, call, &why);
+            let crashed = !worker.targets.can_connect(&target.address).await;
+            log::warn!(
+                "target broke off request={} kind={} instance={} crashed={crashed} why={why}",
+                call.request_id,
+                call.kind,
+                target.instance,
+            );
             AdmittedFate {
-                fate: Fate::Unknown("broken"),
-                crash_id: Some(crash_id),
+                crash_id: crashed.then(|| note_crash(plane, call)),
+                ..AdmittedFate::sent(Fate::Unknown("broken"))
             }
         }
     }
 }
 
-fn note_crash(plane: &Arc<DataPlane>, call: &Admitted<'_>, why: &str) -> u64 {
+fn note_crash(plane: &Arc<DataPlane>, call: &Admitted<'_>) -> u64 {
     let crash_id = plane.mesh.random();
-    log::warn!(
-        "target broke off request={:016x} kind={} crash={crash_id:016x} why={why}",
-        call.request_id,
-        call.kind,
-    );
+    plane.target_watch.lose(&plane.mesh, "it crashed");
     plane
         .mesh
         .quarantine()
         .note_crash(call.fingerprint, crash_id, Instant::now());
+    plane.mesh.note_member_changes();
     crash_id
 }
 
 fn limits_of(plane: &DataPlane, target: &Target) -> AdmissionLimits {
     let view = plane.mesh.view();
-    let defaults = figway_profile::Limits::default();
-    let limits = view
-        .services
-        .get(&target.service)
-        .map_or(&defaults, |in_force| &in_force.profile.limits);
+    let limits = &plane.profile_of(&view, &target.service).0.limits;
     AdmissionLimits {
         slot_count: target.slot_count,
         queue_per_slot_ratio: limits.queue_per_slot_ratio,
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -5,6 +5,12 @@
     Instant, //
 };
 
+use figway_http::{
+    Answer,
+    Headers,
+    Outbound,
+    SendFailure, //
+};
 use figway_routing::{
     Distance,
     LoadReport, //
@@ -21,7 +27,8 @@
 use crate::call::{
     Admitted,
     Call,
-    Fate, //
+    Fate,
+    LATE, //
 };
 use crate::candidates::ShareEntry;
 use crate::headers;
@@ -29,11 +36,6 @@
     DataPlane,
     Worker, //
 };
-use crate::transport::{
-    Answer,
-    Outbound,
-    SendFailure, //
-};
 
 /// Makes one attempt. Dropping the future gives the attempt up and frees all that it holds.
 pub(crate) async fn attempt(worker: &Worker, call: &Call<'_>, entry: &ShareEntry) -> AdmittedFate {
@@ -59,21 +61,25 @@
 
 fn note_end(plane: &DataPlane, call: &Call<'_>, node_id: &NodeId, fate: &Fate, took: Duration) {
     let now = Instant::now();
-    let limits = &call.in_force.profile.limits;
+    let rule = &call.rule;
     match fate {
         Fate::Answered(_) => {
             plane.loads().note_latency(node_id, took, now);
+            let limits = &rule.profile.limits;
             plane
                 .retries
-                .note_latency(call.service, &call.kind.name, limits, took);
+                .note_latency(rule.service, rule.name, limits, took);
         }
         Fate::Unknown(_) => plane.loads().note_latency(node_id, took, now),
         Fate::NotRun(NotRunReason::Overloaded) => {
             plane.loads().note_refused(node_id, now);
-            plane.retries.note_overload(call.service, limits);
+            plane.retries.note_overload(rule.service);
         }
         Fate::NotRun(
-            NotRunReason::Unreachable | NotRunReason::Draining | NotRunReason::NoTarget,
+            NotRunReason::Unreachable
+            | NotRunReason::Draining
+            | NotRunReason::NoTarget
+            | NotRunReason::Misdirected,
         ) => plane.loads().note_refused(node_id, now),
         Fate::NotRun(_) => {}
     }
@@ -81,8 +87,9 @@
 
 async fn hand_over(worker: &Worker, call: &Call<'_>, entry: &ShareEntry) -> AdmittedFate {
     let left = call.deadline.saturating_duration_since(Instant::now());
-    if left.is_zero() {
-        return Fate::NotRun(NotRunReason::Expired).into();
+    // The rest of a millisecond stays here, so that the peer gives up first.
+    if left.as_millis() == 0 {
+        return AdmittedFate::not_sent(NotRunReason::Expired);
     }
     let headers = admit_headers(call, left);
     let outbound = Outbound {
@@ -92,41 +99,53 @@
         headers: &headers,
         body: call.body,
         deadline: call.deadline,
+        echo: None,
+        idempotent: call.rule.idempotent,
     };
     let node_id = &entry.member.node_id;
     match worker.peers.send(&outbound).await {
         Ok(answer) => read_answer(&worker.plane, node_id, answer),
         Err(SendFailure::Refused(why)) => {
             worker.plane.mesh.suspect(node_id, &why);
-            Fate::NotRun(NotRunReason::Unreachable).into()
+            AdmittedFate::not_sent(NotRunReason::Unreachable)
         }
         Err(SendFailure::Broken(why)) => {
             log::warn!(
-                "peer broke off request={:016x} node={node_id} why={why}",
+                "peer broke off request={} node={node_id} why={why}",
                 call.request_id
             );
             worker.plane.loads().note_refused(node_id, Instant::now());
-            Fate::Unknown("peer-broken").into()
+            AdmittedFate::sent(Fate::Unknown("peer-broken"))
         }
-        Err(SendFailure::TooLarge) => Fate::Unknown("answer-too-large").into(),
-        Err(SendFailure::Late) => Fate::Unknown("deadline").into(),
+        Err(SendFailure::TooLarge) => AdmittedFate::sent(Fate::Unknown("answer-too-large")),
+        Err(SendFailure::Late) => AdmittedFate::sent(Fate::Unknown(LATE)),
     }
 }
 
-fn admit_headers(call: &Call<'_>, left: Duration) -> Vec<(String, String)> {
-    let mut headers = call.headers.to_vec();
-    let mut add = |name: &str, value: String| headers.push((name.to_owned(), value));
-    add(headers::ADMIT_KIND, call.kind.name.clone());
-    add(headers::ADMIT_WORTH, call.kind.worth.to_string());
-    add(headers::ADMIT_LONG, call.kind.long.to_string());
-    add(
+fn admit_headers(call: &Call<'_>, left: Duration) -> Headers {
+    let rule = &call.rule;
+    let mut onward = call.headers.clone();
+    if let Some(host) = call.headers.get("host") {
+        onward.retain(|name| name != "host");
+        onward.push(headers::ADMIT_HOST, host);
+    }
+    onward.push(headers::ADMIT_KIND, rule.name);
+    onward.push(headers::ADMIT_SERVICE, rule.service);
+    onward.push(headers::ADMIT_WORTH, rule.worth.to_string());
+    if rule.long {
+        onward.push(headers::ADMIT_LONG, "true");
+    }
+    if rule.idempotent {
+        onward.push(headers::ADMIT_IDEMPOTENT, "true");
+    }
+    onward.push(
         headers::ADMIT_FINGERPRINT,
         format!("{:016x}", call.fingerprint.0),
     );
-    add(headers::REQUEST_ID, format!("{:016x}", call.request_id));
-    // The rest of a millisecond stays here, so that the peer gives up first.
-    add(headers::BUDGET_MS, left.as_millis().to_string());
-    headers
+    onward.push(headers::ADMIT_ORIGIN, call.origin);
+    onward.push(headers::REQUEST_ID, call.request_id);
+    onward.push(headers::BUDGET_MS, left.as_millis().to_string());
+    onward
 }
 
 fn read_answer(plane: &DataPlane, node_id: &NodeId, mut answer: Answer) -> AdmittedFate {
@@ -140,18 +159,27 @@
     let crash_id = answer
         .header(headers::CRASH_ID)
         .and_then(|id| u64::from_str_radix(id, 16).ok());
+    let sent = answer.header(headers::SENT) != Some("false");
     let fate = match answer.header(headers::OUTCOME) {
         Some("answered") => {
             answer
                 .headers
-                .retain(|(name, _)| !name.starts_with(headers::PREFIX));
+                .retain(|name| !headers::BETWEEN_NODES.contains(&name));
             Fate::Answered(answer)
         }
         Some("not-run") => Fate::NotRun(reason_of(&answer)),
-        Some(_) => Fate::Unknown("at-peer"),
+        Some(_) => Fate::Unknown(if answer.header(headers::REASON) == Some(LATE) {
+            LATE
+        } else {
+            "at-peer"
+        }),
         None => Fate::Unknown("no-outcome"),
     };
-    AdmittedFate { fate, crash_id }
+    AdmittedFate {
+        fate,
+        crash_id,
+        sent,
+    }
 }
 
 fn reason_of(answer: &Answer) -> NotRunReason {
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -2,67 +2,148 @@
 
 use std::time::Instant;
 
-use figway_control::ServiceInForce;
-use figway_profile::RequestKind;
+use figway_http::{
+    Answer,
+    Headers, //
+};
+use figway_profile::{
+    Profile,
+    RequestKind,
+    Route, //
+};
 use figway_types::{
     Fingerprint,
     NotRunReason, //
 };
 use ntex::util::Bytes;
 
-use crate::transport::Answer;
+/// How calls of one kind are treated: a request kind of a profile, or a route of the route table.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Rule<'a> {
+    /// Name of the kind or route, for logs and latency estimates.
+    pub(crate) name: &'a str,
+    /// Service whose targets run the call.
+    pub(crate) service: &'a str,
+    /// Subset of the service's targets.
+    pub(crate) subset: &'a str,
+    /// Whether a call may run more than once.
+    pub(crate) idempotent: bool,
+    /// Worth of serving a call.
+    pub(crate) worth: f64,
+    /// Whether a call is long work, which may not take all slots.
+    pub(crate) long: bool,
+    /// Targets to which one call may be sent.
+    pub(crate) attempt_max_count: usize,
+    /// Profile that the service follows.
+    pub(crate) profile: &'a Profile,
+    /// Name of that profile.
+    pub(crate) profile_name: &'a str,
+    /// Version of the profile's pick or of the route table.
+    pub(crate) version: u64,
+}
+
+/// Targets that one call of a request kind tries at most.
+const KIND_ATTEMPT_MAX_COUNT: usize = 4;
+
+/// Worth of a route of priority 0; each rank below has half of the one before.
+const ROUTE_WORTH: f64 = 1.0;
+
+impl<'a> Rule<'a> {
+    /// Reads the rule of a profile's request kind.
+    pub(crate) fn of_kind(
+        kind: &'a RequestKind,
+        called: &'a str,
+        profile: &'a Profile,
+        profile_name: &'a str,
+        version: u64,
+    ) -> Self {
+        Self {
+            name: &kind.name,
+            service: kind.service.as_deref().unwrap_or(called),
+            subset: &kind.subset,
+            idempotent: kind.idempotent,
+            worth: kind.worth,
+            long: kind.long,
+            attempt_max_count: KIND_ATTEMPT_MAX_COUNT,
+            profile,
+            profile_name,
+            version,
+        }
+    }
+
+    /// Reads the rule of a route, one of whose parts is `service`.
+    pub(crate) fn of_route(
+        name: &'a str,
+        route: &'a Route,
+        service: &'a str,
+        profile: &'a Profile,
+        profile_name: &'a str,
+        version: u64,
+    ) -> Self {
+        Self {
+            name,
+            service,
+            subset: "all",
+            idempotent: route.idempotent,
+            worth: ROUTE_WORTH * 0.5_f64.powi(route.priority.min(60) as i32),
+            long: false,
+            attempt_max_count: route.attempt_max_count.max(1) as usize,
+            profile,
+            profile_name,
+            version,
+        }
+    }
+}
 
 /// A call that has a route, as the caller's node sees it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Call<'a> {
-    pub(crate) request_id: u64,
-    /// Service that the caller named.
-    pub(crate) service: &'a str,
+    pub(crate) request_id: &'a str,
+    pub(crate) rule: Rule<'a>,
     pub(crate) method: &'a str,
     pub(crate) path: &'a str,
     /// Headers of the caller that go on to the target.
-    pub(crate) headers: &'a [(String, String)],
+    pub(crate) headers: &'a Headers,
     pub(crate) body: &'a Bytes,
+    /// Service on whose host the call began.
+    pub(crate) origin: &'a str,
     pub(crate) deadline: Instant,
     pub(crate) fingerprint: Fingerprint,
-    pub(crate) in_force: &'a ServiceInForce,
-    pub(crate) kind: &'a RequestKind,
-}
-
-impl Call<'_> {
-    /// Returns the service whose targets run the call.
-    pub(crate) fn runs_at(&self) -> &str {
-        self.kind.service.as_deref().unwrap_or(self.service)
-    }
 }
 
 /// What admission beside the target is told of a call.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Admitted<'a> {
-    pub(crate) request_id: u64,
+    pub(crate) request_id: &'a str,
     pub(crate) kind: &'a str,
+    pub(crate) service: &'a str,
+    pub(crate) idempotent: bool,
     pub(crate) worth: f64,
     pub(crate) long: bool,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) method: &'a str,
     pub(crate) path: &'a str,
-    pub(crate) headers: &'a [(String, String)],
+    pub(crate) headers: &'a Headers,
     pub(crate) body: &'a Bytes,
+    pub(crate) origin: &'a str,
     pub(crate) deadline: Instant,
 }
 
-impl<'a> From<&'a Call<'a>> for Admitted<'a> {
-    fn from(call: &'a Call<'a>) -> Self {
+impl<'a> From<&Call<'a>> for Admitted<'a> {
+    fn from(call: &Call<'a>) -> Self {
         Self {
             request_id: call.request_id,
-            kind: &call.kind.name,
-            worth: call.kind.worth,
-            long: call.kind.long,
+            kind: call.rule.name,
+            service: call.rule.service,
+            idempotent: call.rule.idempotent,
+            worth: call.rule.worth,
+            long: call.rule.long,
             fingerprint: call.fingerprint,
             method: call.method,
             path: call.path,
             headers: call.headers,
             body: call.body,
+            origin: call.origin,
             deadline: call.deadline,
         }
     }
@@ -70,10 +151,10 @@
 
 /// Fate of a call or of one attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Fate {
+pub enum Fate {
     /// The target answered.
     Answered(Answer),
-    /// No byte went to a target.
+    /// No byte went to a target, or the target says that it did not run the call.
     NotRun(NotRunReason),
     /// It may have run; the reason is for the caller.
     Unknown(&'static str),
@@ -81,7 +162,7 @@
 
 impl Fate {
     /// Name on the wire and in logs.
-    pub(crate) fn name(&self) -> &'static str {
+    pub fn name(&self) -> &'static str {
         match self {
             Fate::Answered(_) => "answered",
             Fate::NotRun(_) => "not-run",
@@ -90,7 +171,7 @@
     }
 
     /// Reason on the wire and in logs, empty for an answer.
-    pub(crate) fn reason(&self) -> &'static str {
+    pub fn reason(&self) -> &'static str {
         match self {
             Fate::Answered(_) => "",
             Fate::NotRun(reason) => reason.name(),
@@ -107,3 +188,6 @@
         }
     }
 }
+
+/// Reason of a fate that is unknown because the deadline passed.
+pub const LATE: &str = "deadline";
--- a/crates/dataplane/src/front.rs
+++ b/crates/dataplane/src/front.rs
@@ -1,153 +1,164 @@
-//! HTTP front of a node: callers, peers, targets and operators.
+//! Handlers of the node's listeners: callers, and all that come to its own call address.
 
-use std::net::TcpListener;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Instant;
+use std::time::Duration;
 
-use figway_types::NotRunReason;
-use ntex::http::{
-    HttpServiceConfig,
-    KeepAlive, //
-};
-use ntex::server::Server;
-use ntex::time::Seconds;
-use ntex::util::Bytes;
-use ntex::web::types::{
-    PayloadConfig,
-    State, //
-};
-use ntex::web::{
-    self,
-    App,
-    HttpRequest,
-    HttpResponse,
-    HttpServer, //
+use figway_http::{
+    Answer,
+    Handler,
+    Request,
+    ServerLimits, //
 };
-use ntex::SharedCfg;
+use figway_types::NotRunReason;
+use futures::future::LocalBoxFuture;
 
-use crate::admit::admit;
-use crate::call::{
-    Admitted,
-    Fate, //
-};
-use crate::headers;
+use crate::call::Fate;
+use crate::interface::Reply;
 use crate::operator;
-use crate::plane::{
-    DataPlane,
-    Worker, //
+use crate::peers::{
+    is_handed_over,
+    take_handed_over, //
 };
+use crate::plane::Worker;
 use crate::proxy::{
     serve_call,
     Incoming, //
 };
-use crate::wire::{
-    self,
-    AnswerNotes, //
-};
 
-/// Idle connections of callers and peers are kept for this long; peers give up first.
-const KEEP_ALIVE: Seconds = Seconds(60);
-
-/// Serves calls on `listener` until the server is stopped.
-///
-/// # Errors
-///
-/// The listener can't be served.
-pub fn serve(
-    plane: Arc<DataPlane>,
-    listener: TcpListener,
-    worker_count: usize,
-) -> anyhow::Result<Server> {
-    let config = HttpServiceConfig::new().set_keepalive(KeepAlive::Timeout(KEEP_ALIVE));
-    let server = HttpServer::new(async move || {
-        let body_max_bytes = plane.body_max_bytes;
-        let worker = Worker::new(Arc::clone(&plane)).await;
-        let worker = worker.expect("an HTTP client without TLS can always be built");
-        App::new()
-            .state(worker)
-            .state(PayloadConfig::new(body_max_bytes))
-            .service(web::resource("/figway/announce").route(web::post().to(operator::announce)))
-            .service(web::resource("/figway/in-force").route(web::get().to(operator::in_force)))
-            .service(web::resource("/figway/status").route(web::get().to(operator::status)))
-            .service(web::resource("/figway/members").route(web::get().to(operator::members)))
-            .default_service(web::to(take_request))
-    })
-    .workers(worker_count)
-    .disable_signals()
-    .shutdown_timeout(Seconds(10))
-    .config(SharedCfg::new("figway").add(config))
-    .listen(listener)?
-    .run();
-    Ok(server)
+/// Idle connections of peers are kept for this long; peers give up first.
+const PEER_IDLE_MAX_MS: u64 = 60_000;
+
+/// Time for a peer's request to come in, in milliseconds.
+const PEER_REQUEST_MAX_MS: u64 = 30_000;
+
+/// Largest head of a peer's request: a caller's and what is added to it.
+const PEER_HEAD_MAX_BYTES: usize = 128 * 1_024;
+
+/// When a caller may come back that was refused for want of room.
+const RETRY_AFTER_OVERLOAD: Duration = Duration::from_millis(100);
+
+/// When a caller may come back while nothing is in force, or no target is known.
+const RETRY_AFTER_NOTHING: Duration = Duration::from_millis(250);
+
+/// Serves the callers of this host.
+pub struct CallerFront {
+    worker: Rc<Worker>,
 }
 
-async fn take_request(
-    worker: State<Rc<Worker>>,
-    request: HttpRequest,
-    body: Bytes,
-) -> HttpResponse {
-    let arrived_at = Instant::now();
-    let _in_flight = worker.plane.begin_call();
-    let request_id = wire::request_id_of(&request).unwrap_or_else(|| worker.plane.mesh.random());
-    let mut notes = AnswerNotes {
-        request_id,
-        close: worker.plane.is_draining(),
-        ..AnswerNotes::default()
-    };
-    if let Some(kind) = wire::header(&request, headers::ADMIT_KIND) {
-        let fate = take_handed_over(&worker, &request, kind, &body, &mut notes).await;
-        return wire::respond(fate, notes);
+impl CallerFront {
+    /// Serves through `worker`.
+    pub fn new(worker: Rc<Worker>) -> Self {
+        Self { worker }
+    }
+}
+
+impl Handler for CallerFront {
+    fn handle(&self, request: Request) -> LocalBoxFuture<'_, Answer> {
+        Box::pin(async move { take_call(&self.worker, &request).await })
+    }
+
+    fn limits(&self) -> ServerLimits {
+        let view = self.worker.plane.mesh.view();
+        let limits = &view.routes.caller_limits;
+        let body_max_bytes = limits.body_max_bytes as usize;
+        ServerLimits {
+            head_max_bytes: limits.head_max_bytes as usize,
+            body_max_bytes: body_max_bytes.max(self.worker.plane.body_max_bytes),
+            request_max_ms: limits.request_max_ms,
+            idle_max_ms: limits.idle_max_ms,
+        }
     }
+}
+
+/// Serves peers, operators, the target and callers on one address.
+pub struct NodeFront {
+    worker: Rc<Worker>,
+    takes_callers: bool,
+}
+
+impl NodeFront {
+    /// Serves through `worker`; `takes_callers` says whether callers come to this address too.
+    pub fn new(worker: Rc<Worker>, takes_callers: bool) -> Self {
+        Self {
+            worker,
+            takes_callers,
+        }
+    }
+}
+
+impl Handler for NodeFront {
+    fn handle(&self, request: Request) -> LocalBoxFuture<'_, Answer> {
+        Box::pin(async move {
+            if is_handed_over(&request) {
+                let _in_flight = self.worker.plane.begin_call();
+                return take_handed_over(&self.worker, &request).await;
+            }
+            if let Some(answer) = operator::answer(&self.worker, &request).await {
+                return answer;
+            }
+            if !self.takes_callers {
+                return Answer::of_status(404);
+            }
+            take_call(&self.worker, &request).await
+        })
+    }
+
+    fn limits(&self) -> ServerLimits {
+        ServerLimits {
+            head_max_bytes: PEER_HEAD_MAX_BYTES,
+            body_max_bytes: self.worker.plane.body_max_bytes,
+            request_max_ms: PEER_REQUEST_MAX_MS,
+            idle_max_ms: PEER_IDLE_MAX_MS,
+        }
+    }
+}
+
+async fn take_call(worker: &Worker, request: &Request) -> Answer {
+    let plane = &worker.plane;
+    let _in_flight = plane.begin_call();
+    let interface = plane.interface.as_ref();
+    let given_id;
+    let request_id = match interface.request_id(request) {
+        Some(request_id) => request_id,
+        None if interface.requires_id() => {
+            log::info!("request refused path={} why=no-id", request.path);
+            return Answer::of_status(400);
+        }
+        None => {
+            given_id = format!("{:016x}", plane.mesh.random());
+            &given_id
+        }
+    };
+    let budget = interface.budget(request);
+    let headers = interface.onward_headers(request);
+    let origin = plane.origin();
     let incoming = Incoming {
         request_id,
-        service: wire::service_of(&request),
-        method: request.method().as_str().to_owned(),
-        path: wire::path_of(&request),
-        headers: wire::forwarded_headers(&request),
-        body,
-        deadline: wire::deadline_of(&request, arrived_at),
+        addressing: interface.addressing(request),
+        request,
+        headers: &headers,
+        origin: &origin,
+        deadline: budget.and_then(|budget| request.arrived_at.checked_add(budget)),
     };
-    let fate = serve_call(&worker, &incoming).await;
-    worker
-        .plane
+    let fate = serve_call(worker, &incoming).await;
+    plane
         .metrics
-        .note_call(fate.name(), arrived_at.elapsed());
-    wire::respond(fate, notes)
+        .note_call(fate.name(), request.arrived_at.elapsed());
+    let retry_after = retry_after(&fate);
+    interface.write(Reply {
+        request_id,
+        fate,
+        retry_after,
+    })
 }
 
-/// Admits a call that a peer's node hands over.
-async fn take_handed_over(
-    worker: &Worker,
-    request: &HttpRequest,
-    kind: &str,
-    body: &Bytes,
-    notes: &mut AnswerNotes,
-) -> Fate {
-    let deadline = wire::deadline_of(request, Instant::now());
-    let fingerprint = wire::fingerprint_of(request);
-    let (Some(deadline), Some(fingerprint)) = (deadline, fingerprint) else {
-        return Fate::NotRun(NotRunReason::NoRoute);
-    };
-    let worth = wire::header(request, headers::ADMIT_WORTH).and_then(|worth| worth.parse().ok());
-    let path = wire::path_of(request);
-    let forwarded = wire::forwarded_headers(request);
-    let call = Admitted {
-        request_id: notes.request_id,
-        kind,
-        worth: worth.unwrap_or(1.0),
-        long: wire::header(request, headers::ADMIT_LONG) == Some("true"),
-        fingerprint,
-        method: request.method().as_str(),
-        path: &path,
-        headers: &forwarded,
-        body,
-        deadline,
-    };
-    let ended = admit(worker, &call).await;
-    let busy_ratio = worker.plane.gate.busy_ratio();
-    worker.plane.metrics.note_busy(busy_ratio);
-    notes.busy_ratio = Some(busy_ratio);
-    notes.crash_id = ended.crash_id;
-    ended.fate
+/// Returns when a refused caller may come back.
+fn retry_after(fate: &Fate) -> Option<Duration> {
+    match fate {
+        Fate::NotRun(
+            NotRunReason::NoConfiguration | NotRunReason::NoTarget | NotRunReason::Unreachable,
+        ) => Some(RETRY_AFTER_NOTHING),
+        Fate::NotRun(_) => Some(RETRY_AFTER_OVERLOAD),
+        Fate::Answered(_) | Fate::Unknown(_) => None,
+    }
 }
--- a/crates/dataplane/src/headers.rs
+++ b/crates/dataplane/src/headers.rs
@@ -35,3 +35,21 @@
 
 /// Start of all names above.
 pub(crate) const PREFIX: &str = "x-figway-";
+
+/// Service whose target is to run a call that is handed over.
+pub(crate) const ADMIT_SERVICE: &str = "x-figway-admit-service";
+
+/// Whether a call that is handed over may run more than once.
+pub(crate) const ADMIT_IDEMPOTENT: &str = "x-figway-admit-idempotent";
+
+/// Service on whose host a call that is handed over began.
+pub(crate) const ADMIT_ORIGIN: &str = "x-figway-admit-origin";
+
+/// Host that the caller of a call that is handed over named.
+pub(crate) const ADMIT_HOST: &str = "x-figway-admit-host";
+
+/// Whether an attempt reached a target, told to the node that made it.
+pub(crate) const SENT: &str = "x-figway-sent";
+
+/// Names that an answer between two nodes bears beside those of the target's answer.
+pub(crate) const BETWEEN_NODES: [&str; 6] = [OUTCOME, REASON, REQUEST_ID, BUSY, CRASH_ID, SENT];
--- a/crates/dataplane/src/keyed.rs
+++ b/crates/dataplane/src/keyed.rs
@@ -9,8 +9,11 @@
     KeptAnswer,
     KeyOutcome, //
 };
+use figway_http::{
+    Answer,
+    Headers, //
+};
 use figway_types::NotRunReason;
-use ntex::http::header::CONTENT_TYPE;
 
 use crate::call::{
     Call,
@@ -18,7 +21,6 @@
 };
 use crate::plane::Worker;
 use crate::proxy::run_attempts;
-use crate::transport::Answer;
 
 /// Attempts that ended without running and are followed by this submission, at most.
 const FOLLOW_MAX_COUNT: usize = 3;
@@ -42,9 +44,9 @@
             ClaimVerdict::Lost(holder) => {
                 drop(attempt);
                 log::info!(
-                    "key held request={:016x} service={} holder={} attempt={:016x}",
+                    "key held request={} service={} holder={} attempt={:016x}",
                     call.request_id,
-                    call.service,
+                    call.rule.service,
                     holder.owner,
                     holder.attempt_id,
                 );
@@ -58,9 +60,9 @@
             }
             ClaimVerdict::Unavailable(why) => {
                 log::warn!(
-                    "key not claimed request={:016x} service={} why={why}",
+                    "key not claimed request={} service={} why={why}",
                     call.request_id,
-                    call.service
+                    call.rule.service
                 );
                 plane.metrics.count("claim_unavailable");
                 return Fate::Unknown("claim-unavailable");
@@ -84,7 +86,7 @@
     let members = mesh.members();
     let own = members.own();
     Claim {
-        key: format!("{}/{key}", call.service),
+        key: format!("{}/{key}", call.rule.service),
         attempt_id,
         owner: own.node_id.clone(),
         owner_address: own.control_address.clone(),
@@ -93,9 +95,9 @@
 }
 
 fn replay(kept: KeptAnswer) -> Answer {
-    let mut headers = Vec::new();
+    let mut headers = Headers::default();
     if !kept.content_type.is_empty() {
-        headers.push((CONTENT_TYPE.as_str().to_owned(), kept.content_type));
+        headers.push("content-type", kept.content_type);
     }
     Answer {
         status: kept.status,
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -1,8 +1,8 @@
 //! Data plane of a node: takes calls, picks a target, and admits calls of peers to the target
 //! beside it.
 //!
-//! Decisions are taken by the crates `routing` and `admission`; [`Transport`] is the border to the
-//! HTTP client, and the modules `front` and `wire` alone know the HTTP server.
+//! Decisions are taken by the crates `routing` and `admission`; [`Interface`] is the border to the
+//! wire of callers and targets, and [`figway_http::Transport`] the one to the HTTP client.
 
 mod admit;
 mod attempt;
@@ -10,25 +10,36 @@
 mod candidates;
 mod front;
 mod headers;
+mod interface;
 mod keyed;
 mod metrics;
+mod native;
 mod operator;
 mod outcomes;
+mod peers;
 mod plane;
 mod proxy;
 mod retry;
 mod target_watch;
-mod transport;
-mod wire;
 
-pub use front::serve;
+pub use call::{
+    Fate,
+    LATE, //
+};
+pub use front::{
+    CallerFront,
+    NodeFront, //
+};
+pub use interface::{
+    Addressing,
+    Interface,
+    Onward,
+    Reply, //
+};
+pub use native::NativeInterface;
 pub use plane::{
     DataPlane,
-    DataPlaneBuilder, //
-};
-pub use transport::{
-    Answer,
-    Outbound,
-    SendFailure,
-    Transport, //
+    DataPlaneBuilder,
+    Worker, //
 };
+pub use target_watch::Heard;
--- a/crates/dataplane/src/operator.rs
+++ b/crates/dataplane/src/operator.rs
@@ -1,24 +1,22 @@
 //! What operators and targets ask of a node, as JSON over HTTP.
 
-use std::rc::Rc;
 use std::time::{
     Duration,
     Instant, //
 };
 
 use figway_control::survey_everywhere;
+use figway_http::{
+    Answer,
+    Request, //
+};
 use figway_types::{
+    Announcement,
     MemberState,
     Offset,
     Target, //
 };
-use ntex::web::types::{
-    Json,
-    Query,
-    State, //
-};
-use ntex::web::HttpResponse;
-use serde::Deserialize;
+use serde::Serialize;
 use serde_json::{
     json,
     Value, //
@@ -29,46 +27,85 @@
 /// How long a survey takes at most.
 const SURVEY_WAIT: Duration = Duration::from_secs(3);
 
-#[derive(Deserialize)]
-pub(crate) struct InForceQuery {
-    service: String,
-    version: Offset,
+/// Start of the paths that operators and targets ask.
+const PATH_PREFIX: &str = "/figway/";
+
+/// Answers a request of an operator or a target, if it is one.
+pub(crate) async fn answer(worker: &Worker, request: &Request) -> Option<Answer> {
+    if !request.path.starts_with(PATH_PREFIX) {
+        return None;
+    }
+    let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
+    let answer = match (request.method.as_str(), path) {
+        ("POST", "/figway/announce") => announce(worker, &request.body),
+        ("GET", "/figway/in-force") => in_force(worker, query).await,
+        ("GET", "/figway/status") => of_value(200, &status_of(worker)),
+        ("GET", "/figway/members") => members(worker),
+        _ => Answer::of_status(404),
+    };
+    Some(answer)
 }
 
 /// `POST /figway/announce`: the target beside the node says what it is and whether it drains.
-pub(crate) async fn announce(worker: State<Rc<Worker>>, target: Json<Target>) -> HttpResponse {
-    let target = target.into_inner();
-    if target.address.parse::<std::net::SocketAddr>().is_err() || target.slot_count == 0 {
-        return HttpResponse::BadRequest().json(&json!({
-            "error": "an announcement needs address: IP:PORT and slot_count: 1 or more",
-        }));
+fn announce(worker: &Worker, body: &[u8]) -> Answer {
+    let target = match serde_json::from_slice::<Target>(body) {
+        Ok(target) if target.address.parse::<std::net::SocketAddr>().is_ok() => target,
+        Ok(_) => return refused("address: expected IP:PORT"),
+        Err(error) => return refused(&error.to_string()),
+    };
+    let announcement = Announcement {
+        target,
+        started_at_ms: 0,
+        sequence: 0,
+        cold_left_ms: 0,
+    };
+    match worker.plane.announce(&announcement) {
+        Ok(_) => Answer::of_status(204),
+        Err(why) => refused(&why),
     }
-    let plane = &worker.plane;
-    plane.target_watch.announce(&plane.mesh, &target);
-    HttpResponse::NoContent().finish()
 }
 
 /// `GET /figway/in-force?service=S&version=N`: asks every member.
-pub(crate) async fn in_force(
-    worker: State<Rc<Worker>>,
-    query: Query<InForceQuery>,
-) -> HttpResponse {
+async fn in_force(worker: &Worker, query: &str) -> Answer {
+    let mut service = None;
+    let mut version = None;
+    for pair in query.split('&') {
+        match pair.split_once('=') {
+            Some(("service", value)) => service = Some(value),
+            Some(("version", value)) => version = value.parse().ok().map(Offset),
+            _ => {}
+        }
+    }
+    let (Some(service), Some(version)) = (service, version) else {
+        return refused("service and version are required");
+    };
     let mesh = &worker.plane.mesh;
     let deadline = Instant::now() + SURVEY_WAIT;
-    let report = survey_everywhere(mesh, &query.service, query.version, deadline).await;
-    HttpResponse::Ok().json(&report)
-}
-
-/// `GET /figway/status`: the node, what is in force on it and what it holds back.
-pub(crate) async fn status(worker: State<Rc<Worker>>) -> HttpResponse {
-    HttpResponse::Ok().json(&status_of(&worker))
+    of_value(
+        200,
+        &survey_everywhere(mesh, service, version, deadline).await,
+    )
 }
 
 /// `GET /figway/members`: every member as the node sees it.
-pub(crate) async fn members(worker: State<Rc<Worker>>) -> HttpResponse {
+fn members(worker: &Worker) -> Answer {
     let members = worker.plane.mesh.members();
     let list: Vec<_> = members.members().collect();
-    HttpResponse::Ok().json(&list)
+    of_value(200, &list)
+}
+
+fn refused(why: &str) -> Answer {
+    of_value(400, &json!({ "error": why }))
+}
+
+fn of_value(status: u16, value: &impl Serialize) -> Answer {
+    match serde_json::to_string(value) {
+        Ok(body) => Answer::of_json(status, body),
+        Err(error) => {
+            log::error!("could not write an answer: {error}");
+            Answer::of_status(500)
+        }
+    }
 }
 
 fn status_of(worker: &Worker) -> Value {
@@ -106,6 +143,7 @@
     json!({
         "node": members.own(),
         "applied": mesh.applied_offset(),
+        "routes": view.routes.version,
         "services": services,
         "held": held,
         "live_count": live_count,
--- /dev/null
+++ b/crates/dataplane/src/peers.rs
@@ -0,0 +1,107 @@
+//! Calls that the nodes of callers hand over for admission to the target beside this node.
+
+use std::time::Duration;
+
+use figway_http::{
+    Answer,
+    Headers,
+    Request, //
+};
+use figway_types::{
+    Fingerprint,
+    NotRunReason, //
+};
+
+use crate::admit::{
+    admit,
+    AdmittedFate, //
+};
+use crate::call::{
+    Admitted,
+    Fate, //
+};
+use crate::headers;
+use crate::plane::Worker;
+
+/// Returns whether a peer hands the request over.
+pub(crate) fn is_handed_over(request: &Request) -> bool {
+    request.headers.get(headers::ADMIT_KIND).is_some()
+}
+
+/// Admits a call that a peer hands over.
+pub(crate) async fn take_handed_over(worker: &Worker, request: &Request) -> Answer {
+    let ended = match read(request) {
+        Some(call) => {
+            let onward = onward_headers(request);
+            let call = Admitted {
+                headers: &onward,
+                ..call
+            };
+            admit(worker, &call).await
+        }
+        None => {
+            log::warn!("a peer handed over a call that can't be read");
+            AdmittedFate::not_sent(NotRunReason::NoRoute)
+        }
+    };
+    let busy_ratio = worker.plane.gate.busy_ratio();
+    worker.plane.metrics.note_busy(busy_ratio);
+    write(ended, busy_ratio)
+}
+
+fn read(request: &Request) -> Option<Admitted<'_>> {
+    let header = |name| request.headers.get(name);
+    let budget_ms: u64 = header(headers::BUDGET_MS)?.parse().ok()?;
+    let fingerprint = u64::from_str_radix(header(headers::ADMIT_FINGERPRINT)?, 16).ok()?;
+    Some(Admitted {
+        request_id: header(headers::REQUEST_ID)?,
+        kind: header(headers::ADMIT_KIND)?,
+        service: header(headers::ADMIT_SERVICE)?,
+        idempotent: header(headers::ADMIT_IDEMPOTENT) == Some("true"),
+        worth: header(headers::ADMIT_WORTH)?.parse().ok()?,
+        long: header(headers::ADMIT_LONG) == Some("true"),
+        fingerprint: Fingerprint(fingerprint),
+        method: &request.method,
+        path: &request.path,
+        headers: &request.headers,
+        body: &request.body,
+        origin: header(headers::ADMIT_ORIGIN)?,
+        deadline: request.arrived_at + Duration::from_millis(budget_ms),
+    })
+}
+
+/// Returns the caller's headers for the target.
+fn onward_headers(request: &Request) -> Headers {
+    let mut onward = request.headers.end_to_end();
+    onward.retain(|name| name != "host" && !name.starts_with(headers::PREFIX));
+    if let Some(host) = request.headers.get(headers::ADMIT_HOST) {
+        onward.push("host", host);
+    }
+    onward
+}
+
+fn write(ended: AdmittedFate, busy_ratio: f64) -> Answer {
+    let outcome = ended.fate.name();
+    let reason = ended.fate.reason();
+    let mut answer = match ended.fate {
+        Fate::Answered(answer) => answer,
+        Fate::NotRun(_) => Answer::of_status(503),
+        Fate::Unknown(_) => Answer::of_status(504),
+    };
+    answer.headers.push(headers::OUTCOME, outcome);
+    if !reason.is_empty() {
+        answer.headers.push(headers::REASON, reason);
+    }
+    if !ended.sent {
+        answer.headers.push(headers::SENT, "false");
+    }
+    answer
+        .headers
+        .push(headers::BUSY, format!("{busy_ratio:.3}"));
+    if let Some(crash_id) = ended.crash_id {
+        answer
+            .headers
+            .push(headers::CRASH_ID, format!("{crash_id:016x}"));
+    }
+    answer
+}
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -19,35 +19,66 @@
 
 use figway_control::{
     ClaimAgent,
-    Mesh, //
+    Mesh,
+    View, //
 };
+use figway_http::{
+    ClientLimits,
+    HttpClient,
+    ServerPhase,
+    Transport, //
+};
+use figway_profile::Profile;
 use figway_routing::{
     LoadBook,
+    SplitBook,
     TargetPicker,
     TwoChoices, //
 };
-use figway_types::Member;
+use figway_types::{
+    Announcement,
+    Member, //
+};
+use tokio::sync::watch;
 
 use crate::admit::TargetGate;
 use crate::candidates::CandidateCache;
+use crate::interface::Interface;
 use crate::metrics::Metrics;
+use crate::native::NativeInterface;
 use crate::outcomes::Outcomes;
 use crate::retry::RetryBook;
-use crate::target_watch::TargetWatch;
-use crate::transport::{
-    HttpLimits,
-    HttpTransport,
-    Transport, //
+use crate::target_watch::{
+    Heard,
+    TargetWatch, //
 };
 
-/// Idle connections to targets are closed after this, since a target may close them after 5 s.
-const TARGET_KEEP_ALIVE_S: u16 = 3;
+/// Idle time after which a connection to a target is not used again, in milliseconds; targets that
+/// close earlier say so.
+const TARGET_IDLE_MAX_MS: u64 = 3_000;
+
+/// The same for a call that must not run twice: a target that just closes such a connection would
+/// leave its fate open.
+const TARGET_UNSAFE_IDLE_MAX_MS: u64 = 500;
+
+/// Idle time after which a connection to a peer is not used again, in milliseconds; peers keep them
+/// for longer.
+const PEER_IDLE_MAX_MS: u64 = 20_000;
+
+/// Longest wait for a connection to the target on the own host, in milliseconds.
+const TARGET_CONNECT_MAX_MS: u64 = 250;
 
-/// Idle connections to peers are closed after this; peers keep them for longer.
-const PEER_KEEP_ALIVE_S: u16 = 30;
+/// Longest wait for a connection to a peer, in milliseconds.
+const PEER_CONNECT_MAX_MS: u64 = 400;
 
-/// Time for which a leaving node still passes its own callers' calls on, while peers hear of it.
-const DRAIN_NOTICE: Duration = Duration::from_secs(2);
+/// Time for which a leaving node keeps connections open, while peers and callers hear of it.
+const DRAIN_NOTICE: Duration = Duration::from_millis(2_200);
+
+/// Time after the stop request up to which callers may still begin calls.
+const DRAIN_TAKE: Duration = Duration::from_millis(3_200);
+
+/// Share of the grace that a drain uses at most.
+const DRAIN_GRACE_SHARE: f64 = 0.84;
 
 /// How often a drain looks whether calls are left.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
@@ -56,9 +87,16 @@
 pub struct DataPlaneBuilder {
     mesh: Arc<Mesh>,
     agent: ClaimAgent,
+    interface: Box<dyn Interface>,
     body_max_bytes: usize,
     connection_max_count: usize,
     remember_ms: u64,
+    origin: String,
+    target_address: Option<String>,
+    announce_every: Duration,
+    shared_retry_burst_count: Option<f64>,
+    default_profile: Profile,
+    grace: Option<Duration>,
     statsd: Option<cadence::StatsdClient>,
 }
 
@@ -68,13 +106,26 @@
         Self {
             mesh,
             agent,
+            interface: Box::new(NativeInterface),
             body_max_bytes: 1_024 * 1_024,
             connection_max_count: 4_096,
             remember_ms: 600_000,
+            origin: String::new(),
+            target_address: None,
+            announce_every: Duration::from_millis(1_700),
+            shared_retry_burst_count: None,
+            default_profile: Profile::default(),
+            grace: None,
             statsd: None,
         }
     }
 
+    /// Sets how requests and answers look to callers and targets.
+    pub fn interface(mut self, interface: Box<dyn Interface>) -> Self {
+        self.interface = interface;
+        self
+    }
+
     /// Sets the largest body of a request or an answer.
     pub fn body_max_bytes(mut self, body_max_bytes: usize) -> Self {
         self.body_max_bytes = body_max_bytes;
@@ -93,6 +144,42 @@
         self
     }
 
+    /// Sets the service on this host, where its callers' calls begin.
+    pub fn origin(mut self, origin: &str) -> Self {
+        self.origin = origin.to_owned();
+        self
+    }
+
+    /// Sets the only address at which a target may announce itself.
+    pub fn target_address(mut self, address: &str) -> Self {
+        self.target_address = Some(address.to_owned());
+        self
+    }
+
+    /// Sets how often a target announces itself.
+    pub fn announce_every(mut self, announce_every: Duration) -> Self {
+        self.announce_every = announce_every;
+        self
+    }
+
+    /// Sets the retries beyond their ratio that all nodes together may make in a burst.
+    pub fn shared_retry_burst_count(mut self, count: f64) -> Self {
+        self.shared_retry_burst_count = Some(count);
+        self
+    }
+
+    /// Sets the profile of services that follow none.
+    pub fn default_profile(mut self, profile: Profile) -> Self {
+        self.default_profile = profile;
+        self
+    }
+
+    /// Sets the time between a stop request and the end of the process.
+    pub fn grace(mut self, grace: Duration) -> Self {
+        self.grace = Some(grace);
+        self
+    }
+
     /// Sets where metrics go.
     pub fn statsd(mut self, statsd: Option<cadence::StatsdClient>) -> Self {
         self.statsd = statsd;
@@ -105,25 +192,32 @@
         self.mesh.set_outcomes(outcomes.clone());
         Arc::new(DataPlane {
             agent: self.agent,
+            interface: self.interface,
             gate: TargetGate::default(),
             loads: Mutex::default(),
-            retries: RetryBook::default(),
-            target_watch: TargetWatch::default(),
+            retries: RetryBook::new(self.shared_retry_burst_count),
+            target_watch: TargetWatch::new(self.announce_every),
             outcomes,
             metrics: Metrics::new(self.statsd),
             draining: AtomicBool::new(false),
+            phase: watch::Sender::new(ServerPhase::Open),
             in_flight_count: AtomicUsize::new(0),
             body_max_bytes: self.body_max_bytes,
             connection_max_count: self.connection_max_count,
+            origin: Mutex::new(self.origin),
+            target_address: self.target_address,
+            default_profile: self.default_profile,
+            grace: self.grace,
             mesh: self.mesh,
         })
     }
 }
 
-/// State of a node's data plane, shared by its workers.
+/// State of a node's data plane, shared by its connections.
 pub struct DataPlane {
     pub(crate) mesh: Arc<Mesh>,
     pub(crate) agent: ClaimAgent,
+    pub(crate) interface: Box<dyn Interface>,
     pub(crate) gate: TargetGate,
     loads: Mutex<LoadBook>,
     pub(crate) retries: RetryBook,
@@ -131,9 +225,14 @@
     pub(crate) outcomes: Arc<Outcomes>,
     pub(crate) metrics: Metrics,
     draining: AtomicBool,
+    phase: watch::Sender<ServerPhase>,
     in_flight_count: AtomicUsize,
     pub(crate) body_max_bytes: usize,
     connection_max_count: usize,
+    origin: Mutex<String>,
+    target_address: Option<String>,
+    default_profile: Profile,
+    grace: Option<Duration>,
 }
 
 impl DataPlane {
@@ -147,6 +246,62 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Returns whether callers may be sent to this node.
+    pub fn is_ready(&self) -> bool {
+        let view = self.mesh.view();
+        !self.is_draining() && (view.routes.version > 0 || !view.services.is_empty())
+    }
+
+    /// Returns the service on whose host this node's callers' calls begin.
+    pub(crate) fn origin(&self) -> String {
+        self.origin.lock().expect("no holder panics").clone()
+    }
+
+    /// Sets the service on this host.
+    pub fn set_origin(&self, origin: &str) {
+        origin.clone_into(&mut self.origin.lock().expect("no holder panics"));
+    }
+
+    /// Returns the profile that `service` follows, or the default, with its name.
+    pub(crate) fn profile_of<'a>(
+        &'a self,
+        view: &'a View,
+        service: &str,
+    ) -> (&'a Profile, &'a str) {
+        match view.services.get(service) {
+            Some(in_force) => (&in_force.profile, &in_force.profile_name),
+            None => (&self.default_profile, "default"),
+        }
+    }
+
+    /// Takes in what the target beside this node says of itself.
+    ///
+    /// # Errors
+    ///
+    /// Why it can't be the target beside this node.
+    pub fn announce(&self, announcement: &Announcement) -> Result<Heard, String> {
+        let target = &announcement.target;
+        if let Some(expected) = &self.target_address {
+            if *expected != target.address {
+                return Err(format!("the target of this host is at {expected}"));
+            }
+        }
+        if target.slot_count == 0 {
+            return Err("a target needs one slot or more".to_owned());
+        }
+        Ok(self.target_watch.announce(&self.mesh, announcement))
+    }
+
+    /// Takes in that a start of the target leaves for good.
+    pub fn depart(&self, instance: &str) {
+        self.target_watch.depart(&self.mesh, instance);
+    }
+
+    /// Returns a watch of what servers do with their connections.
+    pub fn watch_phase(&self) -> watch::Receiver<ServerPhase> {
+        self.phase.subscribe()
+    }
+
     /// Counts a call until the guard drops.
     pub(crate) fn begin_call(self: &Arc<Self>) -> InFlight {
         self.in_flight_count.fetch_add(1, Ordering::Relaxed);
@@ -155,11 +310,10 @@
         }
     }
 
-    /// Takes no new work and returns when all calls in flight have ended, or after the grace of the
-    /// profile that the target's service follows.
+    /// Takes no new work and returns when all calls in flight have ended, or when the grace is used.
     pub async fn drain(&self) {
         let now = Instant::now();
-        let deadline = now + self.drain_grace();
+        let deadline = now + self.drain_grace().mul_f64(DRAIN_GRACE_SHARE);
         self.draining.store(true, Ordering::Relaxed);
         self.gate.set_closed(true);
         self.mesh.members().update_own(now, |own| {
@@ -167,16 +321,18 @@
         });
         self.mesh.note_member_changes();
         log::info!("drain started");
-        let notice_ends_at = (now + DRAIN_NOTICE).min(deadline);
+        tokio::time::sleep_until((now + DRAIN_NOTICE).min(deadline).into()).await;
+        self.phase.send_replace(ServerPhase::Closing);
+        tokio::time::sleep_until((now + DRAIN_TAKE).min(deadline).into()).await;
         loop {
-            let now = Instant::now();
             let in_flight_count = self.in_flight_count.load(Ordering::Relaxed);
-            if now >= deadline || (now >= notice_ends_at && in_flight_count == 0) {
+            if Instant::now() >= deadline || in_flight_count == 0 {
                 log::info!("drain ended in_flight={in_flight_count}");
-                return;
+                break;
             }
             tokio::time::sleep(DRAIN_CHECK).await;
         }
+        self.phase.send_replace(ServerPhase::Closed);
     }
 
     /// Marks the own target as gone when it stops announcing itself; runs until the process ends.
@@ -185,6 +341,9 @@
     }
 
     fn drain_grace(&self) -> Duration {
+        if let Some(grace) = self.grace {
+            return grace;
+        }
         let default = Duration::from_secs(10);
         let own = self.mesh.members().own().clone();
         let Some(target) = own.target else {
@@ -208,35 +367,46 @@
     }
 }
 
-/// One worker's part: connections and choices that stay on its thread.
-pub(crate) struct Worker {
+/// Connections and choices of the thread that serves calls.
+pub struct Worker {
     pub(crate) plane: Arc<DataPlane>,
     /// The node as it started; its name, zone and region never change.
     pub(crate) home: Member,
     pub(crate) peers: Box<dyn Transport>,
     pub(crate) targets: Box<dyn Transport>,
     pub(crate) picker: RefCell<Box<dyn TargetPicker>>,
+    pub(crate) splits: RefCell<SplitBook>,
     pub(crate) candidates: RefCell<CandidateCache>,
 }
 
 impl Worker {
-    pub(crate) async fn new(plane: Arc<DataPlane>) -> anyhow::Result<Rc<Self>> {
-        let limits = |keep_alive_s| HttpLimits {
-            connection_max_count: plane.connection_max_count,
-            keep_alive_s,
+    /// Starts without connections.
+    pub fn new(plane: Arc<DataPlane>) -> Rc<Self> {
+        let limits = ClientLimits {
+            idle_max_count: plane.connection_max_count,
+            idle_max_ms: PEER_IDLE_MAX_MS,
+            unsafe_idle_max_ms: PEER_IDLE_MAX_MS,
+            connect_max_ms: PEER_CONNECT_MAX_MS,
             body_max_bytes: plane.body_max_bytes,
+            from: plane.mesh.control_ip(),
         };
-        let peers = HttpTransport::new(limits(PEER_KEEP_ALIVE_S)).await?;
-        let targets = HttpTransport::new(limits(TARGET_KEEP_ALIVE_S)).await?;
+        let peers = HttpClient::new(limits);
+        let targets = HttpClient::new(ClientLimits {
+            idle_max_ms: TARGET_IDLE_MAX_MS,
+            unsafe_idle_max_ms: TARGET_UNSAFE_IDLE_MAX_MS,
+            connect_max_ms: TARGET_CONNECT_MAX_MS,
+            ..limits
+        });
         let picker = TwoChoices::new(plane.mesh.random());
         let home = plane.mesh.members().own().clone();
-        Ok(Rc::new(Self {
+        Rc::new(Self {
             plane,
             home,
             peers: Box::new(peers),
             targets: Box::new(targets),
             picker: RefCell::new(Box::new(picker)),
+            splits: RefCell::default(),
             candidates: RefCell::default(),
-        }))
+        })
     }
 }
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -5,115 +5,198 @@
     Instant, //
 };
 
+use figway_control::View;
+use figway_http::{
+    Headers,
+    Request, //
+};
 use figway_routing::LoadReport;
 use figway_types::{
     NodeId,
     NotRunReason,
     RequestView, //
 };
-use ntex::util::Bytes;
 
 use crate::admit::AdmittedFate;
 use crate::attempt::attempt;
 use crate::call::{
     Call,
-    Fate, //
+    Fate,
+    Rule,
+    LATE, //
 };
 use crate::candidates::{
     ShareEntry,
     ShareKey, //
 };
+use crate::interface::Addressing;
 use crate::keyed::run_keyed;
 use crate::plane::Worker;
 
-/// Targets that one call tries at most.
-const ATTEMPT_MAX_COUNT: usize = 4;
+/// Targets that one call is offered to at most, those included that turned it away unsent.
+const TRY_MAX_COUNT: usize = 6;
 
 /// Calls per slot at a target up to which it takes hedges.
 const HEDGE_BUSY_RATIO: f64 = 0.5;
 
-/// Status by which a target itself sheds load.
-const SHED_STATUS: u16 = 503;
+/// Least status by which a target says that it failed.
+const FAILED_STATUS: u16 = 500;
 
 /// A request as it came from a caller.
-#[derive(Clone, Debug)]
-pub(crate) struct Incoming {
-    pub(crate) request_id: u64,
-    pub(crate) service: String,
-    pub(crate) method: String,
-    pub(crate) path: String,
-    pub(crate) headers: Vec<(String, String)>,
-    pub(crate) body: Bytes,
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Incoming<'a> {
+    pub(crate) request_id: &'a str,
+    pub(crate) addressing: Addressing<'a>,
+    pub(crate) request: &'a Request,
+    /// Headers that go on to the target.
+    pub(crate) headers: &'a Headers,
+    /// Service on whose host the call began.
+    pub(crate) origin: &'a str,
     /// When the caller stops waiting, if it said so.
     pub(crate) deadline: Option<Instant>,
 }
 
-impl Incoming {
-    fn header(&self, name: &str) -> Option<&str> {
-        for (known, value) in &self.headers {
-            if known.eq_ignore_ascii_case(name) {
-                return Some(value);
-            }
+/// Serves a caller's request and returns the fate of the whole submission.
+pub(crate) async fn serve_call(worker: &Worker, incoming: &Incoming<'_>) -> Fate {
+    let view = worker.plane.mesh.view();
+    let fate = match incoming.addressing {
+        Addressing::Service(service) => serve_service(worker, &view, incoming, service).await,
+        Addressing::Host(host) => serve_host(worker, &view, incoming, host).await,
+    };
+    let request = incoming.request;
+    match &fate {
+        Fate::NotRun(
+            NotRunReason::NoConfiguration | NotRunReason::NoService | NotRunReason::NoRoute,
+        ) => {
+            log::info!(
+                "call not routed request={} to={:?} method={} path={} routes_version={} why={}",
+                incoming.request_id,
+                incoming.addressing,
+                request.method,
+                request.path,
+                view.routes.version,
+                fate.reason(),
+            );
         }
-        None
+        _ => {}
     }
+    fate
 }
 
-/// Serves a caller's request and returns the fate of the whole submission.
-pub(crate) async fn serve_call(worker: &Worker, incoming: &Incoming) -> Fate {
-    let view = worker.plane.mesh.view();
-    let Some(in_force) = view.services.get(&incoming.service) else {
+/// Serves a call that names a service, by the request kinds of the service's profile.
+async fn serve_service(
+    worker: &Worker,
+    view: &View,
+    incoming: &Incoming<'_>,
+    service: &str,
+) -> Fate {
+    let request = incoming.request;
+    let Some(in_force) = view.services.get(service) else {
         return refuse_unrouted(incoming, NotRunReason::NoService);
     };
-    let Some(kind) = in_force.profile.kind_of(&incoming.method, &incoming.path) else {
+    let Some(kind) = in_force.profile.kind_of(&request.method, &request.path) else {
         return refuse_unrouted(incoming, NotRunReason::NoRoute);
     };
     let key = incoming
-        .header(&kind.key_header)
+        .headers
+        .get(&kind.key_header.to_ascii_lowercase())
         .filter(|_| !kind.idempotent);
-    let request = RequestView {
-        service: &incoming.service,
-        method: &incoming.method,
-        path: &incoming.path,
-        key,
-        body: &incoming.body,
+    let rule = Rule::of_kind(
+        kind,
+        service,
+        &in_force.profile,
+        &in_force.profile_name,
+        in_force.version_offset.0,
+    );
+    run(worker, incoming, rule, kind.budget_ms, key).await
+}
+
+/// Serves a call that names a host, by the route table.
+async fn serve_host(worker: &Worker, view: &View, incoming: &Incoming<'_>, host: &str) -> Fate {
+    if view.routes.version == 0 {
+        return Fate::NotRun(NotRunReason::NoConfiguration);
+    }
+    let Some(named) = view.routes.find(host, &incoming.request.path) else {
+        return Fate::NotRun(NotRunReason::NoRoute);
+    };
+    let route = &named.route;
+    let weights: Vec<u32> = route.parts.iter().map(|part| part.weight).collect();
+    let seed = worker.plane.mesh.random();
+    let turn = worker.splits.borrow_mut().next(&named.name, &weights, seed);
+    let Some(part) = route.parts.get(turn) else {
+        return Fate::NotRun(NotRunReason::NoTarget);
     };
-    let kind_deadline = Instant::now() + Duration::from_millis(kind.budget_ms);
+    let (profile, profile_name) = worker.plane.profile_of(view, &part.service);
+    let rule = Rule::of_route(
+        &named.name,
+        route,
+        &part.service,
+        profile,
+        profile_name,
+        view.routes.version,
+    );
+    run(worker, incoming, rule, route.budget_ms, None).await
+}
+
+async fn run(
+    worker: &Worker,
+    incoming: &Incoming<'_>,
+    rule: Rule<'_>,
+    budget_ms: u64,
+    key: Option<&str>,
+) -> Fate {
+    let request = incoming.request;
+    let fingerprint = RequestView {
+        service: rule.service,
+        method: &request.method,
+        path: &request.path,
+        key,
+        body: &request.body,
+    }
+    .fingerprint();
+    let rule_deadline = request.arrived_at + Duration::from_millis(budget_ms);
+    let deadline = incoming
+        .deadline
+        .unwrap_or(rule_deadline)
+        .min(rule_deadline);
     let call = Call {
         request_id: incoming.request_id,
-        service: &incoming.service,
-        method: &incoming.method,
-        path: &incoming.path,
-        headers: &incoming.headers,
-        body: &incoming.body,
-        deadline: incoming
-            .deadline
-            .unwrap_or(kind_deadline)
-            .min(kind_deadline),
-        fingerprint: request.fingerprint(),
-        in_force,
-        kind,
+        rule,
+        method: &request.method,
+        path: &request.path,
+        headers: incoming.headers,
+        body: &request.body,
+        origin: incoming.origin,
+        deadline,
+        fingerprint,
     };
-    let fate = match key {
-        Some(key) => run_keyed(worker, &call, key).await,
-        None => run_unkeyed(worker, &call).await,
+    let serving = async {
+        match key {
+            Some(key) => run_keyed(worker, &call, key).await,
+            None => run_unkeyed(worker, &call).await,
+        }
+    };
+    let fate = match tokio::time::timeout_at(deadline.into(), serving).await {
+        Ok(fate) => fate,
+        Err(_) => Fate::Unknown(LATE),
     };
     log::info!(
-        "call ended request={:016x} service={} kind={} version={} outcome={} why={}",
+        "call ended request={} service={} kind={} version={} outcome={} why={} took_ms={}",
         call.request_id,
-        call.service,
-        call.kind.name,
-        call.in_force.version_offset,
+        rule.service,
+        rule.name,
+        rule.version,
         fate.name(),
         fate.reason(),
+        request.arrived_at.elapsed().as_millis(),
     );
     fate
 }
 
 /// Refuses a call that has no route here. A key may have run elsewhere before, so that a call which
 /// bears one is not told `not run`.
-fn refuse_unrouted(incoming: &Incoming, reason: NotRunReason) -> Fate {
-    if incoming.header("Idempotency-Key").is_some() {
+fn refuse_unrouted(incoming: &Incoming<'_>, reason: NotRunReason) -> Fate {
+    if incoming.headers.get("idempotency-key").is_some() {
         return Fate::Unknown(reason.name());
     }
     Fate::NotRun(reason)
@@ -133,27 +216,40 @@
 }
 
 /// Tries targets until one answers. A call that is not idempotent goes to another target only as
-/// long as no byte of it went to one.
+/// long as no target ran it.
 pub(crate) async fn run_attempts(worker: &Worker, call: &Call<'_>) -> Fate {
-    let limits = &call.in_force.profile.limits;
+    let rule = &call.rule;
     let retries = &worker.plane.retries;
-    retries.deposit(call.service, limits);
+    let node_count = worker.plane.mesh.view().node_count;
+    retries.deposit(rule.service, &rule.profile.limits, node_count);
     let mut tried: Vec<NodeId> = Vec::new();
+    let mut sent_count = 0;
     let mut earlier_unknown: Option<&'static str> = None;
     let mut last = Fate::NotRun(NotRunReason::NoTarget);
-    while tried.len() < ATTEMPT_MAX_COUNT {
+    while sent_count < rule.attempt_max_count && tried.len() < TRY_MAX_COUNT {
         if call.deadline <= Instant::now() {
             return Fate::NotRun(NotRunReason::Expired).after(earlier_unknown);
         }
         let Some(entry) = pick(worker, call, &tried) else {
             break;
         };
+        if sent_count > 0 && !retries.try_withdraw(rule.service) {
+            worker.plane.metrics.count("retry_refused");
+            log::info!(
+                "retry refused request={} service={} why=budget",
+                call.request_id,
+                rule.service
+            );
+            break;
+        }
         tried.push(entry.member.node_id.clone());
-        let ended = if call.kind.idempotent {
+        let hedges = rule.idempotent && sent_count + 1 < rule.attempt_max_count;
+        let (ended, hedged) = if hedges {
             run_hedged(worker, call, &entry, &mut tried).await
         } else {
-            attempt(worker, call, &entry).await
+            (attempt(worker, call, &entry).await, false)
         };
+        sent_count += usize::from(ended.sent) + usize::from(hedged);
         let again = may_try_again(call, &ended.fate);
         if let Fate::Unknown(reason) = ended.fate {
             earlier_unknown = Some(reason);
@@ -162,10 +258,6 @@
         if !again || is_quarantined(worker, call) {
             break;
         }
-        if costs_budget(&last) && !retries.try_withdraw(call.service, limits) {
-            worker.plane.metrics.count("retry_refused");
-            break;
-        }
         worker.plane.metrics.count("retry");
     }
     last
@@ -174,58 +266,48 @@
 /// Returns whether another target may run the call after this fate.
 fn may_try_again(call: &Call<'_>, fate: &Fate) -> bool {
     match fate {
-        Fate::Answered(answer) => call.kind.idempotent && answer.status == SHED_STATUS,
+        Fate::Answered(answer) => call.rule.idempotent && answer.status >= FAILED_STATUS,
         Fate::NotRun(reason) => reason.may_try_elsewhere(),
-        Fate::Unknown(_) => call.kind.idempotent,
+        Fate::Unknown(_) => call.rule.idempotent,
     }
 }
 
-/// A target that is gone costs nothing to leave; what may add load is paid for.
-fn costs_budget(fate: &Fate) -> bool {
-    !matches!(
-        fate,
-        Fate::NotRun(NotRunReason::Draining | NotRunReason::Unreachable | NotRunReason::NoTarget)
-    )
-}
-
 /// Makes an attempt and, when it takes longer than most calls of its kind, a second one elsewhere;
-/// the first answer wins and the other attempt is given up.
+/// the first answer wins and the other attempt is given up. Returns whether a second was made.
 async fn run_hedged(
     worker: &Worker,
     call: &Call<'_>,
     entry: &ShareEntry,
     tried: &mut Vec<NodeId>,
-) -> AdmittedFate {
+) -> (AdmittedFate, bool) {
+    let rule = &call.rule;
     let first = attempt(worker, call, entry);
-    let hedge_after = worker
-        .plane
-        .retries
-        .hedge_after(call.service, &call.kind.name);
+    let hedge_after = worker.plane.retries.hedge_after(rule.service, rule.name);
     let Some(hedge_after) = hedge_after else {
-        return first.await;
+        return (first.await, false);
     };
     tokio::pin!(first);
     let hedge_at = Instant::now() + hedge_after;
     tokio::select! {
-        ended = &mut first => return ended,
+        ended = &mut first => return (ended, false),
         () = tokio::time::sleep_until(hedge_at.into()) => {}
     }
-    let limits = &call.in_force.profile.limits;
     let Some(other) = pick(worker, call, tried) else {
-        return first.await;
+        return (first.await, false);
     };
     let has_room = has_room_for_hedge(worker, &other);
-    if !has_room || !worker.plane.retries.try_withdraw(call.service, limits) {
-        return first.await;
+    if !has_room || !worker.plane.retries.try_withdraw(rule.service) {
+        return (first.await, false);
     }
     worker.plane.metrics.count("hedge");
     tried.push(other.member.node_id.clone());
     let second = attempt(worker, call, &other);
     tokio::pin!(second);
-    tokio::select! {
+    let ended = tokio::select! {
         ended = &mut first => first_or(ended, second).await,
         ended = &mut second => first_or(ended, first).await,
-    }
+    };
+    (ended, true)
 }
 
 /// Returns whether a hedge would find a free slot. A call that is slow by its own work is slow
@@ -237,30 +319,35 @@
     busy_ratio <= HEDGE_BUSY_RATIO
 }
 
-/// Returns the first answer; an attempt that ended without one waits for the other.
+/// Returns the first good answer; an attempt that ended without one waits for the other.
 async fn first_or(
     ended: AdmittedFate,
     other: impl std::future::Future<Output = AdmittedFate>,
 ) -> AdmittedFate {
-    if matches!(ended.fate, Fate::Answered(_)) {
+    if is_good(&ended.fate) {
         return ended;
     }
     let other = other.await;
-    if matches!(other.fate, Fate::Answered(_)) || matches!(ended.fate, Fate::NotRun(_)) {
+    if is_good(&other.fate) || matches!(ended.fate, Fate::NotRun(_)) {
         return other;
     }
     ended
 }
 
+fn is_good(fate: &Fate) -> bool {
+    matches!(fate, Fate::Answered(answer) if answer.status < FAILED_STATUS)
+}
+
 fn pick(worker: &Worker, call: &Call<'_>, tried: &[NodeId]) -> Option<ShareEntry> {
     let plane = &worker.plane;
+    let rule = &call.rule;
     let view = plane.mesh.view();
     let home = &worker.home;
     let key = ShareKey {
-        service: call.runs_at(),
-        subset_name: &call.kind.subset,
-        profile: &call.in_force.profile,
-        profile_name: &call.in_force.profile_name,
+        service: rule.service,
+        subset_name: rule.subset,
+        profile: rule.profile,
+        profile_name: rule.profile_name,
     };
     let share = worker.candidates.borrow_mut().share(&view, home, key);
     let mut candidates = Vec::with_capacity(share.len());
@@ -275,16 +362,28 @@
     };
     loads.note_report(&home.node_id, own_load, Instant::now());
     let mut picker = worker.picker.borrow_mut();
-    let picked = picker.pick(&candidates, &excluded, &loads, Instant::now())?;
+    let picked = picker.pick(&candidates, &excluded, &loads, Instant::now());
+    let Some(picked) = picked else {
+        log::info!(
+            "no target request={} service={} kind={} version={} known={} tried={}",
+            call.request_id,
+            rule.service,
+            rule.name,
+            rule.version,
+            candidates.len(),
+            tried.len(),
+        );
+        return None;
+    };
     let entry = share[picked.index].clone();
     log::info!(
-        "target picked request={:016x} service={} kind={} profile={} version={} target={} why={} \
+        "target picked request={} service={} kind={} profile={} version={} target={} why={} \
          cost_us={:.0}",
         call.request_id,
-        call.service,
-        call.kind.name,
-        call.in_force.profile_name,
-        call.in_force.version_offset,
+        rule.service,
+        rule.name,
+        rule.profile_name,
+        rule.version,
         entry.member.node_id,
         picked.reason,
         picked.cost_us,
--- a/crates/dataplane/src/retry.rs
+++ b/crates/dataplane/src/retry.rs
@@ -8,6 +8,9 @@
 use figway_routing::LatencyQuantile;
 use figway_types::FastMap;
 
+/// Retries that a node may make in a burst where the mesh has no common allowance.
+const BURST_COUNT: f64 = 10.0;
+
 #[derive(Default)]
 struct Books {
     budgets: FastMap<String, RetryBudget>,
@@ -18,22 +21,50 @@
 #[derive(Default)]
 pub(crate) struct RetryBook {
     books: Mutex<Books>,
+    /// Retries that all nodes together may make in a burst, for each service.
+    shared_burst_count: Option<f64>,
 }
 
 impl RetryBook {
-    /// Notes the first attempt of a call.
-    pub(crate) fn deposit(&self, service: &str, limits: &Limits) {
-        self.with_budget(service, limits, RetryBudget::deposit);
+    /// Starts empty. All nodes together make at most `shared_burst_count` retries beyond the ratio.
+    pub(crate) fn new(shared_burst_count: Option<f64>) -> Self {
+        Self {
+            books: Mutex::default(),
+            shared_burst_count,
+        }
+    }
+
+    /// Notes the first attempt of a call; `node_count` nodes share the burst.
+    pub(crate) fn deposit(&self, service: &str, limits: &Limits, node_count: usize) {
+        let burst_count = match self.shared_burst_count {
+            Some(shared) => shared / node_count.max(1) as f64,
+            None => BURST_COUNT,
+        };
+        let mut books = self.books.lock().expect("no holder panics");
+        if !books.budgets.contains_key(service) {
+            let budget = RetryBudget::new(limits.retry_budget_ratio, burst_count);
+            books.budgets.insert(service.to_owned(), budget);
+        }
+        let budget = books.budgets.get_mut(service).expect("was just made");
+        budget.set_limits(limits.retry_budget_ratio, burst_count.max(1.0));
+        budget.deposit();
     }
 
     /// Notes that a target refused a call for overload.
-    pub(crate) fn note_overload(&self, service: &str, limits: &Limits) {
-        self.with_budget(service, limits, RetryBudget::note_overload);
+    pub(crate) fn note_overload(&self, service: &str) {
+        let mut books = self.books.lock().expect("no holder panics");
+        if let Some(budget) = books.budgets.get_mut(service) {
+            budget.note_overload();
+        }
     }
 
     /// Pays for one retry or hedge, if the budget allows it.
-    pub(crate) fn try_withdraw(&self, service: &str, limits: &Limits) -> bool {
-        self.with_budget(service, limits, RetryBudget::try_withdraw)
+    pub(crate) fn try_withdraw(&self, service: &str) -> bool {
+        let mut books = self.books.lock().expect("no holder panics");
+        match books.budgets.get_mut(service) {
+            Some(budget) => budget.try_withdraw(),
+            None => false,
+        }
     }
 
     /// Takes in the latency of an answer.
@@ -64,20 +95,4 @@
         let books = self.books.lock().expect("no holder panics");
         books.quantiles.get(service)?.get(kind)?.estimate()
     }
-
-    fn with_budget<T>(
-        &self,
-        service: &str,
-        limits: &Limits,
-        use_budget: impl FnOnce(&mut RetryBudget) -> T,
-    ) -> T {
-        let mut books = self.books.lock().expect("no holder panics");
-        if !books.budgets.contains_key(service) {
-            let budget = RetryBudget::new(limits.retry_budget_ratio);
-            books.budgets.insert(service.to_owned(), budget);
-        }
-        let budget = books.budgets.get_mut(service).expect("was just made");
-        budget.set_ratio(limits.retry_budget_ratio);
-        use_budget(budget)
-    }
 }
--- a/crates/document/src/reader.rs
+++ b/crates/document/src/reader.rs
@@ -133,6 +133,11 @@
         texts
     }
 
+    /// Returns whether the key is there.
+    pub fn has(&self, key: &'static str) -> bool {
+        self.entry(key).is_some()
+    }
+
     /// Returns a reader of the mapping at `key`; an empty one when the key is absent.
     pub fn map(&self, key: &'static str) -> MapReader<'d> {
         match self.entry(key) {
--- a/crates/figway/src/flags.rs
+++ b/crates/figway/src/flags.rs
@@ -10,8 +10,8 @@
     cmd figway {
         /// Runs the node beside a target.
         cmd node {
-            /// Settings of the node, in YAML.
-            required --settings path: PathBuf
+            /// Settings of the node, in YAML; the file that FIGWAY_BOOT names if absent.
+            optional --settings path: PathBuf
         }
         /// Publishes a new version of a profile.
         cmd publish {
--- /dev/null
+++ b/crates/http/src/socket.rs
@@ -0,0 +1,57 @@
+//! Socket options and connecting.
+
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
+use std::time::Duration;
+
+use socket2::{
+    SockRef,
+    TcpKeepalive, //
+};
+use tokio::net::{
+    TcpSocket,
+    TcpStream, //
+};
+
+/// Unacknowledged bytes and unanswered keep-alive probes end a connection after this.
+const SILENCE_MAX: Duration = Duration::from_millis(2_000);
+
+/// Idle time before the first keep-alive probe, and between probes.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// Prepares a connection for short messages and for peers that fall silent.
+pub(crate) fn prepare(stream: &TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("could not set TCP_NODELAY: {error}");
+    }
+    let socket = SockRef::from(stream);
+    if let Err(error) = socket.set_tcp_user_timeout(Some(SILENCE_MAX)) {
+        log::debug!("could not set TCP_USER_TIMEOUT: {error}");
+    }
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_EVERY)
+        .with_interval(PROBE_EVERY)
+        .with_retries(2);
+    if let Err(error) = socket.set_tcp_keepalive(&probes) {
+        log::debug!("could not set keep-alive probes: {error}");
+    }
+}
+
+/// Connects to `address`, from `from` if it is given.
+pub(crate) async fn connect(address: &str, from: Option<IpAddr>) -> std::io::Result<TcpStream> {
+    let address: SocketAddr = address
+        .parse()
+        .map_err(|_| std::io::Error::other("the address is not IP:PORT"))?;
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if let Some(from) = from.filter(|from| from.is_ipv4() == address.is_ipv4()) {
+        socket.bind(SocketAddr::new(from, 0))?;
+    }
+    let stream = socket.connect(address).await?;
+    prepare(&stream);
+    Ok(stream)
+}
--- a/crates/log-client/src/lib.rs
+++ b/crates/log-client/src/lib.rs
@@ -6,6 +6,7 @@
 
 use std::time::Instant;
 
+use figway_profile::RouteTable;
 use figway_types::{
     LogRecord,
     Offset, //
@@ -110,6 +111,28 @@
     ) -> LocalBoxFuture<'a, Result<Page, ReadError>>;
 }
 
+/// Route tables in the order in which the operator wrote them.
+#[derive(Clone, Debug)]
+pub struct RoutePage {
+    /// Whole tables; records that hold none are left out.
+    pub tables: Vec<RouteTable>,
+    /// Offset behind what was read, from which reading goes on.
+    pub next_offset: Offset,
+}
+
+/// The operator's route table on the platform, for deployments that have one.
+pub trait RouteSource {
+    /// Reads the newest table.
+    fn newest(&self, deadline: Instant) -> LocalBoxFuture<'_, Result<RoutePage, ReadError>>;
+
+    /// Reads the tables from `from_offset`; waits for one until `wait_until`.
+    fn next(
+        &self,
+        from_offset: Offset,
+        wait_until: Instant,
+    ) -> LocalBoxFuture<'_, Result<RoutePage, ReadError>>;
+}
+
 /// Reads all records from `from_offset` to the head of `stream`.
 ///
 /// # Errors
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -213,6 +213,11 @@
         }
     }
 
+    /// Returns whether there are rumours to spread.
+    pub fn has_rumours(&self) -> bool {
+        !self.rumours.is_empty()
+    }
+
     /// Returns up to `max_count` rumours for `receiver`, whose table had `digest_total` when it was
     /// last heard of; none if that is equal. One that doubts the receiver itself comes first, so that
     /// it can refute.
--- a/crates/profile/src/body.rs
+++ b/crates/profile/src/body.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 /// One named set of routing, draining and limit settings.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Profile {
     /// Subsets of a service's targets by label; `all` always exists.
     pub subsets: BTreeMap<String, Subset>,
--- a/crates/profile/src/lib.rs
+++ b/crates/profile/src/lib.rs
@@ -5,6 +5,7 @@
 mod fold;
 mod record;
 mod resolve;
+mod routes;
 
 pub use body::{
     Draining,
@@ -30,3 +31,13 @@
     unresolved_references,
     Resources, //
 };
+pub use routes::{
+    CallerLimits,
+    NamedRoute,
+    Route,
+    RouteChange,
+    RouteIndex,
+    RoutePart,
+    RouteTable,
+    ServiceRule, //
+};
--- /dev/null
+++ b/crates/profile/src/routes.rs
@@ -0,0 +1,220 @@
+//! Table of routes by host and path prefix, as the platform's operator keeps it beside the profiles.
+//!
+//! A table is replaced whole. Its version only grows; nodes tell each other the difference of two
+//! consecutive versions.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use figway_types::{
+    FastMap,
+    Offset, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Where requests of a host and path prefix go.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// Host that the caller names, without a port.
+    pub host: String,
+    /// Start of the path.
+    pub path_prefix: String,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// Time that a request may take, in milliseconds; becomes a deadline when it arrives.
+    pub budget_ms: u64,
+    /// Time within which an answer has its full worth, in milliseconds; likewise.
+    pub prompt_ms: u64,
+    /// Rank among routes, 0 is served first.
+    pub priority: u32,
+    /// Targets to which one request may be sent.
+    pub attempt_max_count: u32,
+    /// Services that share the requests.
+    pub parts: Vec<RoutePart>,
+}
+
+/// A service that takes a share of a route's requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutePart {
+    /// Name of the service.
+    pub service: String,
+    /// Share, relative to the other parts.
+    pub weight: u32,
+}
+
+/// What the operator says of a service's targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRule {
+    /// Connections that one target accepts.
+    pub connection_max_count: u32,
+}
+
+/// Limits of callers' connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// Largest request head.
+    pub head_max_bytes: u64,
+    /// Largest request body.
+    pub body_max_bytes: u64,
+    /// Time for a request to come in, in milliseconds.
+    pub request_max_ms: u64,
+    /// Idle time after which a connection is closed, in milliseconds.
+    pub idle_max_ms: u64,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            head_max_bytes: 64 * 1_024,
+            body_max_bytes: 1_024 * 1_024,
+            request_max_ms: 30_000,
+            idle_max_ms: 60_000,
+        }
+    }
+}
+
+/// One version of the routes, whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteTable {
+    /// Version, 0 for none yet; grows in steps of any size.
+    pub version: u64,
+    /// Record of the operator's stream that holds it.
+    pub source_offset: Offset,
+    /// Routes by name.
+    pub routes: BTreeMap<String, Arc<Route>>,
+    /// Services by name.
+    pub services: BTreeMap<String, ServiceRule>,
+    /// Limits of callers' connections.
+    pub caller_limits: CallerLimits,
+}
+
+/// Difference of two versions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteChange {
+    /// Version that it changes.
+    pub base_version: u64,
+    /// Version that it leads to.
+    pub version: u64,
+    /// Record of the operator's stream that holds the later version.
+    pub source_offset: Offset,
+    /// Routes that are new or other than before.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub changed: BTreeMap<String, Arc<Route>>,
+    /// Names of routes that are gone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub removed: Vec<String>,
+    /// All services, if any changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub services: Option<BTreeMap<String, ServiceRule>>,
+    /// Limits of callers' connections, if they changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub caller_limits: Option<CallerLimits>,
+}
+
+impl RouteTable {
+    /// Returns what changed since `earlier`.
+    pub fn change_since(&self, earlier: &RouteTable) -> RouteChange {
+        let mut changed = BTreeMap::new();
+        for (name, route) in &self.routes {
+            if earlier.routes.get(name) != Some(route) {
+                changed.insert(name.clone(), Arc::clone(route));
+            }
+        }
+        let mut removed = Vec::new();
+        for name in earlier.routes.keys() {
+            if !self.routes.contains_key(name) {
+                removed.push(name.clone());
+            }
+        }
+        let services = (self.services != earlier.services).then(|| self.services.clone());
+        let limits_changed = self.caller_limits != earlier.caller_limits;
+        RouteChange {
+            base_version: earlier.version,
+            version: self.version,
+            source_offset: self.source_offset,
+            changed,
+            removed,
+            services,
+            caller_limits: limits_changed.then_some(self.caller_limits),
+        }
+    }
+
+    /// Returns the version that `change` leads to, if it starts from this one.
+    pub fn after(&self, change: &RouteChange) -> Option<RouteTable> {
+        if change.base_version != self.version || change.version <= self.version {
+            return None;
+        }
+        let mut next = self.clone();
+        next.version = change.version;
+        next.source_offset = change.source_offset;
+        for name in &change.removed {
+            next.routes.remove(name);
+        }
+        for (name, route) in &change.changed {
+            next.routes.insert(name.clone(), Arc::clone(route));
+        }
+        if let Some(services) = &change.services {
+            next.services.clone_from(services);
+        }
+        if let Some(caller_limits) = change.caller_limits {
+            next.caller_limits = caller_limits;
+        }
+        Some(next)
+    }
+}
+
+/// A route with its name, ready to be looked up.
+#[derive(Clone, Debug)]
+pub struct NamedRoute {
+    /// Name.
+    pub name: String,
+    /// The route.
+    pub route: Arc<Route>,
+}
+
+/// Routes by host, longest prefix first.
+#[derive(Clone, Debug, Default)]
+pub struct RouteIndex {
+    /// Version of the table.
+    pub version: u64,
+    /// Limits of callers' connections.
+    pub caller_limits: CallerLimits,
+    hosts: FastMap<String, Vec<Arc<NamedRoute>>>,
+}
+
+impl RouteIndex {
+    /// Sorts the routes of a table.
+    pub fn new(table: &RouteTable) -> Self {
+        let mut hosts: FastMap<String, Vec<Arc<NamedRoute>>> = FastMap::default();
+        for (name, route) in &table.routes {
+            let named = NamedRoute {
+                name: name.clone(),
+                route: Arc::clone(route),
+            };
+            let list = hosts.entry(route.host.clone()).or_default();
+            list.push(Arc::new(named));
+        }
+        for list in hosts.values_mut() {
+            list.sort_by_key(|named| std::cmp::Reverse(named.route.path_prefix.len()));
+        }
+        Self {
+            version: table.version,
+            caller_limits: table.caller_limits,
+            hosts,
+        }
+    }
+
+    /// Returns the route of the longest prefix that begins `path`, which may bear a query.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<NamedRoute>> {
+        let path = path.split('?').next().unwrap_or(path);
+        for named in self.hosts.get(host)? {
+            if path.starts_with(named.route.path_prefix.as_str()) {
+                return Some(named);
+            }
+        }
+        None
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod picker;
 mod quantile;
 mod share;
+mod split;
 
 pub use load::{
     LoadBook,
@@ -21,3 +22,4 @@
 };
 pub use quantile::LatencyQuantile;
 pub use share::stable_share;
+pub use split::SplitBook;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -37,6 +37,37 @@
     pub output: OutputSettings,
     /// Statsd address for metrics; none are sent when absent.
     pub statsd_address: Option<SocketAddr>,
+    /// The users' platform, where the node runs there.
+    pub platform: Option<PlatformSettings>,
+}
+
+/// What the users' platform says of a node. Texts keep the platform's form; its adapter reads them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlatformSettings {
+    /// Where the host's callers reach the node.
+    pub caller_address: SocketAddr,
+    /// Where the platform asks whether the node is ready.
+    pub ready_address: SocketAddr,
+    /// Where the target announces itself.
+    pub announce_address: SocketAddr,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// Service of the target on this host.
+    pub service: String,
+    /// `ip:port` of the target on this host.
+    pub target_address: String,
+    /// How often a target announces itself, like `1500ms`.
+    pub announce_every: String,
+    /// How long the store keeps records, like `300s`.
+    pub keep: String,
+    /// Addresses of other nodes for targets' announcements.
+    pub seeds: Vec<String>,
+    /// Time between SIGTERM and SIGKILL, like `6s`.
+    pub grace: Option<String>,
+    /// Retries that all nodes together may make, as a share of requests.
+    pub retry_ratio: Option<f64>,
+    /// Retries beyond that share in any window, over all nodes.
+    pub retry_burst_count: Option<f64>,
 }
 
 /// How the platform's log is reached.
@@ -79,8 +110,6 @@
     pub body_max_bytes: usize,
     /// Connections kept to each peer or target.
     pub connection_max_count: usize,
-    /// Workers that serve calls.
-    pub worker_count: usize,
 }
 
 /// Where log lines go and how they look.
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -14,7 +14,8 @@
     LinkSettings,
     LogSettings,
     NodeSettings,
-    OutputSettings, //
+    OutputSettings,
+    PlatformSettings, //
 };
 
 const DAY_MS: u64 = 24 * 3_600 * 1_000;
@@ -45,6 +46,7 @@
         calls: read_calls(&root.map("calls")),
         output: read_output(&root.map("output")),
         statsd_address: optional_address(&root.map("metrics"), "statsd"),
+        platform: read_platform(&root),
         log,
     };
     drop(listen);
@@ -122,6 +124,28 @@
     }
 }
 
+fn read_platform(root: &MapReader<'_>) -> Option<PlatformSettings> {
+    if !root.has("platform") {
+        return None;
+    }
+    let reader = root.map("platform");
+    let seeds = reader.texts("seeds");
+    Some(PlatformSettings {
+        caller_address: required_address(&reader, "callers"),
+        ready_address: required_address(&reader, "ready"),
+        announce_address: required_address(&reader, "announcements"),
+        store_address: required_address(&reader, "store"),
+        service: reader.required_text("service").to_owned(),
+        target_address: required_address(&reader, "target").to_string(),
+        announce_every: reader.required_text("announce_every").to_owned(),
+        keep: reader.required_text("keep").to_owned(),
+        seeds: seeds.iter().map(|seed| (*seed).to_owned()).collect(),
+        grace: reader.text("grace").map(str::to_owned),
+        retry_ratio: reader.number("retry_ratio", 0.0..=10.0),
+        retry_burst_count: reader.number("retry_burst_count", 0.0..=1e6),
+    })
+}
+
 fn read_claims(reader: &MapReader<'_>, retention_ms: u64) -> ClaimSettings {
     let remember_ms = reader
         .whole("remember_ms", 1_000..=DAY_MS)
@@ -145,7 +169,6 @@
         connection_max_count: reader
             .whole("connection_max_count", 1..=100_000)
             .unwrap_or(4_096) as usize,
-        worker_count: reader.whole("worker_count", 1..=64).unwrap_or(1) as usize,
     }
 }
 
--- a/crates/testbed/src/cmd/slopes.rs
+++ b/crates/testbed/src/cmd/slopes.rs
@@ -125,8 +125,10 @@
         zone: format!("zone-{}", index % 12),
         control_address: format!("10.{}.{}.7:7100", index / 250, index % 250),
         call_address: format!("10.{}.{}.7:7101", index / 250, index % 250),
+        log_round_trip_ms: 0,
         target: Some(Target {
             service: format!("service-{}", index % service_count),
+            instance: String::new(),
             address: format!("10.{}.{}.7:8080", index / 250, index % 250),
             slot_count: 17,
             labels: BTreeMap::from([("track".to_owned(), "stable".to_owned())]),
--- a/crates/testbed/src/mesh_farm.rs
+++ b/crates/testbed/src/mesh_farm.rs
@@ -192,6 +192,7 @@
     let zone = spec.zones[index % spec.zones.len()];
     let target = Target {
         service: format!("service-{}", index % spec.service_count),
+        instance: String::new(),
         address: "127.0.0.1:1".to_owned(),
         slot_count: 4,
         labels: BTreeMap::new(),
@@ -206,6 +207,7 @@
         zone: zone.name.to_owned(),
         control_address: String::new(),
         call_address: "127.0.0.1:1".to_owned(),
+        log_round_trip_ms: 0,
         target: Some(target),
     }
 }
--- a/crates/testbed/src/target_server.rs
+++ b/crates/testbed/src/target_server.rs
@@ -82,6 +82,7 @@
     pub fn new(name: &str, service: &str, slot_count: u32) -> Self {
         let target = Target {
             service: service.to_owned(),
+            instance: String::new(),
             address: String::new(),
             slot_count,
             labels: BTreeMap::new(),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -22,6 +22,7 @@
     Place, //
 };
 pub use member::{
+    Announcement,
     Member,
     MemberState,
     NodeId,
--- a/crates/types/src/member.rs
+++ b/crates/types/src/member.rs
@@ -38,6 +38,9 @@
 pub struct Target {
     /// Service that it runs.
     pub service: String,
+    /// Name of this start of the target; empty where targets have none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub instance: String,
     /// `ip:port` of its HTTP server.
     pub address: String,
     /// Requests that it runs at a time.
@@ -50,6 +53,19 @@
     pub draining: bool,
 }
 
+/// What a target says of itself, with what orders it among others that may come late.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// The target.
+    pub target: Target,
+    /// When this start of the target began, in Unix milliseconds; 0 if it does not say.
+    pub started_at_ms: u64,
+    /// Grows with each announcement of one start.
+    pub sequence: u64,
+    /// How much longer the target is slow after its start, in milliseconds.
+    pub cold_left_ms: u64,
+}
+
 /// One member as it is gossiped.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -69,6 +85,9 @@
     pub control_address: String,
     /// `ip:port` of its call listener.
     pub call_address: String,
+    /// Shortest way to the platform's log and back, in milliseconds.
+    #[serde(default)]
+    pub log_round_trip_ms: u64,
     /// Target beside it, if one announced itself.
     pub target: Option<Target>,
 }
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -9,6 +9,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum NotRunReason {
+    /// Nothing is in force here yet.
+    NoConfiguration,
     /// No service of that name follows a profile here.
     NoService,
     /// No route of the profile matches.
@@ -25,11 +27,14 @@
     Quarantined,
     /// The target refused the connection.
     Unreachable,
+    /// Another target answered at the address.
+    Misdirected,
 }
 
 impl NotRunReason {
     /// All reasons.
-    pub const ALL: [NotRunReason; 8] = [
+    pub const ALL: [NotRunReason; 10] = [
+        NotRunReason::NoConfiguration,
         NotRunReason::NoService,
         NotRunReason::NoRoute,
         NotRunReason::NoTarget,
@@ -38,11 +43,13 @@
         NotRunReason::Draining,
         NotRunReason::Quarantined,
         NotRunReason::Unreachable,
+        NotRunReason::Misdirected,
     ];
 
     /// Name on the wire and in logs.
     pub fn name(self) -> &'static str {
         match self {
+            NotRunReason::NoConfiguration => "no-configuration",
             NotRunReason::NoService => "no-service",
             NotRunReason::NoRoute => "no-route",
             NotRunReason::NoTarget => "no-target",
@@ -51,6 +58,7 @@
             NotRunReason::Draining => "draining",
             NotRunReason::Quarantined => "quarantined",
             NotRunReason::Unreachable => "unreachable",
+            NotRunReason::Misdirected => "misdirected",
         }
     }
 
@@ -62,6 +70,7 @@
                 | NotRunReason::Overloaded
                 | NotRunReason::Draining
                 | NotRunReason::Unreachable
+                | NotRunReason::Misdirected
         )
     }
 }
