--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -1,7 +1,8 @@
 //! Slots and the queue of one target.
 //!
-//! Waiting calls are ordered by worth per slot-second. Long kinds can't take the slots that short
-//! kinds keep. Whoever is refused has not run.
+//! Waiting calls are ordered by rank, then those that can still be prompt before those that are
+//! late already, then by worth per slot-second. Long kinds can't take the slots that short kinds
+//! keep. Whoever is refused has not run.
 
 use std::time::{
     Duration,
@@ -12,6 +13,10 @@
 
 use crate::estimate::ServiceTimes;
 
+/// Late calls that wait per slot; more are refused, since they would only be held until they are
+/// lost.
+const LATE_PER_SLOT_RATIO: f64 = 1.0;
+
 /// Limits of one target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdmissionLimits {
@@ -43,6 +48,10 @@
     pub worth: f64,
     /// Whether it is long work.
     pub long: bool,
+    /// Rank, 0 is served first.
+    pub rank: u32,
+    /// When an answer loses part of its worth, if it does before the deadline.
+    pub prompt_by: Option<Instant>,
     /// When its caller stops waiting.
     pub deadline: Instant,
 }
@@ -77,6 +86,8 @@
     kind: String,
     worth: f64,
     long: bool,
+    rank: u32,
+    prompt_by: Option<Instant>,
     deadline: Instant,
 }
 
@@ -154,9 +165,12 @@
             self.run(ticket, call.kind, call.long, now);
             return (Entered::Running(ticket), released);
         }
+        if self.would_be_late(call, now) && self.late_count(now) >= self.late_max_count() {
+            return (Entered::Refused(NotRunReason::Overloaded), released);
+        }
         if self.waiting.len() >= self.limits.queue_max_count() {
             let density = self.times.density(call.kind, call.worth);
-            let Some(shed) = self.least_worth_below(density) else {
+            let Some(shed) = self.least_below(call.rank, density) else {
                 return (Entered::Refused(NotRunReason::Overloaded), released);
             };
             let shed = self.waiting.remove(shed);
@@ -169,6 +183,8 @@
             kind: call.kind.to_owned(),
             worth: call.worth,
             long: call.long,
+            rank: call.rank,
+            prompt_by: call.prompt_by,
             deadline: call.deadline,
         });
         (Entered::Waiting(ticket), released)
@@ -191,7 +207,8 @@
     pub fn fill(&mut self, now: Instant) -> Released {
         let mut released = Released::default();
         self.refuse_late(now, &mut released);
-        while let Some(index) = self.next_to_run() {
+        self.refuse_excess_late(now, &mut released);
+        while let Some(index) = self.next_to_run(now) {
             let call = self.waiting.remove(index);
             self.run(call.ticket, &call.kind, call.long, now);
             released.running.push(call.ticket);
@@ -211,33 +228,110 @@
         });
     }
 
-    fn next_to_run(&self) -> Option<usize> {
-        let mut best: Option<(usize, f64)> = None;
+    /// Refuses the late calls beyond their limit, those of least rank and the newest first.
+    fn refuse_excess_late(&mut self, now: Instant, released: &mut Released) {
+        let late_max_count = self.late_max_count();
+        while self.late_count(now) > late_max_count {
+            let mut last: Option<(usize, u32)> = None;
+            for (index, call) in self.waiting.iter().enumerate() {
+                if self.is_late(call, now) && last.is_none_or(|(_, rank)| call.rank >= rank) {
+                    last = Some((index, call.rank));
+                }
+            }
+            let Some((index, _)) = last else {
+                return;
+            };
+            let refused = self.waiting.remove(index);
+            released
+                .refused
+                .push((refused.ticket, NotRunReason::Overloaded));
+        }
+    }
+
+    fn next_to_run(&self, now: Instant) -> Option<usize> {
+        let mut best: Option<(usize, (u32, bool), f64)> = None;
         for (index, call) in self.waiting.iter().enumerate() {
             if !self.has_slot(call.long) {
                 continue;
             }
+            let place = (call.rank, self.is_late(call, now));
             let density = self.times.density(&call.kind, call.worth);
-            if best.is_none_or(|(_, best_density)| density > best_density) {
-                best = Some((index, density));
+            let better = best.is_none_or(|(_, best_place, best_density)| {
+                place < best_place || (place == best_place && density > best_density)
+            });
+            if better {
+                best = Some((index, place, density));
+            }
+        }
+        best.map(|(index, _, _)| index)
+    }
+
+    /// Returns whether a waiting call would be late though it ran at once.
+    fn is_late(&self, call: &Waiting, now: Instant) -> bool {
+        let Some(prompt_by) = call.prompt_by else {
+            return false;
+        };
+        now + self.times.mean(&call.kind) > prompt_by
+    }
+
+    /// Returns whether a call that enters now is expected to be late behind those that wait.
+    fn would_be_late(&self, call: &CallView<'_>, now: Instant) -> bool {
+        let Some(prompt_by) = call.prompt_by else {
+            return false;
+        };
+        now + self.expected_wait(call.rank, now) + self.times.mean(call.kind) > prompt_by
+    }
+
+    /// Returns how long a call of `rank` is expected to wait for a slot.
+    pub fn expected_wait(&self, rank: u32, now: Instant) -> Duration {
+        let slot_count = self.limits.slot_count.max(1);
+        if self.running.len() < slot_count as usize {
+            return Duration::ZERO;
+        }
+        let mut ahead = Duration::ZERO;
+        for call in &self.waiting {
+            if call.rank <= rank && !self.is_late(call, now) {
+                ahead += self.times.mean(&call.kind);
             }
         }
-        best.map(|(index, _)| index)
+        for call in &self.running {
+            ahead += self.times.mean(&call.kind) / 2;
+        }
+        ahead / slot_count
+    }
+
+    fn late_count(&self, now: Instant) -> usize {
+        let mut late_count = 0;
+        for call in &self.waiting {
+            late_count += usize::from(self.is_late(call, now));
+        }
+        late_count
+    }
+
+    fn late_max_count(&self) -> usize {
+        (f64::from(self.limits.slot_count) * LATE_PER_SLOT_RATIO).ceil() as usize
     }
 
-    fn least_worth_below(&self, density: f64) -> Option<usize> {
-        let mut least: Option<(usize, f64)> = None;
+    /// Returns the waiting call that gives way to one of `rank` and `density`, if any does: of the
+    /// last rank the one of least worth per slot-second.
+    fn least_below(&self, rank: u32, density: f64) -> Option<usize> {
+        let mut least: Option<(usize, u32, f64)> = None;
         for (index, call) in self.waiting.iter().enumerate() {
             let waiting_density = self.times.density(&call.kind, call.worth);
-            if waiting_density >= density {
+            let gives_way = call.rank > rank || (call.rank == rank && waiting_density < density);
+            if !gives_way {
                 continue;
             }
             // Of equals the one that came last is shed.
-            if least.is_none_or(|(_, least_density)| waiting_density <= least_density) {
-                least = Some((index, waiting_density));
+            let worse = least.is_none_or(|(_, least_rank, least_density)| {
+                call.rank > least_rank
+                    || (call.rank == least_rank && waiting_density <= least_density)
+            });
+            if worse {
+                least = Some((index, call.rank, waiting_density));
             }
         }
-        least.map(|(index, _)| index)
+        least.map(|(index, _, _)| index)
     }
 
     fn has_slot(&self, long: bool) -> bool {
--- a/crates/admission/src/estimate.rs
+++ b/crates/admission/src/estimate.rs
@@ -46,11 +46,16 @@
 
     /// Worth per second that the call would hold a slot.
     pub(crate) fn density(&self, kind: &str, worth: f64) -> f64 {
+        worth / self.mean(kind).as_secs_f64().max(1e-6)
+    }
+
+    /// Time that a call of the kind takes on average.
+    pub(crate) fn mean(&self, kind: &str) -> Duration {
         let mean_s = self
             .by_kind
             .get(kind)
             .map_or(UNKNOWN_S, |times| times.mean_s);
-        worth / mean_s.max(1e-6)
+        Duration::from_secs_f64(mean_s)
     }
 
     /// Time that even a fast call of the kind takes, if known.
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -21,6 +21,7 @@
     Outbound,
     SendFailure, //
 };
+use figway_routing::LoadReport;
 use figway_types::{
     FastMap,
     NotRunReason,
@@ -67,10 +68,17 @@
         }
     }
 
-    /// Returns the calls that run and wait, per slot.
-    pub(crate) fn busy_ratio(&self) -> f64 {
+    /// Returns the load beside the target, with the wait of a call of `rank`.
+    pub(crate) fn report(&self, rank: u32) -> LoadReport {
         let gate = self.gate.lock().expect("no holder panics");
-        gate.admission.as_ref().map_or(0.0, Admission::busy_ratio)
+        let Some(admission) = &gate.admission else {
+            return LoadReport::default();
+        };
+        let wait = admission.expected_wait(rank, Instant::now());
+        LoadReport {
+            busy_ratio: admission.busy_ratio(),
+            wait_ms: wait.as_secs_f64() * 1_000.0,
+        }
     }
 
     /// Returns the calls that run and those that wait.
@@ -184,6 +192,10 @@
     pub(crate) crash_id: Option<u64>,
     /// Whether a byte of the call may have reached a target.
     pub(crate) sent: bool,
+    /// Time in the queue beside the target.
+    pub(crate) waited: Duration,
+    /// Time at the target.
+    pub(crate) ran: Duration,
 }
 
 impl AdmittedFate {
@@ -193,6 +205,8 @@
             fate: Fate::NotRun(reason),
             crash_id: None,
             sent: false,
+            waited: Duration::ZERO,
+            ran: Duration::ZERO,
         }
     }
 
@@ -202,6 +216,8 @@
             fate,
             crash_id: None,
             sent: true,
+            waited: Duration::ZERO,
+            ran: Duration::ZERO,
         }
     }
 }
@@ -220,6 +236,8 @@
         kind: call.kind,
         worth: call.worth,
         long: call.long,
+        rank: call.rank,
+        prompt_by: call.prompt_by,
         deadline: call.deadline,
     };
     let limits = limits_of(plane, &target);
@@ -228,16 +246,21 @@
         Ok(slot) => slot,
         Err(reason) => {
             let (running_count, waiting_count) = plane.gate.counts();
-            log::info!(
-                "call refused request={} kind={} why={} running={running_count} \
+            if plane.lines.keeps(call.request_id, true) {
+                log::info!(
+                    "call refused request={} kind={} why={} running={running_count} \
                  waiting={waiting_count} slots={} waited_ms={} left_ms={}",
-                call.request_id,
-                call.kind,
-                reason.name(),
-                target.slot_count,
-                entered_at.elapsed().as_millis(),
-                left_of(call).as_millis(),
-            );
+                    call.request_id,
+                    call.kind,
+                    reason.name(),
+                    target.slot_count,
+                    entered_at.elapsed().as_millis(),
+                    left_of(call).as_millis(),
+                );
+            }
+            plane
+                .metrics
+                .note_admitted("not-run", reason.name(), entered_at.elapsed());
             return AdmittedFate::not_sent(reason);
         }
     };
@@ -252,9 +275,31 @@
     if plane.target_watch.has_left(Instant::now()) {
         return AdmittedFate::not_sent(NotRunReason::Draining);
     }
+    let started_at = Instant::now();
     let ended = run_at_target(worker, call, &target).await;
     slot.answered = matches!(ended.fate, Fate::Answered(_));
-    ended
+    plane.metrics.note_admitted(
+        ended.fate.name(),
+        ended.fate.reason(),
+        started_at.saturating_duration_since(entered_at),
+    );
+    if plane.lines.keeps(call.request_id, false) {
+        log::info!(
+            "call run request={} kind={} instance={} outcome={} why={} waited_ms={} ran_ms={}",
+            call.request_id,
+            call.kind,
+            target.instance,
+            ended.fate.name(),
+            ended.fate.reason(),
+            started_at.saturating_duration_since(entered_at).as_millis(),
+            started_at.elapsed().as_millis(),
+        );
+    }
+    AdmittedFate {
+        waited: started_at.saturating_duration_since(entered_at),
+        ran: started_at.elapsed(),
+        ..ended
+    }
 }
 
 fn left_of(call: &Admitted<'_>) -> Duration {
@@ -289,6 +334,7 @@
         echo: plane.interface.echo(),
         idempotent: call.idempotent,
     };
+    let _running = plane.begin_run(call.request_id);
     match worker.targets.send(&outbound).await {
         Ok(answer) => match plane.interface.not_run(&answer) {
             Some(reason) => {
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -13,7 +13,8 @@
 };
 use figway_routing::{
     Distance,
-    LoadReport, //
+    LoadReport,
+    Spent, //
 };
 use figway_types::{
     NodeId,
@@ -36,6 +37,7 @@
     DataPlane,
     Worker, //
 };
+use crate::story::Step;
 
 /// Makes one attempt. Dropping the future gives the attempt up and frees all that it holds.
 pub(crate) async fn attempt(worker: &Worker, call: &Call<'_>, entry: &ShareEntry) -> AdmittedFate {
@@ -48,7 +50,17 @@
         hand_over(worker, call, entry).await
     };
     let took = tracked.finish();
-    note_end(plane, call, node_id, &ended.fate, took);
+    note_end(plane, call, entry, &ended, took);
+    call.story.borrow_mut().push(Step::Ended {
+        outcome: ended.fate.name(),
+        reason: ended.fate.reason(),
+        status: match &ended.fate {
+            Fate::Answered(answer) => answer.status,
+            Fate::NotRun(_) | Fate::Unknown(_) => 0,
+        },
+        took_ms: took.as_millis(),
+        waited_ms: ended.waited.as_millis(),
+    });
     if let Some(crash_id) = ended.crash_id {
         let now = Instant::now();
         plane
@@ -59,12 +71,28 @@
     ended
 }
 
-fn note_end(plane: &DataPlane, call: &Call<'_>, node_id: &NodeId, fate: &Fate, took: Duration) {
+fn note_end(
+    plane: &DataPlane,
+    call: &Call<'_>,
+    entry: &ShareEntry,
+    ended: &AdmittedFate,
+    took: Duration,
+) {
     let now = Instant::now();
     let rule = &call.rule;
-    match fate {
-        Fate::Answered(_) => {
-            plane.loads().note_latency(node_id, took, now);
+    let node_id = &entry.member.node_id;
+    match &ended.fate {
+        Fate::Answered(answer) => {
+            let spent = Spent {
+                took_ms: as_ms(took),
+                waited_ms: as_ms(ended.waited),
+                ran_ms: as_ms(ended.ran),
+                way_ms: entry.round_trip_us / 1_000.0,
+            };
+            let mut loads = plane.loads();
+            loads.note_latency(node_id, took, now);
+            loads.note_spent(node_id, rule.name, spent, answer.body.len(), now);
+            drop(loads);
             let limits = &rule.profile.limits;
             plane
                 .retries
@@ -72,7 +100,7 @@
         }
         Fate::Unknown(_) => plane.loads().note_latency(node_id, took, now),
         Fate::NotRun(NotRunReason::Overloaded) => {
-            plane.loads().note_refused(node_id, now);
+            plane.loads().note_overloaded(node_id, now);
             plane.retries.note_overload(rule.service);
         }
         Fate::NotRun(
@@ -85,6 +113,10 @@
     }
 }
 
+fn as_ms(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
+
 async fn hand_over(worker: &Worker, call: &Call<'_>, entry: &ShareEntry) -> AdmittedFate {
     let left = call.deadline.saturating_duration_since(Instant::now());
     // The rest of a millisecond stays here, so that the peer gives up first.
@@ -110,10 +142,12 @@
             AdmittedFate::not_sent(NotRunReason::Unreachable)
         }
         Err(SendFailure::Broken(why)) => {
-            log::warn!(
-                "peer broke off request={} node={node_id} why={why}",
-                call.request_id
-            );
+            if worker.plane.lines.keeps(call.request_id, true) {
+                log::warn!(
+                    "peer broke off request={} node={node_id} why={why}",
+                    call.request_id
+                );
+            }
             worker.plane.loads().note_refused(node_id, Instant::now());
             AdmittedFate::sent(Fate::Unknown("peer-broken"))
         }
@@ -132,6 +166,14 @@
     onward.push(headers::ADMIT_KIND, rule.name);
     onward.push(headers::ADMIT_SERVICE, rule.service);
     onward.push(headers::ADMIT_WORTH, rule.worth.to_string());
+    onward.push(headers::ADMIT_RANK, rule.rank.to_string());
+    if let Some(prompt_by) = call.prompt_by {
+        let prompt_left = prompt_by.saturating_duration_since(Instant::now());
+        onward.push(
+            headers::ADMIT_PROMPT_MS,
+            prompt_left.as_millis().to_string(),
+        );
+    }
     if rule.long {
         onward.push(headers::ADMIT_LONG, "true");
     }
@@ -149,13 +191,18 @@
 }
 
 fn read_answer(plane: &DataPlane, node_id: &NodeId, mut answer: Answer) -> AdmittedFate {
-    if let Some(busy_ratio) = answer
-        .header(headers::BUSY)
-        .and_then(|busy| busy.parse().ok())
-    {
-        let report = LoadReport { busy_ratio };
+    let number = |name| answer.header(name).and_then(|value| value.parse().ok());
+    if let (Some(busy_ratio), Some(wait_ms)) = (number(headers::BUSY), number(headers::WAIT_MS)) {
+        let report = LoadReport {
+            busy_ratio,
+            wait_ms,
+        };
         plane.loads().note_report(node_id, report, Instant::now());
     }
+    let (waited, ran) = answer
+        .header(headers::SPENT_MS)
+        .and_then(read_spent)
+        .unwrap_or_default();
     let crash_id = answer
         .header(headers::CRASH_ID)
         .and_then(|id| u64::from_str_radix(id, 16).ok());
@@ -179,9 +226,17 @@
         fate,
         crash_id,
         sent,
+        waited,
+        ran,
     }
 }
 
+fn read_spent(text: &str) -> Option<(Duration, Duration)> {
+    let (waited, ran) = text.split_once(',')?;
+    let read = |ms: &str| Duration::try_from_secs_f64(ms.parse::<f64>().ok()? / 1_000.0).ok();
+    Some((read(waited)?, read(ran)?))
+}
+
 fn reason_of(answer: &Answer) -> NotRunReason {
     let named = answer.header(headers::REASON).unwrap_or("");
     for reason in NotRunReason::ALL {
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -1,5 +1,6 @@
 //! A call on its way through a node.
 
+use std::cell::RefCell;
 use std::time::Instant;
 
 use figway_http::{
@@ -17,6 +18,8 @@
 };
 use ntex::util::Bytes;
 
+use crate::story::Step;
+
 /// How calls of one kind are treated: a request kind of a profile, or a route of the route table.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Rule<'a> {
@@ -32,6 +35,10 @@
     pub(crate) worth: f64,
     /// Whether a call is long work, which may not take all slots.
     pub(crate) long: bool,
+    /// Rank at the target, 0 is served first.
+    pub(crate) rank: u32,
+    /// Time within which an answer has its full worth, in milliseconds.
+    pub(crate) prompt_ms: Option<u64>,
     /// Targets to which one call may be sent.
     pub(crate) attempt_max_count: usize,
     /// Profile that the service follows.
@@ -48,6 +55,13 @@
 /// Worth of a route of priority 0; each rank below has half of the one before.
 const ROUTE_WORTH: f64 = 1.0;
 
+/// Rank of routes of priority 0. Calls that targets make while they run others come before all
+/// routes, since the slot of their parent is held meanwhile.
+const OUTER_RANK: u32 = 1;
+
+/// Rank of calls that targets make while they run others.
+pub(crate) const NESTED_RANK: u32 = 0;
+
 impl<'a> Rule<'a> {
     /// Reads the rule of a profile's request kind.
     pub(crate) fn of_kind(
@@ -64,6 +78,8 @@
             idempotent: kind.idempotent,
             worth: kind.worth,
             long: kind.long,
+            rank: 0,
+            prompt_ms: None,
             attempt_max_count: KIND_ATTEMPT_MAX_COUNT,
             profile,
             profile_name,
@@ -87,6 +103,8 @@
             idempotent: route.idempotent,
             worth: ROUTE_WORTH * 0.5_f64.powi(route.priority.min(60) as i32),
             long: false,
+            rank: OUTER_RANK + route.priority,
+            prompt_ms: Some(route.prompt_ms),
             attempt_max_count: route.attempt_max_count.max(1) as usize,
             profile,
             profile_name,
@@ -99,6 +117,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Call<'a> {
     pub(crate) request_id: &'a str,
+    /// What happened so far.
+    pub(crate) story: &'a RefCell<Vec<Step>>,
+    /// When the request came in.
+    pub(crate) arrived_at: Instant,
     pub(crate) rule: Rule<'a>,
     pub(crate) method: &'a str,
     pub(crate) path: &'a str,
@@ -107,6 +129,8 @@
     pub(crate) body: &'a Bytes,
     /// Service on whose host the call began.
     pub(crate) origin: &'a str,
+    /// When an answer loses part of its worth.
+    pub(crate) prompt_by: Option<Instant>,
     pub(crate) deadline: Instant,
     pub(crate) fingerprint: Fingerprint,
 }
@@ -120,6 +144,8 @@
     pub(crate) idempotent: bool,
     pub(crate) worth: f64,
     pub(crate) long: bool,
+    pub(crate) rank: u32,
+    pub(crate) prompt_by: Option<Instant>,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) method: &'a str,
     pub(crate) path: &'a str,
@@ -138,6 +164,8 @@
             idempotent: call.rule.idempotent,
             worth: call.rule.worth,
             long: call.rule.long,
+            rank: call.rule.rank,
+            prompt_by: call.prompt_by,
             fingerprint: call.fingerprint,
             method: call.method,
             path: call.path,
--- a/crates/dataplane/src/front.rs
+++ b/crates/dataplane/src/front.rs
@@ -1,6 +1,7 @@
 //! Handlers of the node's listeners: callers, and all that come to its own call address.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use figway_http::{
@@ -19,7 +20,10 @@
     is_handed_over,
     take_handed_over, //
 };
-use crate::plane::Worker;
+use crate::plane::{
+    DataPlane,
+    Worker, //
+};
 use crate::proxy::{
     serve_call,
     Incoming, //
@@ -113,6 +117,43 @@
     }
 }
 
+/// Serves counters and histograms as text, `GET /metrics`.
+pub struct MetricsFront {
+    plane: Arc<DataPlane>,
+}
+
+impl MetricsFront {
+    /// Serves the metrics of `plane`.
+    pub fn new(plane: &Arc<DataPlane>) -> Self {
+        Self {
+            plane: Arc::clone(plane),
+        }
+    }
+}
+
+impl Handler for MetricsFront {
+    fn handle(&self, request: Request) -> LocalBoxFuture<'_, Answer> {
+        let answer = if request.path == "/metrics" {
+            let mut answer = Answer::of_status(200);
+            answer.headers.push("content-type", "text/plain");
+            answer.body = self.plane.render_metrics().into();
+            answer
+        } else {
+            Answer::of_status(404)
+        };
+        Box::pin(std::future::ready(answer))
+    }
+
+    fn limits(&self) -> ServerLimits {
+        ServerLimits {
+            head_max_bytes: PEER_HEAD_MAX_BYTES,
+            body_max_bytes: 0,
+            request_max_ms: PEER_REQUEST_MAX_MS,
+            idle_max_ms: PEER_IDLE_MAX_MS,
+        }
+    }
+}
+
 async fn take_call(worker: &Worker, request: &Request) -> Answer {
     let plane = &worker.plane;
     let _in_flight = plane.begin_call();
@@ -141,9 +182,6 @@
         deadline: budget.and_then(|budget| request.arrived_at.checked_add(budget)),
     };
     let fate = serve_call(worker, &incoming).await;
-    plane
-        .metrics
-        .note_call(fate.name(), request.arrived_at.elapsed());
     let retry_after = retry_after(&fate);
     interface.write(Reply {
         request_id,
--- a/crates/dataplane/src/headers.rs
+++ b/crates/dataplane/src/headers.rs
@@ -52,4 +52,19 @@
 pub(crate) const SENT: &str = "x-figway-sent";
 
 /// Names that an answer between two nodes bears beside those of the target's answer.
-pub(crate) const BETWEEN_NODES: [&str; 6] = [OUTCOME, REASON, REQUEST_ID, BUSY, CRASH_ID, SENT];
+pub(crate) const BETWEEN_NODES: [&str; 8] = [
+    OUTCOME, REASON, REQUEST_ID, BUSY, CRASH_ID, SENT, WAIT_MS, SPENT_MS,
+];
+
+/// How long a call would wait for a slot beside the answering target, in milliseconds.
+pub(crate) const WAIT_MS: &str = "x-figway-wait-ms";
+
+/// How long an answered call waited beside the target and ran there, in milliseconds, with a comma.
+pub(crate) const SPENT_MS: &str = "x-figway-spent-ms";
+
+/// Rank of a call that is handed over.
+pub(crate) const ADMIT_RANK: &str = "x-figway-admit-rank";
+
+/// Time that is left until the answer to a call that is handed over loses part of its worth, in
+/// milliseconds.
+pub(crate) const ADMIT_PROMPT_MS: &str = "x-figway-admit-prompt-ms";
--- a/crates/dataplane/src/interface.rs
+++ b/crates/dataplane/src/interface.rs
@@ -52,6 +52,9 @@
     /// Returns the id that the caller gave.
     fn request_id<'a>(&self, request: &'a Request) -> Option<&'a str>;
 
+    /// Returns the id of the call during which a target made this one, if the request tells.
+    fn parent_id<'a>(&self, request: &'a Request) -> Option<&'a str>;
+
     /// Returns whether a request without an id is refused; else it is given one.
     fn requires_id(&self) -> bool;
 
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -20,7 +20,9 @@
 mod plane;
 mod proxy;
 mod retry;
+mod story;
 mod target_watch;
+mod trace;
 
 pub use call::{
     Fate,
@@ -28,6 +30,7 @@
 };
 pub use front::{
     CallerFront,
+    MetricsFront,
     NodeFront, //
 };
 pub use interface::{
--- a/crates/dataplane/src/metrics.rs
+++ b/crates/dataplane/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Metrics over statsd.
+//! Counters and histograms of calls.
 
 use std::time::Duration;
 
@@ -8,41 +8,59 @@
     StatsdClient,
     Timed as _, //
 };
+use figway_metrics::Registry;
 
-/// Sends metrics, if an address is set.
-#[derive(Default)]
+/// Metrics of one node.
 pub(crate) struct Metrics {
-    statsd: Option<StatsdClient>,
+    registry: Registry,
+    client: StatsdClient,
 }
 
-impl Metrics {
-    pub(crate) fn new(statsd: Option<StatsdClient>) -> Self {
-        Self { statsd }
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::default();
+        let client = registry.client("figway");
+        Self { registry, client }
     }
+}
 
-    /// Counts a call by its outcome and times it.
-    pub(crate) fn note_call(&self, outcome: &str, took: Duration) {
-        let Some(statsd) = &self.statsd else {
-            return;
-        };
-        statsd
+impl Metrics {
+    /// Counts a call by its kind and outcome and times it.
+    pub(crate) fn note_call(&self, kind: &str, outcome: &str, reason: &str, took: Duration) {
+        self.client
             .count_with_tags("calls", 1)
+            .with_tag("kind", kind)
+            .with_tag("outcome", outcome)
+            .with_tag("why", reason)
+            .send();
+        self.client
+            .time_with_tags("call_time_ms", took)
+            .with_tag("kind", kind)
+            .send();
+    }
+
+    /// Counts a call that the target beside the node was asked to run.
+    pub(crate) fn note_admitted(&self, outcome: &str, reason: &str, waited: Duration) {
+        self.client
+            .count_with_tags("admitted", 1)
             .with_tag("outcome", outcome)
+            .with_tag("why", reason)
             .send();
-        statsd.time_with_tags("call_time", took).send();
+        self.client.time_with_tags("queue_time_ms", waited).send();
     }
 
     /// Counts an event.
     pub(crate) fn count(&self, name: &str) {
-        if let Some(statsd) = &self.statsd {
-            statsd.count_with_tags(name, 1).send();
-        }
+        self.client.count_with_tags(name, 1).send();
+    }
+
+    /// Sets what is read off the node when it is asked for its metrics.
+    pub(crate) fn set(&self, name: &str, value: u64) {
+        self.client.gauge_with_tags(name, value).send();
     }
 
-    /// Reports the calls per slot beside the target.
-    pub(crate) fn note_busy(&self, busy_ratio: f64) {
-        if let Some(statsd) = &self.statsd {
-            statsd.gauge_with_tags("busy_ratio", busy_ratio).send();
-        }
+    /// Writes all metrics as text.
+    pub(crate) fn render(&self) -> String {
+        self.registry.render()
     }
 }
--- a/crates/dataplane/src/native.rs
+++ b/crates/dataplane/src/native.rs
@@ -37,6 +37,10 @@
         Some(id)
     }
 
+    fn parent_id<'a>(&self, _: &'a Request) -> Option<&'a str> {
+        None
+    }
+
     fn requires_id(&self) -> bool {
         false
     }
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -7,6 +7,7 @@
     Headers,
     Request, //
 };
+use figway_routing::LoadReport;
 use figway_types::{
     Fingerprint,
     NotRunReason, //
@@ -30,8 +31,10 @@
 
 /// Admits a call that a peer hands over.
 pub(crate) async fn take_handed_over(worker: &Worker, request: &Request) -> Answer {
+    let mut rank = 0;
     let ended = match read(request) {
         Some(call) => {
+            rank = call.rank;
             let onward = onward_headers(request);
             let call = Admitted {
                 headers: &onward,
@@ -44,14 +47,14 @@
             AdmittedFate::not_sent(NotRunReason::NoRoute)
         }
     };
-    let busy_ratio = worker.plane.gate.busy_ratio();
-    worker.plane.metrics.note_busy(busy_ratio);
-    write(ended, busy_ratio)
+    let report = worker.plane.gate.report(rank);
+    write(ended, report)
 }
 
 fn read(request: &Request) -> Option<Admitted<'_>> {
     let header = |name| request.headers.get(name);
     let budget_ms: u64 = header(headers::BUDGET_MS)?.parse().ok()?;
+    let prompt_ms: Option<u64> = header(headers::ADMIT_PROMPT_MS).and_then(|ms| ms.parse().ok());
     let fingerprint = u64::from_str_radix(header(headers::ADMIT_FINGERPRINT)?, 16).ok()?;
     Some(Admitted {
         request_id: header(headers::REQUEST_ID)?,
@@ -60,6 +63,8 @@
         idempotent: header(headers::ADMIT_IDEMPOTENT) == Some("true"),
         worth: header(headers::ADMIT_WORTH)?.parse().ok()?,
         long: header(headers::ADMIT_LONG) == Some("true"),
+        rank: header(headers::ADMIT_RANK)?.parse().ok()?,
+        prompt_by: prompt_ms.map(|ms| request.arrived_at + Duration::from_millis(ms)),
         fingerprint: Fingerprint(fingerprint),
         method: &request.method,
         path: &request.path,
@@ -80,7 +85,7 @@
     onward
 }
 
-fn write(ended: AdmittedFate, busy_ratio: f64) -> Answer {
+fn write(ended: AdmittedFate, report: LoadReport) -> Answer {
     let outcome = ended.fate.name();
     let reason = ended.fate.reason();
     let mut answer = match ended.fate {
@@ -97,7 +102,15 @@
     }
     answer
         .headers
-        .push(headers::BUSY, format!("{busy_ratio:.3}"));
+        .push(headers::BUSY, format!("{:.3}", report.busy_ratio));
+    answer
+        .headers
+        .push(headers::WAIT_MS, format!("{:.1}", report.wait_ms));
+    if outcome == "answered" {
+        let (waited, ran) = (ended.waited.as_secs_f64(), ended.ran.as_secs_f64());
+        let spent = format!("{:.1},{:.1}", waited * 1_000.0, ran * 1_000.0);
+        answer.headers.push(headers::SPENT_MS, spent);
+    }
     if let Some(crash_id) = ended.crash_id {
         answer
             .headers
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -25,18 +25,22 @@
 use figway_http::{
     ClientLimits,
     HttpClient,
+    Request,
     ServerPhase,
     Transport, //
 };
 use figway_profile::Profile;
 use figway_routing::{
+    LeastLoss,
     LoadBook,
     SplitBook,
     TargetPicker,
+    TransitPrices,
     TwoChoices, //
 };
 use figway_types::{
     Announcement,
+    FastSet,
     Member, //
 };
 use tokio::sync::watch;
@@ -52,6 +56,7 @@
     Heard,
     TargetWatch, //
 };
+use crate::trace::LineBudget;
 
 /// Idle time after which a connection to a target is not used again, in milliseconds; targets that
 /// close earlier say so.
@@ -96,8 +101,8 @@
     announce_every: Duration,
     shared_retry_burst_count: Option<f64>,
     default_profile: Profile,
+    transit_prices: TransitPrices,
     grace: Option<Duration>,
-    statsd: Option<cadence::StatsdClient>,
 }
 
 impl DataPlaneBuilder {
@@ -115,8 +120,11 @@
             announce_every: Duration::from_millis(1_700),
             shared_retry_burst_count: None,
             default_profile: Profile::default(),
+            transit_prices: TransitPrices {
+                region_per_kb: 0.03,
+                far_per_kb: 0.11,
+            },
             grace: None,
-            statsd: None,
         }
     }
 
@@ -174,15 +182,15 @@
         self
     }
 
-    /// Sets the time between a stop request and the end of the process.
-    pub fn grace(mut self, grace: Duration) -> Self {
-        self.grace = Some(grace);
+    /// Sets the price of bytes between zones and regions.
+    pub fn transit_prices(mut self, prices: TransitPrices) -> Self {
+        self.transit_prices = prices;
         self
     }
 
-    /// Sets where metrics go.
-    pub fn statsd(mut self, statsd: Option<cadence::StatsdClient>) -> Self {
-        self.statsd = statsd;
+    /// Sets the time between a stop request and the end of the process.
+    pub fn grace(mut self, grace: Duration) -> Self {
+        self.grace = Some(grace);
         self
     }
 
@@ -198,15 +206,18 @@
             retries: RetryBook::new(self.shared_retry_burst_count),
             target_watch: TargetWatch::new(self.announce_every),
             outcomes,
-            metrics: Metrics::new(self.statsd),
+            metrics: Metrics::default(),
+            lines: LineBudget::default(),
             draining: AtomicBool::new(false),
             phase: watch::Sender::new(ServerPhase::Open),
+            running_ids: Mutex::default(),
             in_flight_count: AtomicUsize::new(0),
             body_max_bytes: self.body_max_bytes,
             connection_max_count: self.connection_max_count,
             origin: Mutex::new(self.origin),
             target_address: self.target_address,
             default_profile: self.default_profile,
+            transit_prices: self.transit_prices,
             grace: self.grace,
             mesh: self.mesh,
         })
@@ -224,14 +235,17 @@
     pub(crate) target_watch: TargetWatch,
     pub(crate) outcomes: Arc<Outcomes>,
     pub(crate) metrics: Metrics,
+    pub(crate) lines: LineBudget,
     draining: AtomicBool,
     phase: watch::Sender<ServerPhase>,
+    running_ids: Mutex<FastSet<String>>,
     in_flight_count: AtomicUsize,
     pub(crate) body_max_bytes: usize,
     connection_max_count: usize,
     origin: Mutex<String>,
     target_address: Option<String>,
     default_profile: Profile,
+    transit_prices: TransitPrices,
     grace: Option<Duration>,
 }
 
@@ -252,6 +266,25 @@
         !self.is_draining() && (view.routes.version > 0 || !view.services.is_empty())
     }
 
+    /// Returns whether the target beside this node made the request while it runs another.
+    pub(crate) fn is_nested(&self, request: &Request) -> bool {
+        let Some(parent_id) = self.interface.parent_id(request) else {
+            return false;
+        };
+        let running = self.running_ids.lock().expect("no holder panics");
+        running.contains(parent_id)
+    }
+
+    /// Notes that the target beside this node runs a call, until the guard drops.
+    pub(crate) fn begin_run(&self, request_id: &str) -> RunningId<'_> {
+        let mut running = self.running_ids.lock().expect("no holder panics");
+        running.insert(request_id.to_owned());
+        RunningId {
+            plane: self,
+            request_id: request_id.to_owned(),
+        }
+    }
+
     /// Returns the service on whose host this node's callers' calls begin.
     pub(crate) fn origin(&self) -> String {
         self.origin.lock().expect("no holder panics").clone()
@@ -262,6 +295,21 @@
         origin.clone_into(&mut self.origin.lock().expect("no holder panics"));
     }
 
+    /// Returns the node's metrics as text.
+    pub(crate) fn render_metrics(&self) -> String {
+        let view = self.mesh.view();
+        let (running_count, waiting_count) = self.gate.counts();
+        self.metrics.set("running", running_count as u64);
+        self.metrics.set("waiting", waiting_count as u64);
+        self.metrics.set("routes_version", view.routes.version);
+        self.metrics.set("members", view.node_count as u64);
+        self.metrics
+            .set("control_region_bytes", self.mesh.meter().region_bytes());
+        self.metrics
+            .set("control_far_bytes", self.mesh.meter().far_bytes());
+        self.metrics.render()
+    }
+
     /// Returns the profile that `service` follows, or the default, with its name.
     pub(crate) fn profile_of<'a>(
         &'a self,
@@ -356,6 +404,19 @@
     }
 }
 
+/// Id of a call that the target beside the node runs.
+pub(crate) struct RunningId<'a> {
+    plane: &'a DataPlane,
+    request_id: String,
+}
+
+impl Drop for RunningId<'_> {
+    fn drop(&mut self) {
+        let mut running = self.plane.running_ids.lock().expect("no holder panics");
+        running.remove(&self.request_id);
+    }
+}
+
 /// A call that is counted as in flight.
 pub(crate) struct InFlight {
     plane: Arc<DataPlane>,
@@ -374,7 +435,10 @@
     pub(crate) home: Member,
     pub(crate) peers: Box<dyn Transport>,
     pub(crate) targets: Box<dyn Transport>,
+    /// Chooses for calls of a service's request kinds.
     pub(crate) picker: RefCell<Box<dyn TargetPicker>>,
+    /// Chooses for calls of the route table, which state by when an answer has its full worth.
+    pub(crate) route_picker: RefCell<Box<dyn TargetPicker>>,
     pub(crate) splits: RefCell<SplitBook>,
     pub(crate) candidates: RefCell<CandidateCache>,
 }
@@ -398,6 +462,7 @@
             ..limits
         });
         let picker = TwoChoices::new(plane.mesh.random());
+        let route_picker = LeastLoss::new(plane.transit_prices, plane.mesh.random());
         let home = plane.mesh.members().own().clone();
         Rc::new(Self {
             plane,
@@ -405,6 +470,7 @@
             peers: Box::new(peers),
             targets: Box::new(targets),
             picker: RefCell::new(Box::new(picker)),
+            route_picker: RefCell::new(Box::new(route_picker)),
             splits: RefCell::default(),
             candidates: RefCell::default(),
         })
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -1,5 +1,6 @@
 //! Caller's side: route, then attempts within the retry budget until an answer or the deadline.
 
+use std::cell::RefCell;
 use std::time::{
     Duration,
     Instant, //
@@ -10,7 +11,7 @@
     Headers,
     Request, //
 };
-use figway_routing::LoadReport;
+use figway_routing::CallNeed;
 use figway_types::{
     NodeId,
     NotRunReason,
@@ -23,7 +24,8 @@
     Call,
     Fate,
     Rule,
-    LATE, //
+    LATE,
+    NESTED_RANK, //
 };
 use crate::candidates::{
     ShareEntry,
@@ -32,6 +34,10 @@
 use crate::interface::Addressing;
 use crate::keyed::run_keyed;
 use crate::plane::Worker;
+use crate::story::{
+    told,
+    Step, //
+};
 
 /// Targets that one call is offered to at most, those included that turned it away unsent.
 const TRY_MAX_COUNT: usize = 6;
@@ -68,15 +74,21 @@
         Fate::NotRun(
             NotRunReason::NoConfiguration | NotRunReason::NoService | NotRunReason::NoRoute,
         ) => {
-            log::info!(
-                "call not routed request={} to={:?} method={} path={} routes_version={} why={}",
-                incoming.request_id,
-                incoming.addressing,
-                request.method,
-                request.path,
-                view.routes.version,
-                fate.reason(),
-            );
+            let plane = &worker.plane;
+            plane
+                .metrics
+                .note_call("", fate.name(), fate.reason(), request.arrived_at.elapsed());
+            if plane.lines.keeps(incoming.request_id, true) {
+                log::info!(
+                    "call not routed request={} to={:?} method={} path={} routes_version={} why={}",
+                    incoming.request_id,
+                    incoming.addressing,
+                    request.method,
+                    request.path,
+                    view.routes.version,
+                    fate.reason(),
+                );
+            }
         }
         _ => {}
     }
@@ -127,7 +139,7 @@
         return Fate::NotRun(NotRunReason::NoTarget);
     };
     let (profile, profile_name) = worker.plane.profile_of(view, &part.service);
-    let rule = Rule::of_route(
+    let mut rule = Rule::of_route(
         &named.name,
         route,
         &part.service,
@@ -135,6 +147,11 @@
         profile_name,
         view.routes.version,
     );
+    if worker.plane.is_nested(incoming.request) {
+        // Its parent waits for the answer whatever its own objective is.
+        rule.rank = NESTED_RANK;
+        rule.prompt_ms = Some(route.budget_ms);
+    }
     run(worker, incoming, rule, route.budget_ms, None).await
 }
 
@@ -159,14 +176,20 @@
         .deadline
         .unwrap_or(rule_deadline)
         .min(rule_deadline);
+    let story: RefCell<Vec<Step>> = RefCell::default();
     let call = Call {
         request_id: incoming.request_id,
+        story: &story,
         rule,
         method: &request.method,
         path: &request.path,
         headers: incoming.headers,
         body: &request.body,
         origin: incoming.origin,
+        arrived_at: request.arrived_at,
+        prompt_by: rule
+            .prompt_ms
+            .map(|prompt_ms| request.arrived_at + Duration::from_millis(prompt_ms)),
         deadline,
         fingerprint,
     };
@@ -180,16 +203,33 @@
         Ok(fate) => fate,
         Err(_) => Fate::Unknown(LATE),
     };
-    log::info!(
-        "call ended request={} service={} kind={} version={} outcome={} why={} took_ms={}",
-        call.request_id,
-        rule.service,
-        rule.name,
-        rule.version,
-        fate.name(),
-        fate.reason(),
-        request.arrived_at.elapsed().as_millis(),
-    );
+    let took = request.arrived_at.elapsed();
+    let plane = &worker.plane;
+    plane
+        .metrics
+        .note_call(rule.name, fate.name(), fate.reason(), took);
+    let story = story.take();
+    let notable = !is_good(&fate) || story.len() > 1;
+    if plane.lines.keeps(call.request_id, notable) {
+        log::info!(
+            "call ended request={} service={} kind={} version={} origin={} rank={} outcome={} \
+             why={} status={} took_ms={} budget_ms={} tries={}",
+            call.request_id,
+            rule.service,
+            rule.name,
+            rule.version,
+            call.origin,
+            rule.rank,
+            fate.name(),
+            fate.reason(),
+            status_of(&fate),
+            took.as_millis(),
+            deadline
+                .saturating_duration_since(request.arrived_at)
+                .as_millis(),
+            told(&story, rule.profile_name),
+        );
+    }
     fate
 }
 
@@ -235,11 +275,7 @@
         };
         if sent_count > 0 && !retries.try_withdraw(rule.service) {
             worker.plane.metrics.count("retry_refused");
-            log::info!(
-                "retry refused request={} service={} why=budget",
-                call.request_id,
-                rule.service
-            );
+            call.story.borrow_mut().push(Step::NoBudget);
             break;
         }
         tried.push(entry.member.node_id.clone());
@@ -334,6 +370,13 @@
     ended
 }
 
+fn status_of(fate: &Fate) -> u16 {
+    match fate {
+        Fate::Answered(answer) => answer.status,
+        Fate::NotRun(_) | Fate::Unknown(_) => 0,
+    }
+}
+
 fn is_good(fate: &Fate) -> bool {
     matches!(fate, Fate::Answered(answer) if answer.status < FAILED_STATUS)
 }
@@ -356,37 +399,34 @@
     }
     let excluded: Vec<&NodeId> = tried.iter().collect();
     let mut loads = plane.loads();
+    let now = Instant::now();
     // Beside this node the load is known, whoever sent the calls.
-    let own_load = LoadReport {
-        busy_ratio: plane.gate.busy_ratio(),
+    loads.note_report(&home.node_id, plane.gate.report(rule.rank), now);
+    let mut picker = match call.prompt_by {
+        Some(_) => worker.route_picker.borrow_mut(),
+        None => worker.picker.borrow_mut(),
     };
-    loads.note_report(&home.node_id, own_load, Instant::now());
-    let mut picker = worker.picker.borrow_mut();
-    let picked = picker.pick(&candidates, &excluded, &loads, Instant::now());
+    let need = CallNeed {
+        kind: rule.name,
+        prompt_left: call
+            .prompt_by
+            .unwrap_or(call.deadline)
+            .saturating_duration_since(now),
+        deadline_left: call.deadline.saturating_duration_since(now),
+    };
+    let picked = picker.pick(&need, &candidates, &excluded, &loads, now);
     let Some(picked) = picked else {
-        log::info!(
-            "no target request={} service={} kind={} version={} known={} tried={}",
-            call.request_id,
-            rule.service,
-            rule.name,
-            rule.version,
-            candidates.len(),
-            tried.len(),
-        );
+        call.story.borrow_mut().push(Step::NoTarget {
+            known_count: candidates.len(),
+        });
         return None;
     };
     let entry = share[picked.index].clone();
-    log::info!(
-        "target picked request={} service={} kind={} profile={} version={} target={} why={} \
-         cost_us={:.0}",
-        call.request_id,
-        rule.service,
-        rule.name,
-        rule.profile_name,
-        rule.version,
-        entry.member.node_id,
-        picked.reason,
-        picked.cost_us,
-    );
+    call.story.borrow_mut().push(Step::Picked {
+        target: entry.member.node_id.clone(),
+        reason: picked.reason,
+        cost: picked.cost,
+        at_ms: call.arrived_at.elapsed().as_millis(),
+    });
     Some(entry)
 }
--- /dev/null
+++ b/crates/dataplane/src/story.rs
@@ -0,0 +1,61 @@
+//! What happened to a call on its way, for its log line.
+
+use std::fmt::Write as _;
+
+use figway_types::NodeId;
+
+/// One step of a call.
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    /// A target was picked.
+    Picked {
+        target: NodeId,
+        reason: &'static str,
+        cost: f64,
+        /// Time since the call arrived, in milliseconds.
+        at_ms: u128,
+    },
+    /// An attempt ended.
+    Ended {
+        outcome: &'static str,
+        reason: &'static str,
+        status: u16,
+        took_ms: u128,
+        waited_ms: u128,
+    },
+    /// No target was left.
+    NoTarget { known_count: usize },
+    /// The retry budget was used up.
+    NoBudget,
+}
+
+/// Writes the steps in one field.
+pub(crate) fn told(story: &[Step], profile_name: &str) -> String {
+    let mut text = format!("profile:{profile_name}");
+    for step in story {
+        let written = match step {
+            Step::Picked {
+                target,
+                reason,
+                cost,
+                at_ms,
+            } => write!(text, "; at {at_ms} ms {target} ({reason}, cost {cost:.3})"),
+            Step::Ended {
+                outcome,
+                reason,
+                status,
+                took_ms,
+                waited_ms,
+            } => write!(
+                text,
+                ": {outcome} {reason} status {status} after {took_ms} ms, {waited_ms} ms queued"
+            ),
+            Step::NoTarget { known_count } => {
+                write!(text, "; no target left of {known_count}")
+            }
+            Step::NoBudget => write!(text, "; retry budget used up"),
+        };
+        written.expect("a String takes all text");
+    }
+    text
+}
--- a/crates/figway/src/cmd/node.rs
+++ b/crates/figway/src/cmd/node.rs
@@ -22,6 +22,7 @@
     CallerFront,
     DataPlane,
     DataPlaneBuilder,
+    MetricsFront,
     NodeFront,
     Worker, //
 };
@@ -126,7 +127,7 @@
 
     let own = own_member(settings, call_address.to_string()).await?;
     let control = start_control(settings, own, control_listener).await?;
-    let plane = start_data(settings, &control)?;
+    let plane = start_data(settings, &control);
     let worker = Worker::new(Arc::clone(&plane));
     let node_front = NodeFront::new(Rc::clone(&worker), settings.platform.is_none());
     let start = |listener: TcpListener, handler: Rc<dyn Handler>| {
@@ -145,13 +146,15 @@
         );
     }
     tokio::task::spawn_local(Arc::clone(&plane).watch_target());
+    if let Some(address) = settings.metrics_address {
+        start(listen(address).await?, Rc::new(MetricsFront::new(&plane)));
+    }
     log::info!(
         "node started node={} zone={} call={call_address} control={control_address} took_ms={}",
         settings.node,
         settings.zone,
         started_at.elapsed().as_millis(),
     );
-    println!(r#"{{"call":"{call_address}","control":"{control_address}"}}"#);
 
     tokio::select! {
         result = wait_for_stop() => result?,
@@ -161,7 +164,7 @@
     control.leave().await;
     tokio::time::sleep(FAREWELL).await;
     log::info!("node stopped node={}", settings.node);
-    log::logger().flush();
+    logger::finish();
     Ok(())
 }
 
@@ -261,20 +264,15 @@
     kept.unwrap_or(settings.log.retention_ms)
 }
 
-fn start_data(settings: &NodeSettings, control: &ControlPlane) -> anyhow::Result<Arc<DataPlane>> {
-    let statsd = match settings.statsd_address {
-        Some(address) => Some(logger::statsd_client(&settings.node, address)?),
-        None => None,
-    };
+fn start_data(settings: &NodeSettings, control: &ControlPlane) -> Arc<DataPlane> {
     let mut builder = DataPlaneBuilder::new(Arc::clone(&control.mesh), control.agent.clone())
         .body_max_bytes(settings.calls.body_max_bytes)
         .connection_max_count(settings.calls.connection_max_count)
-        .remember_ms(settings.claims.remember_ms)
-        .statsd(statsd);
+        .remember_ms(settings.claims.remember_ms);
     if let Some(platform) = &settings.platform {
         builder = on_platform(builder, platform);
     }
-    Ok(builder.build())
+    builder.build()
 }
 
 fn on_platform(builder: DataPlaneBuilder, platform: &PlatformSettings) -> DataPlaneBuilder {
--- a/crates/figway/src/logger.rs
+++ b/crates/figway/src/logger.rs
@@ -1,74 +1,112 @@
-//! Log lines and metrics, as the settings ask for them.
+//! Log lines as JSON, as the settings ask for them.
+//!
+//! Messages are an event and fields, `call ended request=9c41 outcome=answered`; each field becomes a
+//! key of the line.
 
-use std::net::{
-    SocketAddr,
-    UdpSocket, //
-};
 use std::str::FromStr as _;
-use std::time::SystemTime;
+use std::sync::OnceLock;
+use std::time::{
+    Duration,
+    Instant,
+    SystemTime, //
+};
 
 use anyhow::Context as _;
-use cadence::{
-    QueuingMetricSink,
-    StatsdClient,
-    UdpMetricSink, //
-};
 use figway_settings::OutputSettings;
 use log::LevelFilter;
+use serde_json::{
+    Map,
+    Value, //
+};
+
+use crate::line_queue::LineQueue;
+
+/// Longest wait for the last lines when the process ends.
+const DRAIN_MAX: Duration = Duration::from_millis(500);
 
-/// Starts writing log lines to the standard error.
+static QUEUE: OnceLock<LineQueue> = OnceLock::new();
+
+/// Starts writing log lines to the standard output.
 pub(crate) fn start(settings: &OutputSettings) -> anyhow::Result<()> {
     let level = LevelFilter::from_str(&settings.level).context("could not read the log level")?;
-    let json = settings.json;
-    fern::Dispatch::new()
-        .level(level.min(LevelFilter::Warn))
-        .level_for("figway", level)
-        .level_for("figway_control", level)
-        .level_for("figway_dataplane", level)
-        .level_for("figway_log_client", level)
-        .level_for("figway_profile", level)
-        .format(move |out, message, record| {
-            let at = humantime(SystemTime::now());
-            if json {
-                let line = serde_json::json!({
-                    "at": at,
-                    "level": record.level().as_str(),
-                    "from": record.target(),
-                    "message": message.to_string(),
-                });
-                out.finish(format_args!("{line}"));
-            } else {
-                out.finish(format_args!(
-                    "{at} {:5} {} {message}",
-                    record.level(),
-                    record.target()
-                ));
-            }
-        })
-        .chain(std::io::stderr())
+    let queue = LineQueue::start().context("could not start the log's writer")?;
+    let lines = QUEUE.get_or_init(|| queue).clone();
+    let mut dispatch = fern::Dispatch::new().level(level.min(LevelFilter::Warn));
+    for own in [
+        "figway",
+        "figway_control",
+        "figway_dataplane",
+        "figway_http",
+        "figway_log_client",
+        "figway_platform",
+        "figway_profile",
+    ] {
+        dispatch = dispatch.level_for(own, level);
+    }
+    dispatch
+        .chain(fern::Output::call(move |record| {
+            lines.push(&line_of(record).to_string());
+        }))
         .apply()
         .context("could not start logging")
 }
 
-/// Returns a client that sends metrics from a thread of its own.
-pub(crate) fn statsd_client(node: &str, address: SocketAddr) -> anyhow::Result<StatsdClient> {
-    let socket = UdpSocket::bind(("0.0.0.0", 0)).context("could not open a socket for metrics")?;
-    socket.set_nonblocking(true)?;
-    let sink = UdpMetricSink::from(address, socket).context("could not reach statsd")?;
-    Ok(
-        StatsdClient::builder("figway", QueuingMetricSink::from(sink))
-            .with_tag("node", node)
-            .build(),
-    )
+/// Waits for a moment until all lines are written.
+pub(crate) fn finish() {
+    if let Some(lines) = QUEUE.get() {
+        lines.drain(Instant::now() + DRAIN_MAX);
+    }
 }
 
-fn humantime(at: SystemTime) -> String {
-    let since_epoch = at
+fn line_of(record: &log::Record<'_>) -> Value {
+    let since_epoch = SystemTime::now()
         .duration_since(SystemTime::UNIX_EPOCH)
         .unwrap_or_default();
-    format!(
-        "{}.{:03}",
-        since_epoch.as_secs(),
-        since_epoch.subsec_millis()
-    )
+    let mut line = Map::new();
+    line.insert("at_ms".to_owned(), (since_epoch.as_millis() as u64).into());
+    line.insert("level".to_owned(), record.level().as_str().into());
+    line.insert("from".to_owned(), record.target().into());
+    let message = record.args().to_string();
+    let (event, fields) = split_fields(&message);
+    line.insert("event".to_owned(), event.into());
+    for (name, value) in fields {
+        line.insert(name.to_owned(), value_of(value));
+    }
+    Value::Object(line)
+}
+
+fn value_of(text: &str) -> Value {
+    match text.parse::<i64>() {
+        Ok(number) if number.to_string() == text => number.into(),
+        _ => text.into(),
+    }
+}
+
+/// Splits a message into its event and its fields. A field begins with `name=` after a space; its
+/// value lasts until the next one.
+pub(crate) fn split_fields(message: &str) -> (&str, Vec<(&str, &str)>) {
+    let mut starts = Vec::new();
+    for (index, _) in message.match_indices(' ') {
+        let rest = &message[index + 1..];
+        let name_len = rest
+            .find(|c: char| !c.is_ascii_lowercase() && !c.is_ascii_digit() && c != '_')
+            .unwrap_or(rest.len());
+        if name_len > 0 && rest[name_len..].starts_with('=') {
+            starts.push((index, name_len));
+        }
+    }
+    let event_end = starts.first().map_or(message.len(), |(index, _)| *index);
+    let mut fields = Vec::new();
+    for (place, (index, name_len)) in starts.iter().enumerate() {
+        let end = starts
+            .get(place + 1)
+            .map_or(message.len(), |(next, _)| *next);
+        let name_start = index + 1;
+        let value_start = name_start + name_len + 1;
+        fields.push((
+            &message[name_start..name_start + name_len],
+            &message[value_start..end],
+        ));
+    }
+    (&message[..event_end], fields)
 }
--- a/crates/figway/src/main.rs
+++ b/crates/figway/src/main.rs
@@ -3,6 +3,7 @@
 mod change;
 mod cmd;
 mod flags;
+mod line_queue;
 mod logger;
 mod node_client;
 mod waiting;
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -26,11 +26,38 @@
 /// How fast a latency estimate that gets no samples fades, so that an avoided target is tried again.
 const FADE_PER_SECOND_RATIO: f64 = 0.5;
 
+/// Weight of a new sample of a run time or an answer's size.
+const RAN_WEIGHT: f64 = 0.1;
+
+/// Weight of a new sample of the time that a way takes beyond its round trip.
+const OVERHEAD_WEIGHT: f64 = 0.2;
+
+/// How long a target is thought full after it refused a call for overload.
+const OVERLOADED_HOLD: Duration = Duration::from_millis(120);
+
+/// Wait that is assumed of a target that just refused a call for overload, in milliseconds.
+const OVERLOADED_WAIT_MS: f64 = 400.0;
+
 /// Load that a target's node reports with each answer.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
     /// Calls running and waiting there, per slot.
     pub busy_ratio: f64,
+    /// How long a call would wait for a slot there now, in milliseconds.
+    pub wait_ms: f64,
+}
+
+/// How an answered call spent its time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Spent {
+    /// From the attempt to its answer, in milliseconds.
+    pub took_ms: f64,
+    /// In the queue beside the target, in milliseconds.
+    pub waited_ms: f64,
+    /// At the target, in milliseconds.
+    pub ran_ms: f64,
+    /// Way there and back, in milliseconds.
+    pub way_ms: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -38,15 +65,27 @@
     in_flight_count: u32,
     latency_us: f64,
     sampled_at: Instant,
-    reported_ratio: f64,
+    report: LoadReport,
     report_expires_at: Instant,
+    reported_in_flight_count: u32,
     refused_until: Instant,
+    overloaded_until: Instant,
+    overhead_ms: f64,
+    ran_ms: FastMap<String, f64>,
 }
 
 /// Loads of all targets that a node calls.
 #[derive(Debug, Default)]
 pub struct LoadBook {
     loads: FastMap<NodeId, Load>,
+    kinds: FastMap<String, KindBook>,
+}
+
+/// What is known of a kind over all targets.
+#[derive(Clone, Copy, Debug)]
+struct KindBook {
+    ran_ms: f64,
+    answer_bytes: f64,
 }
 
 impl LoadBook {
@@ -82,10 +121,97 @@
     /// Takes in a load report.
     pub fn note_report(&mut self, target: &NodeId, report: LoadReport, now: Instant) {
         let load = self.load(target, now);
-        load.reported_ratio = report.busy_ratio;
+        load.report = report;
+        load.reported_in_flight_count = load.in_flight_count;
         load.report_expires_at = now + REPORT_LIFE;
     }
 
+    /// Takes in how an answered call spent its time, and the size of its answer.
+    pub fn note_spent(
+        &mut self,
+        target: &NodeId,
+        kind: &str,
+        spent: Spent,
+        answer_bytes: usize,
+        now: Instant,
+    ) {
+        let load = self.load(target, now);
+        let beyond_ms = spent.took_ms - spent.waited_ms - spent.ran_ms - spent.way_ms;
+        load.overhead_ms += OVERHEAD_WEIGHT * (beyond_ms.max(0.0) - load.overhead_ms);
+        load.sampled_at = now;
+        match load.ran_ms.get_mut(kind) {
+            Some(ran_ms) => *ran_ms += RAN_WEIGHT * (spent.ran_ms - *ran_ms),
+            None => {
+                load.ran_ms.insert(kind.to_owned(), spent.ran_ms);
+            }
+        }
+        match self.kinds.get_mut(kind) {
+            Some(book) => {
+                book.ran_ms += RAN_WEIGHT * (spent.ran_ms - book.ran_ms);
+                book.answer_bytes += RAN_WEIGHT * (answer_bytes as f64 - book.answer_bytes);
+            }
+            None => {
+                let book = KindBook {
+                    ran_ms: spent.ran_ms,
+                    answer_bytes: answer_bytes as f64,
+                };
+                self.kinds.insert(kind.to_owned(), book);
+            }
+        }
+    }
+
+    /// Returns the time that calls of the kind take at the target, in milliseconds.
+    pub fn ran_ms(&self, target: &NodeId, kind: &str) -> Option<f64> {
+        self.loads.get(target)?.ran_ms.get(kind).copied()
+    }
+
+    /// Returns the time that calls of the kind take at any target, in milliseconds.
+    pub fn kind_ran_ms(&self, kind: &str) -> Option<f64> {
+        self.kinds.get(kind).map(|book| book.ran_ms)
+    }
+
+    /// Returns the size of the kind's answers, in bytes.
+    pub fn answer_bytes(&self, kind: &str) -> Option<f64> {
+        self.kinds.get(kind).map(|book| book.answer_bytes)
+    }
+
+    /// Returns the time that the way to the target takes beyond its round trip, in milliseconds.
+    pub fn overhead_ms(&self, target: &NodeId, now: Instant) -> f64 {
+        self.loads.get(target).map_or(0.0, |load| {
+            let idle_s = now.saturating_duration_since(load.sampled_at).as_secs_f64();
+            load.overhead_ms * FADE_PER_SECOND_RATIO.powf(idle_s)
+        })
+    }
+
+    /// Returns how long a call that takes `ran_ms` is expected to wait for one of `slot_count` slots
+    /// of the target, in milliseconds.
+    pub fn wait_ms(&self, target: &NodeId, slot_count: u32, ran_ms: f64, now: Instant) -> f64 {
+        let Some(load) = self.loads.get(target) else {
+            return 0.0;
+        };
+        if load.overloaded_until > now {
+            return OVERLOADED_WAIT_MS;
+        }
+        let freshness = load.freshness(now);
+        let slot_ms = ran_ms / f64::from(slot_count.max(1));
+        // Calls that this node sent since the report are not in it yet.
+        let unreported = load
+            .in_flight_count
+            .saturating_sub(load.reported_in_flight_count);
+        let busy = load.report.busy_ratio * freshness
+            + f64::from(unreported) / f64::from(slot_count.max(1));
+        let reported_ms = load.report.wait_ms * freshness;
+        if busy < 1.0 && reported_ms < 1.0 {
+            return 0.0;
+        }
+        reported_ms + f64::from(unreported) * slot_ms
+    }
+
+    /// Notes that the target refused a call for overload.
+    pub fn note_overloaded(&mut self, target: &NodeId, now: Instant) {
+        self.load(target, now).overloaded_until = now + OVERLOADED_HOLD;
+    }
+
     /// Notes that the path to the target, or the target, refused a call.
     pub fn note_refused(&mut self, target: &NodeId, now: Instant) {
         self.load(target, now).refused_until = now + REFUSED_HOLD;
@@ -104,9 +230,7 @@
             return 0.0;
         };
         let own_ratio = f64::from(load.in_flight_count) / f64::from(slot_count.max(1));
-        let life_left = load.report_expires_at.saturating_duration_since(now);
-        let freshness = life_left.as_secs_f64() / REPORT_LIFE.as_secs_f64();
-        own_ratio.max(load.reported_ratio * freshness)
+        own_ratio.max(load.report.busy_ratio * load.freshness(now))
     }
 
     /// Returns the latency that a call is expected to have, 0 if unknown, in microseconds.
@@ -128,9 +252,13 @@
                 in_flight_count: 0,
                 latency_us: 0.0,
                 sampled_at: now,
-                reported_ratio: 0.0,
+                report: LoadReport::default(),
                 report_expires_at: now,
+                reported_in_flight_count: 0,
                 refused_until: now,
+                overloaded_until: now,
+                overhead_ms: 0.0,
+                ran_ms: FastMap::default(),
             };
             self.loads.insert(target.clone(), load);
         }
@@ -139,6 +267,11 @@
 }
 
 impl Load {
+    fn freshness(&self, now: Instant) -> f64 {
+        let life_left = self.report_expires_at.saturating_duration_since(now);
+        life_left.as_secs_f64() / REPORT_LIFE.as_secs_f64()
+    }
+
     fn faded_latency_us(&self, now: Instant) -> f64 {
         let idle_s = now.saturating_duration_since(self.sampled_at).as_secs_f64();
         self.latency_us * FADE_PER_SECOND_RATIO.powf(idle_s)
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -1,6 +1,9 @@
 //! Pick of two by expected latency, nearest targets first.
 
-use std::time::Instant;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use figway_types::{
     mix,
@@ -58,13 +61,24 @@
     pub suspect: bool,
 }
 
+/// What the choice needs to know of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallNeed<'a> {
+    /// Request kind or route.
+    pub kind: &'a str,
+    /// Time until an answer loses part of its worth.
+    pub prompt_left: Duration,
+    /// Time until the caller stops waiting.
+    pub deadline_left: Duration,
+}
+
 /// A pick and why it was made.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Picked {
     /// Index into the candidates.
     pub index: usize,
-    /// Expected latency, in microseconds.
-    pub cost_us: f64,
+    /// What the pick is expected to cost, in the picker's own measure; less is better.
+    pub cost: f64,
     /// Reason for the log line.
     pub reason: &'static str,
 }
@@ -75,6 +89,7 @@
     /// call tried before.
     fn pick(
         &mut self,
+        call: &CallNeed<'_>,
         candidates: &[Candidate<'_>],
         excluded: &[&NodeId],
         loads: &LoadBook,
@@ -112,7 +127,7 @@
             let step = 1 + self.random_below(indexes.len() - 1);
             let second = (first + step) % indexes.len();
             let other = picked(candidates, indexes[second], loads, now);
-            if other.cost_us < best.cost_us {
+            if other.cost < best.cost {
                 best = other;
             }
         }
@@ -123,6 +138,7 @@
 impl TargetPicker for TwoChoices {
     fn pick(
         &mut self,
+        _: &CallNeed<'_>,
         candidates: &[Candidate<'_>],
         excluded: &[&NodeId],
         loads: &LoadBook,
@@ -137,7 +153,7 @@
             let (tier, farther) = rest.split_at(tier_len);
             rest = farther;
             let picked = self.pick_of_two(candidates, tier, loads, now);
-            let better = best.is_none_or(|best| picked.cost_us < best.cost_us);
+            let better = best.is_none_or(|best| picked.cost < best.cost);
             if better {
                 let spilled = best.is_some();
                 best = Some(Picked {
@@ -155,7 +171,7 @@
 
 /// Returns the candidates that take calls: without those that were tried; and without suspects and
 /// those that refused lately, unless no other is left.
-fn usable(
+pub(crate) fn usable(
     candidates: &[Candidate<'_>],
     excluded: &[&NodeId],
     loads: &LoadBook,
@@ -183,13 +199,18 @@
     let candidate = &candidates[index];
     Picked {
         index,
-        cost_us: cost_us(candidate, loads, now),
-        reason: match candidate.distance {
-            Distance::Host => "host",
-            Distance::Zone => "zone",
-            Distance::Region => "region",
-            Distance::Far => "far",
-        },
+        cost: cost_us(candidate, loads, now),
+        reason: distance_name(candidate.distance),
+    }
+}
+
+/// Name of a distance in logs.
+pub(crate) fn distance_name(distance: Distance) -> &'static str {
+    match distance {
+        Distance::Host => "host",
+        Distance::Zone => "zone",
+        Distance::Region => "region",
+        Distance::Far => "far",
     }
 }
 
--- a/crates/routing/tests/full_scan.rs
+++ b/crates/routing/tests/full_scan.rs
@@ -7,6 +7,7 @@
 
 use figway_routing::{
     stable_share,
+    CallNeed,
     Candidate,
     Distance,
     LoadBook,
@@ -18,6 +19,12 @@
 use figway_types::NodeId;
 use proptest::prelude::*;
 
+const NEED: CallNeed<'static> = CallNeed {
+    kind: "lookup",
+    prompt_left: Duration::from_millis(250),
+    deadline_left: Duration::from_millis(600),
+};
+
 #[derive(Clone, Debug)]
 struct Spec {
     distance: u8,
@@ -146,7 +153,7 @@
         let candidates = world.candidates();
         let usable = world.usable();
         for _ in 0..20 {
-            let picked = picker.pick(&candidates, &world.excluded(), &world.loads, world.now);
+            let picked = picker.pick(&NEED, &candidates, &world.excluded(), &world.loads, world.now);
             match picked {
                 Some(picked) => prop_assert!(usable.contains(&picked.index)),
                 None => prop_assert!(usable.is_empty()),
@@ -174,7 +181,7 @@
         };
         let best = cost(0).min(cost(1));
         let mut picker = TwoChoices::new(seed);
-        let picked = picker.pick(&world.candidates(), &[], &world.loads, world.now).unwrap();
+        let picked = picker.pick(&NEED, &world.candidates(), &[], &world.loads, world.now).unwrap();
         prop_assert!((cost(picked.index) - best).abs() < 1e-6);
     }
 
@@ -192,7 +199,7 @@
         let usable = world.usable();
         let nearest = usable.iter().map(|index| world.specs[*index].distance).min();
         let mut picker = TwoChoices::new(seed);
-        let picked = picker.pick(&world.candidates(), &world.excluded(), &world.loads, world.now);
+        let picked = picker.pick(&NEED, &world.candidates(), &world.excluded(), &world.loads, world.now);
         let distance = picked.map(|picked| world.specs[picked.index].distance);
         prop_assert_eq!(distance, nearest);
     }
@@ -249,15 +256,34 @@
         loads.note_latency(&ids[1], Duration::from_millis(10), now);
     }
     // The report of the slow target still says that it has room.
-    loads.note_report(&ids[0], LoadReport { busy_ratio: 0.0 }, now);
+    loads.note_report(
+        &ids[0],
+        LoadReport {
+            busy_ratio: 0.0,
+            wait_ms: 0.0,
+        },
+        now,
+    );
     let mut picker = TwoChoices::new(1);
     for _ in 0..50 {
-        assert_eq!(picker.pick(&candidates, &[], &loads, now).unwrap().index, 1);
+        assert_eq!(
+            picker
+                .pick(&NEED, &candidates, &[], &loads, now)
+                .unwrap()
+                .index,
+            1
+        );
     }
     // Its estimate fades without samples, while the other's is kept up.
     let later = now + Duration::from_secs(8);
     loads.note_latency(&ids[1], Duration::from_millis(10), later);
     loads.note_latency(&ids[1], Duration::from_millis(10), later);
-    let tried = (0..50).any(|_| picker.pick(&candidates, &[], &loads, later).unwrap().index == 0);
+    let tried = (0..50).any(|_| {
+        picker
+            .pick(&NEED, &candidates, &[], &loads, later)
+            .unwrap()
+            .index
+            == 0
+    });
     assert!(tried);
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -35,8 +35,8 @@
     pub calls: CallSettings,
     /// Log lines.
     pub output: OutputSettings,
-    /// Statsd address for metrics; none are sent when absent.
-    pub statsd_address: Option<SocketAddr>,
+    /// Where counters and histograms are served as text; nowhere when absent.
+    pub metrics_address: Option<SocketAddr>,
     /// The users' platform, where the node runs there.
     pub platform: Option<PlatformSettings>,
 }
@@ -112,11 +112,9 @@
     pub connection_max_count: usize,
 }
 
-/// Where log lines go and how they look.
+/// Which log lines are written.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OutputSettings {
     /// Least level that is written.
     pub level: String,
-    /// Whether lines are JSON instead of text.
-    pub json: bool,
 }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -45,7 +45,7 @@
         claims: read_claims(&root.map("claims"), log.retention_ms),
         calls: read_calls(&root.map("calls")),
         output: read_output(&root.map("output")),
-        statsd_address: optional_address(&root.map("metrics"), "statsd"),
+        metrics_address: optional_address(&root.map("metrics"), "address"),
         platform: read_platform(&root),
         log,
     };
@@ -176,6 +176,5 @@
     let levels = ["info", "off", "error", "warn", "debug", "trace"];
     OutputSettings {
         level: reader.choice("level", &levels).to_owned(),
-        json: reader.choice("format", &["text", "json"]) == "json",
     }
 }
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -2,7 +2,8 @@
 
 use std::io::{
     BufRead as _,
-    BufReader, //
+    BufReader,
+    Write as _, //
 };
 use std::path::{
     Path,
@@ -10,6 +11,7 @@
 };
 use std::process::{
     Child,
+    ChildStdout,
     Command,
     Stdio, //
 };
@@ -77,13 +79,13 @@
             .spawn()
             .with_context(|| format!("could not start {}", program.display()))?;
         let stdout = child.stdout.take().context("the child has no output")?;
-        let mut line = String::new();
-        BufReader::new(stdout).read_line(&mut line)?;
-        let Ok(ready) = serde_json::from_str(&line) else {
+        let mut output = BufReader::new(stdout);
+        let Some(ready) = read_ready(&mut output, log_path)? else {
             child.kill().ok();
             child.wait().ok();
-            bail!("{} {args:?} was not ready: {line:?}", program.display());
+            bail!("{} {args:?} was not ready", program.display());
         };
+        keep_output(output, log_path.map(Path::to_owned));
         Ok(Self { child, ready })
     }
 
@@ -135,6 +137,51 @@
     }
 }
 
+/// Reads lines until the one that names the process's addresses; none if the output ends before.
+fn read_ready(
+    output: &mut BufReader<ChildStdout>,
+    log_path: Option<&Path>,
+) -> anyhow::Result<Option<Value>> {
+    let mut line = String::new();
+    while output.read_line(&mut line)? > 0 {
+        append(log_path, line.as_bytes())?;
+        if let Ok(value) = serde_json::from_str::<Value>(&line) {
+            if value["event"].is_null() || value["event"] == "node started" {
+                return Ok(Some(value));
+            }
+        }
+        line.clear();
+    }
+    Ok(None)
+}
+
+/// Takes the rest of the output, so that the process never waits for it.
+fn keep_output(mut output: BufReader<ChildStdout>, log_path: Option<PathBuf>) {
+    std::thread::spawn(move || {
+        let mut line = Vec::new();
+        while output
+            .read_until(b'\n', &mut line)
+            .is_ok_and(|length| length > 0)
+        {
+            if append(log_path.as_deref(), &line).is_err() {
+                return;
+            }
+            line.clear();
+        }
+    });
+}
+
+fn append(log_path: Option<&Path>, line: &[u8]) -> std::io::Result<()> {
+    let Some(path) = log_path else {
+        return Ok(());
+    };
+    std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(path)?
+        .write_all(line)
+}
+
 /// What a process has used so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
