--- /dev/null
+++ b/crates/http/tests/connections.rs
@@ -0,0 +1,326 @@
+//! Connections under trouble: order of pipelined requests, clients that leave, answers that are not
+//! whole or not the request's own, and limits that change while a connection is open.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_http::{
+    serve,
+    Answer,
+    ClientLimits,
+    Handler,
+    Headers,
+    HttpClient,
+    Outbound,
+    Request,
+    SendFailure,
+    ServerLimits,
+    ServerPhase,
+    Transport, //
+};
+use futures::future::LocalBoxFuture;
+use ntex::util::Bytes;
+use tokio::io::{
+    AsyncReadExt as _,
+    AsyncWriteExt as _, //
+};
+use tokio::net::{
+    TcpListener,
+    TcpStream, //
+};
+use tokio::sync::watch;
+
+struct Echo {
+    idle_max_ms: Cell<u64>,
+    running_count: Rc<Cell<usize>>,
+}
+
+struct Running(Rc<Cell<usize>>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Handler for Echo {
+    fn handle(&self, request: Request) -> LocalBoxFuture<'_, Answer> {
+        self.running_count.set(self.running_count.get() + 1);
+        let running = Running(Rc::clone(&self.running_count));
+        Box::pin(async move {
+            let _running = running;
+            if request.path.starts_with("/slow") {
+                tokio::time::sleep(Duration::from_millis(300)).await;
+            }
+            let mut answer = Answer::of_status(200);
+            let body = String::from_utf8_lossy(&request.body).into_owned();
+            answer.body = format!("{} {} {body}", request.method, request.path).into();
+            answer
+        })
+    }
+
+    fn limits(&self) -> ServerLimits {
+        ServerLimits {
+            head_max_bytes: 16 * 1_024,
+            body_max_bytes: 1_024,
+            request_max_ms: 300,
+            idle_max_ms: self.idle_max_ms.get(),
+        }
+    }
+}
+
+struct Server {
+    address: String,
+    handler: Rc<Echo>,
+    phase: watch::Sender<ServerPhase>,
+}
+
+async fn start() -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let handler = Rc::new(Echo {
+        idle_max_ms: Cell::new(5_000),
+        running_count: Rc::default(),
+    });
+    let phase = watch::Sender::new(ServerPhase::Open);
+    tokio::task::spawn_local(serve(listener, handler.clone(), phase.subscribe()));
+    Server {
+        address,
+        handler,
+        phase,
+    }
+}
+
+/// Sends `text` and returns all that comes until the connection ends or is quiet.
+async fn talk(stream: &mut TcpStream, text: &str) -> String {
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut all = Vec::new();
+    let mut buffer = [0_u8; 4_096];
+    while let Ok(Ok(length)) =
+        tokio::time::timeout(Duration::from_millis(700), stream.read(&mut buffer)).await
+    {
+        if length == 0 {
+            break;
+        }
+        all.extend_from_slice(&buffer[..length]);
+    }
+    String::from_utf8(all).unwrap()
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: h\r\n\r\n")
+}
+
+#[ntex::test]
+async fn pipelined_requests_are_answered_in_order() {
+    let server = start().await;
+    let mut stream = TcpStream::connect(&server.address).await.unwrap();
+    let said = talk(&mut stream, &(get("/slow/1") + &get("/2") + &get("/3"))).await;
+    let places: Vec<_> = ["GET /slow/1", "GET /2", "GET /3"]
+        .iter()
+        .map(|part| said.find(part).unwrap())
+        .collect();
+    assert!(places.is_sorted(), "{said}");
+}
+
+#[ntex::test]
+async fn what_stands_behind_a_closing_answer_is_not_run() {
+    let server = start().await;
+    server.phase.send_replace(ServerPhase::Closing);
+    let mut stream = TcpStream::connect(&server.address).await.unwrap();
+    let said = talk(&mut stream, &(get("/1") + &get("/2"))).await;
+    assert!(said.contains("connection: close"), "{said}");
+    assert!(
+        said.contains("GET /1") && !said.contains("GET /2"),
+        "{said}"
+    );
+}
+
+#[ntex::test]
+async fn a_client_that_leaves_ends_its_request() {
+    let server = start().await;
+    let mut stream = TcpStream::connect(&server.address).await.unwrap();
+    stream.write_all(get("/slow").as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(server.handler.running_count.get(), 1);
+    drop(stream);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(server.handler.running_count.get(), 0);
+}
+
+#[ntex::test]
+async fn bodies_in_chunks_are_read_and_large_ones_refused() {
+    let server = start().await;
+    let head = "POST /c HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n";
+    let mut stream = TcpStream::connect(&server.address).await.unwrap();
+    let said = talk(
+        &mut stream,
+        &format!("{head}3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"),
+    )
+    .await;
+    assert!(said.contains("POST /c abcde"), "{said}");
+    let large = format!(
+        "POST /l HTTP/1.1\r\nhost: h\r\ncontent-length: 5000\r\n\r\n{}",
+        "x".repeat(5_000)
+    );
+    let mut stream = TcpStream::connect(&server.address).await.unwrap();
+    let said = talk(&mut stream, &large).await;
+    assert!(said.starts_with("HTTP/1.1 413"), "{said}");
+}
+
+#[ntex::test]
+async fn a_request_that_stays_incomplete_is_refused_in_time() {
+    let server = start().await;
+    let mut stream = TcpStream::connect(&server.address).await.unwrap();
+    let started_at = Instant::now();
+    let said = talk(&mut stream, "GET /never HTTP/1.1\r\nhost:").await;
+    assert!(said.starts_with("HTTP/1.1 408"), "{said}");
+    assert!(started_at.elapsed() < Duration::from_secs(2));
+}
+
+#[ntex::test]
+async fn a_raised_idle_limit_holds_for_open_connections() {
+    let server = start().await;
+    server.handler.idle_max_ms.set(300);
+    let mut stream = TcpStream::connect(&server.address).await.unwrap();
+    stream.write_all(get("/1").as_bytes()).await.unwrap();
+    let mut buffer = [0_u8; 1_024];
+    assert!(stream.read(&mut buffer).await.unwrap() > 0);
+    server.handler.idle_max_ms.set(5_000);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let said = talk(&mut stream, &get("/2")).await;
+    assert!(said.contains("GET /2"), "{said}");
+}
+
+/// Serves each connection with one of `scripts`, raw bytes after each request; an empty script
+/// resets the connection.
+async fn start_raw(scripts: Vec<Vec<&'static str>>) -> (String, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let connection_count = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&connection_count);
+    tokio::task::spawn_local(async move {
+        for script in scripts {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            counted.set(counted.get() + 1);
+            tokio::task::spawn_local(async move {
+                let mut buffer = [0_u8; 4_096];
+                for part in script {
+                    if stream.read(&mut buffer).await.unwrap_or(0) == 0 {
+                        return;
+                    }
+                    if part == "reset" {
+                        stream.set_zero_linger().unwrap();
+                        return;
+                    }
+                    let (text, then) = part.split_once("|").unwrap_or((part, ""));
+                    stream.write_all(text.as_bytes()).await.unwrap();
+                    if then == "reset" {
+                        stream.flush().await.unwrap();
+                        tokio::time::sleep(Duration::from_millis(50)).await;
+                        stream.set_zero_linger().unwrap();
+                        return;
+                    }
+                    if then == "end" {
+                        return;
+                    }
+                }
+                tokio::time::sleep(Duration::from_secs(5)).await;
+            });
+        }
+    });
+    (address, connection_count)
+}
+
+fn client() -> HttpClient {
+    HttpClient::new(ClientLimits {
+        idle_max_count: 8,
+        idle_max_ms: 2_000,
+        unsafe_idle_max_ms: 2_000,
+        connect_max_ms: 500,
+        body_max_bytes: 1_024,
+        from: None,
+    })
+}
+
+async fn send(client: &HttpClient, address: &str, id: &str) -> Result<Answer, SendFailure> {
+    let mut headers = Headers::default();
+    headers.push("x-id", id);
+    client
+        .send(&Outbound {
+            address,
+            method: "GET",
+            path: "/",
+            headers: &headers,
+            body: &Bytes::new(),
+            deadline: Instant::now() + Duration::from_millis(600),
+            echo: Some("x-id"),
+            idempotent: true,
+        })
+        .await
+}
+
+#[ntex::test]
+async fn an_answer_without_a_length_counts_only_if_its_connection_ends_in_order() {
+    let (address, _) = start_raw(vec![
+        vec!["HTTP/1.1 200 OK\r\nx-id: a\r\n\r\nwhole|end"],
+        vec!["HTTP/1.1 200 OK\r\nx-id: b\r\n\r\npart|reset"],
+        vec!["HTTP/1.1 200 OK\r\nx-id: c\r\ncontent-length: 9\r\n\r\npart|end"],
+    ])
+    .await;
+    let client = client();
+    assert_eq!(send(&client, &address, "a").await.unwrap().body, "whole");
+    for id in ["b", "c"] {
+        let failure = send(&client, &address, id).await.unwrap_err();
+        assert!(matches!(failure, SendFailure::Broken(_)), "{failure:?}");
+    }
+}
+
+#[ntex::test]
+async fn a_second_answer_on_the_connection_reaches_no_other_request() {
+    let good = "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 1\r\n\r\n1";
+    let doubled = "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 1\r\n\r\n1HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 1\r\n\r\n1";
+    let own = "HTTP/1.1 200 OK\r\nx-id: b\r\ncontent-length: 1\r\n\r\n2";
+    let (address, connection_count) = start_raw(vec![vec![doubled, good], vec![own]]).await;
+    let client = client();
+    assert_eq!(send(&client, &address, "a").await.unwrap().body, "1");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(send(&client, &address, "b").await.unwrap().body, "2");
+    assert_eq!(connection_count.get(), 2);
+}
+
+#[ntex::test]
+async fn a_late_second_answer_is_told_by_its_id() {
+    let first = "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 1\r\n\r\n1";
+    let (address, _) = start_raw(vec![vec![first, first]]).await;
+    let client = client();
+    send(&client, &address, "a").await.unwrap();
+    let failure = send(&client, &address, "b").await.unwrap_err();
+    assert!(matches!(failure, SendFailure::Broken(_)), "{failure:?}");
+}
+
+#[ntex::test]
+async fn only_a_request_that_was_not_sent_is_called_so() {
+    let (address, _) = start_raw(vec![vec!["reset"]]).await;
+    let client = client();
+    let failure = send(&client, &address, "a").await.unwrap_err();
+    assert!(matches!(failure, SendFailure::Broken(_)), "{failure:?}");
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = closed.local_addr().unwrap().to_string();
+    drop(closed);
+    let failure = send(&client, &address, "a").await.unwrap_err();
+    assert!(matches!(failure, SendFailure::Refused(_)), "{failure:?}");
+}
+
+#[ntex::test]
+async fn a_server_that_says_nothing_is_given_up_at_the_deadline() {
+    let (address, _) = start_raw(vec![vec![""]]).await;
+    let started_at = Instant::now();
+    let failure = send(&client(), &address, "a").await.unwrap_err();
+    assert_eq!(failure, SendFailure::Late);
+    assert!(started_at.elapsed() < Duration::from_millis(800));
+}
