--- a/crates/control/src/mesh/routes.rs
+++ b/crates/control/src/mesh/routes.rs
@@ -1,11 +1,5 @@
 //! The route table on this node: applied, put in force, and handed to peers.
 
-use std::sync::Arc;
-use std::time::{
-    Duration,
-    Instant, //
-};
-
 use figway_profile::{
     RouteIndex,
     RouteTable, //
@@ -15,6 +9,7 @@
     MemberState,
     NodeId, //
 };
+use std::sync::Arc;
 
 use super::Mesh;
 use crate::rpc::{
@@ -45,26 +40,11 @@
         self.note_news();
     }
 
-    /// Returns until when this node's view of the table is fresh.
-    pub fn routes_fresh_until(&self) -> Instant {
-        *self.routes_fresh_until.lock().expect("no holder panics")
-    }
-
-    /// Notes until when this node's view of the table is fresh.
-    pub fn extend_routes_fresh(&self, fresh_until: Instant) {
-        let mut current = self.routes_fresh_until.lock().expect("no holder panics");
-        *current = (*current).max(fresh_until);
-    }
-
     /// Returns what a peer that has `version` is told of the table.
     pub(crate) fn route_news_for(&self, version: Option<u64>) -> RouteNews {
         let routes = self.routes.lock().expect("no holder panics");
-        let fresh_left = self
-            .routes_fresh_until()
-            .saturating_duration_since(Instant::now());
         RouteNews {
             version: routes.table().version,
-            fresh_left_ms: fresh_left.as_millis() as u64,
             changes: version
                 .and_then(|version| routes.changes_after(version))
                 .unwrap_or_default()
@@ -90,10 +70,6 @@
             log::info!("routes in force version={version} before={before} from=peer");
             self.note_news();
         }
-        if version >= news.version {
-            let fresh_left = Duration::from_millis(news.fresh_left_ms);
-            self.extend_routes_fresh(Instant::now() + fresh_left);
-        }
         version < news.version
     }
 
--- a/crates/control/src/route_reader.rs
+++ b/crates/control/src/route_reader.rs
@@ -1,5 +1,5 @@
-//! Readers of the operator's route table: the first in rank near the log follow it, any other node
-//! steps in when its own view of the table grows stale.
+//! Readers of the operator's route table. The first two in rank near the log follow it and tell
+//! their peers; every other node checks now and then that it missed nothing.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,50 +19,50 @@
 
 use crate::mesh::Mesh;
 
-/// How long one read waits at the log for a table.
-const READ_WAIT: Duration = Duration::from_millis(700);
+/// Nodes that follow the table, so that one that falls silent is not missed.
+const READER_COUNT: usize = 2;
+
+/// How long a reader waits at the log for a table.
+const READ_WAIT: Duration = Duration::from_secs(3);
 
 /// How long a whole read may take.
 const NEWEST_WAIT: Duration = Duration::from_millis(1_500);
 
-/// How long a read makes the view of the table fresh.
-const TABLE_FRESH: Duration = Duration::from_millis(1_100);
-
-/// Nodes that always read, so that one that falls silent is not missed.
-const READER_COUNT: usize = 2;
-
-/// Staleness for each further place in rank before that node reads too.
-const RANK_STEP: Duration = Duration::from_millis(15);
+/// How often a node that is no reader checks, in a small mesh.
+const CHECK_EVERY: Duration = Duration::from_millis(1_500);
 
-/// Longest staleness before any node reads.
-const RANK_WAIT_MAX: Duration = Duration::from_millis(400);
+/// Checks of all nodes together in one second; a larger mesh checks less often.
+const CHECK_RATE_MAX: f64 = 400.0;
 
-/// How often a node that does not read looks whether it should.
-const RANK_CHECK: Duration = Duration::from_millis(50);
+/// Pause before the log is asked again while the operator has written nothing.
+const EMPTY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Longest pause between tries while the log is down.
 const RETRY_MAX_MS: u64 = 500;
 
-/// Follows the route table while this node is a reader of it.
+/// Follows the route table until the process ends.
 pub(crate) async fn follow_routes(mesh: Arc<Mesh>, source: Rc<dyn RouteSource>) {
     let mut backoff = Backoff::new(30, RETRY_MAX_MS, mesh.random());
     let mut position = Offset(0);
     loop {
-        if !may_read(&mesh) {
-            tokio::time::sleep(RANK_CHECK).await;
-            continue;
+        let reads = mesh.log_rank().is_some_and(|rank| rank < READER_COUNT);
+        if !reads && mesh.routes().version > 0 {
+            tokio::time::sleep(check_pause(&mesh)).await;
         }
+        let wait = if reads { READ_WAIT } else { Duration::ZERO };
         let started_at = Instant::now();
-        match read_once(&mesh, source.as_ref(), position).await {
+        match read_once(&mesh, source.as_ref(), position, wait).await {
             Ok(next_offset) => {
                 position = next_offset;
                 backoff.reset();
-                mesh.extend_routes_fresh(Instant::now() + TABLE_FRESH);
+                if mesh.routes().version == 0 {
+                    tokio::time::sleep(EMPTY_PAUSE).await;
+                }
             }
             Err(error) => {
                 log::warn!(
-                    "could not read the route table version={} position={position} took_ms={}: \
-                     {error}",
+                    "could not read the route table version={} position={position} took_ms={} \
+                     why={error}",
                     mesh.routes().version,
                     started_at.elapsed().as_millis()
                 );
@@ -76,16 +76,11 @@
     }
 }
 
-/// Returns whether this node is to read: the first in rank always, others when their view is stale.
-fn may_read(mesh: &Mesh) -> bool {
-    let Some(rank) = mesh.log_rank() else {
-        return false;
-    };
-    if rank < READER_COUNT {
-        return true;
-    }
-    let wait = (RANK_STEP * rank as u32).min(RANK_WAIT_MAX);
-    mesh.routes_fresh_until() + wait <= Instant::now()
+/// Returns how long a node that is no reader leaves the log alone.
+fn check_pause(mesh: &Mesh) -> Duration {
+    let node_count = mesh.view().node_count as f64;
+    let pause = CHECK_EVERY.max(Duration::from_secs_f64(node_count / CHECK_RATE_MAX));
+    pause.mul_f64(0.8) + mesh.jitter(pause.mul_f64(0.4))
 }
 
 /// Reads what follows `position`, 0 for the newest table; returns where reading goes on.
@@ -93,13 +88,20 @@
     mesh: &Mesh,
     source: &dyn RouteSource,
     position: Offset,
+    wait: Duration,
 ) -> Result<Offset, ReadError> {
-    let page = if position == Offset(0) {
+    let page = if position == Offset(0) && mesh.routes().version == 0 {
         source.newest(Instant::now() + NEWEST_WAIT).await?
     } else {
         // Peers may have told what followed.
         let from_offset = position.max(mesh.routes().source_offset.next());
-        source.next(from_offset, Instant::now() + READ_WAIT).await?
+        match source.next(from_offset, Instant::now() + wait).await {
+            Err(ReadError::Expired(first_offset)) => {
+                log::info!("route records expired from={from_offset} first={first_offset}");
+                source.newest(Instant::now() + NEWEST_WAIT).await?
+            }
+            result => result?,
+        }
     };
     for table in page.tables {
         mesh.adopt_routes(table);
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -72,8 +72,6 @@
 pub(crate) struct RouteNews {
     /// Version that is applied.
     pub version: u64,
-    /// Time for which no newer version is to be expected, in milliseconds.
-    pub fresh_left_ms: u64,
     /// Changes from the receiver's version, if they are at hand.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub changes: Vec<RouteChange>,
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -372,15 +372,16 @@
         tokio::time::sleep_until((now + DRAIN_NOTICE).min(deadline).into()).await;
         self.phase.send_replace(ServerPhase::Closing);
         tokio::time::sleep_until((now + DRAIN_TAKE).min(deadline).into()).await;
+        // A caller that still uses its connection would otherwise begin calls that can't end.
+        self.phase.send_replace(ServerPhase::Closed);
         loop {
             let in_flight_count = self.in_flight_count.load(Ordering::Relaxed);
             if Instant::now() >= deadline || in_flight_count == 0 {
                 log::info!("drain ended in_flight={in_flight_count}");
-                break;
+                return;
             }
             tokio::time::sleep(DRAIN_CHECK).await;
         }
-        self.phase.send_replace(ServerPhase::Closed);
     }
 
     /// Marks the own target as gone when it stops announcing itself; runs until the process ends.
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -43,7 +43,10 @@
 const TRY_MAX_COUNT: usize = 6;
 
 /// Calls per slot at a target up to which it takes hedges.
-const HEDGE_BUSY_RATIO: f64 = 0.5;
+const HEDGE_BUSY_RATIO: f64 = 0.85;
+
+/// Part of the time until an answer loses worth after which a call is hedged at the latest.
+const HEDGE_PROMPT_SHARE: f64 = 0.55;
 
 /// Least status by which a target says that it failed.
 const FAILED_STATUS: u16 = 500;
@@ -318,12 +321,10 @@
 ) -> (AdmittedFate, bool) {
     let rule = &call.rule;
     let first = attempt(worker, call, entry);
-    let hedge_after = worker.plane.retries.hedge_after(rule.service, rule.name);
-    let Some(hedge_after) = hedge_after else {
+    let Some(hedge_at) = hedge_at(worker, call) else {
         return (first.await, false);
     };
     tokio::pin!(first);
-    let hedge_at = Instant::now() + hedge_after;
     tokio::select! {
         ended = &mut first => return (ended, false),
         () = tokio::time::sleep_until(hedge_at.into()) => {}
@@ -346,6 +347,24 @@
     (ended, true)
 }
 
+/// Returns when a second attempt is due: when most calls of the kind would have been answered, and
+/// early enough for the second answer to be prompt.
+fn hedge_at(worker: &Worker, call: &Call<'_>) -> Option<Instant> {
+    let rule = &call.rule;
+    let now = Instant::now();
+    let after_most = worker
+        .plane
+        .retries
+        .hedge_after(rule.service, rule.name)
+        .map(|hedge_after| now + hedge_after);
+    let prompt_by = call.prompt_by.filter(|prompt_by| *prompt_by > now);
+    let in_time = prompt_by.map(|prompt_by| now + (prompt_by - now).mul_f64(HEDGE_PROMPT_SHARE));
+    match (after_most, in_time) {
+        (Some(after_most), Some(in_time)) => Some(after_most.min(in_time)),
+        (after_most, in_time) => after_most.or(in_time),
+    }
+}
+
 /// Returns whether a hedge would find a free slot. A call that is slow by its own work is slow
 /// everywhere; hedging it must not take slots from calls that wait.
 fn has_room_for_hedge(worker: &Worker, entry: &ShareEntry) -> bool {
--- a/crates/figway/src/cmd/node.rs
+++ b/crates/figway/src/cmd/node.rs
@@ -79,6 +79,9 @@
 /// Time for a last answer to leave before the process ends.
 const FAREWELL: Duration = Duration::from_millis(150);
 
+/// Longest time for telling peers of the stop.
+const LEAVE_MAX: Duration = Duration::from_millis(250);
+
 /// Longest wait for a connection that measures the way to the log.
 const MEASURE_WAIT: Duration = Duration::from_millis(500);
 
@@ -161,7 +164,12 @@
         result = follow_settings(path, settings, &plane) => result?,
     }
     plane.drain().await;
-    control.leave().await;
+    if tokio::time::timeout(LEAVE_MAX, control.leave())
+        .await
+        .is_err()
+    {
+        log::info!("some peers were not told of the stop in time");
+    }
     tokio::time::sleep(FAREWELL).await;
     log::info!("node stopped node={}", settings.node);
     logger::finish();
@@ -308,22 +316,31 @@
 ) -> anyhow::Result<()> {
     let mut hangup = signal(SignalKind::hangup()).context("could not await SIGHUP")?;
     let mut known = started.clone();
+    let mut known_text = String::new();
     loop {
         let signalled = tokio::select! {
             _ = hangup.recv() => true,
             () = tokio::time::sleep(SETTINGS_CHECK) => false,
         };
-        let settings = match read_settings(path) {
-            Ok(Ok(settings)) => settings,
-            Ok(Err(findings)) => {
-                log::error!("settings not taken over: {findings}");
+        let text = match std::fs::read_to_string(path) {
+            Ok(text) => text,
+            Err(error) => {
+                log::error!("settings not taken over why=could not read them: {error}");
                 continue;
             }
-            Err(error) => {
-                log::error!("settings not taken over: {error:#}");
+        };
+        if text == known_text && !signalled {
+            continue;
+        }
+        let settings = match parse_settings(&path.display().to_string(), &text) {
+            Ok(settings) => settings,
+            Err(findings) => {
+                log::error!("settings not taken over why={findings}");
+                known_text = text;
                 continue;
             }
         };
+        known_text = text;
         if settings == known {
             if signalled {
                 log::info!("settings read again, unchanged");
--- a/crates/figway/src/logger.rs
+++ b/crates/figway/src/logger.rs
@@ -22,7 +22,7 @@
 use crate::line_queue::LineQueue;
 
 /// Longest wait for the last lines when the process ends.
-const DRAIN_MAX: Duration = Duration::from_millis(500);
+const DRAIN_MAX: Duration = Duration::from_millis(250);
 
 static QUEUE: OnceLock<LineQueue> = OnceLock::new();
 
