--- a/crates/control/src/dial.rs
+++ b/crates/control/src/dial.rs
@@ -1,9 +1,5 @@
 //! Opening a connection to a peer.
 
-use std::net::{
-    IpAddr,
-    SocketAddr, //
-};
 use std::time::{
     Duration,
     Instant, //
@@ -21,11 +17,6 @@
     Framed,
     LengthDelimitedCodec, //
 };
-use tokio::net::{
-    TcpSocket,
-    TcpStream, //
-};
-
 use crate::mesh::Mesh;
 use crate::meter::Metered;
 use crate::rpc::{
@@ -66,12 +57,11 @@
 ///
 /// The peer is not there or does not answer in time.
 pub(crate) async fn dial(mesh: &Mesh, address: &str, far: bool) -> anyhow::Result<PeerClient> {
-    let connect = tokio::time::timeout(PEER_WAIT, connect(address, mesh.control_ip()));
+    let connect = tokio::time::timeout(PEER_WAIT, figway_http::connect(address, mesh.control_ip()));
     let stream = connect
         .await
         .map_err(|_| anyhow!("could not connect to {address} in time"))?
         .with_context(|| format!("could not connect to {address}"))?;
-    stream.set_nodelay(true)?;
     let metered = Metered::new(stream, mesh.meter().counter(far));
     let transport = serde_transport::new(framed(metered), Json::default());
     let new_client = PeerClient::new(tarpc::client::Config::default(), transport);
@@ -83,20 +73,6 @@
     Ok(new_client.client)
 }
 
-async fn connect(address: &str, from: Option<IpAddr>) -> std::io::Result<TcpStream> {
-    let address: SocketAddr = address
-        .parse()
-        .map_err(|_| std::io::Error::other("the address is not IP:PORT"))?;
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    if let Some(from) = from.filter(|from| from.is_ipv4() == address.is_ipv4()) {
-        socket.bind(SocketAddr::new(from, 0))?;
-    }
-    socket.connect(address).await
-}
-
 /// Introduces this node on a new connection and returns the peer as it sees itself.
 ///
 /// # Errors
--- a/crates/control/src/route_reader.rs
+++ b/crates/control/src/route_reader.rs
@@ -1,5 +1,5 @@
 //! Readers of the operator's route table. The first two in rank near the log follow it and tell
-//! their peers; every other node checks now and then that it missed nothing.
+//! their peers; a few nodes of each zone check often that nothing was missed, the others seldom.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -28,9 +28,15 @@
 /// How long a whole read may take.
 const NEWEST_WAIT: Duration = Duration::from_millis(1_500);
 
-/// How often a node that is no reader checks, in a small mesh.
+/// Nodes of each zone that check often.
+const CHECKER_COUNT: usize = 2;
+
+/// How often they check.
 const CHECK_EVERY: Duration = Duration::from_millis(1_500);
 
+/// How often the other nodes check.
+const SELDOM_CHECK_EVERY: Duration = Duration::from_secs(8);
+
 /// Checks of all nodes together in one second; a larger mesh checks less often.
 const CHECK_RATE_MAX: f64 = 400.0;
 
@@ -78,8 +84,14 @@
 
 /// Returns how long a node that is no reader leaves the log alone.
 fn check_pause(mesh: &Mesh) -> Duration {
+    let zone = mesh.members().own().zone.clone();
+    let rank = mesh.own_rank(&zone, &|member| member.zone == zone);
+    let every = match rank {
+        Some(rank) if rank < CHECKER_COUNT => CHECK_EVERY,
+        _ => SELDOM_CHECK_EVERY,
+    };
     let node_count = mesh.view().node_count as f64;
-    let pause = CHECK_EVERY.max(Duration::from_secs_f64(node_count / CHECK_RATE_MAX));
+    let pause = every.max(Duration::from_secs_f64(node_count / CHECK_RATE_MAX));
     pause.mul_f64(0.8) + mesh.jitter(pause.mul_f64(0.4))
 }
 
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -82,9 +82,7 @@
 }
 
 async fn serve_connection(server: PeerServer, stream: TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("could not set TCP_NODELAY: {error}");
-    }
+    figway_http::prepare(&stream);
     // The region of the other side is known only after its hello; until then bytes count as near.
     let metered = Metered::new(stream, server.mesh.meter().counter(false));
     let transport = serde_transport::new(framed(metered), Json::default());
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -26,3 +26,7 @@
     ServerLimits,
     ServerPhase, //
 };
+pub use socket::{
+    connect,
+    prepare, //
+};
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -22,7 +22,7 @@
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 
 /// Prepares a connection for short messages and for peers that fall silent.
-pub(crate) fn prepare(stream: &TcpStream) {
+pub fn prepare(stream: &TcpStream) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("could not set TCP_NODELAY: {error}");
     }
@@ -40,7 +40,11 @@
 }
 
 /// Connects to `address`, from `from` if it is given.
-pub(crate) async fn connect(address: &str, from: Option<IpAddr>) -> std::io::Result<TcpStream> {
+///
+/// # Errors
+///
+/// The address is none, or nobody takes the connection.
+pub async fn connect(address: &str, from: Option<IpAddr>) -> std::io::Result<TcpStream> {
     let address: SocketAddr = address
         .parse()
         .map_err(|_| std::io::Error::other("the address is not IP:PORT"))?;
