--- a/crates/control/src/dial.rs
+++ b/crates/control/src/dial.rs
@@ -5,6 +5,13 @@
     Instant, //
 };
 
+use crate::mesh::Mesh;
+use crate::meter::Metered;
+use crate::rpc::{
+    Hello,
+    PeerClient,
+    PROTOCOL_VERSION, //
+};
 use anyhow::{
     anyhow,
     Context as _, //
@@ -17,13 +24,6 @@
     Framed,
     LengthDelimitedCodec, //
 };
-use crate::mesh::Mesh;
-use crate::meter::Metered;
-use crate::rpc::{
-    Hello,
-    PeerClient,
-    PROTOCOL_VERSION, //
-};
 
 /// How long a peer has to take a connection and answer a message.
 pub(crate) const PEER_WAIT: Duration = Duration::from_millis(1_500);
--- a/crates/testbed/src/cmd/mod.rs
+++ b/crates/testbed/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod latency;
 mod log;
 mod slopes;
+mod soak;
 mod target;
 
 use std::path::PathBuf;
@@ -56,6 +57,15 @@
             /// Nodes, all in this process.
             required nodes: usize
         }
+        /// Plays a small site of the users' platform with random faults and checks the promises.
+        cmd soak {
+            /// First seed; drawn if absent.
+            optional --seed number: u64
+            /// Seeds to play; 1 if absent.
+            optional --count number: u64
+            /// Length of each, in seconds; 20 if absent.
+            optional --seconds number: u64
+        }
         /// Measures state, bytes and processor time of control by services and members.
         cmd slopes {}
         /// Measures what figway adds to a call, against calling the target directly.
@@ -84,6 +94,7 @@
             TestbedCmd::Convergence(command) => command.run().await,
             TestbedCmd::Latency(command) => command.run().await,
             TestbedCmd::Slopes(command) => command.run().await,
+            TestbedCmd::Soak(command) => command.run().await,
             TestbedCmd::Log(command) => command.run().await,
             TestbedCmd::Target(command) => command.run().await,
         }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -9,5 +9,7 @@
 pub mod mesh_farm;
 pub mod process;
 pub mod relay;
+pub mod site;
+pub mod soak;
 pub mod target_server;
 pub mod ways;
--- /dev/null
+++ b/crates/testbed/src/site/mod.rs
@@ -0,0 +1,203 @@
+//! A small site of the users' platform on loopback: stand-ins of the store and of back ends, real
+//! nodes as processes, and callers.
+
+pub mod backend;
+pub mod caller;
+pub mod store;
+
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use anyhow::Context as _;
+use figway_http::{
+    serve,
+    Handler,
+    ServerPhase, //
+};
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::process::{
+    Process,
+    Programs, //
+};
+use crate::relay::Relay;
+
+use self::backend::Backend;
+use self::caller::Caller;
+use self::store::Store;
+
+/// Name of the host in all requests of a site.
+pub const HOST: &str = "site.example";
+
+/// Service of the even hosts: reads, which may run twice.
+pub const READS: &str = "reads";
+
+/// Service of the odd hosts: orders, which may not.
+pub const ORDERS: &str = "orders";
+
+/// Serves `handler` on a free port until the returned sender says otherwise; returns the address.
+///
+/// # Errors
+///
+/// No port is free.
+pub(crate) async fn serve_free(
+    handler: Rc<dyn Handler>,
+) -> anyhow::Result<(String, watch::Sender<ServerPhase>)> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+    let address = listener.local_addr()?.to_string();
+    let phase = watch::Sender::new(ServerPhase::Open);
+    tokio::task::spawn_local(serve(listener, handler, phase.subscribe()));
+    Ok((address, phase))
+}
+
+/// One host: a node and the back end beside it.
+pub struct Host {
+    /// Name of the node.
+    pub name: String,
+    /// The back end.
+    pub backend: Rc<Backend>,
+    /// Way from the node to the store.
+    pub store_way: Relay,
+    /// The node's process; none while it is down.
+    pub node: Option<Process>,
+    /// Where callers reach the node.
+    pub callers: String,
+    /// Where the platform asks whether it is ready.
+    pub ready: String,
+    settings_path: PathBuf,
+    log_path: PathBuf,
+}
+
+impl Host {
+    /// Starts the node's process.
+    ///
+    /// # Errors
+    ///
+    /// It is not ready.
+    pub fn start_node(&mut self) -> anyhow::Result<()> {
+        let settings = self.settings_path.display().to_string();
+        let args = ["node", "--settings", settings.as_str()];
+        self.node = Some(Process::start(
+            &Programs::find()?.figway,
+            &args,
+            Some(&self.log_path),
+        )?);
+        Ok(())
+    }
+
+    /// Returns the log lines that the node wrote so far.
+    ///
+    /// # Errors
+    ///
+    /// The log can't be read.
+    pub fn log(&self) -> anyhow::Result<String> {
+        std::fs::read_to_string(&self.log_path).context("could not read the node's log")
+    }
+}
+
+/// Stand-ins and nodes.
+pub struct Site {
+    /// The store.
+    pub store: Rc<Store>,
+    /// Hosts, alternately of the two services, in two zones.
+    pub hosts: Vec<Host>,
+}
+
+impl Site {
+    /// Starts `host_count` hosts whose files go to a folder named after `name`, and publishes the
+    /// first configuration.
+    ///
+    /// # Errors
+    ///
+    /// Something does not start.
+    pub async fn start(name: &str, host_count: usize) -> anyhow::Result<Self> {
+        let folder =
+            std::env::temp_dir().join(format!("figway-site-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let store = Store::start().await?;
+        store.publish(&config(1, "/reads/"));
+        let mut hosts = Vec::new();
+        for index in 0..host_count {
+            hosts.push(start_host(&folder, &store, index).await?);
+        }
+        Ok(Self { store, hosts })
+    }
+
+    /// Returns a caller at the host of that index.
+    pub fn caller(&self, index: usize) -> Caller {
+        Caller::new(&self.hosts[index].callers)
+    }
+}
+
+/// Returns a port that was free a moment ago.
+fn ephemeral_port() -> anyhow::Result<u16> {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0))?;
+    Ok(listener.local_addr()?.port())
+}
+
+async fn start_host(folder: &std::path::Path, store: &Store, index: usize) -> anyhow::Result<Host> {
+    let service = if index.is_multiple_of(2) {
+        READS
+    } else {
+        ORDERS
+    };
+    let zone = if index % 4 < 2 { "east" } else { "west" };
+    let store_way = Relay::start().await?;
+    store_way.set_target(&store.address());
+    let (call, control) = (ephemeral_port()?, ephemeral_port()?);
+    let (callers, ready, announcements) = (ephemeral_port()?, ephemeral_port()?, ephemeral_port()?);
+    let backend = Backend::start(service, zone, &format!("127.0.0.1:{announcements}")).await?;
+    let name = format!("node-{index}");
+    let settings = format!(
+        "cluster: site\nnode: {name}\nregion: land\nzone: {zone}\n\
+         listen:\n  control: 127.0.0.1:{control}\n  call: 127.0.0.1:{call}\n\
+         log:\n  url: http://{store}\n  region: land\n\
+         platform:\n  callers: 127.0.0.1:{callers}\n  ready: 127.0.0.1:{ready}\n  \
+         announcements: 127.0.0.1:{announcements}\n  store: {store}\n  service: {service}\n  \
+         target: {target}\n  announce_every: 500ms\n  keep: 300s\n  grace: 6s\n  \
+         retry_ratio: 0.2\n  retry_burst_count: 20\n",
+        store = store_way.address,
+        target = backend.address(),
+    );
+    let settings_path = folder.join(format!("{name}.yaml"));
+    std::fs::write(&settings_path, settings)?;
+    let mut host = Host {
+        log_path: folder.join(format!("{name}.log")),
+        name,
+        backend,
+        store_way,
+        node: None,
+        callers: format!("127.0.0.1:{callers}"),
+        ready: format!("127.0.0.1:{ready}"),
+        settings_path,
+    };
+    host.start_node()?;
+    Ok(host)
+}
+
+/// Returns a configuration as the operator writes it; reads are found below `reads_prefix`.
+pub fn config(version: u32, reads_prefix: &str) -> serde_json::Value {
+    let route = |prefix: &str, kind: &str, service: &str| {
+        json!({
+            "host": HOST, "pathPrefix": prefix, "kind": kind, "timeout": "900ms",
+            "targetLatency": "300ms", "priority": 1, "service": service, "maxAttempts": 2,
+        })
+    };
+    let service = json!({
+        "healthPath": "/health", "maxConnections": 100, "protocol": "h1", "tls": false,
+    });
+    json!({
+        "version": format!("{version:08x}"),
+        "routes": {
+            "r-reads": route(reads_prefix, "idempotent", READS),
+            "r-orders": route("/orders/", "non_idempotent", ORDERS),
+        },
+        "services": { READS: service, ORDERS: service },
+        "limits": {
+            "maxHeaderBytes": 16384, "maxBodyBytes": 1048576,
+            "headerTimeout": "3000ms", "idleTimeout": "15000ms",
+        },
+    })
+}
--- /dev/null
+++ b/crates/testbed/tests/site.rs
@@ -0,0 +1,190 @@
+//! The whole path on the users' platform, with real nodes as processes and stand-ins of the store
+//! and of back ends.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_testbed::process::Signal;
+use figway_testbed::relay::LinkState;
+use figway_testbed::site::store::StoreFaults;
+use figway_testbed::site::{
+    config,
+    Site, //
+};
+use figway_testbed::soak::soak;
+
+/// Bound of the platform for a configuration to be in force.
+const APPLY_MAX: Duration = Duration::from_millis(2_000);
+
+/// Waits until every node serves both services.
+async fn ready(site: &Site) {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    for index in 0..site.hosts.len() {
+        let caller = site.caller(index);
+        for (method, path) in [("GET", "/reads/1"), ("POST", "/orders/1")] {
+            loop {
+                let seen = caller.call(method, path).await;
+                if seen.status == 200 {
+                    break;
+                }
+                assert!(Instant::now() < deadline, "host {index} {path}: {seen:?}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+#[ntex::test]
+async fn requests_reach_their_service_with_the_origin_of_their_host() {
+    let site = Site::start("path", 4).await.unwrap();
+    ready(&site).await;
+    for (index, origin) in ["reads", "orders"].iter().enumerate() {
+        let seen = site.caller(index).call("POST", "/orders/7").await;
+        assert!(seen.status == 200 && seen.sealed, "{seen:?}");
+        let runs: Vec<_> = site
+            .hosts
+            .iter()
+            .flat_map(|host| host.backend.runs())
+            .filter(|run| run.id == seen.id)
+            .collect();
+        assert_eq!(runs.len(), 1);
+        assert_eq!(runs[0].origin, *origin);
+        assert_eq!(runs[0].what, "POST /orders/7");
+    }
+    let unknown = site.caller(0).call("GET", "/nowhere/").await;
+    assert_eq!(unknown.status, 404);
+}
+
+#[ntex::test]
+async fn a_configuration_is_in_force_in_time_through_damage_and_lost_history() {
+    let site = Site::start("config", 4).await.unwrap();
+    ready(&site).await;
+    site.store
+        .put_operator_record("config", b"{\"version\":\"000000ff\",\"routes\":");
+    site.store.put_operator_record("notes", b"\xff\x00");
+    site.store.forget_history();
+    for version in 2..6 {
+        site.store
+            .publish(&config(version, &format!("/v{version}/")));
+        tokio::time::sleep(APPLY_MAX).await;
+        for index in 0..site.hosts.len() {
+            let caller = site.caller(index);
+            let new = caller.call("GET", &format!("/v{version}/1")).await;
+            assert_eq!(new.status, 200, "host {index} version {version}");
+            let old = caller.call("GET", "/reads/1").await;
+            assert_eq!(old.status, 404, "host {index} version {version}");
+        }
+    }
+    // An older version that comes late changes nothing.
+    site.store.publish(&config(3, "/old/"));
+    tokio::time::sleep(APPLY_MAX).await;
+    assert_eq!(site.caller(1).call("GET", "/old/1").await.status, 404);
+}
+
+#[ntex::test]
+async fn a_node_alone_that_the_store_refuses_is_found_by_its_peers() {
+    let mut site = Site::start("alone", 4).await.unwrap();
+    ready(&site).await;
+    let host = &mut site.hosts[3];
+    host.node.as_ref().unwrap().signal(Signal::Kill).unwrap();
+    let cut = LinkState {
+        cut: true,
+        ..LinkState::default()
+    };
+    host.store_way.set(cut);
+    host.node = None;
+    host.start_node().unwrap();
+    let deadline = Instant::now() + Duration::from_secs(8);
+    loop {
+        let seen = site.caller(3).call("GET", "/reads/1").await;
+        // It knows nothing yet: it may refuse, but never deny.
+        assert!(matches!(seen.status, 0 | 200 | 503 | 504), "{seen:?}");
+        if seen.status == 200 {
+            return;
+        }
+        assert!(
+            Instant::now() < deadline,
+            "the node was not found: {seen:?}"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[ntex::test]
+async fn a_leaving_back_end_gets_no_request_after_its_drain() {
+    let site = Site::start("drain", 4).await.unwrap();
+    ready(&site).await;
+    let leaving = &site.hosts[1].backend;
+    assert!(leaving.set_draining(true).await);
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let after = Instant::now();
+    for _ in 0..50 {
+        let seen = site.caller(1).call("POST", "/orders/1").await;
+        assert_eq!(seen.status, 200, "{seen:?}");
+    }
+    assert!(leaving.runs().iter().all(|run| run.at < after));
+}
+
+#[ntex::test]
+async fn a_stop_cuts_no_request_of_a_caller_that_keeps_its_connection() {
+    let mut site = Site::start("stop", 4).await.unwrap();
+    ready(&site).await;
+    let caller = site.caller(0);
+    let stopping = site.hosts[0].node.as_ref().unwrap();
+    stopping.signal(Signal::Terminate).unwrap();
+    let stopped_at = Instant::now();
+    while stopped_at.elapsed() < Duration::from_millis(5_900) {
+        let seen = caller.call("GET", "/reads/1").await;
+        let ran = site
+            .hosts
+            .iter()
+            .any(|host| host.backend.runs().iter().any(|run| run.id == seen.id));
+        assert!(
+            seen.status == 200 || !ran,
+            "cut {} ms after the stop request: {seen:?}",
+            stopped_at.elapsed().as_millis()
+        );
+        tokio::time::sleep(Duration::from_millis(15)).await;
+    }
+    let mut node = site.hosts[0].node.take().unwrap();
+    assert!(node.has_ended(), "the node outlived its grace");
+}
+
+#[ntex::test]
+async fn calls_go_on_and_restarts_recover_while_the_store_is_down() {
+    let mut site = Site::start("down", 4).await.unwrap();
+    ready(&site).await;
+    site.store.set_faults(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for index in 0..4 {
+        let seen = site.caller(index).call("POST", "/orders/1").await;
+        assert_eq!(seen.status, 200, "{seen:?}");
+    }
+    for host in &mut site.hosts {
+        host.node = None;
+    }
+    for host in &mut site.hosts {
+        host.start_node().unwrap();
+    }
+    let seen = site.caller(0).call("GET", "/reads/1").await;
+    assert_eq!(seen.status, 503, "without a configuration: {seen:?}");
+    site.store.set_faults(StoreFaults::default());
+    ready(&site).await;
+}
+
+#[ntex::test]
+async fn a_short_soak_breaks_no_promise() {
+    let report = soak(11, Duration::from_secs(18)).await.unwrap();
+    assert!(
+        report.broken.is_empty(),
+        "{:#?} after {:?}",
+        report.broken,
+        report.faults
+    );
+    assert!(report.served_count * 2 > report.call_count, "{report:?}");
+}
