--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -54,10 +54,7 @@
     call.story.borrow_mut().push(Step::Ended {
         outcome: ended.fate.name(),
         reason: ended.fate.reason(),
-        status: match &ended.fate {
-            Fate::Answered(answer) => answer.status,
-            Fate::NotRun(_) | Fate::Unknown(_) => 0,
-        },
+        status: ended.fate.status(),
         took_ms: took.as_millis(),
         waited_ms: ended.waited.as_millis(),
     });
--- /dev/null
+++ b/crates/dataplane/src/attempts.rs
@@ -0,0 +1,214 @@
+//! Attempts of one call: targets are tried within the retry budget until one answers.
+
+use std::time::Instant;
+
+use figway_routing::CallNeed;
+use figway_types::{
+    NodeId,
+    NotRunReason, //
+};
+
+use crate::admit::AdmittedFate;
+use crate::attempt::attempt;
+use crate::call::{
+    Call,
+    Fate,
+    FAILED_STATUS, //
+};
+use crate::candidates::{
+    ShareEntry,
+    ShareKey, //
+};
+use crate::plane::Worker;
+use crate::proxy::is_quarantined;
+use crate::story::Step;
+
+/// Targets that one call is offered to at most, those included that turned it away unsent.
+const TRY_MAX_COUNT: usize = 6;
+
+/// Calls per slot at a target up to which it takes hedges.
+const HEDGE_BUSY_RATIO: f64 = 0.85;
+
+/// Part of the time until an answer loses worth after which a call is hedged at the latest.
+const HEDGE_PROMPT_SHARE: f64 = 0.55;
+
+/// Tries targets until one answers. A call that is not idempotent goes to another target only as
+/// long as no target ran it.
+pub(crate) async fn run_attempts(worker: &Worker, call: &Call<'_>) -> Fate {
+    let rule = &call.rule;
+    let retries = &worker.plane.retries;
+    let node_count = worker.plane.mesh.view().node_count;
+    retries.deposit(rule.service, &rule.profile.limits, node_count);
+    let mut tried: Vec<NodeId> = Vec::new();
+    let mut sent_count = 0;
+    let mut earlier_unknown: Option<&'static str> = None;
+    let mut last = Fate::NotRun(NotRunReason::NoTarget);
+    while sent_count < rule.attempt_max_count && tried.len() < TRY_MAX_COUNT {
+        if call.deadline <= Instant::now() {
+            return Fate::NotRun(NotRunReason::Expired).after(earlier_unknown);
+        }
+        let Some(entry) = pick(worker, call, &tried) else {
+            break;
+        };
+        if sent_count > 0 && !retries.try_withdraw(rule.service) {
+            worker.plane.metrics.count("retry_refused");
+            call.story.borrow_mut().push(Step::NoBudget);
+            break;
+        }
+        tried.push(entry.member.node_id.clone());
+        let hedges = rule.idempotent && sent_count + 1 < rule.attempt_max_count;
+        let (ended, hedged) = if hedges {
+            run_hedged(worker, call, &entry, &mut tried).await
+        } else {
+            (attempt(worker, call, &entry).await, false)
+        };
+        sent_count += usize::from(ended.sent) + usize::from(hedged);
+        let again = may_try_again(call, &ended.fate);
+        if let Fate::Unknown(reason) = ended.fate {
+            earlier_unknown = Some(reason);
+        }
+        last = ended.fate.after(earlier_unknown);
+        if !again || is_quarantined(worker, call) {
+            break;
+        }
+        worker.plane.metrics.count("retry");
+    }
+    last
+}
+
+/// Returns whether another target may run the call after this fate.
+fn may_try_again(call: &Call<'_>, fate: &Fate) -> bool {
+    match fate {
+        Fate::Answered(answer) => call.rule.idempotent && answer.status >= FAILED_STATUS,
+        Fate::NotRun(reason) => reason.may_try_elsewhere(),
+        Fate::Unknown(_) => call.rule.idempotent,
+    }
+}
+
+/// Makes an attempt and, when it takes longer than most calls of its kind, a second one elsewhere;
+/// the first answer wins and the other attempt is given up. Returns whether a second was made.
+async fn run_hedged(
+    worker: &Worker,
+    call: &Call<'_>,
+    entry: &ShareEntry,
+    tried: &mut Vec<NodeId>,
+) -> (AdmittedFate, bool) {
+    let rule = &call.rule;
+    let first = attempt(worker, call, entry);
+    let Some(hedge_at) = hedge_at(worker, call) else {
+        return (first.await, false);
+    };
+    tokio::pin!(first);
+    tokio::select! {
+        ended = &mut first => return (ended, false),
+        () = tokio::time::sleep_until(hedge_at.into()) => {}
+    }
+    let Some(other) = pick(worker, call, tried) else {
+        return (first.await, false);
+    };
+    let has_room = has_room_for_hedge(worker, &other);
+    if !has_room || !worker.plane.retries.try_withdraw(rule.service) {
+        return (first.await, false);
+    }
+    worker.plane.metrics.count("hedge");
+    tried.push(other.member.node_id.clone());
+    let second = attempt(worker, call, &other);
+    tokio::pin!(second);
+    let ended = tokio::select! {
+        ended = &mut first => first_or(ended, second).await,
+        ended = &mut second => first_or(ended, first).await,
+    };
+    (ended, true)
+}
+
+/// Returns when a second attempt is due: when most calls of the kind would have been answered, and
+/// early enough for the second answer to be prompt.
+fn hedge_at(worker: &Worker, call: &Call<'_>) -> Option<Instant> {
+    let rule = &call.rule;
+    let now = Instant::now();
+    let after_most = worker
+        .plane
+        .retries
+        .hedge_after(rule.service, rule.name)
+        .map(|hedge_after| now + hedge_after);
+    let prompt_by = call.prompt_by.filter(|prompt_by| *prompt_by > now);
+    let in_time = prompt_by.map(|prompt_by| now + (prompt_by - now).mul_f64(HEDGE_PROMPT_SHARE));
+    match (after_most, in_time) {
+        (Some(after_most), Some(in_time)) => Some(after_most.min(in_time)),
+        (after_most, in_time) => after_most.or(in_time),
+    }
+}
+
+/// Returns whether a hedge would find a free slot. A call that is slow by its own work is slow
+/// everywhere; hedging it must not take slots from calls that wait.
+fn has_room_for_hedge(worker: &Worker, entry: &ShareEntry) -> bool {
+    let slot_count = entry.candidate().slot_count;
+    let loads = worker.plane.loads();
+    let busy_ratio = loads.busy_ratio(&entry.member.node_id, slot_count, Instant::now());
+    busy_ratio <= HEDGE_BUSY_RATIO
+}
+
+/// Returns the first good answer; an attempt that ended without one waits for the other.
+async fn first_or(
+    ended: AdmittedFate,
+    other: impl std::future::Future<Output = AdmittedFate>,
+) -> AdmittedFate {
+    if ended.fate.is_good() {
+        return ended;
+    }
+    let other = other.await;
+    if other.fate.is_good() || matches!(ended.fate, Fate::NotRun(_)) {
+        return other;
+    }
+    ended
+}
+
+fn pick(worker: &Worker, call: &Call<'_>, tried: &[NodeId]) -> Option<ShareEntry> {
+    let plane = &worker.plane;
+    let rule = &call.rule;
+    let view = plane.mesh.view();
+    let home = &worker.home;
+    let key = ShareKey {
+        service: rule.service,
+        subset_name: rule.subset,
+        profile: rule.profile,
+        profile_name: rule.profile_name,
+    };
+    let share = worker.candidates.borrow_mut().share(&view, home, key);
+    let mut candidates = Vec::with_capacity(share.len());
+    for entry in share.iter() {
+        candidates.push(entry.candidate());
+    }
+    let excluded: Vec<&NodeId> = tried.iter().collect();
+    let mut loads = plane.loads();
+    let now = Instant::now();
+    // Beside this node the load is known, whoever sent the calls.
+    loads.note_report(&home.node_id, plane.gate.report(rule.rank), now);
+    let mut picker = match call.prompt_by {
+        Some(_) => worker.route_picker.borrow_mut(),
+        None => worker.picker.borrow_mut(),
+    };
+    let need = CallNeed {
+        kind: rule.name,
+        prompt_left: call
+            .prompt_by
+            .unwrap_or(call.deadline)
+            .saturating_duration_since(now),
+        deadline_left: call.deadline.saturating_duration_since(now),
+    };
+    let picked = picker.pick(&need, &candidates, &excluded, &loads, now);
+    let Some(picked) = picked else {
+        call.story.borrow_mut().push(Step::NoTarget {
+            known_count: candidates.len(),
+        });
+        return None;
+    };
+    let entry = share[picked.index].clone();
+    call.story.borrow_mut().push(Step::Picked {
+        target: entry.member.node_id.clone(),
+        reason: picked.reason,
+        cost: picked.cost,
+        at_ms: call.arrived_at.elapsed().as_millis(),
+    });
+    Some(entry)
+}
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -207,6 +207,19 @@
         }
     }
 
+    /// Status of the target's answer, 0 if there is none.
+    pub(crate) fn status(&self) -> u16 {
+        match self {
+            Fate::Answered(answer) => answer.status,
+            Fate::NotRun(_) | Fate::Unknown(_) => 0,
+        }
+    }
+
+    /// Returns whether a target answered and did not fail.
+    pub(crate) fn is_good(&self) -> bool {
+        matches!(self, Fate::Answered(answer) if answer.status < FAILED_STATUS)
+    }
+
     /// Joins this fate with earlier attempts of the same submission: `not run` holds only if it
     /// holds of every attempt.
     pub(crate) fn after(self, earlier_unknown: Option<&'static str>) -> Fate {
@@ -217,5 +230,8 @@
     }
 }
 
+/// Least status by which a target says that it failed.
+pub(crate) const FAILED_STATUS: u16 = 500;
+
 /// Reason of a fate that is unknown because the deadline passed.
 pub const LATE: &str = "deadline";
--- a/crates/dataplane/src/interface.rs
+++ b/crates/dataplane/src/interface.rs
@@ -20,6 +20,15 @@
     Host(&'a str),
 }
 
+impl std::fmt::Display for Addressing<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Addressing::Service(name) => write!(f, "service {name}"),
+            Addressing::Host(name) => write!(f, "host {name}"),
+        }
+    }
+}
+
 /// What a target is told of a call besides the request itself.
 #[derive(Clone, Copy, Debug)]
 pub struct Onward<'a> {
--- a/crates/dataplane/src/keyed.rs
+++ b/crates/dataplane/src/keyed.rs
@@ -15,12 +15,12 @@
 };
 use figway_types::NotRunReason;
 
+use crate::attempts::run_attempts;
 use crate::call::{
     Call,
     Fate, //
 };
 use crate::plane::Worker;
-use crate::proxy::run_attempts;
 
 /// Attempts that ended without running and are followed by this submission, at most.
 const FOLLOW_MAX_COUNT: usize = 3;
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod attempt;
+mod attempts;
 mod call;
 mod candidates;
 mod front;
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -11,15 +11,12 @@
     Headers,
     Request, //
 };
-use figway_routing::CallNeed;
 use figway_types::{
-    NodeId,
     NotRunReason,
     RequestView, //
 };
 
-use crate::admit::AdmittedFate;
-use crate::attempt::attempt;
+use crate::attempts::run_attempts;
 use crate::call::{
     Call,
     Fate,
@@ -27,10 +24,6 @@
     LATE,
     NESTED_RANK, //
 };
-use crate::candidates::{
-    ShareEntry,
-    ShareKey, //
-};
 use crate::interface::Addressing;
 use crate::keyed::run_keyed;
 use crate::plane::Worker;
@@ -39,18 +32,6 @@
     Step, //
 };
 
-/// Targets that one call is offered to at most, those included that turned it away unsent.
-const TRY_MAX_COUNT: usize = 6;
-
-/// Calls per slot at a target up to which it takes hedges.
-const HEDGE_BUSY_RATIO: f64 = 0.85;
-
-/// Part of the time until an answer loses worth after which a call is hedged at the latest.
-const HEDGE_PROMPT_SHARE: f64 = 0.55;
-
-/// Least status by which a target says that it failed.
-const FAILED_STATUS: u16 = 500;
-
 /// A request as it came from a caller.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Incoming<'a> {
@@ -72,32 +53,39 @@
         Addressing::Service(service) => serve_service(worker, &view, incoming, service).await,
         Addressing::Host(host) => serve_host(worker, &view, incoming, host).await,
     };
-    let request = incoming.request;
-    match &fate {
-        Fate::NotRun(
-            NotRunReason::NoConfiguration | NotRunReason::NoService | NotRunReason::NoRoute,
-        ) => {
-            let plane = &worker.plane;
-            plane
-                .metrics
-                .note_call("", fate.name(), fate.reason(), request.arrived_at.elapsed());
-            if plane.lines.keeps(incoming.request_id, true) {
-                log::info!(
-                    "call not routed request={} to={:?} method={} path={} routes_version={} why={}",
-                    incoming.request_id,
-                    incoming.addressing,
-                    request.method,
-                    request.path,
-                    view.routes.version,
-                    fate.reason(),
-                );
-            }
-        }
-        _ => {}
+    if let Fate::NotRun(
+        reason @ (NotRunReason::NoConfiguration | NotRunReason::NoService | NotRunReason::NoRoute),
+    ) = fate
+    {
+        note_unrouted(worker, incoming, reason, view.routes.version);
     }
     fate
 }
 
+fn note_unrouted(
+    worker: &Worker,
+    incoming: &Incoming<'_>,
+    reason: NotRunReason,
+    routes_version: u64,
+) {
+    let plane = &worker.plane;
+    let request = incoming.request;
+    plane
+        .metrics
+        .note_call("", "not-run", reason.name(), request.arrived_at.elapsed());
+    if plane.lines.keeps(incoming.request_id, true) {
+        log::info!(
+            "call not routed request={} to={} method={} path={} routes_version={routes_version} \
+             why={}",
+            incoming.request_id,
+            incoming.addressing,
+            request.method,
+            request.path,
+            reason.name(),
+        );
+    }
+}
+
 /// Serves a call that names a service, by the request kinds of the service's profile.
 async fn serve_service(
     worker: &Worker,
@@ -212,7 +200,8 @@
         .metrics
         .note_call(rule.name, fate.name(), fate.reason(), took);
     let story = story.take();
-    let notable = !is_good(&fate) || story.len() > 1;
+    // A call that went well at its first target has two steps.
+    let notable = !fate.is_good() || story.len() > 2;
     if plane.lines.keeps(call.request_id, notable) {
         log::info!(
             "call ended request={} service={} kind={} version={} origin={} rank={} outcome={} \
@@ -225,7 +214,7 @@
             rule.rank,
             fate.name(),
             fate.reason(),
-            status_of(&fate),
+            fate.status(),
             took.as_millis(),
             deadline
                 .saturating_duration_since(request.arrived_at)
@@ -253,199 +242,8 @@
     run_attempts(worker, call).await
 }
 
-fn is_quarantined(worker: &Worker, call: &Call<'_>) -> bool {
+/// Returns whether the request crashed targets before.
+pub(crate) fn is_quarantined(worker: &Worker, call: &Call<'_>) -> bool {
     let quarantine = worker.plane.mesh.quarantine();
     quarantine.is_quarantined(call.fingerprint, Instant::now())
 }
-
-/// Tries targets until one answers. A call that is not idempotent goes to another target only as
-/// long as no target ran it.
-pub(crate) async fn run_attempts(worker: &Worker, call: &Call<'_>) -> Fate {
-    let rule = &call.rule;
-    let retries = &worker.plane.retries;
-    let node_count = worker.plane.mesh.view().node_count;
-    retries.deposit(rule.service, &rule.profile.limits, node_count);
-    let mut tried: Vec<NodeId> = Vec::new();
-    let mut sent_count = 0;
-    let mut earlier_unknown: Option<&'static str> = None;
-    let mut last = Fate::NotRun(NotRunReason::NoTarget);
-    while sent_count < rule.attempt_max_count && tried.len() < TRY_MAX_COUNT {
-        if call.deadline <= Instant::now() {
-            return Fate::NotRun(NotRunReason::Expired).after(earlier_unknown);
-        }
-        let Some(entry) = pick(worker, call, &tried) else {
-            break;
-        };
-        if sent_count > 0 && !retries.try_withdraw(rule.service) {
-            worker.plane.metrics.count("retry_refused");
-            call.story.borrow_mut().push(Step::NoBudget);
-            break;
-        }
-        tried.push(entry.member.node_id.clone());
-        let hedges = rule.idempotent && sent_count + 1 < rule.attempt_max_count;
-        let (ended, hedged) = if hedges {
-            run_hedged(worker, call, &entry, &mut tried).await
-        } else {
-            (attempt(worker, call, &entry).await, false)
-        };
-        sent_count += usize::from(ended.sent) + usize::from(hedged);
-        let again = may_try_again(call, &ended.fate);
-        if let Fate::Unknown(reason) = ended.fate {
-            earlier_unknown = Some(reason);
-        }
-        last = ended.fate.after(earlier_unknown);
-        if !again || is_quarantined(worker, call) {
-            break;
-        }
-        worker.plane.metrics.count("retry");
-    }
-    last
-}
-
-/// Returns whether another target may run the call after this fate.
-fn may_try_again(call: &Call<'_>, fate: &Fate) -> bool {
-    match fate {
-        Fate::Answered(answer) => call.rule.idempotent && answer.status >= FAILED_STATUS,
-        Fate::NotRun(reason) => reason.may_try_elsewhere(),
-        Fate::Unknown(_) => call.rule.idempotent,
-    }
-}
-
-/// Makes an attempt and, when it takes longer than most calls of its kind, a second one elsewhere;
-/// the first answer wins and the other attempt is given up. Returns whether a second was made.
-async fn run_hedged(
-    worker: &Worker,
-    call: &Call<'_>,
-    entry: &ShareEntry,
-    tried: &mut Vec<NodeId>,
-) -> (AdmittedFate, bool) {
-    let rule = &call.rule;
-    let first = attempt(worker, call, entry);
-    let Some(hedge_at) = hedge_at(worker, call) else {
-        return (first.await, false);
-    };
-    tokio::pin!(first);
-    tokio::select! {
-        ended = &mut first => return (ended, false),
-        () = tokio::time::sleep_until(hedge_at.into()) => {}
-    }
-    let Some(other) = pick(worker, call, tried) else {
-        return (first.await, false);
-    };
-    let has_room = has_room_for_hedge(worker, &other);
-    if !has_room || !worker.plane.retries.try_withdraw(rule.service) {
-        return (first.await, false);
-    }
-    worker.plane.metrics.count("hedge");
-    tried.push(other.member.node_id.clone());
-    let second = attempt(worker, call, &other);
-    tokio::pin!(second);
-    let ended = tokio::select! {
-        ended = &mut first => first_or(ended, second).await,
-        ended = &mut second => first_or(ended, first).await,
-    };
-    (ended, true)
-}
-
-/// Returns when a second attempt is due: when most calls of the kind would have been answered, and
-/// early enough for the second answer to be prompt.
-fn hedge_at(worker: &Worker, call: &Call<'_>) -> Option<Instant> {
-    let rule = &call.rule;
-    let now = Instant::now();
-    let after_most = worker
-        .plane
-        .retries
-        .hedge_after(rule.service, rule.name)
-        .map(|hedge_after| now + hedge_after);
-    let prompt_by = call.prompt_by.filter(|prompt_by| *prompt_by > now);
-    let in_time = prompt_by.map(|prompt_by| now + (prompt_by - now).mul_f64(HEDGE_PROMPT_SHARE));
-    match (after_most, in_time) {
-        (Some(after_most), Some(in_time)) => Some(after_most.min(in_time)),
-        (after_most, in_time) => after_most.or(in_time),
-    }
-}
-
-/// Returns whether a hedge would find a free slot. A call that is slow by its own work is slow
-/// everywhere; hedging it must not take slots from calls that wait.
-fn has_room_for_hedge(worker: &Worker, entry: &ShareEntry) -> bool {
-    let slot_count = entry.candidate().slot_count;
-    let loads = worker.plane.loads();
-    let busy_ratio = loads.busy_ratio(&entry.member.node_id, slot_count, Instant::now());
-    busy_ratio <= HEDGE_BUSY_RATIO
-}
-
-/// Returns the first good answer; an attempt that ended without one waits for the other.
-async fn first_or(
-    ended: AdmittedFate,
-    other: impl std::future::Future<Output = AdmittedFate>,
-) -> AdmittedFate {
-    if is_good(&ended.fate) {
-        return ended;
-    }
-    let other = other.await;
-    if is_good(&other.fate) || matches!(ended.fate, Fate::NotRun(_)) {
-        return other;
-    }
-    ended
-}
-
-fn status_of(fate: &Fate) -> u16 {
-    match fate {
-        Fate::Answered(answer) => answer.status,
-        Fate::NotRun(_) | Fate::Unknown(_) => 0,
-    }
-}
-
-fn is_good(fate: &Fate) -> bool {
-    matches!(fate, Fate::Answered(answer) if answer.status < FAILED_STATUS)
-}
-
-fn pick(worker: &Worker, call: &Call<'_>, tried: &[NodeId]) -> Option<ShareEntry> {
-    let plane = &worker.plane;
-    let rule = &call.rule;
-    let view = plane.mesh.view();
-    let home = &worker.home;
-    let key = ShareKey {
-        service: rule.service,
-        subset_name: rule.subset,
-        profile: rule.profile,
-        profile_name: rule.profile_name,
-    };
-    let share = worker.candidates.borrow_mut().share(&view, home, key);
-    let mut candidates = Vec::with_capacity(share.len());
-    for entry in share.iter() {
-        candidates.push(entry.candidate());
-    }
-    let excluded: Vec<&NodeId> = tried.iter().collect();
-    let mut loads = plane.loads();
-    let now = Instant::now();
-    // Beside this node the load is known, whoever sent the calls.
-    loads.note_report(&home.node_id, plane.gate.report(rule.rank), now);
-    let mut picker = match call.prompt_by {
-        Some(_) => worker.route_picker.borrow_mut(),
-        None => worker.picker.borrow_mut(),
-    };
-    let need = CallNeed {
-        kind: rule.name,
-        prompt_left: call
-            .prompt_by
-            .unwrap_or(call.deadline)
-            .saturating_duration_since(now),
-        deadline_left: call.deadline.saturating_duration_since(now),
-    };
-    let picked = picker.pick(&need, &candidates, &excluded, &loads, now);
-    let Some(picked) = picked else {
-        call.story.borrow_mut().push(Step::NoTarget {
-            known_count: candidates.len(),
-        });
-        return None;
-    };
-    let entry = share[picked.index].clone();
-    call.story.borrow_mut().push(Step::Picked {
-        target: entry.member.node_id.clone(),
-        reason: picked.reason,
-        cost: picked.cost,
-        at_ms: call.arrived_at.elapsed().as_millis(),
-    });
-    Some(entry)
-}
--- a/crates/figway/src/cmd/mod.rs
+++ b/crates/figway/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! Commands, one file each.
 
 mod check;
+mod explain;
 mod node;
 mod publish;
 mod retreat;
@@ -37,6 +38,7 @@
             FigwayCmd::Status(command) => command.run().await,
             FigwayCmd::Check(command) => command.run().await,
             FigwayCmd::Watch(command) => command.run().await,
+            FigwayCmd::Explain(command) => command.run().await,
         }
     }
 }
--- a/crates/figway/src/flags.rs
+++ b/crates/figway/src/flags.rs
@@ -84,6 +84,13 @@
             /// Profile, in YAML.
             repeated --profile path: PathBuf
         }
+        /// Tells what happened to one request, out of the collected logs of all nodes.
+        cmd explain {
+            /// Id of the request.
+            required request: String
+            /// Log of a node, JSON lines.
+            repeated logs: PathBuf
+        }
         /// Prints every change and its verdict as it comes.
         cmd watch {
             /// URL of the platform's log; FIGWAY_LOG if absent.
--- a/crates/figway/src/logger.rs
+++ b/crates/figway/src/logger.rs
@@ -70,7 +70,12 @@
     let (event, fields) = split_fields(&message);
     line.insert("event".to_owned(), event.into());
     for (name, value) in fields {
-        line.insert(name.to_owned(), value_of(value));
+        let value = match name {
+            // Ids may happen to be digits only.
+            "request" | "instance" => value.into(),
+            _ => value_of(value),
+        };
+        line.insert(name.to_owned(), value);
     }
     Value::Object(line)
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -213,10 +213,10 @@
                     return Read::Ended;
                 }
             };
-            if head.headers().contains_key("expect") && matches!(payload, PayloadType::Payload(_)) {
-                if io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n").is_err() {
-                    return Read::Ended;
-                }
+            let waits =
+                head.headers().contains_key("expect") && matches!(payload, PayloadType::Payload(_));
+            if waits && io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n").is_err() {
+                return Read::Ended;
             }
             let body = match payload {
                 PayloadType::None => Bytes::new(),
--- a/crates/profile/src/routes.rs
+++ b/crates/profile/src/routes.rs
@@ -210,11 +210,9 @@
     /// Returns the route of the longest prefix that begins `path`, which may bear a query.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<NamedRoute>> {
         let path = path.split('?').next().unwrap_or(path);
-        for named in self.hosts.get(host)? {
-            if path.starts_with(named.route.path_prefix.as_str()) {
-                return Some(named);
-            }
-        }
-        None
+        self.hosts
+            .get(host)?
+            .iter()
+            .find(|named| path.starts_with(named.route.path_prefix.as_str()))
     }
 }
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -87,6 +87,11 @@
         Ok(())
     }
 
+    /// Returns where the node's log lines go.
+    pub fn log_path(&self) -> &std::path::Path {
+        &self.log_path
+    }
+
     /// Returns the log lines that the node wrote so far.
     ///
     /// # Errors
@@ -131,10 +136,21 @@
     }
 }
 
-/// Returns a port that was free a moment ago.
-fn ephemeral_port() -> anyhow::Result<u16> {
-    let listener = std::net::TcpListener::bind(("127.0.0.1", 0))?;
-    Ok(listener.local_addr()?.port())
+/// Ports below those that the system gives to outgoing connections, which would take a node's port
+/// while it is down.
+const PORTS: std::ops::Range<u64> = 15_000..30_000;
+
+/// Returns a port that is free.
+fn free_port() -> anyhow::Result<u16> {
+    loop {
+        let draw = figway_types::entropy() % (PORTS.end - PORTS.start);
+        let port = (PORTS.start + draw) as u16;
+        match std::net::TcpListener::bind(("127.0.0.1", port)) {
+            Ok(_) => return Ok(port),
+            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
 }
 
 async fn start_host(folder: &std::path::Path, store: &Store, index: usize) -> anyhow::Result<Host> {
@@ -146,8 +162,8 @@
     let zone = if index % 4 < 2 { "east" } else { "west" };
     let store_way = Relay::start().await?;
     store_way.set_target(&store.address());
-    let (call, control) = (ephemeral_port()?, ephemeral_port()?);
-    let (callers, ready, announcements) = (ephemeral_port()?, ephemeral_port()?, ephemeral_port()?);
+    let (call, control) = (free_port()?, free_port()?);
+    let (callers, ready, announcements) = (free_port()?, free_port()?, free_port()?);
     let backend = Backend::start(service, zone, &format!("127.0.0.1:{announcements}")).await?;
     let name = format!("node-{index}");
     let settings = format!(
