--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -41,11 +41,10 @@
     retries.deposit(rule.service, &rule.profile.limits, node_count);
     let mut tried: Vec<NodeId> = Vec::new();
     let mut sent_count = 0;
-    let mut earlier_unknown: Option<&'static str> = None;
     let mut last = Fate::NotRun(NotRunReason::NoTarget);
     while sent_count < rule.attempt_max_count && tried.len() < TRY_MAX_COUNT {
         if call.deadline <= Instant::now() {
-            return Fate::NotRun(NotRunReason::Expired).after(earlier_unknown);
+            return Fate::NotRun(NotRunReason::Expired).after(last);
         }
         let Some(entry) = pick(worker, call, &tried) else {
             break;
@@ -64,10 +63,7 @@
         };
         sent_count += usize::from(ended.sent) + usize::from(hedged);
         let again = may_try_again(call, &ended.fate);
-        if let Fate::Unknown(reason) = ended.fate {
-            earlier_unknown = Some(reason);
-        }
-        last = ended.fate.after(earlier_unknown);
+        last = ended.fate.after(last);
         if !again || is_quarantined(worker, call) {
             break;
         }
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -220,11 +220,12 @@
         matches!(self, Fate::Answered(answer) if answer.status < FAILED_STATUS)
     }
 
-    /// Joins this fate with earlier attempts of the same submission: `not run` holds only if it
-    /// holds of every attempt.
-    pub(crate) fn after(self, earlier_unknown: Option<&'static str>) -> Fate {
-        match (self, earlier_unknown) {
-            (Fate::NotRun(_), Some(reason)) => Fate::Unknown(reason),
+    /// Joins this fate with that of the earlier attempts of the same submission: `not run` holds only
+    /// if it holds of every attempt, and an answer is not given up for none.
+    pub(crate) fn after(self, earlier: Fate) -> Fate {
+        match (self, earlier) {
+            (Fate::NotRun(_), earlier @ (Fate::Answered(_) | Fate::Unknown(_)))
+            | (Fate::Unknown(_), earlier @ Fate::Answered(_)) => earlier,
             (fate, _) => fate,
         }
     }
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -60,6 +60,8 @@
     draining: Cell<bool>,
     /// One in this many answers is lost after the run; 0 for none.
     pub loses_one_in: Cell<u64>,
+    /// Answers each request with a failure after it ran.
+    pub fails: Cell<bool>,
     /// Adds to the time of each request, in milliseconds.
     pub slow_ms: Cell<u64>,
     runs: RefCell<Vec<Run>>,
@@ -83,6 +85,7 @@
             sequence: Cell::new(0),
             draining: Cell::new(false),
             loses_one_in: Cell::new(0),
+            fails: Cell::new(false),
             slow_ms: Cell::new(0),
             runs: RefCell::default(),
             client: HttpClient::new(ClientLimits {
@@ -193,7 +196,7 @@
         if lost || started_as != self.start_count.get() {
             std::future::pending::<()>().await;
         }
-        let mut answer = Answer::of_status(200);
+        let mut answer = Answer::of_status(if self.fails.get() { 500 } else { 200 });
         answer.headers.push("x-figway-attempt-id", id.as_str());
         answer
             .headers
--- a/crates/testbed/tests/site.rs
+++ b/crates/testbed/tests/site.rs
@@ -152,6 +152,22 @@
     assert!(node.has_ended(), "the node outlived its grace");
 }
 
+#[ntex::test]
+async fn a_request_that_ran_and_failed_is_not_called_unrun_since_the_next_node_is_gone() {
+    let mut site = Site::start("failed", 4).await.unwrap();
+    ready(&site).await;
+    site.hosts[0].backend.fails.set(true);
+    site.hosts[2].backend.fails.set(true);
+    let gone = site.hosts[2].node.take().unwrap();
+    gone.signal(Signal::Kill).unwrap();
+    for _ in 0..20 {
+        let seen = site.caller(1).call("GET", "/reads/1").await;
+        let runs = site.hosts[0].backend.runs();
+        let ran = runs.iter().any(|run| run.id == seen.id);
+        assert!(ran && seen.status == 500, "ran: {ran}, {seen:?}");
+    }
+}
+
 #[ntex::test]
 async fn calls_go_on_and_restarts_recover_while_the_store_is_down() {
     let mut site = Site::start("down", 4).await.unwrap();
