--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -43,6 +43,8 @@
     pub id: String,
     /// Service on whose host it began, as it was told.
     pub origin: String,
+    /// Start of the back end that ran it, from 1.
+    pub start: u64,
     /// Method and path.
     pub what: String,
     /// When it began.
@@ -122,6 +124,11 @@
         self.draining.set(false);
     }
 
+    /// Returns the start that serves now.
+    pub fn start_count(&self) -> u64 {
+        self.start_count.get()
+    }
+
     /// Asks for no new work, or for work again under a new id; returns whether that was
     /// acknowledged.
     pub async fn set_draining(&self, draining: bool) -> bool {
@@ -186,6 +193,7 @@
         self.runs.borrow_mut().push(Run {
             id: id.clone(),
             origin: header("x-figway-caller-service"),
+            start: started_as,
             what: format!("{} {}", request.method, request.path),
             at: Instant::now(),
         });
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -68,6 +68,7 @@
     pub ready: String,
     settings_path: PathBuf,
     log_path: PathBuf,
+    _ports: Ports,
 }
 
 impl Host {
@@ -140,15 +141,25 @@
 /// while it is down.
 const PORTS: std::ops::Range<u64> = 15_000..30_000;
 
-/// Returns a port that is free.
-fn free_port() -> anyhow::Result<u16> {
-    loop {
-        let draw = figway_types::entropy() % (PORTS.end - PORTS.start);
-        let port = (PORTS.start + draw) as u16;
-        match std::net::TcpListener::bind(("127.0.0.1", port)) {
-            Ok(_) => return Ok(port),
-            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
-            Err(error) => return Err(error.into()),
+/// Ports of one host. Each is held by a UDP socket too, so that another site does not take it while
+/// the node is down.
+#[derive(Default)]
+struct Ports {
+    held: Vec<std::net::UdpSocket>,
+}
+
+impl Ports {
+    /// Returns a port that is free.
+    fn take(&mut self) -> anyhow::Result<u16> {
+        loop {
+            let draw = figway_types::entropy() % (PORTS.end - PORTS.start);
+            let port = (PORTS.start + draw) as u16;
+            let tcp = std::net::TcpListener::bind(("127.0.0.1", port));
+            let udp = std::net::UdpSocket::bind(("127.0.0.1", port));
+            if let (Ok(_), Ok(udp)) = (tcp, udp) {
+                self.held.push(udp);
+                return Ok(port);
+            }
         }
     }
 }
@@ -162,8 +173,9 @@
     let zone = if index % 4 < 2 { "east" } else { "west" };
     let store_way = Relay::start().await?;
     store_way.set_target(&store.address());
-    let (call, control) = (free_port()?, free_port()?);
-    let (callers, ready, announcements) = (free_port()?, free_port()?, free_port()?);
+    let mut ports = Ports::default();
+    let (call, control) = (ports.take()?, ports.take()?);
+    let (callers, ready, announcements) = (ports.take()?, ports.take()?, ports.take()?);
     let backend = Backend::start(service, zone, &format!("127.0.0.1:{announcements}")).await?;
     let name = format!("node-{index}");
     let settings = format!(
@@ -188,6 +200,7 @@
         callers: format!("127.0.0.1:{callers}"),
         ready: format!("127.0.0.1:{ready}"),
         settings_path,
+        _ports: ports,
     };
     host.start_node()?;
     Ok(host)
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -101,7 +101,8 @@
 struct Soak {
     site: RefCell<Site>,
     seen: RefCell<Vec<(usize, bool, Seen)>>,
-    drained: RefCell<Vec<(usize, Instant, Instant)>>,
+    /// Host and start of back ends whose leaving was acknowledged, and when they may run no more.
+    drained: RefCell<Vec<(usize, u64, Instant)>>,
     version: Cell<u32>,
     ends_at: Instant,
     report: RefCell<SoakReport>,
@@ -231,14 +232,13 @@
             }
             Fault::RestartBackend => backend.restart(),
             Fault::DrainBackend => {
+                let start = backend.start_count();
                 let acknowledged = backend.set_draining(true).await;
-                let since = Instant::now();
-                tokio::time::sleep(DRAIN_MAX + span).await;
-                if acknowledged {
-                    self.drained
-                        .borrow_mut()
-                        .push((index, since + DRAIN_MAX, Instant::now()));
+                if acknowledged && backend.start_count() == start {
+                    let until = Instant::now() + DRAIN_MAX;
+                    self.drained.borrow_mut().push((index, start, until));
                 }
+                tokio::time::sleep(DRAIN_MAX + span).await;
                 backend.set_draining(false).await;
             }
         }
@@ -345,9 +345,9 @@
 
     fn check_drains(&self) {
         let site = self.site.borrow();
-        for (index, from, until) in self.drained.borrow().iter() {
+        for (index, start, until) in self.drained.borrow().iter() {
             for run in site.hosts[*index].backend.runs() {
-                if run.at > *from && run.at < *until {
+                if run.start == *start && run.at > *until {
                     self.note(format!("request {} reached leaving host {index}", run.id));
                 }
             }
