--- a/crates/admission/src/retry_budget.rs
+++ b/crates/admission/src/retry_budget.rs
@@ -28,11 +28,6 @@
         self.token_count = self.token_count.min(burst_count);
     }
 
-    /// Returns the retries that it pays for now.
-    pub fn token_count(&self) -> f64 {
-        self.token_count
-    }
-
     /// Notes a first attempt.
     pub fn deposit(&mut self) {
         self.token_count = (self.token_count + self.ratio).min(self.burst_count);
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -1,33 +1,23 @@
-//! Admission beside the target: slots and queue, then the call itself.
+//! Admission beside the target: the gate, then the call itself.
 
-use std::sync::{
-    Arc,
-    Mutex, //
-};
+use std::sync::Arc;
 use std::time::{
     Duration,
     Instant, //
 };
 
 use figway_admission::{
-    Admission,
     AdmissionLimits,
-    CallView,
-    Entered,
-    Released,
-    Ticket, //
+    CallView, //
 };
 use figway_http::{
     Outbound,
     SendFailure, //
 };
-use figway_routing::LoadReport;
 use figway_types::{
-    FastMap,
     NotRunReason,
     Target, //
 };
-use tokio::sync::oneshot;
 
 use crate::call::{
     Admitted,
@@ -35,156 +25,12 @@
     LATE, //
 };
 use crate::interface::Onward;
-use crate::plane::{
-    DataPlane,
-    Worker, //
-};
+use crate::plane::DataPlane;
+use crate::worker::Worker;
 
 /// Least time that a target is given for a call; less is not worth a try.
 const TARGET_TIME_MIN: Duration = Duration::from_millis(2);
 
-type Decision = Result<(), NotRunReason>;
-
-#[derive(Default)]
-struct Gate {
-    admission: Option<Admission>,
-    waiting: FastMap<Ticket, oneshot::Sender<Decision>>,
-    closed: bool,
-}
-
-/// Admission to the target beside the node, and the calls that wait for it.
-#[derive(Default)]
-pub(crate) struct TargetGate {
-    gate: Mutex<Gate>,
-}
-
-impl TargetGate {
-    /// Refuses all new work, or takes it again.
-    pub(crate) fn set_closed(&self, closed: bool) {
-        let mut gate = self.gate.lock().expect("no holder panics");
-        gate.closed = closed;
-        if let Some(admission) = &mut gate.admission {
-            admission.set_closed(closed);
-        }
-    }
-
-    /// Returns the load beside the target, with the wait of a call of `rank`.
-    pub(crate) fn report(&self, rank: u32) -> LoadReport {
-        let gate = self.gate.lock().expect("no holder panics");
-        let Some(admission) = &gate.admission else {
-            return LoadReport::default();
-        };
-        let wait = admission.expected_wait(rank, Instant::now());
-        LoadReport {
-            busy_ratio: admission.busy_ratio(),
-            wait_ms: wait.as_secs_f64() * 1_000.0,
-        }
-    }
-
-    /// Returns the calls that run and those that wait.
-    pub(crate) fn counts(&self) -> (usize, usize) {
-        let gate = self.gate.lock().expect("no holder panics");
-        gate.admission.as_ref().map_or((0, 0), |admission| {
-            (admission.running_count(), admission.waiting_count())
-        })
-    }
-
-    /// Waits for a slot until the call's deadline.
-    async fn enter(
-        &self,
-        call: &CallView<'_>,
-        limits: AdmissionLimits,
-    ) -> Result<Slot<'_>, NotRunReason> {
-        let (mut slot, decision) = match self.try_enter(call, limits)? {
-            (slot, None) => return Ok(slot),
-            (slot, Some(decision)) => (slot, decision),
-        };
-        let decided = tokio::time::timeout_at(call.deadline.into(), decision).await;
-        match decided {
-            Ok(Ok(Ok(()))) => {
-                slot.started = true;
-                Ok(slot)
-            }
-            Ok(Ok(Err(reason))) => Err(reason),
-            Ok(Err(_)) => Err(NotRunReason::Overloaded),
-            Err(_) => Err(NotRunReason::Expired),
-        }
-    }
-
-    fn try_enter(
-        &self,
-        call: &CallView<'_>,
-        limits: AdmissionLimits,
-    ) -> Result<(Slot<'_>, Option<oneshot::Receiver<Decision>>), NotRunReason> {
-        let mut gate = self.gate.lock().expect("no holder panics");
-        if gate.closed {
-            return Err(NotRunReason::Draining);
-        }
-        let admission = gate.admission.get_or_insert_with(|| Admission::new(limits));
-        admission.set_limits(limits);
-        let (entered, released) = admission.enter(call, Instant::now());
-        let entered = match entered {
-            Entered::Running(ticket) => (self.slot(ticket, true), None),
-            Entered::Waiting(ticket) => {
-                let (sender, decision) = oneshot::channel();
-                gate.waiting.insert(ticket, sender);
-                (self.slot(ticket, false), Some(decision))
-            }
-            Entered::Refused(reason) => return Err(reason),
-        };
-        gate.tell(released);
-        Ok(entered)
-    }
-
-    fn slot(&self, ticket: Ticket, started: bool) -> Slot<'_> {
-        Slot {
-            gate: self,
-            ticket,
-            started,
-            answered: false,
-        }
-    }
-}
-
-impl Gate {
-    fn tell(&mut self, released: Released) {
-        for ticket in released.running {
-            self.decide(ticket, Ok(()));
-        }
-        for (ticket, reason) in released.refused {
-            self.decide(ticket, Err(reason));
-        }
-    }
-
-    fn decide(&mut self, ticket: Ticket, decision: Decision) {
-        if let Some(sender) = self.waiting.remove(&ticket) {
-            // A receiver that is gone frees its place when its `Slot` drops.
-            sender.send(decision).ok();
-        }
-    }
-}
-
-/// A place in the queue or a slot; it is free again when dropped.
-struct Slot<'a> {
-    gate: &'a TargetGate,
-    ticket: Ticket,
-    started: bool,
-    answered: bool,
-}
-
-impl Drop for Slot<'_> {
-    fn drop(&mut self) {
-        let mut gate = self.gate.gate.lock().expect("no holder panics");
-        gate.waiting.remove(&self.ticket);
-        let answered = self.answered && self.started;
-        let Some(admission) = &mut gate.admission else {
-            return;
-        };
-        let released = admission.leave(self.ticket, answered, Instant::now());
-        gate.tell(released);
-    }
-}
-
 /// Fate of an admitted call.
 pub(crate) struct AdmittedFate {
     pub(crate) fate: Fate,
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -33,11 +33,9 @@
 };
 use crate::candidates::ShareEntry;
 use crate::headers;
-use crate::plane::{
-    DataPlane,
-    Worker, //
-};
+use crate::plane::DataPlane;
 use crate::story::Step;
+use crate::worker::Worker;
 
 /// Makes one attempt. Dropping the future gives the attempt up and frees all that it holds.
 pub(crate) async fn attempt(worker: &Worker, call: &Call<'_>, entry: &ShareEntry) -> AdmittedFate {
--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -19,9 +19,9 @@
     ShareEntry,
     ShareKey, //
 };
-use crate::plane::Worker;
 use crate::proxy::is_quarantined;
 use crate::story::Step;
+use crate::worker::Worker;
 
 /// Targets that one call is offered to at most, those included that turned it away unsent.
 const TRY_MAX_COUNT: usize = 6;
--- /dev/null
+++ b/crates/dataplane/src/builder.rs
@@ -0,0 +1,166 @@
+//! Builder of a node's data plane.
+
+use std::sync::atomic::{
+    AtomicBool,
+    AtomicUsize, //
+};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
+use std::time::Duration;
+
+use figway_control::{
+    ClaimAgent,
+    Mesh, //
+};
+use figway_http::ServerPhase;
+use figway_profile::Profile;
+use figway_routing::TransitPrices;
+use tokio::sync::watch;
+
+use crate::gate::TargetGate;
+use crate::interface::Interface;
+use crate::metrics::Metrics;
+use crate::native::NativeInterface;
+use crate::outcomes::Outcomes;
+use crate::plane::DataPlane;
+use crate::retry::RetryBook;
+use crate::target_watch::TargetWatch;
+use crate::trace::LineBudget;
+
+/// Builds the data plane of one node.
+pub struct DataPlaneBuilder {
+    mesh: Arc<Mesh>,
+    agent: ClaimAgent,
+    interface: Box<dyn Interface>,
+    body_max_bytes: usize,
+    connection_max_count: usize,
+    remember_ms: u64,
+    origin: String,
+    target_address: Option<String>,
+    announce_every: Duration,
+    shared_retry_burst_count: Option<f64>,
+    default_profile: Profile,
+    transit_prices: TransitPrices,
+    grace: Option<Duration>,
+}
+
+impl DataPlaneBuilder {
+    /// Starts with the node's control plane; the rest has defaults.
+    pub fn new(mesh: Arc<Mesh>, agent: ClaimAgent) -> Self {
+        Self {
+            mesh,
+            agent,
+            interface: Box::new(NativeInterface),
+            body_max_bytes: 1_024 * 1_024,
+            connection_max_count: 4_096,
+            remember_ms: 600_000,
+            origin: String::new(),
+            target_address: None,
+            announce_every: Duration::from_millis(1_700),
+            shared_retry_burst_count: None,
+            default_profile: Profile::default(),
+            transit_prices: TransitPrices {
+                region_per_kb: 0.03,
+                far_per_kb: 0.11,
+            },
+            grace: None,
+        }
+    }
+
+    /// Sets how requests and answers look to callers and targets.
+    pub fn interface(mut self, interface: Box<dyn Interface>) -> Self {
+        self.interface = interface;
+        self
+    }
+
+    /// Sets the largest body of a request or an answer.
+    pub fn body_max_bytes(mut self, body_max_bytes: usize) -> Self {
+        self.body_max_bytes = body_max_bytes;
+        self
+    }
+
+    /// Sets how many connections are kept.
+    pub fn connection_max_count(mut self, connection_max_count: usize) -> Self {
+        self.connection_max_count = connection_max_count;
+        self
+    }
+
+    /// Sets how long outcomes of keyed calls are remembered.
+    pub fn remember_ms(mut self, remember_ms: u64) -> Self {
+        self.remember_ms = remember_ms;
+        self
+    }
+
+    /// Sets the service on this host, where its callers' calls begin.
+    pub fn origin(mut self, origin: &str) -> Self {
+        self.origin = origin.to_owned();
+        self
+    }
+
+    /// Sets the only address at which a target may announce itself.
+    pub fn target_address(mut self, address: &str) -> Self {
+        self.target_address = Some(address.to_owned());
+        self
+    }
+
+    /// Sets how often a target announces itself.
+    pub fn announce_every(mut self, announce_every: Duration) -> Self {
+        self.announce_every = announce_every;
+        self
+    }
+
+    /// Sets the retries beyond their ratio that all nodes together may make in a burst.
+    pub fn shared_retry_burst_count(mut self, count: f64) -> Self {
+        self.shared_retry_burst_count = Some(count);
+        self
+    }
+
+    /// Sets the profile of services that follow none.
+    pub fn default_profile(mut self, profile: Profile) -> Self {
+        self.default_profile = profile;
+        self
+    }
+
+    /// Sets the price of bytes between zones and regions.
+    pub fn transit_prices(mut self, prices: TransitPrices) -> Self {
+        self.transit_prices = prices;
+        self
+    }
+
+    /// Sets the time between a stop request and the end of the process.
+    pub fn grace(mut self, grace: Duration) -> Self {
+        self.grace = Some(grace);
+        self
+    }
+
+    /// Builds the data plane and joins it to the control plane.
+    pub fn build(self) -> Arc<DataPlane> {
+        let outcomes = Arc::new(Outcomes::new(self.remember_ms));
+        self.mesh.set_outcomes(outcomes.clone());
+        Arc::new(DataPlane {
+            agent: self.agent,
+            interface: self.interface,
+            gate: TargetGate::default(),
+            loads: Mutex::default(),
+            retries: RetryBook::new(self.shared_retry_burst_count),
+            target_watch: TargetWatch::new(self.announce_every),
+            outcomes,
+            metrics: Metrics::default(),
+            lines: LineBudget::default(),
+            draining: AtomicBool::new(false),
+            phase: watch::Sender::new(ServerPhase::Open),
+            running_ids: Mutex::default(),
+            in_flight_count: AtomicUsize::new(0),
+            body_max_bytes: self.body_max_bytes,
+            connection_max_count: self.connection_max_count,
+            origin: Mutex::new(self.origin),
+            target_address: self.target_address,
+            default_profile: self.default_profile,
+            transit_prices: self.transit_prices,
+            grace: self.grace,
+            mesh: self.mesh,
+        })
+    }
+}
--- a/crates/dataplane/src/front.rs
+++ b/crates/dataplane/src/front.rs
@@ -20,14 +20,12 @@
     is_handed_over,
     take_handed_over, //
 };
-use crate::plane::{
-    DataPlane,
-    Worker, //
-};
+use crate::plane::DataPlane;
 use crate::proxy::{
     serve_call,
     Incoming, //
 };
+use crate::worker::Worker;
 
 /// Idle connections of peers are kept for this long; peers give up first.
 const PEER_IDLE_MAX_MS: u64 = 60_000;
--- a/crates/dataplane/src/keyed.rs
+++ b/crates/dataplane/src/keyed.rs
@@ -20,7 +20,7 @@
     Call,
     Fate, //
 };
-use crate::plane::Worker;
+use crate::worker::Worker;
 
 /// Attempts that ended without running and are followed by this submission, at most.
 const FOLLOW_MAX_COUNT: usize = 3;
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -7,9 +7,11 @@
 mod admit;
 mod attempt;
 mod attempts;
+mod builder;
 mod call;
 mod candidates;
 mod front;
+mod gate;
 mod headers;
 mod interface;
 mod keyed;
@@ -24,7 +26,9 @@
 mod story;
 mod target_watch;
 mod trace;
+mod worker;
 
+pub use builder::DataPlaneBuilder;
 pub use call::{
     Fate,
     LATE, //
@@ -41,9 +45,6 @@
     Reply, //
 };
 pub use native::NativeInterface;
-pub use plane::{
-    DataPlane,
-    DataPlaneBuilder,
-    Worker, //
-};
+pub use plane::DataPlane;
 pub use target_watch::Heard;
+pub use worker::Worker;
--- a/crates/dataplane/src/operator.rs
+++ b/crates/dataplane/src/operator.rs
@@ -22,7 +22,7 @@
     Value, //
 };
 
-use crate::plane::Worker;
+use crate::worker::Worker;
 
 /// How long a survey takes at most.
 const SURVEY_WAIT: Duration = Duration::from_secs(3);
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -22,7 +22,7 @@
     Fate, //
 };
 use crate::headers;
-use crate::plane::Worker;
+use crate::worker::Worker;
 
 /// Returns whether a peer hands the request over.
 pub(crate) fn is_handed_over(request: &Request) -> bool {
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -1,7 +1,5 @@
 //! State of a node's data plane, shared by its workers.
 
-use std::cell::RefCell;
-use std::rc::Rc;
 use std::sync::atomic::{
     AtomicBool,
     AtomicUsize,
@@ -23,33 +21,23 @@
     View, //
 };
 use figway_http::{
-    ClientLimits,
-    HttpClient,
     Request,
-    ServerPhase,
-    Transport, //
+    ServerPhase, //
 };
 use figway_profile::Profile;
 use figway_routing::{
-    LeastLoss,
     LoadBook,
-    SplitBook,
-    TargetPicker,
-    TransitPrices,
-    TwoChoices, //
+    TransitPrices, //
 };
 use figway_types::{
     Announcement,
-    FastSet,
-    Member, //
+    FastSet, //
 };
 use tokio::sync::watch;
 
-use crate::admit::TargetGate;
-use crate::candidates::CandidateCache;
+use crate::gate::TargetGate;
 use crate::interface::Interface;
 use crate::metrics::Metrics;
-use crate::native::NativeInterface;
 use crate::outcomes::Outcomes;
 use crate::retry::RetryBook;
 use crate::target_watch::{
@@ -58,24 +46,6 @@
 };
 use crate::trace::LineBudget;
 
-/// Idle time after which a connection to a target is not used again, in milliseconds; targets that
-/// close earlier say so.
-const TARGET_IDLE_MAX_MS: u64 = 3_000;
-
-/// The same for a call that must not run twice: a target that just closes such a connection would
-/// leave its fate open.
-const TARGET_UNSAFE_IDLE_MAX_MS: u64 = 500;
-
-/// Idle time after which a connection to a peer is not used again, in milliseconds; peers keep them
-/// for longer.
-const PEER_IDLE_MAX_MS: u64 = 20_000;
-
-/// Longest wait for a connection to the target on the own host, in milliseconds.
-const TARGET_CONNECT_MAX_MS: u64 = 250;
-
-/// Longest wait for a connection to a peer, in milliseconds.
-const PEER_CONNECT_MAX_MS: u64 = 400;
-
 /// Time for which a leaving node keeps connections open, while peers and callers hear of it.
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_200);
 
@@ -88,165 +58,29 @@
 /// How often a drain looks whether calls are left.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
-/// Builds the data plane of one node.
-pub struct DataPlaneBuilder {
-    mesh: Arc<Mesh>,
-    agent: ClaimAgent,
-    interface: Box<dyn Interface>,
-    body_max_bytes: usize,
-    connection_max_count: usize,
-    remember_ms: u64,
-    origin: String,
-    target_address: Option<String>,
-    announce_every: Duration,
-    shared_retry_burst_count: Option<f64>,
-    default_profile: Profile,
-    transit_prices: TransitPrices,
-    grace: Option<Duration>,
-}
-
-impl DataPlaneBuilder {
-    /// Starts with the node's control plane; the rest has defaults.
-    pub fn new(mesh: Arc<Mesh>, agent: ClaimAgent) -> Self {
-        Self {
-            mesh,
-            agent,
-            interface: Box::new(NativeInterface),
-            body_max_bytes: 1_024 * 1_024,
-            connection_max_count: 4_096,
-            remember_ms: 600_000,
-            origin: String::new(),
-            target_address: None,
-            announce_every: Duration::from_millis(1_700),
-            shared_retry_burst_count: None,
-            default_profile: Profile::default(),
-            transit_prices: TransitPrices {
-                region_per_kb: 0.03,
-                far_per_kb: 0.11,
-            },
-            grace: None,
-        }
-    }
-
-    /// Sets how requests and answers look to callers and targets.
-    pub fn interface(mut self, interface: Box<dyn Interface>) -> Self {
-        self.interface = interface;
-        self
-    }
-
-    /// Sets the largest body of a request or an answer.
-    pub fn body_max_bytes(mut self, body_max_bytes: usize) -> Self {
-        self.body_max_bytes = body_max_bytes;
-        self
-    }
-
-    /// Sets how many connections are kept.
-    pub fn connection_max_count(mut self, connection_max_count: usize) -> Self {
-        self.connection_max_count = connection_max_count;
-        self
-    }
-
-    /// Sets how long outcomes of keyed calls are remembered.
-    pub fn remember_ms(mut self, remember_ms: u64) -> Self {
-        self.remember_ms = remember_ms;
-        self
-    }
-
-    /// Sets the service on this host, where its callers' calls begin.
-    pub fn origin(mut self, origin: &str) -> Self {
-        self.origin = origin.to_owned();
-        self
-    }
-
-    /// Sets the only address at which a target may announce itself.
-    pub fn target_address(mut self, address: &str) -> Self {
-        self.target_address = Some(address.to_owned());
-        self
-    }
-
-    /// Sets how often a target announces itself.
-    pub fn announce_every(mut self, announce_every: Duration) -> Self {
-        self.announce_every = announce_every;
-        self
-    }
-
-    /// Sets the retries beyond their ratio that all nodes together may make in a burst.
-    pub fn shared_retry_burst_count(mut self, count: f64) -> Self {
-        self.shared_retry_burst_count = Some(count);
-        self
-    }
-
-    /// Sets the profile of services that follow none.
-    pub fn default_profile(mut self, profile: Profile) -> Self {
-        self.default_profile = profile;
-        self
-    }
-
-    /// Sets the price of bytes between zones and regions.
-    pub fn transit_prices(mut self, prices: TransitPrices) -> Self {
-        self.transit_prices = prices;
-        self
-    }
-
-    /// Sets the time between a stop request and the end of the process.
-    pub fn grace(mut self, grace: Duration) -> Self {
-        self.grace = Some(grace);
-        self
-    }
-
-    /// Builds the data plane and joins it to the control plane.
-    pub fn build(self) -> Arc<DataPlane> {
-        let outcomes = Arc::new(Outcomes::new(self.remember_ms));
-        self.mesh.set_outcomes(outcomes.clone());
-        Arc::new(DataPlane {
-            agent: self.agent,
-            interface: self.interface,
-            gate: TargetGate::default(),
-            loads: Mutex::default(),
-            retries: RetryBook::new(self.shared_retry_burst_count),
-            target_watch: TargetWatch::new(self.announce_every),
-            outcomes,
-            metrics: Metrics::default(),
-            lines: LineBudget::default(),
-            draining: AtomicBool::new(false),
-            phase: watch::Sender::new(ServerPhase::Open),
-            running_ids: Mutex::default(),
-            in_flight_count: AtomicUsize::new(0),
-            body_max_bytes: self.body_max_bytes,
-            connection_max_count: self.connection_max_count,
-            origin: Mutex::new(self.origin),
-            target_address: self.target_address,
-            default_profile: self.default_profile,
-            transit_prices: self.transit_prices,
-            grace: self.grace,
-            mesh: self.mesh,
-        })
-    }
-}
-
 /// State of a node's data plane, shared by its connections.
 pub struct DataPlane {
     pub(crate) mesh: Arc<Mesh>,
     pub(crate) agent: ClaimAgent,
     pub(crate) interface: Box<dyn Interface>,
     pub(crate) gate: TargetGate,
-    loads: Mutex<LoadBook>,
+    pub(crate) loads: Mutex<LoadBook>,
     pub(crate) retries: RetryBook,
     pub(crate) target_watch: TargetWatch,
     pub(crate) outcomes: Arc<Outcomes>,
     pub(crate) metrics: Metrics,
     pub(crate) lines: LineBudget,
-    draining: AtomicBool,
-    phase: watch::Sender<ServerPhase>,
-    running_ids: Mutex<FastSet<String>>,
-    in_flight_count: AtomicUsize,
+    pub(crate) draining: AtomicBool,
+    pub(crate) phase: watch::Sender<ServerPhase>,
+    pub(crate) running_ids: Mutex<FastSet<String>>,
+    pub(crate) in_flight_count: AtomicUsize,
     pub(crate) body_max_bytes: usize,
-    connection_max_count: usize,
-    origin: Mutex<String>,
-    target_address: Option<String>,
-    default_profile: Profile,
-    transit_prices: TransitPrices,
-    grace: Option<Duration>,
+    pub(crate) connection_max_count: usize,
+    pub(crate) origin: Mutex<String>,
+    pub(crate) target_address: Option<String>,
+    pub(crate) default_profile: Profile,
+    pub(crate) transit_prices: TransitPrices,
+    pub(crate) grace: Option<Duration>,
 }
 
 impl DataPlane {
@@ -428,52 +262,3 @@
         self.plane.in_flight_count.fetch_sub(1, Ordering::Relaxed);
     }
 }
-
-/// Connections and choices of the thread that serves calls.
-pub struct Worker {
-    pub(crate) plane: Arc<DataPlane>,
-    /// The node as it started; its name, zone and region never change.
-    pub(crate) home: Member,
-    pub(crate) peers: Box<dyn Transport>,
-    pub(crate) targets: Box<dyn Transport>,
-    /// Chooses for calls of a service's request kinds.
-    pub(crate) picker: RefCell<Box<dyn TargetPicker>>,
-    /// Chooses for calls of the route table, which state by when an answer has its full worth.
-    pub(crate) route_picker: RefCell<Box<dyn TargetPicker>>,
-    pub(crate) splits: RefCell<SplitBook>,
-    pub(crate) candidates: RefCell<CandidateCache>,
-}
-
-impl Worker {
-    /// Starts without connections.
-    pub fn new(plane: Arc<DataPlane>) -> Rc<Self> {
-        let limits = ClientLimits {
-            idle_max_count: plane.connection_max_count,
-            idle_max_ms: PEER_IDLE_MAX_MS,
-            unsafe_idle_max_ms: PEER_IDLE_MAX_MS,
-            connect_max_ms: PEER_CONNECT_MAX_MS,
-            body_max_bytes: plane.body_max_bytes,
-            from: plane.mesh.control_ip(),
-        };
-        let peers = HttpClient::new(limits);
-        let targets = HttpClient::new(ClientLimits {
-            idle_max_ms: TARGET_IDLE_MAX_MS,
-            unsafe_idle_max_ms: TARGET_UNSAFE_IDLE_MAX_MS,
-            connect_max_ms: TARGET_CONNECT_MAX_MS,
-            ..limits
-        });
-        let picker = TwoChoices::new(plane.mesh.random());
-        let route_picker = LeastLoss::new(plane.transit_prices, plane.mesh.random());
-        let home = plane.mesh.members().own().clone();
-        Rc::new(Self {
-            plane,
-            home,
-            peers: Box::new(peers),
-            targets: Box::new(targets),
-            picker: RefCell::new(Box::new(picker)),
-            route_picker: RefCell::new(Box::new(route_picker)),
-            splits: RefCell::default(),
-            candidates: RefCell::default(),
-        })
-    }
-}
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -26,11 +26,11 @@
 };
 use crate::interface::Addressing;
 use crate::keyed::run_keyed;
-use crate::plane::Worker;
 use crate::story::{
     told,
     Step, //
 };
+use crate::worker::Worker;
 
 /// A request as it came from a caller.
 #[derive(Clone, Copy, Debug)]
--- a/crates/dataplane/src/target_watch.rs
+++ b/crates/dataplane/src/target_watch.rs
@@ -47,7 +47,6 @@
     newest: Newest,
     announced_until: Option<Instant>,
     leaving_since: Option<Instant>,
-    cold_until: Option<Instant>,
 }
 
 /// Last announcement of the target.
@@ -90,7 +89,6 @@
             left: false,
         };
         watched.announced_until = Some(now + self.announce_every * MISSED_MAX_COUNT);
-        watched.cold_until = Some(now + Duration::from_millis(announcement.cold_left_ms));
         watched.leaving_since = match (target.draining, watched.leaving_since) {
             (false, _) => None,
             (true, Some(since)) => Some(since),
--- /dev/null
+++ b/crates/dataplane/src/worker.rs
@@ -0,0 +1,88 @@
+//! Connections and choices of the thread that serves calls.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use figway_http::{
+    ClientLimits,
+    HttpClient,
+    Transport, //
+};
+use figway_routing::{
+    LeastLoss,
+    SplitBook,
+    TargetPicker,
+    TwoChoices, //
+};
+use figway_types::Member;
+
+use crate::candidates::CandidateCache;
+use crate::plane::DataPlane;
+
+/// Idle time after which a connection to a target is not used again, in milliseconds; targets that
+/// close earlier say so.
+const TARGET_IDLE_MAX_MS: u64 = 3_000;
+
+/// The same for a call that must not run twice: a target that just closes such a connection would
+/// leave its fate open.
+const TARGET_UNSAFE_IDLE_MAX_MS: u64 = 500;
+
+/// Idle time after which a connection to a peer is not used again, in milliseconds; peers keep them
+/// for longer.
+const PEER_IDLE_MAX_MS: u64 = 20_000;
+
+/// Longest wait for a connection to the target on the own host, in milliseconds.
+const TARGET_CONNECT_MAX_MS: u64 = 250;
+
+/// Longest wait for a connection to a peer, in milliseconds.
+const PEER_CONNECT_MAX_MS: u64 = 400;
+
+/// Connections and choices of the thread that serves calls.
+pub struct Worker {
+    pub(crate) plane: Arc<DataPlane>,
+    /// The node as it started; its name, zone and region never change.
+    pub(crate) home: Member,
+    pub(crate) peers: Box<dyn Transport>,
+    pub(crate) targets: Box<dyn Transport>,
+    /// Chooses for calls of a service's request kinds.
+    pub(crate) picker: RefCell<Box<dyn TargetPicker>>,
+    /// Chooses for calls of the route table, which state by when an answer has its full worth.
+    pub(crate) route_picker: RefCell<Box<dyn TargetPicker>>,
+    pub(crate) splits: RefCell<SplitBook>,
+    pub(crate) candidates: RefCell<CandidateCache>,
+}
+
+impl Worker {
+    /// Starts without connections.
+    pub fn new(plane: Arc<DataPlane>) -> Rc<Self> {
+        let limits = ClientLimits {
+            idle_max_count: plane.connection_max_count,
+            idle_max_ms: PEER_IDLE_MAX_MS,
+            unsafe_idle_max_ms: PEER_IDLE_MAX_MS,
+            connect_max_ms: PEER_CONNECT_MAX_MS,
+            body_max_bytes: plane.body_max_bytes,
+            from: plane.mesh.control_ip(),
+        };
+        let peers = HttpClient::new(limits);
+        let targets = HttpClient::new(ClientLimits {
+            idle_max_ms: TARGET_IDLE_MAX_MS,
+            unsafe_idle_max_ms: TARGET_UNSAFE_IDLE_MAX_MS,
+            connect_max_ms: TARGET_CONNECT_MAX_MS,
+            ..limits
+        });
+        let picker = TwoChoices::new(plane.mesh.random());
+        let route_picker = LeastLoss::new(plane.transit_prices, plane.mesh.random());
+        let home = plane.mesh.members().own().clone();
+        Rc::new(Self {
+            plane,
+            home,
+            peers: Box::new(peers),
+            targets: Box::new(targets),
+            picker: RefCell::new(Box::new(picker)),
+            route_picker: RefCell::new(Box::new(route_picker)),
+            splits: RefCell::default(),
+            candidates: RefCell::default(),
+        })
+    }
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -94,20 +94,6 @@
         }
     }
 
-    /// Closes idle connections that are no longer of use.
-    pub fn close_expired(&self) {
-        let now = Instant::now();
-        self.idle.borrow_mut().retain(|_, list| {
-            list.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
-            !list.is_empty()
-        });
-    }
-
-    /// Closes all idle connections to `address`.
-    pub fn forget(&self, address: &str) {
-        self.idle.borrow_mut().remove(address);
-    }
-
     fn reuse(&self, address: &str, idempotent: bool) -> Option<Connection> {
         let now = Instant::now();
         let mut pool = self.idle.borrow_mut();
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -40,12 +40,6 @@
         self.list.push((name.to_owned(), value.into()));
     }
 
-    /// Replaces all headers of that name by one.
-    pub fn set(&mut self, name: &str, value: impl Into<String>) {
-        self.list.retain(|(known, _)| known != name);
-        self.push(name, value);
-    }
-
     /// Keeps the headers whose name passes.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.list.retain(|(name, _)| keep(name));
--- a/crates/routing/src/split.rs
+++ b/crates/routing/src/split.rs
@@ -33,11 +33,6 @@
         }
         turn.take(total)
     }
-
-    /// Forgets routes that `keep` does not name.
-    pub fn retain(&mut self, keep: &dyn Fn(&str) -> bool) {
-        self.turns.retain(|route, _| keep(route));
-    }
 }
 
 impl Turn {
