Fewer calls of the store: first calls are spread, two nodes of a region check often

A trial that logged each call: all 68 nodes start within 0.3 s, find no contact, each appends one and polls for the first configuration (521 calls before traffic); then 455 checks of the configuration in 30 s, most by two checkers for each of six zones. Ruled out: the readers' waiting reads (62 calls) and the operators' log (118). Change: when all nodes start for the first time, their first calls are spread over 1.5 s, so that most find others and take the configuration from them; two nodes of each region check each 1.5 s instead of two of each zone, the others each 20 s.

--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -58,8 +58,15 @@
     control_address: String,
 }
 
-/// Joins the mesh and then looks after the zone's contacts until the process ends.
-pub(crate) async fn keep_contact(mesh: Arc<Mesh>, log: Rc<dyn LogService>, peers: Vec<String>) {
+/// Joins the mesh at `start_at` and then looks after the zone's contacts
+/// until the process ends.
+pub(crate) async fn keep_contact(
+    mesh: Arc<Mesh>,
+    log: Rc<dyn LogService>,
+    peers: Vec<String>,
+    start_at: Instant,
+) {
+    tokio::time::sleep_until(start_at.into()).await;
     let mut backoff = Backoff::new(100, 2_000, mesh.random());
     loop {
         let joined = join(&mesh, log.as_ref(), &peers).await;
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -68,6 +68,7 @@
     partition_count: u32,
     remember_ms: u64,
     seed: u64,
+    start_spread: Duration,
 }
 
 impl ControlBuilder {
@@ -92,6 +93,7 @@
             retention_ms: 24 * 3_600 * 1_000,
             partition_count: 4,
             remember_ms: 600_000,
+            start_spread: Duration::ZERO,
         }
     }
 
@@ -132,6 +134,13 @@
         self
     }
 
+    /// Sets the time over which nodes that start together spread their first calls of the log. Those
+    /// that call later find the others there, and take from them what they would have read.
+    pub fn start_spread(mut self, start_spread: Duration) -> Self {
+        self.start_spread = start_spread;
+        self
+    }
+
     /// Sets the start of the random choices.
     pub fn seed(mut self, seed: u64) -> Self {
         self.seed = seed;
@@ -153,6 +162,7 @@
         }
         let control_ip = Some(address.ip()).filter(|ip| !ip.is_unspecified());
         let mesh = Mesh::new(&self.cluster, self.own, control_ip, self.seed);
+        let start_at = Instant::now() + mesh.jitter(self.start_spread);
         let batchers = Rc::new(ClaimBatchers::start(
             &mesh,
             &self.log,
@@ -174,11 +184,17 @@
             Arc::clone(&mesh),
             Rc::clone(&self.log),
             self.peers,
+            start_at,
         ));
         spawn_local(reach_lost(Arc::clone(&mesh)));
-        spawn_local(follow_log(Arc::clone(&mesh), self.log, self.retention_ms));
+        spawn_local(follow_log(
+            Arc::clone(&mesh),
+            self.log,
+            self.retention_ms,
+            start_at,
+        ));
         if let Some(routes) = self.routes {
-            spawn_local(follow_routes(Arc::clone(&mesh), routes));
+            spawn_local(follow_routes(Arc::clone(&mesh), routes, start_at));
         }
         Ok(ControlPlane { mesh, agent })
     }
--- a/crates/control/src/reader.rs
+++ b/crates/control/src/reader.rs
@@ -52,8 +52,14 @@
 /// Longest pause between tries while the log is down.
 const RETRY_MAX_MS: u64 = 1_000;
 
-/// Follows the change stream while this node is a reader of its region.
-pub(crate) async fn follow_log(mesh: Arc<Mesh>, log: Rc<dyn LogService>, retention_ms: u64) {
+/// Follows the change stream from `start_at` while this node is a reader of its region.
+pub(crate) async fn follow_log(
+    mesh: Arc<Mesh>,
+    log: Rc<dyn LogService>,
+    retention_ms: u64,
+    start_at: Instant,
+) {
+    tokio::time::sleep_until(start_at.into()).await;
     let mut backoff = Backoff::new(50, RETRY_MAX_MS, mesh.random());
     loop {
         let may_read = may_read(&mesh);
--- a/crates/control/src/route_reader.rs
+++ b/crates/control/src/route_reader.rs
@@ -1,5 +1,5 @@
 //! Readers of the operator's route table. The first two in rank near the log follow it and tell
-//! their peers; a few nodes of each zone check often that nothing was missed, the others seldom.
+//! their peers; a few nodes of each region check often that nothing was missed, the others seldom.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -28,14 +28,14 @@
 /// How long a whole read may take.
 const NEWEST_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Nodes of each zone that check often.
+/// Nodes of each region that check often.
 const CHECKER_COUNT: usize = 2;
 
 /// How often they check.
 const CHECK_EVERY: Duration = Duration::from_millis(1_500);
 
 /// How often the other nodes check.
-const SELDOM_CHECK_EVERY: Duration = Duration::from_secs(8);
+const SELDOM_CHECK_EVERY: Duration = Duration::from_secs(20);
 
 /// Checks of all nodes together in one second; a larger mesh checks less often.
 const CHECK_RATE_MAX: f64 = 400.0;
@@ -46,8 +46,9 @@
 /// Longest pause between tries while the log is down.
 const RETRY_MAX_MS: u64 = 500;
 
-/// Follows the route table until the process ends.
-pub(crate) async fn follow_routes(mesh: Arc<Mesh>, source: Rc<dyn RouteSource>) {
+/// Follows the route table from `start_at` until the process ends.
+pub(crate) async fn follow_routes(mesh: Arc<Mesh>, source: Rc<dyn RouteSource>, start_at: Instant) {
+    tokio::time::sleep_until(start_at.into()).await;
     let mut backoff = Backoff::new(30, RETRY_MAX_MS, mesh.random());
     let mut position = Offset(0);
     loop {
@@ -84,8 +85,8 @@
 
 /// Returns how long a node that is no reader leaves the log alone.
 fn check_pause(mesh: &Mesh) -> Duration {
-    let zone = mesh.members().own().zone.clone();
-    let rank = mesh.own_rank(&zone, &|member| member.zone == zone);
+    let region = mesh.members().own().region.clone();
+    let rank = mesh.own_rank(&region, &|member| member.region == region);
     let every = match rank {
         Some(rank) if rank < CHECKER_COUNT => CHECK_EVERY,
         _ => SELDOM_CHECK_EVERY,
--- a/crates/figway/src/cmd/node.rs
+++ b/crates/figway/src/cmd/node.rs
@@ -82,6 +82,9 @@
 /// Longest time for telling peers of the stop.
 const LEAVE_MAX: Duration = Duration::from_millis(250);
 
+/// Time over which the first calls of the log are spread when all nodes start for the first time.
+const FIRST_START_SPREAD: Duration = Duration::from_millis(1_500);
+
 /// Longest wait for a connection that measures the way to the log.
 const MEASURE_WAIT: Duration = Duration::from_millis(500);
 
@@ -255,7 +258,14 @@
                 }
             }
             let log = Rc::clone(&store);
-            ControlBuilder::new(&settings.cluster, own, log).routes(store)
+            let spread = if platform.first_start {
+                FIRST_START_SPREAD
+            } else {
+                Duration::ZERO
+            };
+            ControlBuilder::new(&settings.cluster, own, log)
+                .routes(store)
+                .start_spread(spread)
         }
     };
     builder
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -64,6 +64,8 @@
     pub seeds: Vec<String>,
     /// Time between SIGTERM and SIGKILL, like `6s`.
     pub grace: Option<String>,
+    /// Whether all nodes start for the first time.
+    pub first_start: bool,
     /// Width of the host's link, in megabits a second; 0 if it is not known.
     pub link_mbps: u32,
     /// Retries that all nodes together may make, as a share of requests.
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -141,6 +141,7 @@
         keep: reader.required_text("keep").to_owned(),
         seeds: seeds.iter().map(|seed| (*seed).to_owned()).collect(),
         grace: reader.text("grace").map(str::to_owned),
+        first_start: reader.flag("first_start").unwrap_or(false),
         link_mbps: reader
             .number("link_mbps", 0.0..=1e6)
             .map_or(0, |mbps| mbps as u32),
