--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -86,7 +86,8 @@
             };
             let mut loads = plane.loads();
             loads.note_latency(node_id, took, now);
-            loads.note_spent(node_id, rule.name, spent, answer.body.len(), now);
+            let body_bytes = call.body.len() + answer.body.len();
+            loads.note_spent(node_id, rule.name, spent, body_bytes, now);
             drop(loads);
             let limits = &rule.profile.limits;
             plane
--- a/crates/dataplane/src/builder.rs
+++ b/crates/dataplane/src/builder.rs
@@ -62,8 +62,8 @@
             shared_retry_burst_count: None,
             default_profile: Profile::default(),
             transit_prices: TransitPrices {
-                region_per_kb: 0.03,
-                far_per_kb: 0.11,
+                region_per_kb: 0.04,
+                far_per_kb: 0.12,
             },
             grace: None,
         }
--- a/crates/routing/src/least_loss.rs
+++ b/crates/routing/src/least_loss.rs
@@ -46,8 +46,11 @@
 /// Part by which equal targets are told apart at random, so that nodes do not all take the same.
 const JITTER: f64 = 0.02;
 
-/// Bytes that price a call whose answers have not been seen.
-const UNKNOWN_BYTES: f64 = 3_000.0;
+/// Bytes of the bodies of a call whose answers have not been seen.
+const UNKNOWN_BYTES: f64 = 2_000.0;
+
+/// Bytes of a request and its answer besides their bodies: heads, and what two nodes add.
+const HEAD_BYTES: f64 = 1_200.0;
 
 /// Price of bytes between zones and regions, as a share of one call's worth for each kilobyte.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -59,8 +62,8 @@
 }
 
 impl TransitPrices {
-    fn of(&self, distance: Distance, answer_bytes: Option<f64>) -> f64 {
-        let kilobytes = answer_bytes.unwrap_or(UNKNOWN_BYTES) / 1_024.0;
+    fn of(&self, distance: Distance, body_bytes: Option<f64>) -> f64 {
+        let kilobytes = (HEAD_BYTES + body_bytes.unwrap_or(UNKNOWN_BYTES)) / 1_024.0;
         match distance {
             Distance::Host | Distance::Zone => 0.0,
             Distance::Region => self.region_per_kb * kilobytes,
@@ -104,7 +107,7 @@
         let lost = exceeds(expected_ms, as_ms(call.deadline_left), spread_ms);
         let price = self
             .prices
-            .of(candidate.distance, loads.answer_bytes(call.kind));
+            .of(candidate.distance, loads.body_bytes(call.kind));
         LATE_LOSS * late
             + LOST_LOSS * lost
             + price
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -85,7 +85,7 @@
 #[derive(Clone, Copy, Debug)]
 struct KindBook {
     ran_ms: f64,
-    answer_bytes: f64,
+    body_bytes: f64,
 }
 
 impl LoadBook {
@@ -126,13 +126,13 @@
         load.report_expires_at = now + REPORT_LIFE;
     }
 
-    /// Takes in how an answered call spent its time, and the size of its answer.
+    /// Takes in how an answered call spent its time, and the size of its request and answer.
     pub fn note_spent(
         &mut self,
         target: &NodeId,
         kind: &str,
         spent: Spent,
-        answer_bytes: usize,
+        body_bytes: usize,
         now: Instant,
     ) {
         let load = self.load(target, now);
@@ -148,12 +148,12 @@
         match self.kinds.get_mut(kind) {
             Some(book) => {
                 book.ran_ms += RAN_WEIGHT * (spent.ran_ms - book.ran_ms);
-                book.answer_bytes += RAN_WEIGHT * (answer_bytes as f64 - book.answer_bytes);
+                book.body_bytes += RAN_WEIGHT * (body_bytes as f64 - book.body_bytes);
             }
             None => {
                 let book = KindBook {
                     ran_ms: spent.ran_ms,
-                    answer_bytes: answer_bytes as f64,
+                    body_bytes: body_bytes as f64,
                 };
                 self.kinds.insert(kind.to_owned(), book);
             }
@@ -170,9 +170,9 @@
         self.kinds.get(kind).map(|book| book.ran_ms)
     }
 
-    /// Returns the size of the kind's answers, in bytes.
-    pub fn answer_bytes(&self, kind: &str) -> Option<f64> {
-        self.kinds.get(kind).map(|book| book.answer_bytes)
+    /// Returns the size of the bodies of a request and its answer, in bytes.
+    pub fn body_bytes(&self, kind: &str) -> Option<f64> {
+        self.kinds.get(kind).map(|book| book.body_bytes)
     }
 
     /// Returns the time that the way to the target takes beyond its round trip, in milliseconds.
