Hedges wait until the first answer is overdue; a quantile is learnt from few samples

Ruled out: stragglers that are slow everywhere: where the second attempt won, it took as long as usual. Change: the first samples move the estimate further; a hedge waits for 1.3 times the time in which the picker expects the first answer.

--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -1,6 +1,9 @@
 //! Attempts of one call: targets are tried within the retry budget until one answers.
 
-use std::time::Instant;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use figway_routing::CallNeed;
 use figway_types::{
@@ -29,6 +32,9 @@
 /// Calls per slot at a target up to which it takes hedges.
 const HEDGE_BUSY_RATIO: f64 = 0.85;
 
+/// Expected time of an answer after which it is overdue, as a multiple.
+const HEDGE_OVERDUE_RATIO: f64 = 1.3;
+
 /// Part of the time until an answer loses worth after which a call is hedged at the latest.
 const HEDGE_PROMPT_SHARE: f64 = 0.55;
 
@@ -46,7 +52,7 @@
         if call.deadline <= Instant::now() {
             return Fate::NotRun(NotRunReason::Expired).after(last);
         }
-        let Some(entry) = pick(worker, call, &tried) else {
+        let Some(chosen) = pick(worker, call, &tried) else {
             break;
         };
         if sent_count > 0 && !retries.try_withdraw(rule.service) {
@@ -54,12 +60,12 @@
             call.story.borrow_mut().push(Step::NoBudget);
             break;
         }
-        tried.push(entry.member.node_id.clone());
+        tried.push(chosen.entry.member.node_id.clone());
         let hedges = rule.idempotent && sent_count + 1 < rule.attempt_max_count;
         let (ended, hedged) = if hedges {
-            run_hedged(worker, call, &entry, &mut tried).await
+            run_hedged(worker, call, &chosen, &mut tried).await
         } else {
-            (attempt(worker, call, &entry).await, false)
+            (attempt(worker, call, &chosen.entry).await, false)
         };
         sent_count += usize::from(ended.sent) + usize::from(hedged);
         let again = may_try_again(call, &ended.fate);
@@ -86,12 +92,12 @@
 async fn run_hedged(
     worker: &Worker,
     call: &Call<'_>,
-    entry: &ShareEntry,
+    chosen: &Chosen,
     tried: &mut Vec<NodeId>,
 ) -> (AdmittedFate, bool) {
     let rule = &call.rule;
-    let first = attempt(worker, call, entry);
-    let Some(hedge_at) = hedge_at(worker, call) else {
+    let first = attempt(worker, call, &chosen.entry);
+    let Some(hedge_at) = hedge_at(worker, call, chosen.expected) else {
         return (first.await, false);
     };
     tokio::pin!(first);
@@ -102,6 +108,7 @@
     let Some(other) = pick(worker, call, tried) else {
         return (first.await, false);
     };
+    let other = other.entry;
     let has_room = has_room_for_hedge(worker, &other);
     if !has_room || !worker.plane.retries.try_withdraw(rule.service) {
         return (first.await, false);
@@ -117,9 +124,9 @@
     (ended, true)
 }
 
-/// Returns when a second attempt is due: when most calls of the kind would have been answered, and
-/// early enough for the second answer to be prompt.
-fn hedge_at(worker: &Worker, call: &Call<'_>) -> Option<Instant> {
+/// Returns when a second attempt is due: when most calls of the kind would have been answered, or
+/// early enough for the second answer to be prompt, but not before the first answer is overdue.
+fn hedge_at(worker: &Worker, call: &Call<'_>, expected: Option<Duration>) -> Option<Instant> {
     let rule = &call.rule;
     let now = Instant::now();
     let after_most = worker
@@ -129,10 +136,14 @@
         .map(|hedge_after| now + hedge_after);
     let prompt_by = call.prompt_by.filter(|prompt_by| *prompt_by > now);
     let in_time = prompt_by.map(|prompt_by| now + (prompt_by - now).mul_f64(HEDGE_PROMPT_SHARE));
-    match (after_most, in_time) {
-        (Some(after_most), Some(in_time)) => Some(after_most.min(in_time)),
-        (after_most, in_time) => after_most.or(in_time),
-    }
+    let due = match (after_most, in_time) {
+        (Some(after_most), Some(in_time)) => after_most.min(in_time),
+        (after_most, in_time) => after_most.or(in_time)?,
+    };
+    Some(match expected {
+        Some(expected) => due.max(now + expected.mul_f64(HEDGE_OVERDUE_RATIO)),
+        None => due,
+    })
 }
 
 /// Returns whether a hedge would find a free slot. A call that is slow by its own work is slow
@@ -159,7 +170,14 @@
     ended
 }
 
-fn pick(worker: &Worker, call: &Call<'_>, tried: &[NodeId]) -> Option<ShareEntry> {
+/// A target that was picked for an attempt.
+struct Chosen {
+    entry: ShareEntry,
+    /// Time in which the answer is expected, if it can be told.
+    expected: Option<Duration>,
+}
+
+fn pick(worker: &Worker, call: &Call<'_>, tried: &[NodeId]) -> Option<Chosen> {
     let plane = &worker.plane;
     let rule = &call.rule;
     let view = plane.mesh.view();
@@ -206,5 +224,8 @@
         cost: picked.cost,
         at_ms: call.arrived_at.elapsed().as_millis(),
     });
-    Some(entry)
+    Some(Chosen {
+        entry,
+        expected: picked.expected,
+    })
 }
--- a/crates/routing/src/least_loss.rs
+++ b/crates/routing/src/least_loss.rs
@@ -93,13 +93,11 @@
         loads: &LoadBook,
         now: Instant,
     ) -> f64 {
-        let node_id = candidate.node_id;
-        let ran_ms = loads
-            .ran_ms(node_id, call.kind)
-            .or_else(|| loads.kind_ran_ms(call.kind))
-            .unwrap_or(UNKNOWN_RAN_MS);
-        let wait_ms = loads.wait_ms(node_id, candidate.slot_count, ran_ms, now);
-        let way_ms = candidate.round_trip_us / 1_000.0 + loads.overhead_ms(node_id, now);
+        let TimeParts {
+            ran_ms,
+            wait_ms,
+            way_ms,
+        } = TimeParts::expect(call.kind, candidate, loads, now);
         let expected_ms = ran_ms + wait_ms + way_ms;
         let spread_ms = RAN_SPREAD_RATIO * ran_ms + WAIT_SPREAD_RATIO * wait_ms + SPREAD_MIN_MS;
         let prompt_ms = as_ms(call.prompt_left);
@@ -120,6 +118,28 @@
     }
 }
 
+/// Parts of the time in which an answer is expected.
+struct TimeParts {
+    ran_ms: f64,
+    wait_ms: f64,
+    way_ms: f64,
+}
+
+impl TimeParts {
+    fn expect(kind: &str, candidate: &Candidate<'_>, loads: &LoadBook, now: Instant) -> Self {
+        let node_id = candidate.node_id;
+        let ran_ms = loads
+            .ran_ms(node_id, kind)
+            .or_else(|| loads.kind_ran_ms(kind))
+            .unwrap_or(UNKNOWN_RAN_MS);
+        Self {
+            ran_ms,
+            wait_ms: loads.wait_ms(node_id, candidate.slot_count, ran_ms, now),
+            way_ms: candidate.round_trip_us / 1_000.0 + loads.overhead_ms(node_id, now),
+        }
+    }
+}
+
 impl TargetPicker for LeastLoss {
     fn pick(
         &mut self,
@@ -138,9 +158,12 @@
             }
         }
         let (index, cost) = best?;
+        let parts = TimeParts::expect(call.kind, &candidates[index], loads, now);
+        let expected_ms = parts.ran_ms + parts.wait_ms + parts.way_ms;
         Some(Picked {
             index,
             cost,
+            expected: Some(Duration::from_secs_f64(expected_ms.max(0.0) / 1_000.0)),
             reason: distance_name(candidates[index].distance),
         })
     }
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -79,6 +79,8 @@
     pub index: usize,
     /// What the pick is expected to cost, in the picker's own measure; less is better.
     pub cost: f64,
+    /// Time in which the answer is expected, if the picker estimates it.
+    pub expected: Option<Duration>,
     /// Reason for the log line.
     pub reason: &'static str,
 }
@@ -200,6 +202,7 @@
     Picked {
         index,
         cost: cost_us(candidate, loads, now),
+        expected: None,
         reason: distance_name(candidate.distance),
     }
 }
--- a/crates/routing/src/quantile.rs
+++ b/crates/routing/src/quantile.rs
@@ -2,9 +2,13 @@
 
 use std::time::Duration;
 
-/// Share of the estimate by which one sample moves it.
+/// Share of the estimate by which one sample moves it, once there are many.
 const STEP_RATIO: f64 = 0.02;
 
+/// The same for the first sample; it falls with their number, so that a first sample that lies far
+/// off is soon made up for.
+const FIRST_STEP_RATIO: f64 = 1.5;
+
 /// Samples before the estimate is used.
 const WARM_UP_COUNT: u64 = 50;
 
@@ -39,7 +43,8 @@
             self.estimate_us = sample_us;
             return;
         }
-        let step_us = (self.estimate_us * STEP_RATIO).max(1.0);
+        let step_ratio = STEP_RATIO.max(FIRST_STEP_RATIO / self.sample_count as f64);
+        let step_us = (self.estimate_us * step_ratio).max(1.0);
         if sample_us > self.estimate_us {
             self.estimate_us += step_us * self.quantile_ratio;
         } else {
