Calls of a node that has just started are held for a moment; a herd meets fewer contacts at a time

A node had the configuration 0.33 s after its start in the median, 1.2 s at worst, and knew its peers up to 2.5 s after it: 75 nodes each met up to 8 of the same contacts one after the other, waiting 1.5 s for each that was still down. Ruled out: heartbeats of back ends (they come within 0.1 s of the start). Change: a call without a route or target is held for at most 0.3 of its budget and 400 ms and goes on as soon as there is one; contacts are met three at a time until two answered; the state comes over links.

--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -1,6 +1,5 @@
 //! First contact: peers from the settings and from a short stream on the platform's log.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{
@@ -8,6 +7,8 @@
     Instant, //
 };
 
+use futures::StreamExt as _;
+
 use figway_log_client::{
     read_retained,
     LogService,
@@ -25,13 +26,11 @@
 };
 
 use crate::dial::{
-    context_until,
     dial,
     introduce,
     prompt_context, //
 };
 use crate::mesh::Mesh;
-use crate::rpc::Missing;
 
 /// How long a contact is worth a try.
 const CONTACT_LIFE_MS: u64 = 600_000;
@@ -45,12 +44,15 @@
 /// How long an append of a contact may take.
 const APPEND_WAIT: Duration = Duration::from_secs(2);
 
-/// How long a peer may take to hand over its state.
-const STATE_WAIT: Duration = Duration::from_secs(10);
-
 /// Contacts that are tried in one round.
 const TRY_MAX_COUNT: usize = 8;
 
+/// Contacts that are tried at a time; one that is down must not hold up the others.
+const TRY_AT_ONCE_COUNT: usize = 3;
+
+/// Contacts that are enough to meet: their tables and the links that follow bring the rest.
+const MEET_COUNT: usize = 2;
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Contact {
     cluster: String,
@@ -119,25 +121,37 @@
 }
 
 async fn meet(mesh: &Mesh, addresses: &[String]) -> bool {
-    let mut tried: BTreeSet<&str> = BTreeSet::new();
     let own_address = mesh.members().own().control_address.clone();
-    let mut met = false;
+    let mut wanted: Vec<&str> = Vec::new();
     for address in addresses {
-        if *address == own_address || tried.len() >= TRY_MAX_COUNT || is_known(mesh, address) {
-            continue;
-        }
-        if !tried.insert(address) {
+        let known = *address == own_address || is_known(mesh, address);
+        if known || wanted.contains(&address.as_str()) {
             continue;
         }
+        wanted.push(address);
+    }
+    wanted.truncate(TRY_MAX_COUNT);
+    let meetings = wanted.into_iter().map(|address| async move {
         match meet_one(mesh, address).await {
-            Ok(()) => met = true,
-            Err(error) => log::info!("contact {address} did not answer: {error:#}"),
+            Ok(()) => true,
+            Err(error) => {
+                log::info!("contact {address} did not answer: {error:#}");
+                false
+            }
+        }
+    });
+    let mut meetings = futures::stream::iter(meetings).buffer_unordered(TRY_AT_ONCE_COUNT);
+    let mut met_count = 0;
+    while let Some(met) = meetings.next().await {
+        met_count += usize::from(met);
+        if met_count >= MEET_COUNT {
+            break;
         }
     }
-    met
+    met_count > 0
 }
 
-/// Meets a peer: exchanges members and takes over its state.
+/// Meets a peer and exchanges members; the links that follow bring what else is missing.
 async fn meet_one(mesh: &Mesh, address: &str) -> anyhow::Result<()> {
     let client = dial(mesh, address, false).await?;
     let peer = introduce(mesh, &client).await?;
@@ -145,19 +159,10 @@
     let members = client.sync_members(prompt_context(), buckets).await?;
     mesh.merge_members(&members);
     mesh.install_members();
-    let context = context_until(Instant::now() + STATE_WAIT);
-    let missing = client.pull(context, mesh.applied_offset()).await?;
-    if matches!(missing, Missing::Busy) {
-        log::info!(
-            "peer {} is busy; its links will bring the state",
-            peer.node_id
-        );
-    }
-    mesh.take_missing(missing);
     log::info!(
-        "joined through peer={} applied={}",
+        "joined through peer={} members={}",
         peer.node_id,
-        mesh.applied_offset()
+        mesh.members().present_count()
     );
     Ok(())
 }
--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -80,6 +80,7 @@
     members: Mutex<MemberTable>,
     quarantine: Mutex<Quarantine>,
     view: ArcSwap<View>,
+    view_changes: watch::Sender<u64>,
     head: watch::Sender<Offset>,
     news: watch::Sender<u64>,
     member_changes: watch::Sender<u64>,
@@ -109,6 +110,7 @@
             members: Mutex::new(MemberTable::new(own, now)),
             quarantine: Mutex::default(),
             view: ArcSwap::default(),
+            view_changes: watch::Sender::new(0),
             head: watch::Sender::new(Offset(0)),
             news: watch::Sender::new(0),
             member_changes: watch::Sender::new(0),
@@ -140,6 +142,11 @@
         self.view.load_full()
     }
 
+    /// Returns a watch that changes with the table that calls are routed by.
+    pub fn watch_view(&self) -> watch::Receiver<u64> {
+        self.view_changes.subscribe()
+    }
+
     /// Returns the member table.
     pub fn members(&self) -> MutexGuard<'_, MemberTable> {
         self.members.lock().expect("no holder panics")
@@ -310,6 +317,7 @@
         log_installed(current, &next);
         // The fold stays locked, so that views are swapped in the order in which they are built.
         self.view.store(Arc::new(next));
+        self.view_changes.send_modify(|count| *count += 1);
     }
 
     /// Wakes the tasks that follow the member table, if it changed.
--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -22,7 +22,11 @@
     ShareEntry,
     ShareKey, //
 };
-use crate::proxy::is_quarantined;
+use crate::proxy::{
+    is_quarantined,
+    HOLD_MAX,
+    HOLD_SHARE, //
+};
 use crate::story::Step;
 use crate::worker::Worker;
 
@@ -52,7 +56,7 @@
         if call.deadline <= Instant::now() {
             return Fate::NotRun(NotRunReason::Expired).after(last);
         }
-        let Some(chosen) = pick(worker, call, &tried) else {
+        let Some(chosen) = pick_or_wait(worker, call, &tried).await else {
             break;
         };
         if sent_count > 0 && !retries.try_withdraw(rule.service) {
@@ -177,6 +181,24 @@
     expected: Option<Duration>,
 }
 
+/// Picks a target. A call for which none is known yet is held for a short while.
+async fn pick_or_wait(worker: &Worker, call: &Call<'_>, tried: &[NodeId]) -> Option<Chosen> {
+    let mesh = &worker.plane.mesh;
+    let mut changes = mesh.watch_view();
+    let budget = call.deadline - call.arrived_at;
+    let hold_until = call.arrived_at + HOLD_MAX.min(budget.mul_f64(HOLD_SHARE));
+    loop {
+        let chosen = pick(worker, call, tried);
+        if chosen.is_some() || !tried.is_empty() || call.prompt_by.is_none() {
+            return chosen;
+        }
+        let changed = tokio::time::timeout_at(hold_until.into(), changes.changed()).await;
+        if !matches!(changed, Ok(Ok(()))) {
+            return None;
+        }
+    }
+}
+
 fn pick(worker: &Worker, call: &Call<'_>, tried: &[NodeId]) -> Option<Chosen> {
     let plane = &worker.plane;
     let rule = &call.rule;
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -32,6 +32,13 @@
 };
 use crate::worker::Worker;
 
+/// Longest time for which a call is held that has no routes or no target yet.
+pub(crate) const HOLD_MAX: Duration = Duration::from_millis(400);
+
+/// Share of a call's budget for which it is held at most; a caller that is refused then still has
+/// time to come back.
+pub(crate) const HOLD_SHARE: f64 = 0.3;
+
 /// A request as it came from a caller.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Incoming<'a> {
@@ -48,6 +55,9 @@
 
 /// Serves a caller's request and returns the fate of the whole submission.
 pub(crate) async fn serve_call(worker: &Worker, incoming: &Incoming<'_>) -> Fate {
+    if let Addressing::Host(_) = incoming.addressing {
+        wait_for_routes(worker, incoming).await;
+    }
     let view = worker.plane.mesh.view();
     let fate = match incoming.addressing {
         Addressing::Service(service) => serve_service(worker, &view, incoming, service).await,
@@ -62,6 +72,26 @@
     fate
 }
 
+/// Holds a call of a node that has just started until there are routes, for a short while.
+async fn wait_for_routes(worker: &Worker, incoming: &Incoming<'_>) {
+    let mesh = &worker.plane.mesh;
+    if mesh.view().routes.version > 0 {
+        return;
+    }
+    let arrived_at = incoming.request.arrived_at;
+    let budget = incoming
+        .deadline
+        .map_or(HOLD_MAX, |deadline| deadline - arrived_at);
+    let hold_until = arrived_at + HOLD_MAX.min(budget.mul_f64(HOLD_SHARE));
+    let mut changes = mesh.watch_view();
+    while mesh.view().routes.version == 0 {
+        let changed = tokio::time::timeout_at(hold_until.into(), changes.changed()).await;
+        if !matches!(changed, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
+
 fn note_unrouted(
     worker: &Worker,
     incoming: &Incoming<'_>,
