Hedges take free slots only; calls of repeated runs are charged to the budget; fewer late calls wait

In the log, calls waited in two queues at once: a hedge went out while the first attempt still waited, and waited too; and up to 13 late calls a target waited behind fresh ones until they expired. Change: the target's node is told whether an attempt is a first one, a retry or a hedge; a hedge that finds no free slot is turned away and paid back; the calls of a repeated run are charged; 0.35 late calls a slot wait instead of 1; when the deadline passes during a further attempt, a failed answer of an earlier one is told instead of 504, and fates of hedges are joined like those of retries.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -15,7 +15,7 @@
 
 /// Late calls that wait per slot; more are refused, since they would only be held until they are
 /// lost.
-const LATE_PER_SLOT_RATIO: f64 = 1.0;
+const LATE_PER_SLOT_RATIO: f64 = 0.35;
 
 /// Limits of one target.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -54,6 +54,8 @@
     pub prompt_by: Option<Instant>,
     /// When its caller stops waiting.
     pub deadline: Instant,
+    /// Whether it may wait for a slot; a second attempt beside one that goes on may not.
+    pub may_wait: bool,
 }
 
 /// Identity of a call between its entry and its end.
@@ -165,6 +167,9 @@
             self.run(ticket, call.kind, call.long, now);
             return (Entered::Running(ticket), released);
         }
+        if !call.may_wait {
+            return (Entered::Refused(NotRunReason::Overloaded), released);
+        }
         if self.would_be_late(call, now) && self.late_count(now) >= self.late_max_count() {
             return (Entered::Refused(NotRunReason::Overloaded), released);
         }
--- a/crates/admission/src/retry_budget.rs
+++ b/crates/admission/src/retry_budget.rs
@@ -35,7 +35,17 @@
 
     /// Notes that a target refused a call for overload.
     pub fn note_overload(&mut self) {
-        self.token_count = (self.token_count - OVERLOAD_COST).max(0.0);
+        self.token_count -= OVERLOAD_COST.min(self.token_count.max(0.0));
+    }
+
+    /// Notes a retry that was made whatever the budget says, since a retry elsewhere caused it.
+    pub fn charge(&mut self) {
+        self.token_count = (self.token_count - 1.0).max(-self.burst_count);
+    }
+
+    /// Gives back what a retry had paid that did not reach a target.
+    pub fn refund(&mut self) {
+        self.token_count = (self.token_count + 1.0).min(self.burst_count);
     }
 
     /// Pays for one retry or hedge, if the budget allows it.
--- a/crates/admission/tests/naive_admission.rs
+++ b/crates/admission/tests/naive_admission.rs
@@ -143,7 +143,7 @@
             match op {
                 Op::Enter { kind, worth, long, budget_ms } => {
                     let deadline = now + Duration::from_millis(budget_ms);
-                    let call = CallView { kind: KINDS[kind], worth: f64::from(worth), long, rank: 0, prompt_by: None, deadline };
+                    let call = CallView { kind: KINDS[kind], worth: f64::from(worth), long, rank: 0, prompt_by: None, deadline, may_wait: true };
                     let (entered, released) = admission.enter(&call, now);
                     let ticket = match entered {
                         Entered::Running(ticket) | Entered::Waiting(ticket) => ticket,
@@ -251,6 +251,7 @@
         rank: 0,
         prompt_by: None,
         deadline: now + Duration::from_secs(60),
+        may_wait: true,
     };
     let (lookup, report, order) = (
         call("lookup", 1.0),
--- a/crates/admission/tests/ranks.rs
+++ b/crates/admission/tests/ranks.rs
@@ -28,6 +28,7 @@
         rank,
         prompt_by: Some(now + Duration::from_millis(prompt_ms)),
         deadline: now + Duration::from_millis(2_000),
+        may_wait: true,
     }
 }
 
@@ -98,3 +99,19 @@
     admission.leave(running[1], false, now);
     assert_eq!(admission.expected_wait(1, now), Duration::ZERO);
 }
+
+#[test]
+fn a_call_that_may_not_wait_takes_a_free_slot_or_is_refused() {
+    let now = Instant::now();
+    let (mut admission, running) = busy(now);
+    let hedge = CallView {
+        may_wait: false,
+        ..call("work", 0, 1_000, now)
+    };
+    let (entered, released) = admission.enter(&hedge, now);
+    assert_eq!(entered, Entered::Refused(NotRunReason::Overloaded));
+    assert_eq!(released.refused, []);
+    admission.leave(running[0], true, now);
+    let (entered, _) = admission.enter(&hedge, now);
+    assert!(matches!(entered, Entered::Running(_)), "{entered:?}");
+}
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -22,6 +22,7 @@
 use crate::call::{
     Admitted,
     Fate,
+    Turn,
     LATE, //
 };
 use crate::interface::Onward;
@@ -56,6 +57,23 @@
         }
     }
 
+    /// Joins this fate with that of an attempt which ended beside it.
+    pub(crate) fn joined(self, other: Self) -> Self {
+        let sent = self.sent || other.sent;
+        let (kept, joined) = if other.fate.is_good() {
+            (other, self)
+        } else {
+            (self, other)
+        };
+        let crash_id = kept.crash_id.or(joined.crash_id);
+        Self {
+            fate: kept.fate.after(joined.fate),
+            crash_id,
+            sent,
+            ..kept
+        }
+    }
+
     /// The call reached a target, or may have.
     pub(crate) fn sent(fate: Fate) -> Self {
         Self {
@@ -85,6 +103,7 @@
         rank: call.rank,
         prompt_by: call.prompt_by,
         deadline: call.deadline,
+        may_wait: call.turn != Turn::Hedge,
     };
     let limits = limits_of(plane, &target);
     let entered_at = Instant::now();
@@ -180,7 +199,7 @@
         echo: plane.interface.echo(),
         idempotent: call.idempotent,
     };
-    let _running = plane.begin_run(call.request_id);
+    let _running = plane.begin_run(call.request_id, call.turn);
     match worker.targets.send(&outbound).await {
         Ok(answer) => match plane.interface.not_run(&answer) {
             Some(reason) => {
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -29,6 +29,7 @@
     Admitted,
     Call,
     Fate,
+    Turn,
     LATE, //
 };
 use crate::candidates::ShareEntry;
@@ -38,14 +39,19 @@
 use crate::worker::Worker;
 
 /// Makes one attempt. Dropping the future gives the attempt up and frees all that it holds.
-pub(crate) async fn attempt(worker: &Worker, call: &Call<'_>, entry: &ShareEntry) -> AdmittedFate {
+pub(crate) async fn attempt(
+    worker: &Worker,
+    call: &Call<'_>,
+    entry: &ShareEntry,
+    turn: Turn,
+) -> AdmittedFate {
     let plane = &worker.plane;
     let node_id = &entry.member.node_id;
     let mut tracked = Tracked::begin(plane, node_id);
     let ended = if entry.distance == Distance::Host {
-        admit(worker, &Admitted::from(call)).await
+        admit(worker, &Admitted::of(call, turn)).await
     } else {
-        hand_over(worker, call, entry).await
+        hand_over(worker, call, entry, turn).await
     };
     let took = tracked.finish();
     note_end(plane, call, entry, &ended, took);
@@ -113,13 +119,18 @@
     time.as_secs_f64() * 1_000.0
 }
 
-async fn hand_over(worker: &Worker, call: &Call<'_>, entry: &ShareEntry) -> AdmittedFate {
+async fn hand_over(
+    worker: &Worker,
+    call: &Call<'_>,
+    entry: &ShareEntry,
+    turn: Turn,
+) -> AdmittedFate {
     let left = call.deadline.saturating_duration_since(Instant::now());
     // The rest of a millisecond stays here, so that the peer gives up first.
     if left.as_millis() == 0 {
         return AdmittedFate::not_sent(NotRunReason::Expired);
     }
-    let headers = admit_headers(call, left);
+    let headers = admit_headers(call, left, turn);
     let outbound = Outbound {
         address: &entry.member.call_address,
         method: call.method,
@@ -152,7 +163,7 @@
     }
 }
 
-fn admit_headers(call: &Call<'_>, left: Duration) -> Headers {
+fn admit_headers(call: &Call<'_>, left: Duration, turn: Turn) -> Headers {
     let rule = &call.rule;
     let mut onward = call.headers.clone();
     if let Some(host) = call.headers.get("host") {
@@ -163,6 +174,10 @@
     onward.push(headers::ADMIT_SERVICE, rule.service);
     onward.push(headers::ADMIT_WORTH, rule.worth.to_string());
     onward.push(headers::ADMIT_RANK, rule.rank.to_string());
+    let turn = call.told_turn(turn);
+    if turn != Turn::First {
+        onward.push(headers::ADMIT_TURN, turn.name());
+    }
     if let Some(prompt_by) = call.prompt_by {
         let prompt_left = prompt_by.saturating_duration_since(Instant::now());
         onward.push(
--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -16,6 +16,7 @@
 use crate::call::{
     Call,
     Fate,
+    Turn,
     FAILED_STATUS, //
 };
 use crate::candidates::{
@@ -23,7 +24,6 @@
     ShareKey, //
 };
 use crate::proxy::{
-    is_quarantined,
     HOLD_MAX,
     HOLD_SHARE, //
 };
@@ -33,6 +33,9 @@
 /// Targets that one call is offered to at most, those included that turned it away unsent.
 const TRY_MAX_COUNT: usize = 6;
 
+/// Targets that a hedge is offered to; one whose slots are taken turns it away.
+const HEDGE_TRY_COUNT: usize = 2;
+
 /// Calls per slot at a target up to which it takes hedges.
 const HEDGE_BUSY_RATIO: f64 = 0.85;
 
@@ -49,12 +52,14 @@
     let retries = &worker.plane.retries;
     let node_count = worker.plane.mesh.view().node_count;
     retries.deposit(rule.service, &rule.profile.limits, node_count);
+    if call.of_repeat {
+        retries.charge(rule.service);
+    }
     let mut tried: Vec<NodeId> = Vec::new();
     let mut sent_count = 0;
-    let mut last = Fate::NotRun(NotRunReason::NoTarget);
     while sent_count < rule.attempt_max_count && tried.len() < TRY_MAX_COUNT {
         if call.deadline <= Instant::now() {
-            return Fate::NotRun(NotRunReason::Expired).after(last);
+            return Fate::NotRun(NotRunReason::Expired).after(call.ended.take());
         }
         let Some(chosen) = pick_or_wait(worker, call, &tried).await else {
             break;
@@ -65,21 +70,47 @@
             break;
         }
         tried.push(chosen.entry.member.node_id.clone());
+        let first = First {
+            chosen: &chosen,
+            turn: if sent_count > 0 {
+                Turn::Retry
+            } else {
+                Turn::First
+            },
+        };
         let hedges = rule.idempotent && sent_count + 1 < rule.attempt_max_count;
-        let (ended, hedged) = if hedges {
-            run_hedged(worker, call, &chosen, &mut tried).await
+        let (ended, hedge_sent) = if hedges {
+            run_hedged(worker, call, first, &mut tried).await
         } else {
-            (attempt(worker, call, &chosen.entry).await, false)
+            let ended = attempt(worker, call, &chosen.entry, first.turn).await;
+            (ended, false)
         };
-        sent_count += usize::from(ended.sent) + usize::from(hedged);
+        if first.turn == Turn::Retry && !ended.sent {
+            retries.refund(rule.service);
+        }
+        sent_count += usize::from(ended.sent) + usize::from(hedge_sent);
         let again = may_try_again(call, &ended.fate);
-        last = ended.fate.after(last);
+        let joined = ended.fate.after(call.ended.take());
+        call.ended.replace(joined);
         if !again || is_quarantined(worker, call) {
             break;
         }
         worker.plane.metrics.count("retry");
     }
-    last
+    call.ended.take()
+}
+
+/// An attempt that another may be made beside.
+#[derive(Clone, Copy)]
+struct First<'a> {
+    chosen: &'a Chosen,
+    turn: Turn,
+}
+
+/// Returns whether the request crashed targets before.
+pub(crate) fn is_quarantined(worker: &Worker, call: &Call<'_>) -> bool {
+    let quarantine = worker.plane.mesh.quarantine();
+    quarantine.is_quarantined(call.fingerprint, Instant::now())
 }
 
 /// Returns whether another target may run the call after this fate.
@@ -92,15 +123,16 @@
 }
 
 /// Makes an attempt and, when it takes longer than most calls of its kind, a second one elsewhere;
-/// the first answer wins and the other attempt is given up. Returns whether a second was made.
+/// the first good answer wins and the other attempt is given up. Returns whether a second one may have
+/// reached a target.
 async fn run_hedged(
     worker: &Worker,
     call: &Call<'_>,
-    chosen: &Chosen,
+    first: First<'_>,
     tried: &mut Vec<NodeId>,
 ) -> (AdmittedFate, bool) {
-    let rule = &call.rule;
-    let first = attempt(worker, call, &chosen.entry);
+    let chosen = first.chosen;
+    let first = attempt(worker, call, &chosen.entry, first.turn);
     let Some(hedge_at) = hedge_at(worker, call, chosen.expected) else {
         return (first.await, false);
     };
@@ -109,23 +141,45 @@
         ended = &mut first => return (ended, false),
         () = tokio::time::sleep_until(hedge_at.into()) => {}
     }
-    let Some(other) = pick(worker, call, tried) else {
-        return (first.await, false);
-    };
-    let other = other.entry;
-    let has_room = has_room_for_hedge(worker, &other);
-    if !has_room || !worker.plane.retries.try_withdraw(rule.service) {
-        return (first.await, false);
-    }
-    worker.plane.metrics.count("hedge");
-    tried.push(other.member.node_id.clone());
-    let second = attempt(worker, call, &other);
+    let second = hedge(worker, call, tried);
     tokio::pin!(second);
-    let ended = tokio::select! {
-        ended = &mut first => first_or(ended, second).await,
-        ended = &mut second => first_or(ended, first).await,
+    let (ended, other) = tokio::select! {
+        ended = &mut first => {
+            if ended.fate.is_good() {
+                return (ended, true);
+            }
+            (second.await, Some(ended))
+        }
+        ended = &mut second => match ended {
+            Some(ended) if ended.fate.is_good() => return (ended, true),
+            ended => (ended, Some(first.await)),
+        },
     };
-    (ended, true)
+    match (ended, other) {
+        (Some(second), Some(other)) => (second.joined(other), true),
+        (None, Some(only)) | (Some(only), None) => (only, false),
+        (None, None) => (AdmittedFate::not_sent(NotRunReason::NoTarget), false),
+    }
+}
+
+/// Makes a second attempt where a slot is free; none if no target takes it.
+async fn hedge(worker: &Worker, call: &Call<'_>, tried: &mut Vec<NodeId>) -> Option<AdmittedFate> {
+    let service = call.rule.service;
+    let retries = &worker.plane.retries;
+    for _ in 0..HEDGE_TRY_COUNT {
+        let other = pick(worker, call, tried)?.entry;
+        if !has_room_for_hedge(worker, &other) || !retries.try_withdraw(service) {
+            return None;
+        }
+        tried.push(other.member.node_id.clone());
+        let ended = attempt(worker, call, &other, Turn::Hedge).await;
+        if ended.sent {
+            worker.plane.metrics.count("hedge");
+            return Some(ended);
+        }
+        retries.refund(service);
+    }
+    None
 }
 
 /// Returns when a second attempt is due: when most calls of the kind would have been answered, or
@@ -159,21 +213,6 @@
     busy_ratio <= HEDGE_BUSY_RATIO
 }
 
-/// Returns the first good answer; an attempt that ended without one waits for the other.
-async fn first_or(
-    ended: AdmittedFate,
-    other: impl std::future::Future<Output = AdmittedFate>,
-) -> AdmittedFate {
-    if ended.fate.is_good() {
-        return ended;
-    }
-    let other = other.await;
-    if other.fate.is_good() || matches!(ended.fate, Fate::NotRun(_)) {
-        return other;
-    }
-    ended
-}
-
 /// A target that was picked for an attempt.
 struct Chosen {
     entry: ShareEntry,
--- a/crates/dataplane/src/builder.rs
+++ b/crates/dataplane/src/builder.rs
@@ -151,7 +151,7 @@
             lines: LineBudget::default(),
             draining: AtomicBool::new(false),
             phase: watch::Sender::new(ServerPhase::Open),
-            running_ids: Mutex::default(),
+            running: Mutex::default(),
             in_flight_count: AtomicUsize::new(0),
             body_max_bytes: self.body_max_bytes,
             connection_max_count: self.connection_max_count,
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -133,6 +133,41 @@
     pub(crate) prompt_by: Option<Instant>,
     pub(crate) deadline: Instant,
     pub(crate) fingerprint: Fingerprint,
+    /// Whether a run that was itself a repeat made the call.
+    pub(crate) of_repeat: bool,
+    /// Fate of the attempts that have ended, joined.
+    pub(crate) ended: &'a RefCell<Fate>,
+}
+
+/// Place of an attempt among those of one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Turn {
+    /// The first one that reaches a target.
+    First,
+    /// One after another has ended.
+    Retry,
+    /// One beside another that goes on; it does not wait for a slot.
+    Hedge,
+}
+
+impl Turn {
+    /// Name on the wire between nodes.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Turn::First => "first",
+            Turn::Retry => "retry",
+            Turn::Hedge => "hedge",
+        }
+    }
+
+    /// Reads a name; an unknown one counts as a first attempt.
+    pub(crate) fn of_name(name: &str) -> Self {
+        match name {
+            "retry" => Turn::Retry,
+            "hedge" => Turn::Hedge,
+            _ => Turn::First,
+        }
+    }
 }
 
 /// What admission beside the target is told of a call.
@@ -153,10 +188,12 @@
     pub(crate) body: &'a Bytes,
     pub(crate) origin: &'a str,
     pub(crate) deadline: Instant,
+    pub(crate) turn: Turn,
 }
 
-impl<'a> From<&Call<'a>> for Admitted<'a> {
-    fn from(call: &Call<'a>) -> Self {
+impl<'a> Admitted<'a> {
+    /// Returns what admission needs for an attempt of `call`.
+    pub(crate) fn of(call: &Call<'a>, turn: Turn) -> Self {
         Self {
             request_id: call.request_id,
             kind: call.rule.name,
@@ -173,6 +210,17 @@
             body: call.body,
             origin: call.origin,
             deadline: call.deadline,
+            turn: call.told_turn(turn),
+        }
+    }
+}
+
+impl Call<'_> {
+    /// Returns the turn that the target's node is told: calls of a repeated run are repeats too.
+    pub(crate) fn told_turn(&self, turn: Turn) -> Turn {
+        match turn {
+            Turn::First if self.of_repeat => Turn::Retry,
+            turn => turn,
         }
     }
 }
@@ -188,6 +236,12 @@
     Unknown(&'static str),
 }
 
+impl Default for Fate {
+    fn default() -> Self {
+        Fate::NotRun(NotRunReason::NoTarget)
+    }
+}
+
 impl Fate {
     /// Name on the wire and in logs.
     pub fn name(&self) -> &'static str {
--- a/crates/dataplane/src/headers.rs
+++ b/crates/dataplane/src/headers.rs
@@ -62,6 +62,9 @@
 /// How long an answered call waited beside the target and ran there, in milliseconds, with a comma.
 pub(crate) const SPENT_MS: &str = "x-figway-spent-ms";
 
+/// Place of the attempt among those of its call: `first`, `retry` or `hedge`.
+pub(crate) const ADMIT_TURN: &str = "x-figway-admit-turn";
+
 /// Rank of a call that is handed over.
 pub(crate) const ADMIT_RANK: &str = "x-figway-admit-rank";
 
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -19,7 +19,8 @@
 };
 use crate::call::{
     Admitted,
-    Fate, //
+    Fate,
+    Turn, //
 };
 use crate::headers;
 use crate::worker::Worker;
@@ -72,6 +73,7 @@
         body: &request.body,
         origin: header(headers::ADMIT_ORIGIN)?,
         deadline: request.arrived_at + Duration::from_millis(budget_ms),
+        turn: header(headers::ADMIT_TURN).map_or(Turn::First, Turn::of_name),
     })
 }
 
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -31,10 +31,11 @@
 };
 use figway_types::{
     Announcement,
-    FastSet, //
+    FastMap, //
 };
 use tokio::sync::watch;
 
+use crate::call::Turn;
 use crate::gate::TargetGate;
 use crate::interface::Interface;
 use crate::metrics::Metrics;
@@ -72,7 +73,7 @@
     pub(crate) lines: LineBudget,
     pub(crate) draining: AtomicBool,
     pub(crate) phase: watch::Sender<ServerPhase>,
-    pub(crate) running_ids: Mutex<FastSet<String>>,
+    pub(crate) running: Mutex<FastMap<String, Turn>>,
     pub(crate) in_flight_count: AtomicUsize,
     pub(crate) body_max_bytes: usize,
     pub(crate) connection_max_count: usize,
@@ -100,19 +101,18 @@
         !self.is_draining() && (view.routes.version > 0 || !view.services.is_empty())
     }
 
-    /// Returns whether the target beside this node made the request while it runs another.
-    pub(crate) fn is_nested(&self, request: &Request) -> bool {
-        let Some(parent_id) = self.interface.parent_id(request) else {
-            return false;
-        };
-        let running = self.running_ids.lock().expect("no holder panics");
-        running.contains(parent_id)
+    /// Returns the turn of the run in which the target beside this node made the request, if it made
+    /// it while it ran another.
+    pub(crate) fn parent_turn(&self, request: &Request) -> Option<Turn> {
+        let parent_id = self.interface.parent_id(request)?;
+        let running = self.running.lock().expect("no holder panics");
+        running.get(parent_id).copied()
     }
 
     /// Notes that the target beside this node runs a call, until the guard drops.
-    pub(crate) fn begin_run(&self, request_id: &str) -> RunningId<'_> {
-        let mut running = self.running_ids.lock().expect("no holder panics");
-        running.insert(request_id.to_owned());
+    pub(crate) fn begin_run(&self, request_id: &str, turn: Turn) -> RunningId<'_> {
+        let mut running = self.running.lock().expect("no holder panics");
+        running.insert(request_id.to_owned(), turn);
         RunningId {
             plane: self,
             request_id: request_id.to_owned(),
@@ -247,7 +247,7 @@
 
 impl Drop for RunningId<'_> {
     fn drop(&mut self) {
-        let mut running = self.plane.running_ids.lock().expect("no holder panics");
+        let mut running = self.plane.running.lock().expect("no holder panics");
         running.remove(&self.request_id);
     }
 }
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -16,11 +16,15 @@
     RequestView, //
 };
 
-use crate::attempts::run_attempts;
+use crate::attempts::{
+    is_quarantined,
+    run_attempts, //
+};
 use crate::call::{
     Call,
     Fate,
     Rule,
+    Turn,
     LATE,
     NESTED_RANK, //
 };
@@ -141,7 +145,12 @@
         &in_force.profile_name,
         in_force.version_offset.0,
     );
-    run(worker, incoming, rule, kind.budget_ms, key).await
+    let terms = Terms {
+        budget_ms: kind.budget_ms,
+        key,
+        of_repeat: false,
+    };
+    run(worker, incoming, rule, terms).await
 }
 
 /// Serves a call that names a host, by the route table.
@@ -168,21 +177,37 @@
         profile_name,
         view.routes.version,
     );
-    if worker.plane.is_nested(incoming.request) {
+    let parent_turn = worker.plane.parent_turn(incoming.request);
+    if parent_turn.is_some() {
         // Its parent waits for the answer whatever its own objective is.
         rule.rank = NESTED_RANK;
         rule.prompt_ms = Some(route.budget_ms);
     }
-    run(worker, incoming, rule, route.budget_ms, None).await
+    let of_repeat = parent_turn.is_some_and(|turn| turn != Turn::First);
+    let terms = Terms {
+        budget_ms: route.budget_ms,
+        key: None,
+        of_repeat,
+    };
+    run(worker, incoming, rule, terms).await
 }
 
-async fn run(
-    worker: &Worker,
-    incoming: &Incoming<'_>,
-    rule: Rule<'_>,
+/// What applies to a call beside its rule.
+struct Terms<'a> {
+    /// Time that the operator grants it, in milliseconds.
     budget_ms: u64,
-    key: Option<&str>,
-) -> Fate {
+    /// Key under which it runs at most once.
+    key: Option<&'a str>,
+    /// Whether a run that was itself a repeat made it.
+    of_repeat: bool,
+}
+
+async fn run(worker: &Worker, incoming: &Incoming<'_>, rule: Rule<'_>, terms: Terms<'_>) -> Fate {
+    let Terms {
+        budget_ms,
+        key,
+        of_repeat,
+    } = terms;
     let request = incoming.request;
     let fingerprint = RequestView {
         service: rule.service,
@@ -198,6 +223,7 @@
         .unwrap_or(rule_deadline)
         .min(rule_deadline);
     let story: RefCell<Vec<Step>> = RefCell::default();
+    let ended: RefCell<Fate> = RefCell::default();
     let call = Call {
         request_id: incoming.request_id,
         story: &story,
@@ -213,6 +239,8 @@
             .map(|prompt_ms| request.arrived_at + Duration::from_millis(prompt_ms)),
         deadline,
         fingerprint,
+        of_repeat,
+        ended: &ended,
     };
     let serving = async {
         match key {
@@ -222,7 +250,8 @@
     };
     let fate = match tokio::time::timeout_at(deadline.into(), serving).await {
         Ok(fate) => fate,
-        Err(_) => Fate::Unknown(LATE),
+        // An attempt was under way; a failed answer of an earlier one is still worth more.
+        Err(_) => Fate::Unknown(LATE).after(ended.take()),
     };
     let took = request.arrived_at.elapsed();
     let plane = &worker.plane;
@@ -271,9 +300,3 @@
     }
     run_attempts(worker, call).await
 }
-
-/// Returns whether the request crashed targets before.
-pub(crate) fn is_quarantined(worker: &Worker, call: &Call<'_>) -> bool {
-    let quarantine = worker.plane.mesh.quarantine();
-    quarantine.is_quarantined(call.fingerprint, Instant::now())
-}
--- a/crates/dataplane/src/retry.rs
+++ b/crates/dataplane/src/retry.rs
@@ -58,6 +58,22 @@
         }
     }
 
+    /// Notes a call that a repeated run made.
+    pub(crate) fn charge(&self, service: &str) {
+        let mut books = self.books.lock().expect("no holder panics");
+        if let Some(budget) = books.budgets.get_mut(service) {
+            budget.charge();
+        }
+    }
+
+    /// Gives back what a retry had paid that did not reach a target.
+    pub(crate) fn refund(&self, service: &str) {
+        let mut books = self.books.lock().expect("no holder panics");
+        if let Some(budget) = books.budgets.get_mut(service) {
+            budget.refund();
+        }
+    }
+
     /// Pays for one retry or hedge, if the budget allows it.
     pub(crate) fn try_withdraw(&self, service: &str) -> bool {
         let mut books = self.books.lock().expect("no holder panics");
