After a herd's restart routes come from contacts near the store

All nodes read the whole configuration from the store at once (76 KB each): those near it with links of 140 Mbit/s had it after 32 to 56 ms, small ones after 0.4 s, those in the other region after up to 1.95 s. Ruled out: heartbeats (0.23 s in the median after the start), members (known within 0.3 s). Change: a node takes the routes from the contacts it meets; its first read of the store waits for the time that nearer nodes with wider links need; nodes with wide links become contacts first.

--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -36,7 +36,7 @@
 const CONTACT_LIFE_MS: u64 = 600_000;
 
 /// Contacts of a zone that are enough.
-const FRESH_MIN_COUNT: usize = 3;
+const FRESH_MIN_COUNT: usize = 2;
 
 /// How often a zone's first node looks after the zone's contacts.
 const TEND_EVERY: Duration = Duration::from_secs(60);
@@ -151,7 +151,7 @@
     met_count > 0
 }
 
-/// Meets a peer and exchanges members; the links that follow bring what else is missing.
+/// Meets a peer, exchanges members and takes over its routes; the links that follow bring the rest.
 async fn meet_one(mesh: &Mesh, address: &str) -> anyhow::Result<()> {
     let client = dial(mesh, address, false).await?;
     let peer = introduce(mesh, &client).await?;
@@ -159,6 +159,8 @@
     let members = client.sync_members(prompt_context(), buckets).await?;
     mesh.merge_members(&members);
     mesh.install_members();
+    let missing = client.pull_routes(prompt_context(), mesh.routes().version);
+    mesh.take_missing_routes(missing.await?);
     log::info!(
         "joined through peer={} members={}",
         peer.node_id,
--- a/crates/control/src/route_reader.rs
+++ b/crates/control/src/route_reader.rs
@@ -40,6 +40,15 @@
 /// Checks of all nodes together in one second; a larger mesh checks less often.
 const CHECK_RATE_MAX: f64 = 400.0;
 
+/// Size of a table as the log holds it, in megabits.
+const TABLE_MBIT: f64 = 0.8;
+
+/// Ways to the log and back that a node leaves to nearer ones at its start.
+const WAY_COUNT: u32 = 8;
+
+/// Longest pause before the first read.
+const FIRST_PAUSE_MAX: Duration = Duration::from_millis(400);
+
 /// Pause before the log is asked again while the operator has written nothing.
 const EMPTY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -48,7 +57,7 @@
 
 /// Follows the route table from `start_at` until the process ends.
 pub(crate) async fn follow_routes(mesh: Arc<Mesh>, source: Rc<dyn RouteSource>, start_at: Instant) {
-    tokio::time::sleep_until(start_at.into()).await;
+    tokio::time::sleep_until((start_at + first_pause(&mesh)).into()).await;
     let mut backoff = Backoff::new(30, RETRY_MAX_MS, mesh.random());
     let mut position = Offset(0);
     loop {
@@ -83,6 +92,20 @@
     }
 }
 
+/// Returns how long a node leaves the first read to others, from whom it may have the routes sooner:
+/// when all start at once, those near the log with wide links read first.
+fn first_pause(mesh: &Mesh) -> Duration {
+    let members = mesh.members();
+    let own = members.own();
+    let link_mbps = match own.link_mbps {
+        0 => f64::INFINITY,
+        link_mbps => f64::from(link_mbps),
+    };
+    let transfer = Duration::from_secs_f64(TABLE_MBIT / link_mbps);
+    let way = Duration::from_millis(own.log_round_trip_ms);
+    (transfer * 2 + way * WAY_COUNT).min(FIRST_PAUSE_MAX)
+}
+
 /// Returns how long a node that is no reader leaves the log alone.
 fn check_pause(mesh: &Mesh) -> Duration {
     let region = mesh.members().own().region.clone();
--- a/crates/figway/src/cmd/node.rs
+++ b/crates/figway/src/cmd/node.rs
@@ -85,6 +85,9 @@
 /// Time over which the first calls of the log are spread when all nodes start for the first time.
 const FIRST_START_SPREAD: Duration = Duration::from_millis(1_500);
 
+/// Width of a link from which a host is a good first contact: it starts to call the log early.
+const WIDE_LINK_MBPS: u32 = 100;
+
 /// Longest wait for a connection that measures the way to the log.
 const MEASURE_WAIT: Duration = Duration::from_millis(500);
 
@@ -258,10 +261,10 @@
                 }
             }
             let log = Rc::clone(&store);
-            let spread = if platform.first_start {
-                FIRST_START_SPREAD
-            } else {
-                Duration::ZERO
+            let spread = match platform.first_start {
+                false => Duration::ZERO,
+                true if platform.link_mbps >= WIDE_LINK_MBPS => FIRST_START_SPREAD / 5,
+                true => FIRST_START_SPREAD,
             };
             ControlBuilder::new(&settings.cluster, own, log)
                 .routes(store)
