--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -5,7 +5,10 @@
     Instant, //
 };
 
-use figway_routing::CallNeed;
+use figway_routing::{
+    CallNeed,
+    Distance, //
+};
 use figway_types::{
     NodeId,
     NotRunReason, //
@@ -162,13 +165,17 @@
     }
 }
 
-/// Makes a second attempt where a slot is free; none if no target takes it.
+/// Makes a second attempt where a slot is free, within the region: between regions an answer costs
+/// more than a prompt one gains. None if no target takes it.
 async fn hedge(worker: &Worker, call: &Call<'_>, tried: &mut Vec<NodeId>) -> Option<AdmittedFate> {
     let service = call.rule.service;
     let retries = &worker.plane.retries;
     for _ in 0..HEDGE_TRY_COUNT {
         let other = pick(worker, call, tried)?.entry;
-        if !has_room_for_hedge(worker, &other) || !retries.try_withdraw(service) {
+        if other.distance == Distance::Far
+            || !has_room_for_hedge(worker, &other)
+            || !retries.try_withdraw(service)
+        {
             return None;
         }
         tried.push(other.member.node_id.clone());
