A target of unknown load is taken to be as busy as the others

A node hears of a given target every few seconds at most there, and a target without a fresh report was taken to be free. Ruled out: fewer late calls in the queue. Reverted to 1. Change: waits that calls of a kind met lately stand in for what is not known of a target, and fade. The allowance for retries is used to 0.88 instead of 0.75, now that the calls of repeated runs are charged; a node that starts again has no burst until calls have earned it.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -15,7 +15,7 @@
 
 /// Late calls that wait per slot; more are refused, since they would only be held until they are
 /// lost.
-const LATE_PER_SLOT_RATIO: f64 = 0.35;
+const LATE_PER_SLOT_RATIO: f64 = 1.0;
 
 /// Limits of one target.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/admission/src/retry_budget.rs
+++ b/crates/admission/src/retry_budget.rs
@@ -21,6 +21,13 @@
         }
     }
 
+    /// Gives the burst up until calls have earned it: a node that starts again must not spend anew
+    /// what it spent before.
+    pub fn without_burst(mut self) -> Self {
+        self.token_count = 0.0;
+        self
+    }
+
     /// Takes a new ratio and burst.
     pub fn set_limits(&mut self, ratio: f64, burst_count: f64) {
         self.ratio = ratio;
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -102,7 +102,7 @@
         }
         Fate::Unknown(_) => plane.loads().note_latency(node_id, took, now),
         Fate::NotRun(NotRunReason::Overloaded) => {
-            plane.loads().note_overloaded(node_id, now);
+            plane.loads().note_overloaded(node_id, rule.name, now);
             plane.retries.note_overload(rule.service);
         }
         Fate::NotRun(
--- a/crates/dataplane/src/retry.rs
+++ b/crates/dataplane/src/retry.rs
@@ -42,7 +42,10 @@
         };
         let mut books = self.books.lock().expect("no holder panics");
         if !books.budgets.contains_key(service) {
-            let budget = RetryBudget::new(limits.retry_budget_ratio, burst_count);
+            let mut budget = RetryBudget::new(limits.retry_budget_ratio, burst_count);
+            if self.shared_burst_count.is_some() {
+                budget = budget.without_burst();
+            }
             books.budgets.insert(service.to_owned(), budget);
         }
         let budget = books.budgets.get_mut(service).expect("was just made");
--- a/crates/figway/src/cmd/node.rs
+++ b/crates/figway/src/cmd/node.rs
@@ -74,7 +74,7 @@
 const SETTINGS_CHECK: Duration = Duration::from_secs(1);
 
 /// Share of the platform's allowance for retries that nodes use, since each counts for itself.
-const RETRY_ALLOWANCE_SHARE: f64 = 0.75;
+const RETRY_ALLOWANCE_SHARE: f64 = 0.88;
 
 /// Time for a last answer to leave before the process ends.
 const FAREWELL: Duration = Duration::from_millis(150);
--- a/crates/routing/src/least_loss.rs
+++ b/crates/routing/src/least_loss.rs
@@ -134,7 +134,7 @@
             .unwrap_or(UNKNOWN_RAN_MS);
         Self {
             ran_ms,
-            wait_ms: loads.wait_ms(node_id, candidate.slot_count, ran_ms, now),
+            wait_ms: loads.wait_ms(node_id, kind, candidate.slot_count, ran_ms, now),
             way_ms: candidate.round_trip_us / 1_000.0 + loads.overhead_ms(node_id, now),
         }
     }
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -35,6 +35,12 @@
 /// How long a target is thought full after it refused a call for overload.
 const OVERLOADED_HOLD: Duration = Duration::from_millis(120);
 
+/// Weight of a new sample of how long calls of a kind wait.
+const WAIT_WEIGHT: f64 = 0.1;
+
+/// Time after which the wait that is assumed of unknown targets has halved without samples.
+const WAIT_HALF_LIFE: Duration = Duration::from_millis(500);
+
 /// Wait that is assumed of a target that just refused a call for overload, in milliseconds.
 const OVERLOADED_WAIT_MS: f64 = 400.0;
 
@@ -86,6 +92,23 @@
 struct KindBook {
     ran_ms: f64,
     body_bytes: f64,
+    wait_ms: f64,
+    waited_at: Instant,
+}
+
+impl KindBook {
+    /// Wait that calls met lately, whatever their target.
+    fn faded_wait_ms(&self, now: Instant) -> f64 {
+        let idle = now.saturating_duration_since(self.waited_at);
+        let half_lives = idle.as_secs_f64() / WAIT_HALF_LIFE.as_secs_f64();
+        self.wait_ms * 0.5_f64.powf(half_lives)
+    }
+
+    fn note_wait(&mut self, wait_ms: f64, now: Instant) {
+        let known_ms = self.faded_wait_ms(now);
+        self.wait_ms = known_ms + WAIT_WEIGHT * (wait_ms - known_ms);
+        self.waited_at = now;
+    }
 }
 
 impl LoadBook {
@@ -149,11 +172,14 @@
             Some(book) => {
                 book.ran_ms += RAN_WEIGHT * (spent.ran_ms - book.ran_ms);
                 book.body_bytes += RAN_WEIGHT * (body_bytes as f64 - book.body_bytes);
+                book.note_wait(spent.waited_ms, now);
             }
             None => {
                 let book = KindBook {
                     ran_ms: spent.ran_ms,
                     body_bytes: body_bytes as f64,
+                    wait_ms: spent.waited_ms,
+                    waited_at: now,
                 };
                 self.kinds.insert(kind.to_owned(), book);
             }
@@ -183,11 +209,23 @@
         })
     }
 
-    /// Returns how long a call that takes `ran_ms` is expected to wait for one of `slot_count` slots
-    /// of the target, in milliseconds.
-    pub fn wait_ms(&self, target: &NodeId, slot_count: u32, ran_ms: f64, now: Instant) -> f64 {
+    /// Returns how long a call of `kind` that takes `ran_ms` is expected to wait for one of
+    /// `slot_count` slots of the target, in milliseconds. A target that has not told its load lately
+    /// is taken to be as busy as those that have.
+    pub fn wait_ms(
+        &self,
+        target: &NodeId,
+        kind: &str,
+        slot_count: u32,
+        ran_ms: f64,
+        now: Instant,
+    ) -> f64 {
+        let usual_ms = self
+            .kinds
+            .get(kind)
+            .map_or(0.0, |book| book.faded_wait_ms(now));
         let Some(load) = self.loads.get(target) else {
-            return 0.0;
+            return usual_ms;
         };
         if load.overloaded_until > now {
             return OVERLOADED_WAIT_MS;
@@ -200,16 +238,19 @@
             .saturating_sub(load.reported_in_flight_count);
         let busy = load.report.busy_ratio * freshness
             + f64::from(unreported) / f64::from(slot_count.max(1));
-        let reported_ms = load.report.wait_ms * freshness;
+        let reported_ms = load.report.wait_ms * freshness + usual_ms * (1.0 - freshness);
         if busy < 1.0 && reported_ms < 1.0 {
             return 0.0;
         }
         reported_ms + f64::from(unreported) * slot_ms
     }
 
-    /// Notes that the target refused a call for overload.
-    pub fn note_overloaded(&mut self, target: &NodeId, now: Instant) {
+    /// Notes that the target refused a call of `kind` for overload.
+    pub fn note_overloaded(&mut self, target: &NodeId, kind: &str, now: Instant) {
         self.load(target, now).overloaded_until = now + OVERLOADED_HOLD;
+        if let Some(book) = self.kinds.get_mut(kind) {
+            book.note_wait(OVERLOADED_WAIT_MS, now);
+        }
     }
 
     /// Notes that the path to the target, or the target, refused a call.
