Targets tell the share of calls that they fail, and what calls usually take there

Cause: a failed answer was a sample of a fast target, so that a target which fails calls at once drew more of them; run times were learnt by each caller alone, which on the grown sites calls a given target once in several seconds. Change: the node beside a target keeps the share of the latest calls that it failed and the mean time of each kind, and tells both with its answers; the choice of a target weighs the share, which fades towards that of all targets; failed answers are no samples of run times. The test fails without the share.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -141,6 +141,11 @@
         held_count as f64 / f64::from(self.limits.slot_count.max(1))
     }
 
+    /// Returns what calls of the kind take on average, if any was answered.
+    pub fn usual_time(&self, kind: &str) -> Option<Duration> {
+        self.times.least(kind).map(|_| self.times.mean(kind))
+    }
+
     /// Returns the calls that run.
     pub fn running_count(&self) -> usize {
         self.running.len()
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -43,6 +43,8 @@
     pub(crate) waited: Duration,
     /// Time at the target.
     pub(crate) ran: Duration,
+    /// What calls of the kind take at the target on average, in milliseconds, if it is known.
+    pub(crate) usual_ran_ms: Option<f64>,
 }
 
 impl AdmittedFate {
@@ -54,6 +56,7 @@
             sent: false,
             waited: Duration::ZERO,
             ran: Duration::ZERO,
+            usual_ran_ms: None,
         }
     }
 
@@ -82,6 +85,7 @@
             sent: true,
             waited: Duration::ZERO,
             ran: Duration::ZERO,
+            usual_ran_ms: None,
         }
     }
 }
@@ -142,7 +146,10 @@
     }
     let started_at = Instant::now();
     let ended = run_at_target(worker, call, &target).await;
-    slot.answered = matches!(ended.fate, Fate::Answered(_));
+    slot.answered = ended.fate.is_good();
+    if ended.sent && ended.fate != Fate::Unknown(LATE) {
+        plane.gate.note_outcome(!ended.fate.is_good());
+    }
     plane.metrics.note_admitted(
         ended.fate.name(),
         ended.fate.reason(),
@@ -163,6 +170,7 @@
     AdmittedFate {
         waited: started_at.saturating_duration_since(entered_at),
         ran: started_at.elapsed(),
+        usual_ran_ms: plane.gate.usual_ran_ms(call.kind),
         ..ended
     }
 }
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -83,11 +83,12 @@
     let rule = &call.rule;
     let node_id = &entry.member.node_id;
     match &ended.fate {
-        Fate::Answered(answer) => {
+        Fate::Answered(answer) if ended.fate.is_good() => {
             let spent = Spent {
                 took_ms: as_ms(took),
                 waited_ms: as_ms(ended.waited),
                 ran_ms: as_ms(ended.ran),
+                usual_ran_ms: ended.usual_ran_ms,
                 way_ms: entry.round_trip_us / 1_000.0,
             };
             let mut loads = plane.loads();
@@ -100,6 +101,8 @@
                 .retries
                 .note_latency(rule.service, rule.name, limits, took);
         }
+        // How fast a target fails says nothing of how fast it answers.
+        Fate::Answered(_) => {}
         Fate::Unknown(_) => plane.loads().note_latency(node_id, took, now),
         Fate::NotRun(NotRunReason::Overloaded) => {
             plane.loads().note_overloaded(node_id, rule.name, now);
@@ -207,6 +210,7 @@
         let report = LoadReport {
             busy_ratio,
             wait_ms,
+            failed_ratio: number(headers::FAILED).unwrap_or(0.0),
         };
         plane.loads().note_report(node_id, report, Instant::now());
     }
@@ -214,6 +218,7 @@
         .header(headers::SPENT_MS)
         .and_then(read_spent)
         .unwrap_or_default();
+    let usual_ran_ms = number(headers::USUAL_RAN_MS);
     let crash_id = answer
         .header(headers::CRASH_ID)
         .and_then(|id| u64::from_str_radix(id, 16).ok());
@@ -239,6 +244,7 @@
         sent,
         waited,
         ran,
+        usual_ran_ms,
     }
 }
 
--- a/crates/dataplane/src/gate.rs
+++ b/crates/dataplane/src/gate.rs
@@ -18,6 +18,9 @@
 };
 use tokio::sync::oneshot;
 
+/// Weight of a new call in the share that the target fails.
+const FAILED_WEIGHT: f64 = 0.08;
+
 type Decision = Result<(), NotRunReason>;
 
 #[derive(Default)]
@@ -25,6 +28,8 @@
     admission: Option<Admission>,
     waiting: FastMap<Ticket, oneshot::Sender<Decision>>,
     closed: bool,
+    /// Share of the latest calls that the target failed.
+    failed_ratio: f64,
 }
 
 /// Admission to the target beside the node, and the calls that wait for it.
@@ -53,9 +58,29 @@
         LoadReport {
             busy_ratio: admission.busy_ratio(),
             wait_ms: wait.as_secs_f64() * 1_000.0,
+            failed_ratio: gate.failed_ratio,
         }
     }
 
+    /// Notes whether the target failed a call.
+    pub(crate) fn note_outcome(&self, failed: bool) {
+        let mut gate = self.gate.lock().expect("no holder panics");
+        let sample = if failed { 1.0 } else { 0.0 };
+        gate.failed_ratio += FAILED_WEIGHT * (sample - gate.failed_ratio);
+    }
+
+    /// Forgets failures, for a target that has just started.
+    pub(crate) fn forget_outcomes(&self) {
+        self.gate.lock().expect("no holder panics").failed_ratio = 0.0;
+    }
+
+    /// Returns what calls of the kind take at the target on average, in milliseconds.
+    pub(crate) fn usual_ran_ms(&self, kind: &str) -> Option<f64> {
+        let gate = self.gate.lock().expect("no holder panics");
+        let usual = gate.admission.as_ref()?.usual_time(kind)?;
+        Some(usual.as_secs_f64() * 1_000.0)
+    }
+
     /// Returns the calls that run and those that wait.
     pub(crate) fn counts(&self) -> (usize, usize) {
         let gate = self.gate.lock().expect("no holder panics");
--- a/crates/dataplane/src/headers.rs
+++ b/crates/dataplane/src/headers.rs
@@ -52,8 +52,17 @@
 pub(crate) const SENT: &str = "x-figway-sent";
 
 /// Names that an answer between two nodes bears beside those of the target's answer.
-pub(crate) const BETWEEN_NODES: [&str; 8] = [
-    OUTCOME, REASON, REQUEST_ID, BUSY, CRASH_ID, SENT, WAIT_MS, SPENT_MS,
+pub(crate) const BETWEEN_NODES: [&str; 10] = [
+    OUTCOME,
+    REASON,
+    REQUEST_ID,
+    BUSY,
+    CRASH_ID,
+    SENT,
+    WAIT_MS,
+    SPENT_MS,
+    FAILED,
+    USUAL_RAN_MS,
 ];
 
 /// How long a call would wait for a slot beside the answering target, in milliseconds.
@@ -65,6 +74,12 @@
 /// Place of the attempt among those of its call: `first`, `retry` or `hedge`.
 pub(crate) const ADMIT_TURN: &str = "x-figway-admit-turn";
 
+/// Share of the latest calls that the answering target failed.
+pub(crate) const FAILED: &str = "x-figway-failed";
+
+/// What calls of the kind take at the answering target on average, in milliseconds.
+pub(crate) const USUAL_RAN_MS: &str = "x-figway-usual-ms";
+
 /// Rank of a call that is handed over.
 pub(crate) const ADMIT_RANK: &str = "x-figway-admit-rank";
 
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -25,6 +25,9 @@
 use crate::headers;
 use crate::worker::Worker;
 
+/// Share of failed calls from which it is told.
+const FAILED_TOLD_MIN: f64 = 0.02;
+
 /// Returns whether a peer hands the request over.
 pub(crate) fn is_handed_over(request: &Request) -> bool {
     request.headers.get(headers::ADMIT_KIND).is_some()
@@ -108,6 +111,16 @@
     answer
         .headers
         .push(headers::WAIT_MS, format!("{:.1}", report.wait_ms));
+    if report.failed_ratio >= FAILED_TOLD_MIN {
+        answer
+            .headers
+            .push(headers::FAILED, format!("{:.2}", report.failed_ratio));
+    }
+    if let Some(usual_ran_ms) = ended.usual_ran_ms {
+        answer
+            .headers
+            .push(headers::USUAL_RAN_MS, format!("{usual_ran_ms:.1}"));
+    }
     if outcome == "answered" {
         let (waited, ran) = (ended.waited.as_secs_f64(), ended.ran.as_secs_f64());
         let spent = format!("{:.1},{:.1}", waited * 1_000.0, ran * 1_000.0);
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -171,6 +171,10 @@
         if target.slot_count == 0 {
             return Err("a target needs one slot or more".to_owned());
         }
+        let known = self.mesh.members().own().target.clone();
+        if known.is_none_or(|known| known.instance != target.instance) {
+            self.gate.forget_outcomes();
+        }
         Ok(self.target_watch.announce(&self.mesh, announcement))
     }
 
--- a/crates/routing/src/least_loss.rs
+++ b/crates/routing/src/least_loss.rs
@@ -28,6 +28,9 @@
 /// Share of its worth that a call loses that is not answered at all, beyond that of a late one.
 const LOST_LOSS: f64 = 0.3;
 
+/// Share of its worth that a call loses that its target fails; often another attempt saves some.
+const FAILED_LOSS: f64 = 0.8;
+
 /// Weight of the expected latency itself, so that of equally safe targets the faster one is taken.
 const LATENCY_WEIGHT: f64 = 0.1;
 
@@ -106,8 +109,10 @@
         let price = self
             .prices
             .of(candidate.distance, loads.body_bytes(call.kind));
+        let failed = loads.failed_ratio(candidate.node_id, now);
         LATE_LOSS * late
             + LOST_LOSS * lost
+            + FAILED_LOSS * failed
             + price
             + LATENCY_WEIGHT * (expected_ms / prompt_ms.max(1.0)).min(1.0)
     }
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -35,6 +35,12 @@
 /// How long a target is thought full after it refused a call for overload.
 const OVERLOADED_HOLD: Duration = Duration::from_millis(120);
 
+/// Weight of a new report in the share of calls that all targets fail.
+const FAILED_WEIGHT: f64 = 0.02;
+
+/// Time after which what a target said of its failures counts half, so that it is tried again.
+const FAILED_HALF_LIFE: Duration = Duration::from_millis(1_500);
+
 /// Weight of a new sample of how long calls of a kind wait.
 const WAIT_WEIGHT: f64 = 0.1;
 
@@ -51,6 +57,8 @@
     pub busy_ratio: f64,
     /// How long a call would wait for a slot there now, in milliseconds.
     pub wait_ms: f64,
+    /// Share of the latest calls there that the target failed.
+    pub failed_ratio: f64,
 }
 
 /// How an answered call spent its time.
@@ -62,6 +70,8 @@
     pub waited_ms: f64,
     /// At the target, in milliseconds.
     pub ran_ms: f64,
+    /// What calls of the kind take at the target on average, in milliseconds, if its node says so.
+    pub usual_ran_ms: Option<f64>,
     /// Way there and back, in milliseconds.
     pub way_ms: f64,
 }
@@ -73,6 +83,7 @@
     sampled_at: Instant,
     report: LoadReport,
     report_expires_at: Instant,
+    reported_at: Instant,
     reported_in_flight_count: u32,
     refused_until: Instant,
     overloaded_until: Instant,
@@ -85,6 +96,8 @@
 pub struct LoadBook {
     loads: FastMap<NodeId, Load>,
     kinds: FastMap<String, KindBook>,
+    /// Share of calls that targets failed lately, over all that told.
+    failed_ratio: f64,
 }
 
 /// What is known of a kind over all targets.
@@ -147,6 +160,20 @@
         load.report = report;
         load.reported_in_flight_count = load.in_flight_count;
         load.report_expires_at = now + REPORT_LIFE;
+        load.reported_at = now;
+        self.failed_ratio += FAILED_WEIGHT * (report.failed_ratio - self.failed_ratio);
+    }
+
+    /// Returns the share of calls that the target is expected to fail. What it said fades towards the
+    /// share of all targets.
+    pub fn failed_ratio(&self, target: &NodeId, now: Instant) -> f64 {
+        let Some(load) = self.loads.get(target) else {
+            return self.failed_ratio;
+        };
+        let age = now.saturating_duration_since(load.reported_at);
+        let half_lives = age.as_secs_f64() / FAILED_HALF_LIFE.as_secs_f64();
+        let certainty = 0.5_f64.powf(half_lives);
+        load.report.failed_ratio * certainty + self.failed_ratio * (1.0 - certainty)
     }
 
     /// Takes in how an answered call spent its time, and the size of its request and answer.
@@ -162,10 +189,12 @@
         let beyond_ms = spent.took_ms - spent.waited_ms - spent.ran_ms - spent.way_ms;
         load.overhead_ms += OVERHEAD_WEIGHT * (beyond_ms.max(0.0) - load.overhead_ms);
         load.sampled_at = now;
-        match load.ran_ms.get_mut(kind) {
-            Some(ran_ms) => *ran_ms += RAN_WEIGHT * (spent.ran_ms - *ran_ms),
-            None => {
-                load.ran_ms.insert(kind.to_owned(), spent.ran_ms);
+        match (load.ran_ms.get_mut(kind), spent.usual_ran_ms) {
+            (Some(ran_ms), Some(usual_ran_ms)) => *ran_ms = usual_ran_ms,
+            (Some(ran_ms), None) => *ran_ms += RAN_WEIGHT * (spent.ran_ms - *ran_ms),
+            (None, usual_ran_ms) => {
+                let ran_ms = usual_ran_ms.unwrap_or(spent.ran_ms);
+                load.ran_ms.insert(kind.to_owned(), ran_ms);
             }
         }
         match self.kinds.get_mut(kind) {
@@ -295,6 +324,7 @@
                 sampled_at: now,
                 report: LoadReport::default(),
                 report_expires_at: now,
+                reported_at: now,
                 reported_in_flight_count: 0,
                 refused_until: now,
                 overloaded_until: now,
--- a/crates/routing/tests/full_scan.rs
+++ b/crates/routing/tests/full_scan.rs
@@ -259,6 +259,7 @@
     loads.note_report(
         &ids[0],
         LoadReport {
+            failed_ratio: 0.0,
             busy_ratio: 0.0,
             wait_ms: 0.0,
         },
--- a/crates/routing/tests/unknown_load.rs
+++ b/crates/routing/tests/unknown_load.rs
@@ -6,8 +6,14 @@
 };
 
 use figway_routing::{
+    CallNeed,
+    Candidate,
+    Distance,
+    LeastLoss,
     LoadBook,
-    Spent, //
+    LoadReport,
+    Spent,
+    TransitPrices, //
 };
 use figway_types::NodeId;
 
@@ -15,6 +21,7 @@
     took_ms: 400.0,
     waited_ms: 300.0,
     ran_ms: 100.0,
+    usual_ran_ms: None,
     way_ms: 0.0,
 };
 
@@ -34,3 +41,39 @@
     let wait_ms = loads.wait_ms(&unknown, "lookup", 4, 100.0, later);
     assert!(wait_ms < 5.0, "{wait_ms}");
 }
+
+#[test]
+fn a_target_that_fails_calls_is_avoided_though_it_fails_them_fast() {
+    let now = Instant::now();
+    let (good, bad) = (NodeId("good".to_owned()), NodeId("bad".to_owned()));
+    let mut loads = LoadBook::default();
+    for (target, failed_ratio) in [(&good, 0.0), (&bad, 0.6)] {
+        let report = LoadReport {
+            failed_ratio,
+            ..LoadReport::default()
+        };
+        loads.note_report(target, report, now);
+    }
+    let candidate = |node_id| Candidate {
+        node_id,
+        slot_count: 4,
+        distance: Distance::Zone,
+        round_trip_us: 200.0,
+        suspect: false,
+    };
+    let call = CallNeed {
+        kind: "lookup",
+        prompt_left: Duration::from_millis(500),
+        deadline_left: Duration::from_millis(1_000),
+    };
+    let prices = TransitPrices {
+        region_per_kb: 0.0,
+        far_per_kb: 0.0,
+    };
+    let picker = LeastLoss::new(prices, 1);
+    let loss = |node_id, now| picker.loss(&call, &candidate(node_id), &loads, now);
+    assert!(loss(&bad, now) > loss(&good, now) + 0.2);
+    // What it said long ago no longer counts, so that it is tried again.
+    let later = now + Duration::from_secs(15);
+    assert!(loss(&bad, later) < loss(&good, later) + 0.02);
+}
