A node that meets nobody becomes a contact; bodies that the operator allows cross two nodes

Change: contacts are met first, and a node that is still alone appends itself; the listener of nodes takes what the operator allows callers, the callers' listener no more than that; answers up to 16 MiB on the platform; the line of a request without an id counts towards the bound on lines.

--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -103,21 +103,26 @@
     if alone {
         addresses.extend_from_slice(peers);
     }
+    let mut fresh = None;
     if alone || tends_zone(mesh) {
         match fresh_contacts(mesh, log).await {
-            Ok(fresh) => {
-                tend(mesh, log, &fresh).await;
-                let (near, far): (Vec<Contact>, Vec<Contact>) = fresh
-                    .into_iter()
+            Ok(contacts) => {
+                let (near, far): (Vec<&Contact>, Vec<&Contact>) = contacts
+                    .iter()
                     .partition(|contact| contact.zone == own.zone);
                 for contact in near.into_iter().chain(far) {
-                    addresses.push(contact.control_address);
+                    addresses.push(contact.control_address.clone());
                 }
+                fresh = Some(contacts);
             }
             Err(error) => log::warn!("could not read contacts: {error}"),
         }
     }
-    meet(mesh, &addresses).await
+    let met = meet(mesh, &addresses).await;
+    if let Some(fresh) = fresh {
+        tend(mesh, log, &fresh).await;
+    }
+    met
 }
 
 async fn meet(mesh: &Mesh, addresses: &[String]) -> bool {
@@ -194,7 +199,7 @@
     mesh.own_rank(&zone, &|member| member.zone == zone) == Some(0)
 }
 
-/// Appends this node as a contact when its zone has too few that are fresh.
+/// Appends this node as a contact when its zone has too few that are fresh, or none of them answers.
 async fn tend(mesh: &Mesh, log: &dyn LogService, fresh: &[Contact]) {
     let own = mesh.members().own().clone();
     let mut fresh_count = 0;
@@ -206,7 +211,7 @@
             fresh_count += 1;
         }
     }
-    if fresh_count >= FRESH_MIN_COUNT {
+    if fresh_count >= FRESH_MIN_COUNT && has_live_peer(mesh) {
         return;
     }
     let contact = Contact {
--- a/crates/dataplane/src/front.rs
+++ b/crates/dataplane/src/front.rs
@@ -62,10 +62,9 @@
     fn limits(&self) -> ServerLimits {
         let view = self.worker.plane.mesh.view();
         let limits = &view.routes.caller_limits;
-        let body_max_bytes = limits.body_max_bytes as usize;
         ServerLimits {
             head_max_bytes: limits.head_max_bytes as usize,
-            body_max_bytes: body_max_bytes.max(self.worker.plane.body_max_bytes),
+            body_max_bytes: limits.body_max_bytes as usize,
             request_max_ms: limits.request_max_ms,
             idle_max_ms: limits.idle_max_ms,
         }
@@ -106,9 +105,12 @@
     }
 
     fn limits(&self) -> ServerLimits {
+        // A body that a peer took from its caller was within the operator's limit there.
+        let plane = &self.worker.plane;
+        let caller_max_bytes = plane.mesh.view().routes.caller_limits.body_max_bytes as usize;
         ServerLimits {
             head_max_bytes: PEER_HEAD_MAX_BYTES,
-            body_max_bytes: self.worker.plane.body_max_bytes,
+            body_max_bytes: plane.body_max_bytes.max(caller_max_bytes),
             request_max_ms: PEER_REQUEST_MAX_MS,
             idle_max_ms: PEER_IDLE_MAX_MS,
         }
@@ -160,7 +162,9 @@
     let request_id = match interface.request_id(request) {
         Some(request_id) => request_id,
         None if interface.requires_id() => {
-            log::info!("request refused path={} why=no-id", request.path);
+            if plane.lines.keeps(&request.path, true) {
+                log::info!("request refused path={} why=no-id", request.path);
+            }
             return Answer::of_status(400);
         }
         None => {
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -222,7 +222,7 @@
     fn limits(&self) -> ServerLimits {
         ServerLimits {
             head_max_bytes: 16 * 1_024,
-            body_max_bytes: 1_024 * 1_024,
+            body_max_bytes: 16 * 1_024 * 1_024,
             request_max_ms: 5_000,
             idle_max_ms: 4_000,
         }
--- a/crates/testbed/src/site/caller.rs
+++ b/crates/testbed/src/site/caller.rs
@@ -55,7 +55,7 @@
                 idle_max_ms: 10_000,
                 unsafe_idle_max_ms: 10_000,
                 connect_max_ms: 500,
-                body_max_bytes: 1_024 * 1_024,
+                body_max_bytes: 16 * 1_024 * 1_024,
                 from: None,
             }),
             next: Cell::new(0),
@@ -65,6 +65,11 @@
 
     /// Sends one request.
     pub async fn call(&self, method: &str, path: &str) -> Seen {
+        self.call_with(method, path, 0).await
+    }
+
+    /// Sends one request whose body is its id and `more_bytes` besides.
+    pub async fn call_with(&self, method: &str, path: &str, more_bytes: usize) -> Seen {
         self.next.set(self.next.get() + 1);
         let id = format!("{:016x}", figway_types::mix(self.seed ^ self.next.get()));
         let mut headers = Headers::default();
@@ -72,13 +77,14 @@
         headers.push("x-figway-attempt-id", id.as_str());
         headers.push("x-figway-deadline-ms", BUDGET.as_millis().to_string());
         headers.push("x-figway-caller-service", "forged");
+        let body = format!("{id}{}", "x".repeat(more_bytes));
         let sent_at = Instant::now();
         let outbound = Outbound {
             address: &self.address,
             method,
             path,
             headers: &headers,
-            body: &id.clone().into(),
+            body: &body.clone().into(),
             deadline: sent_at + BUDGET,
             echo: None,
             idempotent: false,
@@ -88,7 +94,7 @@
         let (status, sealed) = match result {
             Ok(answer) => {
                 let seal = answer.header("x-figway-response-seal");
-                let whole = answer.body == format!("{id} {id}");
+                let whole = answer.body == format!("{id} {body}");
                 let sealed = seal == Some(format!("seal-{id}").as_str()) && whole;
                 (answer.status, sealed)
             }
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -185,7 +185,8 @@
          platform:\n  callers: 127.0.0.1:{callers}\n  ready: 127.0.0.1:{ready}\n  \
          announcements: 127.0.0.1:{announcements}\n  store: {store}\n  service: {service}\n  \
          target: {target}\n  announce_every: 500ms\n  keep: 300s\n  grace: 6s\n  \
-         retry_ratio: 0.2\n  retry_burst_count: 20\n",
+         retry_ratio: 0.2\n  retry_burst_count: 20\n\
+         calls:\n  body_max_bytes: 16777216\n",
         store = store_way.address,
         target = backend.address(),
     );
--- a/crates/testbed/tests/site.rs
+++ b/crates/testbed/tests/site.rs
@@ -57,6 +57,27 @@
     assert_eq!(unknown.status, 404);
 }
 
+#[ntex::test]
+async fn a_body_that_the_operator_allows_crosses_two_nodes() {
+    let site = Site::start("body", 4).await.unwrap();
+    ready(&site).await;
+    let mut large = config(2, "/large/");
+    large["limits"]["maxBodyBytes"] = 4_194_304.into();
+    site.store.publish(&large);
+    tokio::time::sleep(APPLY_MAX).await;
+    // Host 0 is beside a back end of the other service.
+    let seen = site
+        .caller(0)
+        .call_with("POST", "/orders/1", 2_000_000)
+        .await;
+    assert!(seen.status == 200 && seen.sealed, "{seen:?}");
+    let beyond = site
+        .caller(0)
+        .call_with("POST", "/orders/1", 5_000_000)
+        .await;
+    assert_eq!(beyond.status, 413);
+}
+
 #[ntex::test]
 async fn a_configuration_is_in_force_in_time_through_damage_and_lost_history() {
     let site = Site::start("config", 4).await.unwrap();
