A run that its caller gave up is told by the node beside the target

The caller's node gave the order up at its deadline before the target's node did; the connection closed, the task of the run was dropped and its line was never written. A caller that left early had the same effect every time. Change: the line of a run is written when it is dropped too, with why=given-up. The new test causes it with a caller that leaves; it found no line before the change.

--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -145,6 +145,14 @@
         return AdmittedFate::not_sent(NotRunReason::Draining);
     }
     let started_at = Instant::now();
+    let mut line = RunLine {
+        plane,
+        call,
+        instance: &target.instance,
+        waited: started_at.saturating_duration_since(entered_at),
+        started_at,
+        told: false,
+    };
     let ended = run_at_target(worker, call, &target).await;
     slot.answered = ended.fate.is_good();
     if ended.sent && ended.fate != Fate::Unknown(LATE) {
@@ -155,18 +163,7 @@
         ended.fate.reason(),
         started_at.saturating_duration_since(entered_at),
     );
-    if plane.lines.keeps(call.request_id, false) {
-        log::info!(
-            "call run request={} kind={} instance={} outcome={} why={} waited_ms={} ran_ms={}",
-            call.request_id,
-            call.kind,
-            target.instance,
-            ended.fate.name(),
-            ended.fate.reason(),
-            started_at.saturating_duration_since(entered_at).as_millis(),
-            started_at.elapsed().as_millis(),
-        );
-    }
+    line.tell(ended.fate.name(), ended.fate.reason(), false);
     AdmittedFate {
         waited: started_at.saturating_duration_since(entered_at),
         ran: started_at.elapsed(),
@@ -175,6 +172,42 @@
     }
 }
 
+/// Log line of a run; one that is given up before its answer is told when the line drops.
+struct RunLine<'a> {
+    plane: &'a DataPlane,
+    call: &'a Admitted<'a>,
+    instance: &'a str,
+    waited: Duration,
+    started_at: Instant,
+    told: bool,
+}
+
+impl RunLine<'_> {
+    fn tell(&mut self, outcome: &str, reason: &str, notable: bool) {
+        self.told = true;
+        if !self.plane.lines.keeps(self.call.request_id, notable) {
+            return;
+        }
+        log::info!(
+            "call run request={} kind={} instance={} outcome={outcome} why={reason} waited_ms={} \
+             ran_ms={}",
+            self.call.request_id,
+            self.call.kind,
+            self.instance,
+            self.waited.as_millis(),
+            self.started_at.elapsed().as_millis(),
+        );
+    }
+}
+
+impl Drop for RunLine<'_> {
+    fn drop(&mut self) {
+        if !self.told {
+            self.tell("unknown", "given-up", true);
+        }
+    }
+}
+
 fn left_of(call: &Admitted<'_>) -> Duration {
     call.deadline.saturating_duration_since(Instant::now())
 }
--- a/crates/testbed/tests/explaining.rs
+++ b/crates/testbed/tests/explaining.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use figway_testbed::process::Programs;
-use figway_testbed::site::caller::Seen;
 use figway_testbed::site::{
     config,
     Site, //
@@ -22,10 +21,10 @@
 }
 
 /// Returns the story of a request out of the logs of all nodes.
-async fn explained(site: &Site, seen: &Seen) -> String {
+async fn explained(site: &Site, id: &str) -> String {
     tokio::time::sleep(WRITTEN_AFTER).await;
     let mut command = Command::new(Programs::find().unwrap().figway);
-    command.args(["explain", &seen.id]);
+    command.args(["explain", id]);
     for host in &site.hosts {
         command.arg(host.log_path());
     }
@@ -44,13 +43,37 @@
     }
     let seen = site.caller(0).call("POST", "/orders/1").await;
     assert_eq!(seen.status, 504, "{seen:?}");
-    let story = explained(&site, &seen).await;
+    let story = explained(&site, &seen.id).await;
     assert!(story.contains("call run"), "{story}");
     assert!(story.contains("instance=i-127-0-0-1"), "{story}");
     assert!(story.contains("outcome=unknown"), "{story}");
     assert!(story.contains("why=deadline"), "{story}");
 }
 
+#[ntex::test]
+async fn a_run_whose_caller_left_is_told() {
+    let site = started("left").await;
+    for host in &site.hosts {
+        host.backend.slow_ms.set(700);
+    }
+    let caller = site.caller(0);
+    let leaving =
+        tokio::time::timeout(Duration::from_millis(300), caller.call("POST", "/orders/1"));
+    assert!(leaving.await.is_err(), "the order was answered too soon");
+    let mut ran = None;
+    for host in &site.hosts {
+        for run in host.backend.runs() {
+            if run.what.contains("/orders/") {
+                ran = ran.max(Some((run.at, run.id)));
+            }
+        }
+    }
+    let (_, id) = ran.expect("a back end runs the order");
+    let story = explained(&site, &id).await;
+    assert!(story.contains("call run"), "{story}");
+    assert!(story.contains("why=given-up"), "{story}");
+}
+
 #[ntex::test]
 async fn a_refusal_is_told_with_slots_queue_and_time_left() {
     let site = started("refused").await;
@@ -62,7 +85,7 @@
     let all = join_all(calls).await;
     let refused = all.iter().find(|seen| seen.status == 503);
     let refused = refused.expect("160 orders do not fit 24 slots");
-    let story = explained(&site, refused).await;
+    let story = explained(&site, &refused.id).await;
     assert!(story.contains("call refused"), "{story}");
     assert!(story.contains("slots=12"), "{story}");
     assert!(story.contains("waiting="), "{story}");
@@ -76,7 +99,7 @@
     tokio::time::sleep(Duration::from_millis(2_000)).await;
     let seen = site.caller(1).call("GET", "/reads/1").await;
     assert_eq!(seen.status, 404, "{seen:?}");
-    let story = explained(&site, &seen).await;
+    let story = explained(&site, &seen.id).await;
     assert!(story.contains("call not routed"), "{story}");
     assert!(story.contains("routes_version=2"), "{story}");
     assert!(story.contains("why=no-route"), "{story}");
