A stop lets what its connections have read begin before it looks for calls in flight

Ruled out: the back end (it answered with 200), the peer (the answer left it), the grace (2.2 s were left). Change: 120 ms pass between closing connections and the first look. The new test pauses the node over that moment; it passed before the change too, so that it does not show the fault.

--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -56,6 +56,9 @@
 /// Share of the grace that a drain uses at most.
 const DRAIN_GRACE_SHARE: f64 = 0.84;
 
+/// Time for requests that were read before connections closed to begin.
+const CLOSE_SETTLE: Duration = Duration::from_millis(120);
+
 /// How often a drain looks whether calls are left.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -212,6 +215,8 @@
         tokio::time::sleep_until((now + DRAIN_TAKE).min(deadline).into()).await;
         // A caller that still uses its connection would otherwise begin calls that can't end.
         self.phase.send_replace(ServerPhase::Closed);
+        // What connections have read by now begins first; it would else be cut.
+        tokio::time::sleep(CLOSE_SETTLE).await;
         loop {
             let in_flight_count = self.in_flight_count.load(Ordering::Relaxed);
             if Instant::now() >= deadline || in_flight_count == 0 {
--- a/crates/testbed/tests/site.rs
+++ b/crates/testbed/tests/site.rs
@@ -1,6 +1,7 @@
 //! The whole path on the users' platform, with real nodes as processes and stand-ins of the store
 //! and of back ends.
 
+use std::rc::Rc;
 use std::time::{
     Duration,
     Instant, //
@@ -173,6 +174,41 @@
     assert!(node.has_ended(), "the node outlived its grace");
 }
 
+#[ntex::test]
+async fn a_stop_answers_what_it_read_at_the_last_moment() {
+    let site = Site::start("last-moment", 4).await.unwrap();
+    ready(&site).await;
+    let callers: Vec<_> = (0..8).map(|_| Rc::new(site.caller(0))).collect();
+    for caller in &callers {
+        assert_eq!(caller.call("GET", "/reads/1").await.status, 200);
+    }
+    for host in &site.hosts {
+        host.backend.slow_ms.set(700);
+    }
+    let node = site.hosts[0].node.as_ref().unwrap();
+    node.signal(Signal::Terminate).unwrap();
+    // The node is paused as it closes idle connections, 3.2 s after the stop request; meanwhile
+    // requests come in on connections that it still keeps.
+    tokio::time::sleep(Duration::from_millis(3_100)).await;
+    node.signal(Signal::Stop).unwrap();
+    let mut calls = Vec::new();
+    for caller in callers {
+        calls.push(tokio::task::spawn_local(async move {
+            caller.call("GET", "/reads/1").await
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    node.signal(Signal::Continue).unwrap();
+    for call in calls {
+        let seen = call.await.unwrap();
+        let mut ran = false;
+        for host in &site.hosts {
+            ran |= host.backend.runs().iter().any(|run| run.id == seen.id);
+        }
+        assert!(seen.status != 0 || !ran, "cut while it ran: {seen:?}");
+    }
+}
+
 #[ntex::test]
 async fn a_request_that_ran_and_failed_is_not_called_unrun_since_the_next_node_is_gone() {
     let mut site = Site::start("failed", 4).await.unwrap();
