A departure is ordered by the start that leaves, also at a node that started after it

A node stopped and started again; 0.3 s later its back end deregistered, which the node acknowledged without knowing when that back end had started. A heartbeat that had been delayed came 3.1 s later, said ready, and counted as a later start than the unknown one. Ruled out: the order of heartbeats (sequence and start are kept once one was heard), peers (the gate beside the back end let the requests through). Change: the deregistration's start is decoded and kept; an announcement of that start or an earlier one is ignored afterwards, and a departure of an earlier start too.

--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -181,9 +181,11 @@
         Ok(self.target_watch.announce(&self.mesh, announcement))
     }
 
-    /// Takes in that a start of the target leaves for good.
-    pub fn depart(&self, instance: &str) {
-        self.target_watch.depart(&self.mesh, instance);
+    /// Takes in that a start of the target leaves for good. `started_at_ms` is when it began, in Unix
+    /// milliseconds, 0 if it is not known.
+    pub fn depart(&self, instance: &str, started_at_ms: u64) {
+        self.target_watch
+            .depart(&self.mesh, instance, started_at_ms);
     }
 
     /// Returns a watch of what servers do with their connections.
--- a/crates/dataplane/src/target_watch.rs
+++ b/crates/dataplane/src/target_watch.rs
@@ -99,10 +99,13 @@
         Heard::Taken
     }
 
-    /// Takes in that a start of the target leaves for good.
-    pub(crate) fn depart(&self, mesh: &Mesh, instance: &str) {
+    /// Takes in that a start of the target leaves for good. A start that began before the newest one
+    /// has left already.
+    pub(crate) fn depart(&self, mesh: &Mesh, instance: &str, started_at_ms: u64) {
         let mut watched = self.watched.lock().expect("no holder panics");
-        if watched.newest.instance != instance && !watched.newest.instance.is_empty() {
+        let other = watched.newest.instance != instance && !watched.newest.instance.is_empty();
+        let earlier = started_at_ms != 0 && started_at_ms < watched.newest.started_at_ms;
+        if other || earlier {
             log::info!(
                 "departure ignored instance={instance} known_instance={}",
                 watched.newest.instance
@@ -110,6 +113,8 @@
             return;
         }
         watched.newest.instance = instance.to_owned();
+        // This node may have started after the target, so that it leaves before it was announced here.
+        watched.newest.started_at_ms = watched.newest.started_at_ms.max(started_at_ms);
         watched.newest.left = true;
         watched.announced_until = None;
         watched.leaving_since.get_or_insert(Instant::now());
@@ -153,13 +158,17 @@
 impl Newest {
     /// Returns whether the announcement is newer than what was taken. A start that left stays gone.
     fn is_before(&self, announcement: &Announcement) -> bool {
+        let same = announcement.target.instance == self.instance;
+        if same && self.left && self.started_at_ms == 0 {
+            return false;
+        }
         if announcement.started_at_ms != self.started_at_ms {
             return announcement.started_at_ms > self.started_at_ms;
         }
         if announcement.started_at_ms == 0 {
             return true;
         }
-        if announcement.target.instance == self.instance && self.left {
+        if same && self.left {
             return false;
         }
         announcement.sequence > self.sequence
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -64,6 +64,8 @@
     pub loses_one_in: Cell<u64>,
     /// Answers each request with a failure after it ran.
     pub fails: Cell<bool>,
+    /// Says nothing of itself but what is asked for.
+    pub silent: Cell<bool>,
     /// Adds to the time of each request, in milliseconds.
     pub slow_ms: Cell<u64>,
     runs: RefCell<Vec<Run>>,
@@ -88,6 +90,7 @@
             draining: Cell::new(false),
             loses_one_in: Cell::new(0),
             fails: Cell::new(false),
+            silent: Cell::new(false),
             slow_ms: Cell::new(0),
             runs: RefCell::default(),
             client: HttpClient::new(ClientLimits {
@@ -149,28 +152,45 @@
 
     async fn announce(self: Rc<Self>) {
         loop {
-            self.beat().await;
+            if !self.silent.get() {
+                self.beat().await;
+            }
             tokio::time::sleep(BEAT_EVERY).await;
         }
     }
 
-    async fn beat(&self) -> bool {
+    /// Leaves without draining; returns whether that was acknowledged.
+    pub async fn leave(&self) -> bool {
+        let body = json!({ "born": self.born_ms() });
+        self.say("deregister", &body).await
+    }
+
+    /// Announces itself once; returns whether that was acknowledged.
+    pub async fn beat(&self) -> bool {
         self.sequence.set(self.sequence.get() + 1);
+        let body = json!({
+            "service": self.service, "address": self.address(), "zone": self.zone,
+            "version": "v1", "slots": 12, "coldLeft": "0ms", "sequence": self.sequence.get(),
+            "state": if self.draining.get() { "draining" } else { "ready" },
+            "born": self.born_ms(),
+        });
+        self.say("heartbeat", &body).await
+    }
+
+    fn born_ms(&self) -> u64 {
         let born_ms = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default()
             .as_millis() as u64;
         // The start's time need not be exact, but must grow with each start.
-        let born_ms = born_ms / 1_000_000_000 * 1_000_000_000 + self.start_count.get();
-        let body = json!({
-            "service": self.service, "address": self.address(), "zone": self.zone,
-            "version": "v1", "slots": 12, "coldLeft": "0ms", "sequence": self.sequence.get(),
-            "state": if self.draining.get() { "draining" } else { "ready" }, "born": born_ms,
-        });
+        born_ms / 1_000_000_000 * 1_000_000_000 + self.start_count.get()
+    }
+
+    async fn say(&self, what: &str, body: &serde_json::Value) -> bool {
         let outbound = Outbound {
             address: &self.control,
             method: "POST",
-            path: &format!("/instances/{}/heartbeat", self.instance()),
+            path: &format!("/instances/{}/{what}", self.instance()),
             headers: &Headers::default(),
             body: &body.to_string().into(),
             deadline: Instant::now() + Duration::from_secs(1),
--- a/crates/testbed/tests/site.rs
+++ b/crates/testbed/tests/site.rs
@@ -209,6 +209,42 @@
     }
 }
 
+#[ntex::test]
+async fn a_late_heartbeat_does_not_bring_back_what_left_after_its_node_had_started_again() {
+    let mut site = Site::start("late-beat", 4).await.unwrap();
+    ready(&site).await;
+    let backend = Rc::clone(&site.hosts[0].backend);
+    backend.silent.set(true);
+    site.hosts[0]
+        .node
+        .take()
+        .unwrap()
+        .signal(Signal::Kill)
+        .unwrap();
+    site.hosts[0].start_node().unwrap();
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while !backend.leave().await {
+        assert!(Instant::now() < deadline, "the leave is not acknowledged");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    backend.beat().await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let ran_count = backend.runs().len();
+    for _ in 0..10 {
+        let seen = site.caller(0).call("GET", "/reads/1").await;
+        assert_eq!(seen.status, 200, "{seen:?}");
+    }
+    assert_eq!(backend.runs().len(), ran_count, "it ran after it had left");
+    // A new start is used again.
+    backend.restart();
+    assert!(backend.beat().await);
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while backend.runs().len() == ran_count {
+        assert!(Instant::now() < deadline, "the new start gets no request");
+        site.caller(0).call("GET", "/reads/1").await;
+    }
+}
+
 #[ntex::test]
 async fn a_request_that_ran_and_failed_is_not_called_unrun_since_the_next_node_is_gone() {
     let mut site = Site::start("failed", 4).await.unwrap();
