The second attempt is joined without a state that can't occur

Found on reading the change: run_hedged matched a pair of options of which one is always there, with a branch that could not be reached.

--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -7,8 +7,6 @@
     Instant, //
 };
 
-use futures::StreamExt as _;
-
 use figway_log_client::{
     read_retained,
     LogService,
@@ -20,6 +18,7 @@
     MemberState,
     Offset, //
 };
+use futures::StreamExt as _;
 use serde::{
     Deserialize,
     Serialize, //
--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -146,22 +146,21 @@
     }
     let second = hedge(worker, call, tried);
     tokio::pin!(second);
-    let (ended, other) = tokio::select! {
+    let (second, first) = tokio::select! {
         ended = &mut first => {
             if ended.fate.is_good() {
                 return (ended, true);
             }
-            (second.await, Some(ended))
+            (second.await, ended)
         }
         ended = &mut second => match ended {
             Some(ended) if ended.fate.is_good() => return (ended, true),
-            ended => (ended, Some(first.await)),
+            ended => (ended, first.await),
         },
     };
-    match (ended, other) {
-        (Some(second), Some(other)) => (second.joined(other), true),
-        (None, Some(only)) | (Some(only), None) => (only, false),
-        (None, None) => (AdmittedFate::not_sent(NotRunReason::NoTarget), false),
+    match second {
+        Some(second) => (second.joined(first), true),
+        None => (first, false),
     }
 }
 
