Recognize the crash of a target whose listener still accepts for a moment

Callers saw: a request that crashes targets was answered no-target after it had run at all four of them, instead of being quarantined after two crashes. Cause: after a broken connection the node asks whether the target accepts another. The listener of a process that is ending still does, so that the crash was not recorded. Change: the connection must stay open for 50 ms. If it is closed sooner, a second one decides, since a target with too many connections closes one and accepts the next. Ruled out: a longer wait without the second connection, which would call a full target crashed.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -28,6 +28,8 @@
     HOST, //
 };
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncReadExt as _;
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use crate::message::{
@@ -42,6 +44,10 @@
 /// Fraction of a server's announced keep-alive timeout during which its connection is reused.
 const KEEP_ALIVE_RATIO: f64 = 0.6;
 
+/// Time for which a connection must stay open before its server counts as accepting. The listener of
+/// a process that is ending may still accept connections.
+const ACCEPT_SETTLE: Duration = Duration::from_millis(50);
+
 /// Limits of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientLimits {
@@ -143,13 +149,17 @@
         }
     }
 
-    async fn open(&self, address: &str) -> Result<Connection, SendFailure> {
+    async fn connect(&self, address: &str) -> Result<TcpStream, SendFailure> {
         let connect_max = Duration::from_millis(self.limits.connect_max_ms);
         let connecting = socket::connect(address, self.limits.local_ip);
-        let stream = tokio::time::timeout(connect_max, connecting)
+        tokio::time::timeout(connect_max, connecting)
             .await
             .map_err(|_| SendFailure::Refused("could not connect in time".to_owned()))?
-            .map_err(|error| SendFailure::Refused(format!("could not connect: {error}")))?;
+            .map_err(|error| SendFailure::Refused(format!("could not connect: {error}")))
+    }
+
+    async fn open(&self, address: &str) -> Result<Connection, SendFailure> {
+        let stream = self.connect(address).await?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| SendFailure::Refused(error.to_string()))?;
@@ -247,7 +257,18 @@
     }
 
     fn can_connect<'a>(&'a self, address: &'a str) -> LocalBoxFuture<'a, bool> {
-        Box::pin(async move { self.open(address).await.is_ok() })
+        Box::pin(async move {
+            let Ok(mut stream) = self.connect(address).await else {
+                return false;
+            };
+            let mut buffer = [0_u8; 1];
+            let closed = tokio::time::timeout(ACCEPT_SETTLE, stream.read(&mut buffer)).await;
+            match closed {
+                Err(_) | Ok(Ok(1..)) => true,
+                // A server that has too many connections closes this one, but accepts the next.
+                Ok(Ok(0) | Err(_)) => self.connect(address).await.is_ok(),
+            }
+        })
     }
 }
 
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -178,6 +178,6 @@
         outbound: &'a OutboundRequest<'a>,
     ) -> LocalBoxFuture<'a, Result<Answer, SendFailure>>;
 
-    /// Returns whether a server accepts connections at `address`.
+    /// Returns whether a server accepts connections at `address` and goes on doing so.
     fn can_connect<'a>(&'a self, address: &'a str) -> LocalBoxFuture<'a, bool>;
 }
--- a/crates/http/tests/connections.rs
+++ b/crates/http/tests/connections.rs
@@ -327,3 +327,31 @@
     assert_eq!(failure, SendFailure::Late);
     assert!(started_at.elapsed() < Duration::from_millis(800));
 }
+
+/// A process that is ending accepts a connection just before its listener closes.
+#[ntex::test]
+async fn a_listener_that_closes_just_after_it_accepted_is_not_reported_as_accepting() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::task::spawn_local(async move {
+        let (accepted, _) = listener.accept().await.unwrap();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        drop(listener);
+        drop(accepted);
+    });
+    assert!(!client().can_connect(&address).await);
+}
+
+/// A server that has too many connections resets the next one, but goes on accepting others.
+#[ntex::test]
+async fn a_server_that_closes_a_connection_and_goes_on_listening_is_reported_as_accepting() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::task::spawn_local(async move {
+        loop {
+            let (accepted, _) = listener.accept().await.unwrap();
+            drop(accepted);
+        }
+    });
+    assert!(client().can_connect(&address).await);
+}
