Log what a target states about itself, and count the calls sent to it

Cause: no line of a node's log told that its target had named a limit, and 'call run' is sampled, so that the hypotheses on LIMIT could not be told apart. Change: the limit and the leaving state in answers are decoded by the interface and logged when they change; while a limit is in force, a line a second counts the calls sent by attempt kind, and a counter does so at all times. The start of a target becomes a part of the target's record, since a notice belongs to one run of it. Decisions are as before.

--- a/crates/control/tests/mesh_view.rs
+++ b/crates/control/tests/mesh_view.rs
@@ -244,6 +244,7 @@
     Target {
         service: service.to_owned(),
         instance: String::new(),
+        started_at_ms: 0,
         address: "127.0.0.1:3".to_owned(),
         slot_count: 1,
         labels,
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -11,6 +11,7 @@
     CallView, //
 };
 use figway_http::{
+    Answer,
     OutboundRequest,
     SendFailure, //
 };
@@ -250,7 +251,15 @@
         idempotent: call.idempotent,
     };
     let _running = plane.begin_run(call.request_id, call.attempt_kind);
-    match worker.targets.send(&outbound).await {
+    plane
+        .target_state
+        .record_sent(call.attempt_kind, Instant::now());
+    plane.metrics.count_sent(call.attempt_kind.name());
+    let sent = worker.targets.send(&outbound).await;
+    if let Ok(answer) = &sent {
+        record_notice(plane, target, answer);
+    }
+    match sent {
         Ok(answer) => match plane.interface.not_run_reason(&answer) {
             Some(reason) => {
                 log::info!(
@@ -302,6 +311,15 @@
     }
 }
 
+/// Records what the target states about itself in the answer.
+fn record_notice(plane: &DataPlane, target: &Target, answer: &Answer) {
+    let notice = plane.interface.target_notice(answer);
+    let is_success = answer.is_success() && plane.interface.is_valid_answer(answer);
+    plane
+        .target_state
+        .record_notice(target, &notice, is_success);
+}
+
 fn record_crash(plane: &Arc<DataPlane>, call: &AdmissionRequest<'_>) -> u64 {
     let crash_id = plane.mesh.random();
     plane.target_watch.mark_lost(&plane.mesh, "it crashed");
--- a/crates/dataplane/src/builder.rs
+++ b/crates/dataplane/src/builder.rs
@@ -26,6 +26,7 @@
 use crate::native::NativeInterface;
 use crate::plane::DataPlane;
 use crate::retry::RetryState;
+use crate::target_state::LocalTargetState;
 use crate::target_watch::TargetWatch;
 use crate::trace::LogBudget;
 
@@ -148,6 +149,7 @@
             loads: Mutex::default(),
             retries: RetryState::new(self.shared_retry_burst_count),
             target_watch: TargetWatch::new(self.announce_every),
+            target_state: LocalTargetState::default(),
             outcomes,
             metrics: Metrics::default(),
             log_budget: LogBudget::default(),
--- a/crates/dataplane/src/interface.rs
+++ b/crates/dataplane/src/interface.rs
@@ -8,7 +8,11 @@
     Headers,
     Request, //
 };
-use figway_types::NotRunReason;
+use figway_types::{
+    NotRunReason,
+    RateLimit,
+    RateLimitError, //
+};
 
 use crate::call::Outcome;
 
@@ -43,6 +47,29 @@
     pub instance: &'a str,
 }
 
+/// What a target states about itself in an answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TargetNotice {
+    /// Rate limit that the answer states, if any.
+    pub rate_limit: Option<StatedRateLimit>,
+    /// Whether the target states that it is leaving.
+    pub leaving: bool,
+}
+
+/// Rate limit as an answer states it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StatedRateLimit {
+    /// A valid limit.
+    Valid(RateLimit),
+    /// A text that is not a limit, and why.
+    Invalid {
+        /// Text of the answer.
+        text: String,
+        /// Why the text is not a limit.
+        error: RateLimitError,
+    },
+}
+
 /// Answer or refusal for the caller.
 #[derive(Clone, Debug)]
 pub struct Reply<'a> {
@@ -85,6 +112,9 @@
     /// Returns the reason why the target did not run the call, if the answer states one.
     fn not_run_reason(&self, answer: &Answer) -> Option<NotRunReason>;
 
+    /// Returns what the target states about itself in the answer.
+    fn target_notice(&self, answer: &Answer) -> TargetNotice;
+
     /// Returns whether the answer is valid in this wire format.
     fn is_valid_answer(&self, answer: &Answer) -> bool;
 
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -24,6 +24,7 @@
 mod proxy;
 mod retry;
 mod steps;
+mod target_state;
 mod target_watch;
 mod trace;
 mod worker;
@@ -42,7 +43,9 @@
     Addressing,
     ForwardContext,
     Interface,
-    Reply, //
+    Reply,
+    StatedRateLimit,
+    TargetNotice, //
 };
 pub use native::NativeInterface;
 pub use plane::DataPlane;
--- a/crates/dataplane/src/metrics.rs
+++ b/crates/dataplane/src/metrics.rs
@@ -52,6 +52,14 @@
             .send();
     }
 
+    /// Counts a call that was sent to the local target, by the kind of the attempt.
+    pub(crate) fn count_sent(&self, attempt_kind: &str) {
+        self.client
+            .count_with_tags("sent", 1)
+            .with_tag("attempt", attempt_kind)
+            .send();
+    }
+
     /// Increments a counter.
     pub(crate) fn count(&self, name: &str) {
         self.client.count_with_tags(name, 1).send();
--- a/crates/dataplane/src/native.rs
+++ b/crates/dataplane/src/native.rs
@@ -15,7 +15,8 @@
     Addressing,
     ForwardContext,
     Interface,
-    Reply, //
+    Reply,
+    TargetNotice, //
 };
 
 /// Wire format with headers that start with `x-figway-`.
@@ -72,6 +73,10 @@
         None
     }
 
+    fn target_notice(&self, _: &Answer) -> TargetNotice {
+        TargetNotice::default()
+    }
+
     fn is_valid_answer(&self, _: &Answer) -> bool {
         true
     }
--- a/crates/dataplane/src/operator.rs
+++ b/crates/dataplane/src/operator.rs
@@ -50,13 +50,16 @@
 /// whether it is draining.
 fn announce(worker: &Worker, body: &[u8]) -> Answer {
     let target = match serde_json::from_slice::<Target>(body) {
-        Ok(target) if target.address.parse::<std::net::SocketAddr>().is_ok() => target,
+        // These announcements carry no sequence number, so they are not ordered by start either.
+        Ok(target) if target.address.parse::<std::net::SocketAddr>().is_ok() => Target {
+            started_at_ms: 0,
+            ..target
+        },
         Ok(_) => return bad_request("address: expected IP:PORT"),
         Err(error) => return bad_request(&error.to_string()),
     };
     let announcement = Announcement {
         target,
-        started_at_ms: 0,
         sequence: 0,
         cold_start_remaining_ms: 0,
     };
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -41,6 +41,7 @@
 use crate::keyed_outcomes::KeyedOutcomes;
 use crate::metrics::Metrics;
 use crate::retry::RetryState;
+use crate::target_state::LocalTargetState;
 use crate::target_watch::{
     AnnounceOutcome,
     TargetWatch, //
@@ -72,6 +73,7 @@
     pub(crate) loads: Mutex<LoadTracker>,
     pub(crate) retries: RetryState,
     pub(crate) target_watch: TargetWatch,
+    pub(crate) target_state: LocalTargetState,
     pub(crate) outcomes: Arc<KeyedOutcomes>,
     pub(crate) metrics: Metrics,
     pub(crate) log_budget: LogBudget,
--- a/crates/dataplane/src/target_watch.rs
+++ b/crates/dataplane/src/target_watch.rs
@@ -79,7 +79,7 @@
                 "announcement ignored instance={} started_at_ms={} sequence={} known_instance={} \
                  known_started_at_ms={} known_sequence={}",
                 target.instance,
-                announcement.started_at_ms,
+                announcement.target.started_at_ms,
                 announcement.sequence,
                 state.latest.instance,
                 state.latest.started_at_ms,
@@ -89,7 +89,7 @@
         }
         state.latest = LatestAnnouncement {
             instance: target.instance.clone(),
-            started_at_ms: announcement.started_at_ms,
+            started_at_ms: announcement.target.started_at_ms,
             sequence: announcement.sequence,
             left: false,
         };
@@ -162,10 +162,10 @@
         if is_same && self.left && self.started_at_ms == 0 {
             return false;
         }
-        if announcement.started_at_ms != self.started_at_ms {
-            return announcement.started_at_ms > self.started_at_ms;
+        if announcement.target.started_at_ms != self.started_at_ms {
+            return announcement.target.started_at_ms > self.started_at_ms;
         }
-        if announcement.started_at_ms == 0 {
+        if announcement.target.started_at_ms == 0 {
             return true;
         }
         if is_same && self.left {
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -121,6 +121,11 @@
         answer
     }
 
+    /// Returns whether the status is a success, 2xx.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+
     /// Returns the first value of the header `name`, which must be in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)
--- a/crates/testbed/src/cmd/slopes.rs
+++ b/crates/testbed/src/cmd/slopes.rs
@@ -132,6 +132,7 @@
         target: Some(Target {
             service: format!("service-{}", index % service_count),
             instance: String::new(),
+            started_at_ms: 0,
             address: format!("10.{}.{}.7:8080", index / 250, index % 250),
             slot_count: 17,
             labels: BTreeMap::from([("track".to_owned(), "stable".to_owned())]),
--- a/crates/testbed/src/mesh_farm.rs
+++ b/crates/testbed/src/mesh_farm.rs
@@ -201,6 +201,7 @@
     let target = Target {
         service: format!("service-{}", index % spec.service_count),
         instance: String::new(),
+        started_at_ms: 0,
         address: "127.0.0.1:1".to_owned(),
         slot_count: 4,
         labels: BTreeMap::new(),
--- a/crates/testbed/src/target_server.rs
+++ b/crates/testbed/src/target_server.rs
@@ -86,6 +86,7 @@
         let target = Target {
             service: service.to_owned(),
             instance: String::new(),
+            started_at_ms: 0,
             address: String::new(),
             slot_count,
             labels: BTreeMap::new(),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 mod finding;
 mod member;
 mod outcome;
+mod rate;
 mod request;
 
 pub use backoff::Backoff;
@@ -29,6 +30,10 @@
     Target, //
 };
 pub use outcome::NotRunReason;
+pub use rate::{
+    RateLimit,
+    RateLimitError, //
+};
 pub use request::{
     Fingerprint,
     RequestView, //
--- a/crates/types/src/member.rs
+++ b/crates/types/src/member.rs
@@ -41,6 +41,10 @@
     /// Name of the running instance of the target; empty if targets announce none.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub instance: String,
+    /// Start time of the target, in Unix milliseconds; 0 if not announced. With the instance it
+    /// identifies one run of the target.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub started_at_ms: u64,
     /// `ip:port` of its HTTP server.
     pub address: String,
     /// Number of requests that the target runs concurrently.
@@ -53,13 +57,15 @@
     pub draining: bool,
 }
 
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
 /// Announcement of a target, with the fields that order announcements even if some arrive late.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Announcement {
     /// Announced target.
     pub target: Target,
-    /// Start time of the target, in Unix milliseconds; 0 if not announced.
-    pub started_at_ms: u64,
     /// Sequence number, increasing with each announcement of one run of the target.
     pub sequence: u64,
     /// Remaining time of the cold start, during which the target is slow, in milliseconds.
