--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -69,6 +69,10 @@
     pub fails: Cell<bool>,
     /// Whether periodic heartbeats are paused; explicit calls still announce the back end.
     pub heartbeat_paused: Cell<bool>,
+    /// Rate limit that each answer names, as text; none if absent.
+    pub rate_limit: RefCell<Option<String>>,
+    /// Whether each answer states that the back end is leaving.
+    pub leaving: Cell<bool>,
     /// Delay that is added to the service time of each request, in milliseconds.
     pub slow_ms: Cell<u64>,
     runs: RefCell<Vec<Run>>,
@@ -98,6 +102,8 @@
             drop_answer_one_in: Cell::new(0),
             fails: Cell::new(false),
             heartbeat_paused: Cell::new(false),
+            rate_limit: RefCell::default(),
+            leaving: Cell::new(false),
             slow_ms: Cell::new(0),
             runs: RefCell::default(),
             client: HttpClient::new(ClientLimits {
@@ -133,6 +139,13 @@
         self.generation.set(self.generation.get() + 1);
         self.sequence.set(0);
         self.draining.set(false);
+        *self.rate_limit.borrow_mut() = None;
+        self.leaving.set(false);
+    }
+
+    /// Sets the rate limit that answers name.
+    pub fn set_rate_limit(&self, limit: &str) {
+        *self.rate_limit.borrow_mut() = Some(limit.to_owned());
     }
 
     /// Returns the current generation: 1 at first, and one more after each restart.
@@ -240,6 +253,12 @@
         answer
             .headers
             .push("x-figway-response-seal", format!("seal-{id}"));
+        if let Some(limit) = self.rate_limit.borrow().as_deref() {
+            answer.headers.push("server-limit", limit);
+        }
+        if self.leaving.get() {
+            answer.headers.push("server-leaving", "1");
+        }
         answer.body = format!("{id} {}", String::from_utf8_lossy(&request.body)).into();
         answer
     }
--- a/crates/testbed/src/site/caller.rs
+++ b/crates/testbed/src/site/caller.rs
@@ -35,6 +35,8 @@
     pub unsent: bool,
     /// Time at which the request was sent.
     pub sent_at: Instant,
+    /// Value of the `retry-after` header, if any.
+    pub retry_after: Option<Duration>,
     /// Time from sending the request to its answer or failure.
     pub took: Duration,
 }
@@ -101,8 +103,13 @@
         };
         let result = self.client.send(&outbound).await;
         let unsent = matches!(result, Err(SendFailure::Refused(_)));
+        let mut retry_after = None;
         let (status, sealed) = match result {
             Ok(answer) => {
+                retry_after = answer
+                    .header("retry-after")
+                    .and_then(|seconds| seconds.parse().ok())
+                    .map(Duration::from_secs_f64);
                 let seal = answer.header("x-figway-response-seal");
                 let is_expected_body = answer.body == format!("{id} {body}");
                 let sealed = seal == Some(format!("seal-{id}").as_str()) && is_expected_body;
@@ -116,6 +123,7 @@
             sealed,
             unsent,
             sent_at,
+            retry_after,
             took: sent_at.elapsed(),
         }
     }
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -3,7 +3,10 @@
 #![allow(dead_code)]
 
 use std::path::PathBuf;
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use figway_testbed::deployment::{
     Deployment,
@@ -12,6 +15,7 @@
 };
 use figway_testbed::fleet::Fleet;
 use figway_testbed::process::Signal;
+use figway_testbed::site::Site;
 
 /// Longest wait until nodes converge on a membership or a profile; the stated goal is 20 s.
 pub(crate) const WAIT: Duration = Duration::from_secs(20);
@@ -56,3 +60,21 @@
         host.node.signal(signal).unwrap();
     }
 }
+
+/// Waits until requests for both services succeed at every node.
+pub(crate) async fn wait_site_ready(site: &Site) {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    for index in 0..site.hosts.len() {
+        let caller = site.caller(index);
+        for (method, path) in [("GET", "/reads/1"), ("POST", "/orders/1")] {
+            loop {
+                let result = caller.call(method, path).await;
+                if result.status == 200 {
+                    break;
+                }
+                assert!(Instant::now() < deadline, "host {index} {path}: {result:?}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
--- a/crates/testbed/tests/site.rs
+++ b/crates/testbed/tests/site.rs
@@ -4,6 +4,8 @@
 //! The tests guard against requests that are lost, misrouted or run at the wrong back end,
 //! configurations that come into force late, and answers that contradict what back ends ran.
 
+mod common;
+
 use std::rc::Rc;
 use std::time::{
     Duration,
@@ -19,34 +21,18 @@
 };
 use figway_testbed::soak::soak;
 
+use crate::common::wait_site_ready;
+
 /// Longest time that the platform allows until a published configuration is in force.
 const IN_FORCE_MAX: Duration = Duration::from_millis(2_000);
 
-/// Waits until requests for both services succeed at every node.
-async fn wait_ready(site: &Site) {
-    let deadline = Instant::now() + Duration::from_secs(10);
-    for index in 0..site.hosts.len() {
-        let caller = site.caller(index);
-        for (method, path) in [("GET", "/reads/1"), ("POST", "/orders/1")] {
-            loop {
-                let result = caller.call(method, path).await;
-                if result.status == 200 {
-                    break;
-                }
-                assert!(Instant::now() < deadline, "host {index} {path}: {result:?}");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
-}
-
 /// Guards against a request that runs at the wrong service or more than once, and against a caller
 /// that forges the service from which it calls. The callers send a forged caller service, which the
 /// node must replace by the service of its own host.
 #[ntex::test]
 async fn requests_reach_their_service_with_the_caller_service_of_their_host() {
     let site = Site::start("path", 4).await.unwrap();
-    wait_ready(&site).await;
+    wait_site_ready(&site).await;
     for (index, origin) in ["reads", "orders"].iter().enumerate() {
         let result = site.caller(index).call("POST", "/orders/7").await;
         assert!(result.status == 200 && result.sealed, "{result:?}");
@@ -69,7 +55,7 @@
 #[ntex::test]
 async fn a_body_within_the_configured_limit_is_forwarded_across_two_nodes() {
     let site = Site::start("body", 4).await.unwrap();
-    wait_ready(&site).await;
+    wait_site_ready(&site).await;
     let mut large = config(2, "/large/");
     large["limits"]["maxBodyBytes"] = 4_194_304.into();
     site.store.publish(&large);
@@ -92,7 +78,7 @@
 #[ntex::test]
 async fn a_configuration_is_in_force_in_time_despite_damaged_records_and_truncated_history() {
     let site = Site::start("config", 4).await.unwrap();
-    wait_ready(&site).await;
+    wait_site_ready(&site).await;
     site.store
         .append_operator_record("config", b"{\"version\":\"000000ff\",\"routes\":");
     site.store.append_operator_record("notes", b"\xff\x00");
@@ -120,7 +106,7 @@
 #[ntex::test]
 async fn a_restarted_node_without_the_store_is_found_by_its_peers() {
     let mut site = Site::start("alone", 4).await.unwrap();
-    wait_ready(&site).await;
+    wait_site_ready(&site).await;
     let host = &mut site.hosts[3];
     host.node.as_ref().unwrap().signal(Signal::Kill).unwrap();
     let blocked_link = LinkState {
@@ -152,7 +138,7 @@
 #[ntex::test]
 async fn a_draining_back_end_gets_no_request_after_two_seconds() {
     let site = Site::start("drain", 4).await.unwrap();
-    wait_ready(&site).await;
+    wait_site_ready(&site).await;
     let draining = &site.hosts[1].backend;
     assert!(draining.set_draining(true).await);
     tokio::time::sleep(Duration::from_millis(2_000)).await;
@@ -169,7 +155,7 @@
 #[ntex::test]
 async fn a_graceful_shutdown_interrupts_no_request_on_a_kept_connection() {
     let mut site = Site::start("stop", 4).await.unwrap();
-    wait_ready(&site).await;
+    wait_site_ready(&site).await;
     let caller = site.caller(0);
     let stopping = site.hosts[0].node.as_ref().unwrap();
     stopping.signal(Signal::Terminate).unwrap();
@@ -199,7 +185,7 @@
 #[ntex::test]
 async fn a_graceful_shutdown_answers_requests_read_just_before_connections_close() {
     let site = Site::start("last-moment", 4).await.unwrap();
-    wait_ready(&site).await;
+    wait_site_ready(&site).await;
     let callers: Vec<_> = (0..8).map(|_| Rc::new(site.caller(0))).collect();
     for caller in &callers {
         assert_eq!(caller.call("GET", "/reads/1").await.status, 200);
@@ -240,7 +226,7 @@
 #[ntex::test]
 async fn a_late_heartbeat_does_not_revive_a_back_end_that_deregistered_after_a_node_restart() {
     let mut site = Site::start("late-beat", 4).await.unwrap();
-    wait_ready(&site).await;
+    wait_site_ready(&site).await;
     let backend = Rc::clone(&site.hosts[0].backend);
     backend.heartbeat_paused.set(true);
     site.hosts[0]
@@ -289,7 +275,7 @@
 #[ntex::test]
 async fn a_request_that_ran_and_failed_is_answered_500_when_the_next_node_is_down() {
     let mut site = Site::start("failed", 4).await.unwrap();
-    wait_ready(&site).await;
+    wait_site_ready(&site).await;
     site.hosts[0].backend.fails.set(true);
     site.hosts[2].backend.fails.set(true);
     let killed = site.hosts[2].node.take().unwrap();
@@ -307,7 +293,7 @@
 #[ntex::test]
 async fn calls_are_served_while_the_store_is_down_and_restarted_nodes_recover_after_it() {
     let mut site = Site::start("down", 4).await.unwrap();
-    wait_ready(&site).await;
+    wait_site_ready(&site).await;
     site.store.set_faults(StoreFaults {
         down: true,
         ..StoreFaults::default()
@@ -326,7 +312,7 @@
     let result = site.caller(0).call("GET", "/reads/1").await;
     assert_eq!(result.status, 503, "without a configuration: {result:?}");
     site.store.set_faults(StoreFaults::default());
-    wait_ready(&site).await;
+    wait_site_ready(&site).await;
 }
 
 /// Runs the randomized soak for 18 s with seed 11. Guards against failures that only a combination
