--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -2,16 +2,21 @@
 //!
 //! Waiting calls are ordered by rank, then by whether they can still be answered promptly (late
 //! ones come last), then by worth per slot-second. Long kinds can't take the slots that are
-//! reserved for short kinds. A refused call has not run.
+//! reserved for short kinds. If the target states a rate limit, calls start no faster than that, and
+//! a call whose turn would come after its deadline is refused. A refused call has not run.
 
 use std::time::{
     Duration,
     Instant, //
 };
 
-use figway_types::NotRunReason;
+use figway_types::{
+    NotRunReason,
+    RateLimit, //
+};
 
 use crate::estimate::ServiceTimes;
+use crate::pacer::Pacer;
 
 /// Late calls that may wait, per slot. Further ones are refused, since they would only wait until
 /// their deadline passes.
@@ -109,6 +114,8 @@
     running: Vec<Running>,
     waiting: Vec<Waiting>,
     times: ServiceTimes,
+    /// Paces calls while the target states a rate limit.
+    pacer: Option<Pacer>,
     next_ticket: u64,
     draining: bool,
 }
@@ -121,6 +128,7 @@
             running: Vec::new(),
             waiting: Vec::new(),
             times: ServiceTimes::default(),
+            pacer: None,
             next_ticket: 0,
             draining: false,
         }
@@ -131,16 +139,46 @@
         self.limits = limits;
     }
 
+    /// Sets the rate limit that the target states, or removes it. Calls that already run or wait are
+    /// not removed.
+    pub fn set_rate_limit(&mut self, limit: Option<RateLimit>, now: Instant) {
+        match (&mut self.pacer, limit) {
+            (Some(pacer), Some(limit)) if pacer.limit() == limit => {}
+            (Some(pacer), Some(limit)) => pacer.set_limit(limit, now),
+            (None, Some(limit)) => self.pacer = Some(Pacer::new(limit, now)),
+            (_, None) => self.pacer = None,
+        }
+    }
+
+    /// Returns the rate limit in force, if any.
+    pub fn rate_limit(&self) -> Option<RateLimit> {
+        self.pacer.as_ref().map(Pacer::limit)
+    }
+
+    /// Returns when the rate limit lets the next waiting call start, if calls wait for that.
+    pub fn next_turn_at(&self, now: Instant) -> Option<Instant> {
+        let pacer = self.pacer.as_ref()?;
+        if self.waiting.is_empty() || pacer.has_token(now) {
+            return None;
+        }
+        now.checked_add(pacer.wait(0, now))
+    }
+
     /// Sets whether new calls are refused as [`NotRunReason::Draining`]. Calls that already
     /// run or wait are not removed.
     pub fn set_draining(&mut self, draining: bool) {
         self.draining = draining;
     }
 
-    /// Returns the number of calls that run or wait, per slot.
-    pub fn busy_ratio(&self) -> f64 {
+    /// Returns the number of calls that run or wait, per slot. It is at least 1 while the rate limit
+    /// lets no call start.
+    pub fn busy_ratio(&self, now: Instant) -> f64 {
         let call_count = self.running.len() + self.waiting.len();
-        call_count as f64 / f64::from(self.limits.slot_count.max(1))
+        let slot_ratio = call_count as f64 / f64::from(self.limits.slot_count.max(1));
+        if self.has_token(now) {
+            return slot_ratio;
+        }
+        slot_ratio.max(1.0)
     }
 
     /// Returns the mean service time of the kind, if any call of it was answered.
@@ -168,14 +206,21 @@
         if call.deadline <= now {
             return (AdmitOutcome::Refused(NotRunReason::Expired), dequeued);
         }
+        if self.pacer.is_some() {
+            // A new call must not take the token of one that waits.
+            dequeued = self.dispatch(now);
+        }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        if self.has_slot(call.long) {
+        if self.has_slot(call.long) && self.has_token(now) {
             self.run(ticket, call.kind, call.long, now);
             return (AdmitOutcome::Running(ticket), dequeued);
         }
         if !call.may_wait {
-            return (AdmitOutcome::Refused(NotRunReason::Overloaded), dequeued);
+            return (AdmitOutcome::Refused(self.busy_reason(now)), dequeued);
+        }
+        if self.turn_is_too_late(call, now) {
+            return (AdmitOutcome::Refused(NotRunReason::RateLimited), dequeued);
         }
         if self.would_be_late(call, now) && self.late_count(now) >= self.late_max_count() {
             return (AdmitOutcome::Refused(NotRunReason::Overloaded), dequeued);
@@ -222,6 +267,7 @@
         let mut dequeued = Dequeued::default();
         self.refuse_expired(now, &mut dequeued);
         self.refuse_excess_late(now, &mut dequeued);
+        self.refuse_without_turn(now, &mut dequeued);
         while let Some(index) = self.next_to_run(now) {
             let call = self.waiting.remove(index);
             self.run(call.ticket, &call.kind, call.long, now);
@@ -263,7 +309,63 @@
         }
     }
 
+    /// Refuses the waiting calls whose turn under the rate limit would come too late for them. Calls
+    /// of a lower rank may have come before them since they were admitted.
+    fn refuse_without_turn(&mut self, now: Instant, dequeued: &mut Dequeued) {
+        let Some(pacer) = &self.pacer else {
+            return;
+        };
+        let mut kept_count = 0;
+        let mut refused = Vec::new();
+        for index in self.dispatch_order(now) {
+            let call = &self.waiting[index];
+            if self.can_start_after(pacer.wait(kept_count, now), &call.kind, call.deadline, now) {
+                kept_count += 1;
+                continue;
+            }
+            refused.push(call.ticket);
+        }
+        for ticket in refused {
+            self.waiting.retain(|call| call.ticket != ticket);
+            dequeued.refused.push((ticket, NotRunReason::RateLimited));
+        }
+    }
+
+    /// Returns the indexes of the waiting calls in the order in which they start.
+    fn dispatch_order(&self, now: Instant) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.waiting.len()).collect();
+        order.sort_by(|a, b| {
+            let (a, b) = (&self.waiting[*a], &self.waiting[*b]);
+            let density = |call: &Waiting| self.times.density(&call.kind, call.worth);
+            (a.rank, self.is_late(a, now))
+                .cmp(&(b.rank, self.is_late(b, now)))
+                .then(density(b).total_cmp(&density(a)))
+        });
+        order
+    }
+
+    /// Returns whether a new call's turn under the rate limit would come too late for it.
+    fn turn_is_too_late(&self, call: &CallView<'_>, now: Instant) -> bool {
+        self.pacer.is_some()
+            && !self.can_start_after(
+                self.expected_turn_wait(call.rank, now),
+                call.kind,
+                call.deadline,
+                now,
+            )
+    }
+
+    /// Returns whether a call of `kind` that starts after `wait` can be answered by `deadline`.
+    fn can_start_after(&self, wait: Duration, kind: &str, deadline: Instant, now: Instant) -> bool {
+        let needed = self.times.min(kind).unwrap_or(Duration::ZERO);
+        let ends_at = now.checked_add(wait.saturating_add(needed));
+        ends_at.is_some_and(|ends_at| ends_at < deadline)
+    }
+
     fn next_to_run(&self, now: Instant) -> Option<usize> {
+        if !self.has_token(now) {
+            return None;
+        }
         let mut best: Option<(usize, (u32, bool), f64)> = None;
         for (index, call) in self.waiting.iter().enumerate() {
             if !self.has_slot(call.long) {
@@ -297,8 +399,26 @@
         now + self.expected_wait(call.rank, now) + self.times.mean(call.kind) > prompt_by
     }
 
-    /// Returns the expected wait of a new call of `rank` for a slot.
+    /// Returns the expected wait of a new call of `rank` for a slot and for its turn under the rate
+    /// limit.
     pub fn expected_wait(&self, rank: u32, now: Instant) -> Duration {
+        self.expected_slot_wait(rank, now)
+            .max(self.expected_turn_wait(rank, now))
+    }
+
+    /// Returns the expected wait of a new call of `rank` for its turn under the rate limit.
+    fn expected_turn_wait(&self, rank: u32, now: Instant) -> Duration {
+        let Some(pacer) = &self.pacer else {
+            return Duration::ZERO;
+        };
+        let mut ahead_count = 0;
+        for call in &self.waiting {
+            ahead_count += usize::from(call.rank <= rank && !self.is_late(call, now));
+        }
+        pacer.wait(ahead_count, now)
+    }
+
+    fn expected_slot_wait(&self, rank: u32, now: Instant) -> Duration {
         let slot_count = self.limits.slot_count.max(1);
         if self.running.len() < slot_count as usize {
             return Duration::ZERO;
@@ -324,7 +444,17 @@
     }
 
     fn late_max_count(&self) -> usize {
-        (f64::from(self.limits.slot_count) * LATE_PER_SLOT_RATIO).ceil() as usize
+        (self.concurrency() * LATE_PER_SLOT_RATIO).ceil() as usize
+    }
+
+    /// Returns how many calls the target runs at once when it is fully used: its slots, or fewer if
+    /// the rate limit starts calls more slowly than the slots become free.
+    fn concurrency(&self) -> f64 {
+        let slot_count = f64::from(self.limits.slot_count);
+        match &self.pacer {
+            Some(pacer) => slot_count.min(pacer.limit().per_s() * self.times.overall_mean_s()),
+            None => slot_count,
+        }
     }
 
     /// Returns the index of the waiting call to shed for a new call of `rank` and `density`, if any
@@ -361,7 +491,24 @@
         long_count < self.limits.long_max_count() as usize
     }
 
+    /// Returns whether the rate limit lets a call start now.
+    fn has_token(&self, now: Instant) -> bool {
+        self.pacer.as_ref().is_none_or(|pacer| pacer.has_token(now))
+    }
+
+    /// Returns why a call that may not wait can't start now.
+    fn busy_reason(&self, now: Instant) -> NotRunReason {
+        if self.has_token(now) {
+            NotRunReason::Overloaded
+        } else {
+            NotRunReason::RateLimited
+        }
+    }
+
     fn run(&mut self, ticket: Ticket, kind: &str, long: bool, now: Instant) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.take_token(now);
+        }
         self.running.push(Running {
             ticket,
             kind: kind.to_owned(),
--- a/crates/admission/src/estimate.rs
+++ b/crates/admission/src/estimate.rs
@@ -24,11 +24,15 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ServiceTimes {
     by_kind: FastMap<String, KindTimes>,
+    /// Mean service time of recent calls of all kinds, in seconds.
+    overall_mean_s: Option<f64>,
 }
 
 impl ServiceTimes {
     pub(crate) fn record(&mut self, kind: &str, took: Duration) {
         let sample_s = took.as_secs_f64();
+        let overall_mean_s = self.overall_mean_s.get_or_insert(sample_s);
+        *overall_mean_s += SAMPLE_WEIGHT * (sample_s - *overall_mean_s);
         let Some(times) = self.by_kind.get_mut(kind) else {
             let times = KindTimes {
                 mean_s: sample_s,
@@ -59,6 +63,11 @@
         Duration::from_secs_f64(mean_s)
     }
 
+    /// Returns the mean service time of all kinds, in seconds, or the assumed one without samples.
+    pub(crate) fn overall_mean_s(&self) -> f64 {
+        self.overall_mean_s.unwrap_or(UNKNOWN_S)
+    }
+
     /// Returns the time that even a fast call of the kind takes, if there are samples.
     pub(crate) fn min(&self, kind: &str) -> Option<Duration> {
         let times = self.by_kind.get(kind)?;
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod estimate;
+mod pacer;
 mod quarantine;
 mod retry_budget;
 
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -11,7 +11,6 @@
     CallView, //
 };
 use figway_http::{
-    Answer,
     OutboundRequest,
     SendFailure, //
 };
@@ -252,12 +251,12 @@
     };
     let _running = plane.begin_run(call.request_id, call.attempt_kind);
     plane
-        .target_state
+        .local_target
         .record_sent(call.attempt_kind, Instant::now());
     plane.metrics.count_sent(call.attempt_kind.name());
     let sent = worker.targets.send(&outbound).await;
     if let Ok(answer) = &sent {
-        record_notice(plane, target, answer);
+        plane.record_notice(target, answer);
     }
     match sent {
         Ok(answer) => match plane.interface.not_run_reason(&answer) {
@@ -311,15 +310,6 @@
     }
 }
 
-/// Records what the target states about itself in the answer.
-fn record_notice(plane: &DataPlane, target: &Target, answer: &Answer) {
-    let notice = plane.interface.target_notice(answer);
-    let is_success = answer.is_success() && plane.interface.is_valid_answer(answer);
-    plane
-        .target_state
-        .record_notice(target, &notice, is_success);
-}
-
 fn record_crash(plane: &Arc<DataPlane>, call: &AdmissionRequest<'_>) -> u64 {
     let crash_id = plane.mesh.random();
     plane.target_watch.mark_lost(&plane.mesh, "it crashed");
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -36,6 +36,7 @@
 use crate::headers;
 use crate::plane::DataPlane;
 use crate::steps::Step;
+use crate::target_state::TargetState;
 use crate::worker::Worker;
 
 /// Makes one attempt and records its outcome. Dropping the future cancels the attempt and releases
@@ -110,6 +111,10 @@
             plane.loads().record_overload(node_id, rule.name, now);
             plane.retries.record_overload(rule.service);
         }
+        // The load report that came with the refusal holds the wait for a turn.
+        Outcome::NotRun(NotRunReason::RateLimited) => {
+            plane.retries.record_overload(rule.service);
+        }
         Outcome::NotRun(
             NotRunReason::Unreachable
             | NotRunReason::Draining
@@ -136,7 +141,11 @@
     if left.as_millis() == 0 {
         return AttemptResult::not_sent(NotRunReason::Expired);
     }
-    let headers = admission_headers(call, left, attempt_kind);
+    let node_id = &entry.member.node_id;
+    let mut headers = admission_headers(call, left, attempt_kind);
+    if let Some(state) = worker.plane.peer_targets.lock().state_of(&entry.member) {
+        headers.push(headers::ADMIT_TARGET_STATE, state.encode());
+    }
     let outbound = OutboundRequest {
         address: &entry.member.call_address,
         method: call.method,
@@ -147,7 +156,6 @@
         echo_header: None,
         idempotent: call.rule.idempotent,
     };
-    let node_id = &entry.member.node_id;
     match worker.peers.send(&outbound).await {
         Ok(answer) => parse_peer_answer(&worker.plane, node_id, answer),
         Err(SendFailure::Refused(why)) => {
@@ -220,6 +228,11 @@
         };
         plane.loads().record_report(node_id, report, Instant::now());
     }
+    let state = answer
+        .header(headers::TARGET_STATE)
+        .and_then(TargetState::decode);
+    let is_success = answer.is_success() && answer.header(headers::OUTCOME) == Some("answered");
+    plane.peer_targets.record(node_id, state, is_success);
     let (queue_time, run_time) = answer
         .header(headers::QUEUE_AND_RUN_MS)
         .and_then(parse_queue_and_run_ms)
--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -5,10 +5,7 @@
     Instant, //
 };
 
-use figway_routing::{
-    CallContext,
-    Distance, //
-};
+use figway_routing::Distance;
 use figway_types::{
     NodeId,
     NotRunReason, //
@@ -22,13 +19,11 @@
     Outcome,
     FAILED_STATUS_MIN, //
 };
-use crate::candidates::{
-    CandidateKey,
-    TargetEntry, //
-};
-use crate::proxy::{
-    HOLD_BUDGET_RATIO,
-    HOLD_MAX, //
+use crate::candidates::TargetEntry;
+use crate::pick::{
+    pick,
+    pick_or_wait,
+    PickedTarget, //
 };
 use crate::steps::Step;
 use crate::worker::Worker;
@@ -230,85 +225,3 @@
     let busy_ratio = loads.busy_ratio(&entry.member.node_id, slot_count, Instant::now());
     busy_ratio <= HEDGE_BUSY_MAX_RATIO
 }
-
-/// A target that was picked for an attempt.
-struct PickedTarget {
-    entry: TargetEntry,
-    /// Expected latency of the answer, if there is an estimate.
-    expected_latency: Option<Duration>,
-}
-
-/// Picks a target. While no target is known, a call with a prompt time is held for at most
-/// [`HOLD_MAX`] and at most [`HOLD_BUDGET_RATIO`] of its budget.
-async fn pick_or_wait(worker: &Worker, call: &Call<'_>, tried: &[NodeId]) -> Option<PickedTarget> {
-    let mesh = &worker.plane.mesh;
-    let mut changes = mesh.watch_view();
-    let budget = call.deadline - call.arrived_at;
-    let hold_until = call.arrived_at + HOLD_MAX.min(budget.mul_f64(HOLD_BUDGET_RATIO));
-    loop {
-        let picked_target = pick(worker, call, tried);
-        if picked_target.is_some() || !tried.is_empty() || call.prompt_by.is_none() {
-            return picked_target;
-        }
-        let changed = tokio::time::timeout_at(hold_until.into(), changes.changed()).await;
-        if !matches!(changed, Ok(Ok(()))) {
-            return None;
-        }
-    }
-}
-
-fn pick(worker: &Worker, call: &Call<'_>, tried: &[NodeId]) -> Option<PickedTarget> {
-    let plane = &worker.plane;
-    let rule = &call.rule;
-    let view = plane.mesh.view();
-    let own_member = &worker.own_member;
-    let key = CandidateKey {
-        service: rule.service,
-        subset_name: rule.subset,
-        profile: rule.profile,
-        profile_name: rule.profile_name,
-    };
-    let entries = worker
-        .candidates
-        .borrow_mut()
-        .entries(&view, own_member, key);
-    let mut candidates = Vec::with_capacity(entries.len());
-    for entry in entries.iter() {
-        candidates.push(entry.candidate());
-    }
-    let excluded: Vec<&NodeId> = tried.iter().collect();
-    let mut loads = plane.loads();
-    let now = Instant::now();
-    // This node's gate knows the load of the target on this host exactly, whoever sent the calls.
-    loads.record_report(&own_member.node_id, plane.gate.load_report(rule.rank), now);
-    let mut picker = match call.prompt_by {
-        Some(_) => worker.route_picker.borrow_mut(),
-        None => worker.picker.borrow_mut(),
-    };
-    let need = CallContext {
-        kind: rule.name,
-        prompt_left: call
-            .prompt_by
-            .unwrap_or(call.deadline)
-            .saturating_duration_since(now),
-        deadline_left: call.deadline.saturating_duration_since(now),
-    };
-    let picked = picker.pick(&need, &candidates, &excluded, &loads, now);
-    let Some(picked) = picked else {
-        call.steps.borrow_mut().push(Step::NoTarget {
-            known_count: candidates.len(),
-        });
-        return None;
-    };
-    let entry = entries[picked.index].clone();
-    call.steps.borrow_mut().push(Step::Picked {
-        target: entry.member.node_id.clone(),
-        reason: picked.reason,
-        cost: picked.cost,
-        at_ms: call.arrived_at.elapsed().as_millis(),
-    });
-    Some(PickedTarget {
-        entry,
-        expected_latency: picked.expected,
-    })
-}
--- a/crates/dataplane/src/builder.rs
+++ b/crates/dataplane/src/builder.rs
@@ -22,11 +22,12 @@
 use crate::gate::TargetGate;
 use crate::interface::Interface;
 use crate::keyed_outcomes::KeyedOutcomes;
+use crate::local_target::LocalTarget;
 use crate::metrics::Metrics;
 use crate::native::NativeInterface;
+use crate::peer_targets::PeerTargets;
 use crate::plane::DataPlane;
 use crate::retry::RetryState;
-use crate::target_state::LocalTargetState;
 use crate::target_watch::TargetWatch;
 use crate::trace::LogBudget;
 
@@ -149,7 +150,8 @@
             loads: Mutex::default(),
             retries: RetryState::new(self.shared_retry_burst_count),
             target_watch: TargetWatch::new(self.announce_every),
-            target_state: LocalTargetState::default(),
+            local_target: LocalTarget::default(),
+            peer_targets: PeerTargets::default(),
             outcomes,
             metrics: Metrics::default(),
             log_budget: LogBudget::default(),
--- a/crates/dataplane/src/candidates.rs
+++ b/crates/dataplane/src/candidates.rs
@@ -31,12 +31,13 @@
 }
 
 impl TargetEntry {
-    /// Returns the target in the form that target pickers use.
+    /// Returns the target in the form that target pickers use, without a rate limit.
     pub(crate) fn candidate(&self) -> Candidate<'_> {
         let target = self.member.target.as_ref();
         Candidate {
             node_id: &self.member.node_id,
             slot_count: target.map_or(1, |target| target.slot_count),
+            rate_limit: None,
             distance: self.distance,
             round_trip_us: self.round_trip_us,
             suspect: self.member.state == MemberState::Suspect,
--- a/crates/dataplane/src/front.rs
+++ b/crates/dataplane/src/front.rs
@@ -187,11 +187,13 @@
         origin: &origin,
         deadline: budget.and_then(|budget| request.arrived_at.checked_add(budget)),
     };
-    let outcome = serve_call(worker, &incoming).await;
-    let retry_after = retry_after(&outcome);
+    let served = serve_call(worker, &incoming).await;
+    let retry_after = served
+        .expected_wait
+        .or_else(|| retry_after(&served.outcome));
     interface.encode_reply(Reply {
         request_id,
-        outcome,
+        outcome: served.outcome,
         retry_after,
     })
 }
--- a/crates/dataplane/src/gate.rs
+++ b/crates/dataplane/src/gate.rs
@@ -14,9 +14,13 @@
 use figway_routing::LoadReport;
 use figway_types::{
     FastMap,
-    NotRunReason, //
+    NotRunReason,
+    RateLimit, //
+};
+use tokio::sync::{
+    oneshot,
+    Notify, //
 };
-use tokio::sync::oneshot;
 
 /// Weight of the latest call in the moving average of the failed ratio.
 const FAILED_RATIO_WEIGHT: f64 = 0.08;
@@ -26,6 +30,8 @@
 #[derive(Default)]
 struct Gate {
     admission: Option<Admission>,
+    /// Rate limit that the target states.
+    rate_limit: Option<RateLimit>,
     waiting: FastMap<Ticket, oneshot::Sender<Decision>>,
     draining: bool,
     /// Moving average of the share of calls that the target failed.
@@ -36,6 +42,8 @@
 #[derive(Default)]
 pub(crate) struct TargetGate {
     gate: Mutex<Gate>,
+    /// Wakes the task that starts waiting calls at the pace of the rate limit.
+    turns_changed: Notify,
 }
 
 impl TargetGate {
@@ -48,15 +56,60 @@
         }
     }
 
+    /// Sets the rate limit that the target states, or removes it.
+    pub(crate) fn set_rate_limit(&self, limit: Option<RateLimit>) {
+        let now = Instant::now();
+        let mut gate = self.gate.lock().expect("no holder panics");
+        gate.rate_limit = limit;
+        if let Some(admission) = &mut gate.admission {
+            admission.set_rate_limit(limit, now);
+            let dequeued = admission.dispatch(now);
+            gate.notify(dequeued);
+        }
+        drop(gate);
+        self.turns_changed.notify_one();
+    }
+
+    /// Returns the rate limit that the target states, if any.
+    pub(crate) fn rate_limit(&self) -> Option<RateLimit> {
+        self.gate.lock().expect("no holder panics").rate_limit
+    }
+
+    /// Starts waiting calls when the rate limit lets them. Runs until the process ends.
+    pub(crate) async fn dispatch_turns(&self) {
+        loop {
+            let changed = self.turns_changed.notified();
+            match self.next_turn_at() {
+                None => changed.await,
+                Some(turn_at) => {
+                    // Both outcomes lead to the next dispatch.
+                    tokio::time::timeout_at(turn_at.into(), changed).await.ok();
+                }
+            }
+            let mut gate = self.gate.lock().expect("no holder panics");
+            let Some(admission) = &mut gate.admission else {
+                continue;
+            };
+            let dequeued = admission.dispatch(Instant::now());
+            gate.notify(dequeued);
+        }
+    }
+
+    fn next_turn_at(&self) -> Option<Instant> {
+        let gate = self.gate.lock().expect("no holder panics");
+        gate.admission.as_ref()?.next_turn_at(Instant::now())
+    }
+
     /// Returns the load of the local target, with the expected wait of a call of `rank`.
     pub(crate) fn load_report(&self, rank: u32) -> LoadReport {
         let gate = self.gate.lock().expect("no holder panics");
         let Some(admission) = &gate.admission else {
             return LoadReport::default();
         };
-        let wait = admission.expected_wait(rank, Instant::now());
+        let now = Instant::now();
+        let wait = admission.expected_wait(rank, now);
         LoadReport {
-            busy_ratio: admission.busy_ratio(),
+            busy_ratio: admission.busy_ratio(now),
             wait_ms: wait.as_secs_f64() * 1_000.0,
             failed_ratio: gate.failed_ratio,
         }
@@ -124,17 +177,29 @@
         if gate.draining {
             return Err(NotRunReason::Draining);
         }
-        let admission = gate.admission.get_or_insert_with(|| Admission::new(limits));
+        let now = Instant::now();
+        let rate_limit = gate.rate_limit;
+        let admission = gate.admission.get_or_insert_with(|| {
+            let mut admission = Admission::new(limits);
+            admission.set_rate_limit(rate_limit, now);
+            admission
+        });
         admission.set_limits(limits);
-        let (entered, dequeued) = admission.admit(call, Instant::now());
+        let (entered, dequeued) = admission.admit(call, now);
         let entered = match entered {
             AdmitOutcome::Running(ticket) => (self.slot(ticket, true), None),
             AdmitOutcome::Waiting(ticket) => {
                 let (sender, decision) = oneshot::channel();
                 gate.waiting.insert(ticket, sender);
+                if rate_limit.is_some() {
+                    self.turns_changed.notify_one();
+                }
                 (self.slot(ticket, false), Some(decision))
             }
-            AdmitOutcome::Refused(reason) => return Err(reason),
+            AdmitOutcome::Refused(reason) => {
+                gate.notify(dequeued);
+                return Err(reason);
+            }
         };
         gate.notify(dequeued);
         Ok(entered)
--- a/crates/dataplane/src/headers.rs
+++ b/crates/dataplane/src/headers.rs
@@ -52,7 +52,7 @@
 pub(crate) const SENT: &str = "x-figway-sent";
 
 /// Headers that a node adds to the target's answer when it answers a peer.
-pub(crate) const PEER_HEADERS: [&str; 10] = [
+pub(crate) const PEER_HEADERS: [&str; 11] = [
     OUTCOME,
     REASON,
     REQUEST_ID,
@@ -63,6 +63,7 @@
     QUEUE_AND_RUN_MS,
     FAILED_RATIO,
     MEAN_RAN_MS,
+    TARGET_STATE,
 ];
 
 /// Expected wait for a slot of the answering target, in milliseconds.
@@ -85,3 +86,9 @@
 
 /// Time until the answer to a forwarded call loses part of its worth, in milliseconds.
 pub(crate) const ADMIT_PROMPT_MS: &str = "x-figway-admit-prompt-ms";
+
+/// State of the answering target, absent if there is nothing to state.
+pub(crate) const TARGET_STATE: &str = "x-figway-target-state";
+
+/// What the forwarding node knows of the target, absent if that is nothing.
+pub(crate) const ADMIT_TARGET_STATE: &str = "x-figway-admit-target-state";
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -23,6 +23,7 @@
     Outcome, //
 };
 use crate::headers;
+use crate::target_state::TargetState;
 use crate::worker::Worker;
 
 /// Failed ratio below which the header is left out.
@@ -35,6 +36,11 @@
 
 /// Admits a forwarded call to the local target and encodes the result for the peer.
 pub(crate) async fn serve_forwarded(worker: &Worker, request: &Request) -> Answer {
+    let plane = &worker.plane;
+    let known_state = request.headers.get(headers::ADMIT_TARGET_STATE);
+    if let Some(known) = known_state.and_then(TargetState::decode) {
+        plane.record_peer_state(&known);
+    }
     let mut rank = 0;
     let result = match parse_call(request) {
         Some(call) => {
@@ -51,8 +57,12 @@
             AttemptResult::not_sent(NotRunReason::NoRoute)
         }
     };
-    let report = worker.plane.gate.load_report(rank);
-    encode_result(result, report)
+    let report = plane.gate.load_report(rank);
+    let mut answer = encode_result(result, report);
+    if let Some(state) = plane.local_target.notable_state() {
+        answer.headers.push(headers::TARGET_STATE, state.encode());
+    }
+    answer
 }
 
 fn parse_call(request: &Request) -> Option<AdmissionRequest<'_>> {
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -21,6 +21,7 @@
     View, //
 };
 use figway_http::{
+    Answer,
     Request,
     ServerPhase, //
 };
@@ -31,7 +32,8 @@
 };
 use figway_types::{
     Announcement,
-    FastMap, //
+    FastMap,
+    Target, //
 };
 use tokio::sync::watch;
 
@@ -39,9 +41,11 @@
 use crate::gate::TargetGate;
 use crate::interface::Interface;
 use crate::keyed_outcomes::KeyedOutcomes;
+use crate::local_target::LocalTarget;
 use crate::metrics::Metrics;
+use crate::peer_targets::PeerTargets;
 use crate::retry::RetryState;
-use crate::target_state::LocalTargetState;
+use crate::target_state::TargetState;
 use crate::target_watch::{
     AnnounceOutcome,
     TargetWatch, //
@@ -73,7 +77,8 @@
     pub(crate) loads: Mutex<LoadTracker>,
     pub(crate) retries: RetryState,
     pub(crate) target_watch: TargetWatch,
-    pub(crate) target_state: LocalTargetState,
+    pub(crate) local_target: LocalTarget,
+    pub(crate) peer_targets: PeerTargets,
     pub(crate) outcomes: Arc<KeyedOutcomes>,
     pub(crate) metrics: Metrics,
     pub(crate) log_budget: LogBudget,
@@ -186,9 +191,34 @@
         if known_target.is_none_or(|known| known.instance != target.instance) {
             self.gate.reset_failed_ratio();
         }
-        Ok(self
+        // Only a new run that is accepted starts with an empty state; the watch decides.
+        let outcome = self
             .target_watch
-            .record_announcement(&self.mesh, announcement))
+            .record_announcement(&self.mesh, announcement);
+        if outcome == AnnounceOutcome::Accepted {
+            self.apply_target_state(self.local_target.begin_run(target));
+        }
+        Ok(outcome)
+    }
+
+    /// Records what the local target states about itself in an answer.
+    pub(crate) fn record_notice(&self, target: &Target, answer: &Answer) {
+        let notice = self.interface.target_notice(answer);
+        let is_success = answer.is_success() && self.interface.is_valid_answer(answer);
+        let changed = self.local_target.record_notice(target, &notice, is_success);
+        self.apply_target_state(changed);
+    }
+
+    /// Records what a peer knows of the local target.
+    pub(crate) fn record_peer_state(&self, known: &TargetState) {
+        self.apply_target_state(self.local_target.record_peer_state(known));
+    }
+
+    fn apply_target_state(&self, changed: Option<TargetState>) {
+        let Some(state) = changed else {
+            return;
+        };
+        self.gate.set_rate_limit(state.rate_limit);
     }
 
     /// Records that an instance of the target has left permanently. `started_at_ms` is its start
@@ -245,6 +275,11 @@
         self.target_watch.watch(&self.mesh).await;
     }
 
+    /// Starts waiting calls at the pace of the target's rate limit. Runs until the process ends.
+    pub async fn dispatch_turns(self: Arc<Self>) {
+        self.gate.dispatch_turns().await;
+    }
+
     fn drain_grace(&self) -> Duration {
         if let Some(grace) = self.grace {
             return grace;
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -31,6 +31,7 @@
 };
 use crate::interface::Addressing;
 use crate::keyed::run_keyed;
+use crate::pick::shortest_wait;
 use crate::steps::{
     format_steps,
     Step, //
@@ -58,23 +59,40 @@
     pub(crate) deadline: Option<Instant>,
 }
 
-/// Serves a caller's request and returns the outcome of the whole submission.
-pub(crate) async fn serve_call(worker: &Worker, incoming: &Incoming<'_>) -> Outcome {
+/// Result of a caller's request.
+pub(crate) struct ServedCall {
+    /// Outcome of the whole submission.
+    pub(crate) outcome: Outcome,
+    /// Time until a target is expected to start the call, if the call was refused for a rate limit.
+    pub(crate) expected_wait: Option<Duration>,
+}
+
+impl From<Outcome> for ServedCall {
+    fn from(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            expected_wait: None,
+        }
+    }
+}
+
+/// Serves a caller's request.
+pub(crate) async fn serve_call(worker: &Worker, incoming: &Incoming<'_>) -> ServedCall {
     if let Addressing::Host(_) = incoming.addressing {
         wait_for_routes(worker, incoming).await;
     }
     let view = worker.plane.mesh.view();
-    let outcome = match incoming.addressing {
+    let served = match incoming.addressing {
         Addressing::Service(service) => serve_by_service(worker, &view, incoming, service).await,
         Addressing::Host(host) => serve_by_host(worker, &view, incoming, host).await,
     };
     if let Outcome::NotRun(
         reason @ (NotRunReason::NoConfiguration | NotRunReason::NoService | NotRunReason::NoRoute),
-    ) = outcome
+    ) = served.outcome
     {
         record_unrouted(worker, incoming, reason, view.routes.version);
     }
-    outcome
+    served
 }
 
 /// Waits until the node has routes, at most for the time that a call may be held. A node has none
@@ -128,13 +146,13 @@
     view: &View,
     incoming: &Incoming<'_>,
     service: &str,
-) -> Outcome {
+) -> ServedCall {
     let request = incoming.request;
     let Some(in_force) = view.services.get(service) else {
-        return unrouted_outcome(incoming, NotRunReason::NoService);
+        return unrouted_outcome(incoming, NotRunReason::NoService).into();
     };
     let Some(kind) = in_force.profile.kind_of(&request.method, &request.path) else {
-        return unrouted_outcome(incoming, NotRunReason::NoRoute);
+        return unrouted_outcome(incoming, NotRunReason::NoRoute).into();
     };
     let key = incoming
         .headers
@@ -161,12 +179,12 @@
     view: &View,
     incoming: &Incoming<'_>,
     host: &str,
-) -> Outcome {
+) -> ServedCall {
     if view.routes.version == 0 {
-        return Outcome::NotRun(NotRunReason::NoConfiguration);
+        return Outcome::NotRun(NotRunReason::NoConfiguration).into();
     }
     let Some(named) = view.routes.find(host, &incoming.request.path) else {
-        return Outcome::NotRun(NotRunReason::NoRoute);
+        return Outcome::NotRun(NotRunReason::NoRoute).into();
     };
     let route = &named.route;
     let weights: Vec<u32> = route
@@ -177,7 +195,7 @@
     let seed = worker.plane.mesh.random();
     let part_index = worker.splits.borrow_mut().next(&named.name, &weights, seed);
     let Some(part) = route.weighted_services.get(part_index) else {
-        return Outcome::NotRun(NotRunReason::NoTarget);
+        return Outcome::NotRun(NotRunReason::NoTarget).into();
     };
     let (profile, profile_name) = worker.plane.profile_of(view, &part.service);
     let mut rule = Rule::from_route(
@@ -219,7 +237,7 @@
     incoming: &Incoming<'_>,
     rule: Rule<'_>,
     properties: CallProperties<'_>,
-) -> Outcome {
+) -> ServedCall {
     let CallProperties {
         budget_ms,
         key,
@@ -299,7 +317,14 @@
             format_steps(&steps, rule.profile_name),
         );
     }
-    outcome
+    let expected_wait = match outcome {
+        Outcome::NotRun(NotRunReason::RateLimited) => shortest_wait(worker, &rule),
+        _ => None,
+    };
+    ServedCall {
+        outcome,
+        expected_wait,
+    }
 }
 
 /// Returns the outcome of a call that has no route on this node. A call with an idempotency key
--- a/crates/dataplane/src/target_state.rs
+++ b/crates/dataplane/src/target_state.rs
@@ -1,120 +1,82 @@
-//! What the local target states about itself in its answers: a rate limit, and that it is leaving.
-
-use std::sync::Mutex;
-use std::time::{
-    Duration,
-    Instant, //
-};
+//! What is known of one run of a target besides its announcement: the rate limit that it states, and
+//! that it is leaving. Nodes exchange it in the headers of the calls that they forward.
 
 use figway_types::{
     RateLimit,
     Target, //
 };
 
-use crate::call::AttemptKind;
-use crate::interface::{
-    StatedRateLimit,
-    TargetNotice, //
-};
+/// Text of an absent rate limit between nodes.
+const NO_LIMIT: &str = "-";
 
-/// Interval of the log lines that count the calls sent to a limited target.
-const COUNT_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Calls sent to the target since the last line that counted them.
-#[derive(Clone, Copy, Debug, Default)]
-struct SentCounts {
-    first: u32,
-    retry: u32,
-    hedge: u32,
-}
+/// Text of the leaving state between nodes.
+const LEAVING: &str = "leaving";
 
-#[derive(Debug, Default)]
-struct State {
-    instance: String,
-    started_at_ms: u64,
-    rate_limit: Option<RateLimit>,
-    leaving: bool,
-    sent: SentCounts,
-    counted_until: Option<Instant>,
-}
+/// Text of the opposite of [`LEAVING`].
+const STAYING: &str = "staying";
 
-/// State of the local target, as its own answers state it.
-#[derive(Debug, Default)]
-pub(crate) struct LocalTargetState {
-    state: Mutex<State>,
+/// State of one run of a target.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct TargetState {
+    /// Instance of the target.
+    pub(crate) instance: String,
+    /// Start time of the target, in Unix milliseconds. With the instance it identifies the run.
+    pub(crate) started_at_ms: u64,
+    /// Rate limit that the target states.
+    pub(crate) rate_limit: Option<RateLimit>,
+    /// Whether the target stated that it is leaving.
+    pub(crate) leaving: bool,
 }
 
-impl LocalTargetState {
-    /// Records what `target` stated in an answer. `is_success` tells whether the answer is a success;
-    /// only then does a missing limit mean that there is none.
-    pub(crate) fn record_notice(&self, target: &Target, notice: &TargetNotice, is_success: bool) {
-        let mut state = self.state.lock().expect("no holder panics");
-        if state.instance != target.instance || state.started_at_ms != target.started_at_ms {
-            *state = State {
-                instance: target.instance.clone(),
-                started_at_ms: target.started_at_ms,
-                ..State::default()
-            };
-        }
-        match &notice.rate_limit {
-            Some(StatedRateLimit::Valid(limit)) => state.set_rate_limit(Some(*limit)),
-            Some(StatedRateLimit::Invalid { text, error }) => log::warn!(
-                "rate limit ignored instance={} text={text:?} why={error}",
-                target.instance
-            ),
-            None if is_success => state.set_rate_limit(None),
-            None => {}
-        }
-        if notice.leaving && !state.leaving {
-            log::info!("target is leaving instance={}", target.instance);
-            state.leaving = true;
+impl TargetState {
+    /// Returns the state of a run of which nothing is known yet.
+    pub(crate) fn of_run(target: &Target) -> Self {
+        Self {
+            instance: target.instance.clone(),
+            started_at_ms: target.started_at_ms,
+            ..Self::default()
         }
     }
 
-    /// Counts a call that is sent to the target. While a limit is in force, the counts are logged at
-    /// regular intervals.
-    pub(crate) fn record_sent(&self, attempt_kind: AttemptKind, now: Instant) {
-        let mut state = self.state.lock().expect("no holder panics");
-        let Some(limit) = state.rate_limit else {
-            return;
+    /// Returns whether the state is that of the run that `target` announces.
+    pub(crate) fn is_of_run(&self, target: &Target) -> bool {
+        self.instance == target.instance && self.started_at_ms == target.started_at_ms
+    }
+
+    /// Returns whether the state is that of the same run as `other`.
+    pub(crate) fn is_same_run(&self, other: &Self) -> bool {
+        self.instance == other.instance && self.started_at_ms == other.started_at_ms
+    }
+
+    /// Returns whether the target stated a limit, or that it is leaving.
+    pub(crate) fn is_notable(&self) -> bool {
+        self.rate_limit.is_some() || self.leaving
+    }
+
+    /// Encodes the state as `STARTED_AT_MS LIMIT leaving|staying INSTANCE`, with `-` for no limit.
+    pub(crate) fn encode(&self) -> String {
+        let limit = match self.rate_limit {
+            Some(limit) => limit.to_string(),
+            None => NO_LIMIT.to_owned(),
         };
-        let counted_until = *state.counted_until.get_or_insert(now + COUNT_INTERVAL);
-        if counted_until <= now {
-            let SentCounts {
-                first,
-                retry,
-                hedge,
-            } = state.sent;
-            log::info!(
-                "calls to a limited target instance={} limit_per_s={limit} first={first} \
-                 retry={retry} hedge={hedge}",
-                state.instance
-            );
-            state.sent = SentCounts::default();
-            state.counted_until = Some(now + COUNT_INTERVAL);
-        }
-        match attempt_kind {
-            AttemptKind::First => state.sent.first += 1,
-            AttemptKind::Retry => state.sent.retry += 1,
-            AttemptKind::Hedge => state.sent.hedge += 1,
-        }
+        let leaving = if self.leaving { LEAVING } else { STAYING };
+        format!("{} {limit} {leaving} {}", self.started_at_ms, self.instance)
     }
-}
 
-impl State {
-    fn set_rate_limit(&mut self, limit: Option<RateLimit>) {
-        if self.rate_limit == limit {
-            return;
-        }
-        match limit {
-            Some(limit) => log::info!(
-                "target limits its calls instance={} limit_per_s={limit}",
-                self.instance
-            ),
-            None => log::info!("target lifted its rate limit instance={}", self.instance),
-        }
-        self.rate_limit = limit;
-        self.sent = SentCounts::default();
-        self.counted_until = None;
+    /// Decodes the text of [`TargetState::encode`]. Returns `None` if it is malformed.
+    pub(crate) fn decode(text: &str) -> Option<Self> {
+        let mut parts = text.splitn(4, ' ');
+        let started_at_ms = parts.next()?.parse().ok()?;
+        let rate_limit = match parts.next()? {
+            NO_LIMIT => None,
+            limit => Some(limit.parse().ok()?),
+        };
+        let leaving = parts.next()? == LEAVING;
+        Some(Self {
+            instance: parts.next()?.to_owned(),
+            started_at_ms,
+            rate_limit,
+            leaving,
+        })
     }
 }
--- a/crates/figway/src/cmd/node.rs
+++ b/crates/figway/src/cmd/node.rs
@@ -161,6 +161,7 @@
         );
     }
     tokio::task::spawn_local(Arc::clone(&data_plane).watch_target());
+    tokio::task::spawn_local(Arc::clone(&data_plane).dispatch_turns());
     if let Some(address) = settings.metrics_address {
         spawn_server(
             listen(address).await?,
--- a/crates/routing/src/least_loss.rs
+++ b/crates/routing/src/least_loss.rs
@@ -143,7 +143,7 @@
             .unwrap_or(UNKNOWN_RAN_MS);
         Self {
             ran_ms,
-            wait_ms: loads.wait_ms(node_id, kind, candidate.slot_count, ran_ms, now),
+            wait_ms: loads.wait_ms(node_id, kind, candidate.concurrency(ran_ms), ran_ms, now),
             path_ms: candidate.round_trip_us / 1_000.0 + loads.overhead_ms(node_id, now),
         }
     }
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -52,6 +52,9 @@
 /// Wait that is assumed at a target that has just refused a call for overload, in milliseconds.
 const OVERLOADED_WAIT_MS: f64 = 400.0;
 
+/// Lower bound of the calls that a target is assumed to run at once, for limits of almost 0.
+const CONCURRENCY_MIN: f64 = 1e-3;
+
 /// Load that a target's node reports with each answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
@@ -244,13 +247,13 @@
     }
 
     /// Returns the expected wait, in milliseconds, of a call of `kind` that runs for `ran_ms` until
-    /// it gets one of the `slot_count` slots of the target. A target without a recent report is
+    /// the target, which runs `concurrency` such calls at once, starts it. A target without a recent report is
     /// assumed to be as busy as those with one.
     pub fn wait_ms(
         &self,
         target: &NodeId,
         kind: &str,
-        slot_count: u32,
+        concurrency: f64,
         ran_ms: f64,
         now: Instant,
     ) -> f64 {
@@ -265,13 +268,13 @@
             return OVERLOADED_WAIT_MS;
         }
         let freshness = load.freshness(now);
-        let slot_ms = ran_ms / f64::from(slot_count.max(1));
+        let concurrency = concurrency.max(CONCURRENCY_MIN);
+        let slot_ms = ran_ms / concurrency;
         // The report does not include the calls that this node sent after it.
         let unreported = load
             .in_flight_count
             .saturating_sub(load.reported_in_flight_count);
-        let busy = load.report.busy_ratio * freshness
-            + f64::from(unreported) / f64::from(slot_count.max(1));
+        let busy = load.report.busy_ratio * freshness + f64::from(unreported) / concurrency;
         let reported_ms = load.report.wait_ms * freshness + kind_wait_ms * (1.0 - freshness);
         if busy < 1.0 && reported_ms < 1.0 {
             return 0.0;
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -7,7 +7,8 @@
 
 use figway_types::{
     mix,
-    NodeId, //
+    NodeId,
+    RateLimit, //
 };
 
 use crate::load::LoadTracker;
@@ -56,6 +57,8 @@
     pub node_id: &'a NodeId,
     /// Number of requests that the target runs concurrently.
     pub slot_count: u32,
+    /// Rate limit that the target states for the calls of all nodes together.
+    pub rate_limit: Option<RateLimit>,
     /// Distance from the calling node.
     pub distance: Distance,
     /// Round trip to the target's node, in microseconds.
@@ -64,6 +67,18 @@
     pub suspect: bool,
 }
 
+impl Candidate<'_> {
+    /// Returns the number of calls that run for `ran_ms` each and that the target can run at once: its
+    /// slots, or fewer if its rate limit starts calls more slowly than the slots become free.
+    pub fn concurrency(&self, ran_ms: f64) -> f64 {
+        let slot_count = f64::from(self.slot_count.max(1));
+        match self.rate_limit {
+            Some(limit) => slot_count.min(limit.per_s() * ran_ms / 1_000.0),
+            None => slot_count,
+        }
+    }
+}
+
 /// Properties of a call that a picker uses.
 #[derive(Clone, Copy, Debug)]
 pub struct CallContext<'a> {
--- a/crates/routing/tests/full_scan.rs
+++ b/crates/routing/tests/full_scan.rs
@@ -96,6 +96,7 @@
             candidates.push(Candidate {
                 node_id: id,
                 slot_count: 4,
+                rate_limit: None,
                 distance: distance(spec.distance),
                 round_trip_us: distance(spec.distance).assumed_round_trip_us(),
                 suspect: spec.suspect,
@@ -229,6 +230,7 @@
         let candidate = |node_id| Candidate {
             node_id,
             slot_count: 1,
+            rate_limit: None,
             distance: Distance::Zone,
             round_trip_us: 200.0,
             suspect: false,
@@ -259,6 +261,7 @@
         .map(|node_id| Candidate {
             node_id,
             slot_count: 8,
+            rate_limit: None,
             distance: Distance::Zone,
             round_trip_us: 200.0,
             suspect: false,
--- a/crates/routing/tests/unknown_load.rs
+++ b/crates/routing/tests/unknown_load.rs
@@ -33,12 +33,12 @@
     for _ in 0..20 {
         loads.record_timings(&known, "lookup", TIMINGS, 1_000, now);
     }
-    let wait_ms = loads.wait_ms(&unknown, "lookup", 4, 100.0, now);
+    let wait_ms = loads.wait_ms(&unknown, "lookup", 4.0, 100.0, now);
     assert!(wait_ms > 200.0, "{wait_ms}");
     // Samples of another kind do not count, and old samples have decayed.
-    assert_eq!(loads.wait_ms(&unknown, "order", 4, 100.0, now), 0.0);
+    assert_eq!(loads.wait_ms(&unknown, "order", 4.0, 100.0, now), 0.0);
     let later = now + Duration::from_secs(5);
-    let wait_ms = loads.wait_ms(&unknown, "lookup", 4, 100.0, later);
+    let wait_ms = loads.wait_ms(&unknown, "lookup", 4.0, 100.0, later);
     assert!(wait_ms < 5.0, "{wait_ms}");
 }
 
@@ -57,6 +57,7 @@
     let candidate = |node_id| Candidate {
         node_id,
         slot_count: 4,
+        rate_limit: None,
         distance: Distance::Zone,
         round_trip_us: 200.0,
         suspect: false,
--- a/crates/testbed/tests/target_notices.rs
+++ b/crates/testbed/tests/target_notices.rs
@@ -23,9 +23,6 @@
 /// Time after which a node is bound by a limit that it has passed on.
 const LIMIT_KNOWN: Duration = Duration::from_millis(500);
 
-/// Time after which a node that has passed on that a back end is leaving may not send requests to it.
-const LEAVE_MAX: Duration = Duration::from_secs(2);
-
 /// Pause between two requests of one caller.
 const CALL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -56,8 +53,28 @@
     runs.iter().filter(|run| run.started_at >= since).count()
 }
 
-/// Starts a caller at each of the first `host_count` hosts. Each reads once in [`CALL_PERIOD`] for
-/// `duration`.
+/// Starts a caller at the host at `index` that reads once in [`CALL_PERIOD`] for `duration`.
+fn start_reader(site: &Site, index: usize, duration: Duration) -> JoinHandle<Vec<CallResult>> {
+    let caller = Rc::new(site.caller(index));
+    tokio::task::spawn_local(async move {
+        let ends_at = Instant::now() + duration;
+        let mut calls = Vec::new();
+        while Instant::now() < ends_at {
+            let caller = Rc::clone(&caller);
+            calls.push(tokio::task::spawn_local(async move {
+                caller.call("GET", "/reads/1").await
+            }));
+            tokio::time::sleep(CALL_PERIOD).await;
+        }
+        let mut results = Vec::new();
+        for call in calls {
+            results.push(call.await.unwrap());
+        }
+        results
+    })
+}
+
+/// Starts a reader at each of the first `host_count` hosts.
 fn start_readers(
     site: &Site,
     host_count: usize,
@@ -65,23 +82,7 @@
 ) -> Vec<JoinHandle<Vec<CallResult>>> {
     let mut readers = Vec::new();
     for index in 0..host_count {
-        let caller = Rc::new(site.caller(index));
-        readers.push(tokio::task::spawn_local(async move {
-            let ends_at = Instant::now() + duration;
-            let mut calls = Vec::new();
-            while Instant::now() < ends_at {
-                let caller = Rc::clone(&caller);
-                calls.push(tokio::task::spawn_local(async move {
-                    caller.call("GET", "/reads/1").await
-                }));
-                tokio::time::sleep(CALL_PERIOD).await;
-            }
-            let mut results = Vec::new();
-            for call in calls {
-                results.push(call.await.unwrap());
-            }
-            results
-        }));
+        readers.push(start_reader(site, index, duration));
     }
     readers
 }
@@ -120,3 +121,105 @@
         results.len()
     );
 }
+
+#[ntex::test]
+async fn a_rate_limit_holds_after_the_node_beside_the_back_end_restarted() {
+    let mut site = Site::start("limit-restart", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    let limited = Rc::clone(&site.hosts[0].backend);
+    limited.set_rate_limit("1");
+    // Answers are slow, so that the node can't learn the limit from the first one after its restart,
+    // and the other back end has no room for all requests.
+    for index in [0, 2] {
+        site.hosts[index].backend.slow_ms.set(400);
+    }
+    results_of(start_readers(&site, 4, Duration::from_secs(2))).await;
+    let since = Instant::now();
+    restart_node(&mut site, 0).await;
+    // The callers of the restarted node are not bound, since it forgot the limit.
+    let mut readers = Vec::new();
+    for index in 1..4 {
+        readers.push(start_reader(&site, index, Duration::from_secs(5)));
+    }
+    results_of(readers).await;
+    let busiest = busiest_window_count(&limited, since);
+    assert!(busiest <= allowed_count(1.0), "{busiest} requests in 4 s");
+    assert!(busiest > 0, "the back end gets no request any more");
+}
+
+#[ntex::test]
+async fn a_rate_limit_follows_what_the_back_end_names_until_it_vanishes() {
+    let site = Site::start("limit-change", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    let limited = Rc::clone(&site.hosts[0].backend);
+    // The last valid limit holds as long as the text can't be read.
+    for (limit, allowed_per_s) in [("40", 40.0), ("4.5", 4.5), ("nan", 4.5), ("-1", 4.5)] {
+        limited.set_rate_limit(limit);
+        let readers = start_readers(&site, 4, Duration::from_secs(5));
+        let since = Instant::now() + LIMIT_KNOWN;
+        results_of(readers).await;
+        let busiest = busiest_window_count(&limited, since);
+        let allowed = allowed_count(allowed_per_s);
+        assert!(busiest <= allowed, "{busiest} requests in 4 s at {limit}");
+    }
+    *limited.rate_limit.borrow_mut() = None;
+    results_of(start_readers(&site, 4, Duration::from_secs(1))).await;
+    let since = Instant::now();
+    results_of(start_readers(&site, 4, Duration::from_secs(2))).await;
+    let count = run_count_since(&limited, since);
+    assert!(count > 40, "{count} requests in 2 s without a limit");
+}
+
+#[ntex::test]
+async fn a_back_end_that_named_a_limit_of_0_gets_requests_again_when_it_names_none() {
+    let site = Site::start("limit-zero", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    let limited = Rc::clone(&site.hosts[0].backend);
+    limited.set_rate_limit("0");
+    let readers = start_readers(&site, 4, Duration::from_secs(6));
+    let since = Instant::now() + LIMIT_KNOWN;
+    results_of(readers).await;
+    let busiest = busiest_window_count(&limited, since);
+    assert!(busiest <= allowed_count(0.0), "{busiest} requests in 4 s");
+    *limited.rate_limit.borrow_mut() = None;
+    results_of(start_readers(&site, 4, Duration::from_secs(6))).await;
+    let since = Instant::now();
+    results_of(start_readers(&site, 4, Duration::from_secs(2))).await;
+    let count = run_count_since(&limited, since);
+    assert!(count > 40, "{count} requests in 2 s without a limit");
+}
+
+#[ntex::test]
+async fn requests_above_the_limits_of_all_back_ends_are_refused_at_once() {
+    let site = Site::start("limit-all", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    for index in [0, 2] {
+        site.hosts[index].backend.set_rate_limit("5");
+    }
+    let readers = start_readers(&site, 4, Duration::from_secs(5));
+    let since = Instant::now() + LIMIT_KNOWN;
+    let results = results_of(readers).await;
+    let mut refused_count = 0;
+    let mut slowly_refused_count = 0;
+    for result in &results {
+        if result.sent_at < since || result.status != 503 {
+            continue;
+        }
+        refused_count += 1;
+        slowly_refused_count += usize::from(result.took > Duration::from_millis(300));
+        let wait = result
+            .retry_after
+            .expect("a refusal says when to come back");
+        // At 5 a second, the turn of one more call is 200 ms away at least.
+        assert!(wait >= Duration::from_millis(100), "{result:?}");
+    }
+    assert!(refused_count > 400, "{refused_count} requests were refused");
+    assert!(
+        slowly_refused_count * 10 <= refused_count,
+        "{slowly_refused_count} of {refused_count} were refused late"
+    );
+    for index in [0, 2] {
+        let busiest = busiest_window_count(&site.hosts[index].backend, since);
+        assert!(busiest <= allowed_count(5.0), "{busiest} requests in 4 s");
+    }
+}
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -19,6 +19,8 @@
     NoTarget,
     /// The queue was full, or the call was shed in favour of one with a higher worth.
     Overloaded,
+    /// The call's turn under the target's rate limit would come after its deadline.
+    RateLimited,
     /// The deadline passed before the call was sent.
     Expired,
     /// The node or its target accepts no new calls.
@@ -33,12 +35,13 @@
 
 impl NotRunReason {
     /// All reasons.
-    pub const ALL: [NotRunReason; 10] = [
+    pub const ALL: [NotRunReason; 11] = [
         NotRunReason::NoConfiguration,
         NotRunReason::NoService,
         NotRunReason::NoRoute,
         NotRunReason::NoTarget,
         NotRunReason::Overloaded,
+        NotRunReason::RateLimited,
         NotRunReason::Expired,
         NotRunReason::Draining,
         NotRunReason::Quarantined,
@@ -54,6 +57,7 @@
             NotRunReason::NoRoute => "no-route",
             NotRunReason::NoTarget => "no-target",
             NotRunReason::Overloaded => "overloaded",
+            NotRunReason::RateLimited => "rate-limited",
             NotRunReason::Expired => "expired",
             NotRunReason::Draining => "draining",
             NotRunReason::Quarantined => "quarantined",
@@ -68,6 +72,7 @@
             self,
             NotRunReason::NoTarget
                 | NotRunReason::Overloaded
+                | NotRunReason::RateLimited
                 | NotRunReason::Draining
                 | NotRunReason::Unreachable
                 | NotRunReason::Misdirected
