Send nothing to a target that says in its answers that it is leaving

Cause: leaving was known by heartbeats and deregistrations only. Change: an answer that states it drains the target for the rest of its run, which a delayed ready heartbeat does not undo. The callers' nodes that passed such an answer on exclude the run from their choice by themselves.

--- a/crates/dataplane/src/pick.rs
+++ b/crates/dataplane/src/pick.rs
@@ -65,8 +65,11 @@
     let rule = &call.rule;
     let own_member = &worker.own_member;
     let entries = entries(worker, rule);
-    let candidates = build_candidates(plane, &entries);
-    let excluded: Vec<&NodeId> = tried.iter().collect();
+    let Candidates {
+        candidates,
+        leaving,
+    } = build_candidates(plane, &entries);
+    let excluded: Vec<&NodeId> = tried.iter().chain(leaving).collect();
     let mut loads = plane.loads();
     let now = Instant::now();
     // This node's gate knows the load of the target on this host exactly, whoever sent the calls.
@@ -107,7 +110,7 @@
 pub(crate) fn shortest_wait(worker: &Worker, rule: &Rule<'_>) -> Option<Duration> {
     let plane = &worker.plane;
     let entries = entries(worker, rule);
-    let candidates = build_candidates(plane, &entries);
+    let Candidates { candidates, .. } = build_candidates(plane, &entries);
     let loads = plane.loads();
     let now = Instant::now();
     let mut shortest_ms: Option<f64> = None;
@@ -135,10 +138,18 @@
         .entries(&view, &worker.own_member, key)
 }
 
+/// Targets as pickers see them.
+struct Candidates<'a> {
+    candidates: Vec<Candidate<'a>>,
+    /// Nodes of the candidates that stated that they are leaving.
+    leaving: Vec<&'a NodeId>,
+}
+
 /// Adds what this node knows of the targets from their answers.
-fn build_candidates<'a>(plane: &DataPlane, entries: &'a [TargetEntry]) -> Vec<Candidate<'a>> {
+fn build_candidates<'a>(plane: &DataPlane, entries: &'a [TargetEntry]) -> Candidates<'a> {
     let known_states = plane.peer_targets.lock();
     let mut candidates = Vec::with_capacity(entries.len());
+    let mut leaving = Vec::new();
     for entry in entries {
         let mut candidate = entry.candidate();
         if entry.distance == Distance::Host {
@@ -146,8 +157,14 @@
         }
         if let Some(state) = known_states.state_of(&entry.member) {
             candidate.rate_limit = state.rate_limit;
+            if state.leaving {
+                leaving.push(&entry.member.node_id);
+            }
         }
         candidates.push(candidate);
     }
-    candidates
+    Candidates {
+        candidates,
+        leaving,
+    }
 }
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -219,6 +219,9 @@
             return;
         };
         self.gate.set_rate_limit(state.rate_limit);
+        if state.leaving {
+            self.target_watch.record_leaving(&self.mesh, &state);
+        }
     }
 
     /// Records that an instance of the target has left permanently. `started_at_ms` is its start
--- a/crates/dataplane/src/target_watch.rs
+++ b/crates/dataplane/src/target_watch.rs
@@ -15,6 +15,8 @@
     Target, //
 };
 
+use crate::target_state::TargetState;
+
 /// Number of announcement periods without an announcement after which the target counts as lost.
 const MISSED_MAX_COUNT: u32 = 3;
 
@@ -47,6 +49,8 @@
     latest: LatestAnnouncement,
     announced_until: Option<Instant>,
     leaving_since: Option<Instant>,
+    /// Whether an answer of the latest run stated that the target is leaving.
+    leaving_stated: bool,
 }
 
 /// Announcement state of the local target.
@@ -87,6 +91,13 @@
             );
             return AnnounceOutcome::Stale;
         }
+        let is_new_run = !state
+            .latest
+            .is_of_run(&target.instance, target.started_at_ms);
+        state.leaving_stated &= !is_new_run;
+        let mut target = target.clone();
+        // Announcements may be delayed, so a ready one does not undo what an answer stated.
+        target.draining |= state.leaving_stated;
         state.latest = LatestAnnouncement {
             instance: target.instance.clone(),
             started_at_ms: announcement.target.started_at_ms,
@@ -100,10 +111,30 @@
             (true, None) => Some(now),
         };
         drop(state);
-        set_local_target(mesh, Some(target), "announced");
+        set_local_target(mesh, Some(&target), "announced");
         AnnounceOutcome::Accepted
     }
 
+    /// Records that an answer of the target stated that it is leaving. It then drains until its next
+    /// run.
+    pub(crate) fn record_leaving(&self, mesh: &Mesh, leaving: &TargetState) {
+        let mut state = self.state.lock().expect("no holder panics");
+        let is_latest_run = state
+            .latest
+            .is_of_run(&leaving.instance, leaving.started_at_ms);
+        if !is_latest_run || state.leaving_stated {
+            return;
+        }
+        state.leaving_stated = true;
+        state.leaving_since.get_or_insert(Instant::now());
+        drop(state);
+        let target = mesh.members().own().target.clone();
+        if let Some(mut target) = target {
+            target.draining = true;
+            set_local_target(mesh, Some(&target), "leaving");
+        }
+    }
+
     /// Records that an instance of the target has left permanently. The departure is ignored if
     /// another instance or a later start is known, because the departed one was already replaced.
     pub(crate) fn record_departure(&self, mesh: &Mesh, instance: &str, started_at_ms: u64) {
@@ -155,6 +186,10 @@
 }
 
 impl LatestAnnouncement {
+    fn is_of_run(&self, instance: &str, started_at_ms: u64) -> bool {
+        self.instance == instance && self.started_at_ms == started_at_ms
+    }
+
     /// Returns whether the announcement is newer than this one. An instance that has left is
     /// rejected unless its start time is later than the known one.
     fn is_older_than(&self, announcement: &Announcement) -> bool {
--- a/crates/testbed/tests/target_notices.rs
+++ b/crates/testbed/tests/target_notices.rs
@@ -23,6 +23,9 @@
 /// Time after which a node is bound by a limit that it has passed on.
 const LIMIT_KNOWN: Duration = Duration::from_millis(500);
 
+/// Time after which a node that has passed on that a back end is leaving may not send requests to it.
+const LEAVE_MAX: Duration = Duration::from_secs(2);
+
 /// Pause between two requests of one caller.
 const CALL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -223,3 +226,32 @@
         assert!(busiest <= allowed_count(5.0), "{busiest} requests in 4 s");
     }
 }
+
+#[ntex::test]
+async fn a_back_end_that_says_it_is_leaving_gets_no_request_even_if_it_announces_itself_ready() {
+    let mut site = Site::start("leaving", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    let leaving = Rc::clone(&site.hosts[0].backend);
+    leaving.leaving.set(true);
+    results_of(start_readers(&site, 4, Duration::from_secs(1))).await;
+    tokio::time::sleep(LEAVE_MAX).await;
+    // Its heartbeats still say ready, as those that were delayed would.
+    let since = Instant::now();
+    results_of(start_readers(&site, 4, Duration::from_secs(2))).await;
+    assert_eq!(run_count_since(&leaving, since), 0, "beside a running node");
+    restart_node(&mut site, 0).await;
+    tokio::time::sleep(LEAVE_MAX).await;
+    let since = Instant::now();
+    let mut readers = Vec::new();
+    for index in 1..4 {
+        readers.push(start_reader(&site, index, Duration::from_secs(2)));
+    }
+    results_of(readers).await;
+    assert_eq!(run_count_since(&leaving, since), 0, "beside a new node");
+    // The next run of the back end is not leaving.
+    leaving.restart();
+    assert!(leaving.send_heartbeat().await);
+    let since = Instant::now();
+    results_of(start_readers(&site, 4, Duration::from_secs(2))).await;
+    assert!(run_count_since(&leaving, since) > 0, "after its restart");
+}
