--- a/crates/http/tests/connections.rs
+++ b/crates/http/tests/connections.rs
@@ -355,3 +355,68 @@
     });
     assert!(client().can_connect(&address).await);
 }
+
+/// Starts a server that answers each request with `start`, and then with `filler` until the client
+/// closes. Returns its address and the number of bytes that it has written.
+async fn start_endless(start: &'static str, filler: &'static str) -> (String, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let written_bytes = Rc::new(Cell::new(0));
+    let counter = Rc::clone(&written_bytes);
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = [0_u8; 4_096];
+        stream.read(&mut buffer).await.unwrap();
+        stream.write_all(start.as_bytes()).await.unwrap();
+        while stream.write_all(filler.as_bytes()).await.is_ok() {
+            counter.set(counter.get() + filler.len());
+        }
+        counter.set(usize::MAX);
+    });
+    (address, written_bytes)
+}
+
+/// A faulty server sends bytes without end: in the head, in a body of any encoding, or instead of an
+/// answer.
+#[ntex::test]
+async fn an_answer_without_end_is_given_up_at_the_size_limit_and_its_connection_closed() {
+    let long_line = "x".repeat(1_000);
+    let header: &'static str = format!("x-filler: {long_line}\r\n").leak();
+    let chunk: &'static str = format!("3e8\r\n{long_line}\r\n").leak();
+    let filler: &'static str = long_line.leak();
+    let ok = "HTTP/1.1 200 OK\r\nx-id: one\r\n";
+    let scripts = [
+        (ok, header),
+        ("HTTP/1.1 200 OK\r\nx-filler: ", filler),
+        (format!("{ok}\r\n").leak(), filler),
+        (
+            format!("{ok}transfer-encoding: chunked\r\n\r\n").leak(),
+            chunk,
+        ),
+        (
+            format!("{ok}content-length: 99999999999\r\n\r\n").leak(),
+            filler,
+        ),
+        ("", filler),
+    ];
+    for (start, filler) in scripts {
+        let (address, written_bytes) = start_endless(start, filler).await;
+        let started_at = Instant::now();
+        let result = send(&client(), &address, "one").await;
+        assert!(
+            matches!(result, Err(SendFailure::TooLarge | SendFailure::Broken(_))),
+            "{start:?}: {result:?}"
+        );
+        assert!(
+            started_at.elapsed() < Duration::from_millis(400),
+            "{start:?}"
+        );
+        for _ in 0..100 {
+            if written_bytes.get() == usize::MAX {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(written_bytes.get(), usize::MAX, "{start:?}: still open");
+    }
+}
