--- a/crates/types/src/change.rs
+++ b/crates/types/src/change.rs
@@ -26,6 +26,20 @@
     }
 }
 
+/// Era of the platform's log. It rises each time the log goes back to an older copy of itself; then
+/// it gives offsets out again.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct LogEra(pub u32);
+
+impl std::fmt::Display for LogEra {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
 /// Random identifier that a writer assigns to a change, so that it can find the change in the log
 /// if the answer to its append was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,6 +14,7 @@
 pub use backoff::Backoff;
 pub use change::{
     ChangeId,
+    LogEra,
     LogRecord,
     Offset, //
 };
