--- a/crates/testbed/src/site/store.rs
+++ b/crates/testbed/src/site/store.rs
@@ -9,7 +9,9 @@
 use std::rc::Rc;
 use std::time::{
     Duration,
-    Instant, //
+    Instant,
+    SystemTime,
+    UNIX_EPOCH, //
 };
 
 use base64::Engine as _;
@@ -32,7 +34,12 @@
 /// Topic to which the operator writes.
 const OPERATOR_TOPIC: &str = "keyed.op";
 
-#[derive(Default)]
+/// Copy of the store's topics at one time.
+pub struct StoreCopy {
+    topics: BTreeMap<String, Topic>,
+}
+
+#[derive(Clone, Default)]
 struct Topic {
     /// Offset of the oldest record.
     first_offset: u64,
@@ -64,6 +71,8 @@
     append_signal: watch::Sender<u64>,
     faults: Cell<StoreFaults>,
     request_count: Cell<u64>,
+    /// Number of times that the store was restored from a copy, plus 1.
+    era: Cell<u64>,
     phase: RefCell<Option<watch::Sender<ServerPhase>>>,
 }
 
@@ -80,6 +89,7 @@
             append_signal: watch::Sender::new(0),
             faults: Cell::default(),
             request_count: Cell::new(0),
+            era: Cell::new(1),
             phase: RefCell::default(),
         });
         let (address, phase) = serve_on_free_port(store.clone()).await?;
@@ -117,6 +127,31 @@
         self.append(OPERATOR_TOPIC, vec![record]);
     }
 
+    /// Appends a record of figway's own topics, as a node does.
+    pub fn append_own_record(&self, topic: &str, body: &str) {
+        let appended_at_ms = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |since| since.as_millis() as u64);
+        let mut record = appended_at_ms.to_be_bytes().to_vec();
+        record.extend_from_slice(body.as_bytes());
+        self.append(topic, vec![record]);
+    }
+
+    /// Returns a copy of all topics.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            topics: self.topics.borrow().clone(),
+        }
+    }
+
+    /// Goes back to a copy: records that were appended since are lost, their offsets are given out
+    /// again, and the era rises by one. Reads that wait are answered.
+    pub fn restore(&self, copy: &StoreCopy) {
+        *self.topics.borrow_mut() = copy.topics.clone();
+        self.era.set(self.era.get() + 1);
+        self.append_signal.send_modify(|count| *count += 1);
+    }
+
     /// Drops all records of the operator's topic but the newest, which gets a new offset.
     pub fn truncate_history(&self) {
         let mut topics = self.topics.borrow_mut();
@@ -143,6 +178,12 @@
     }
 
     async fn answer(&self, request: Request) -> Answer {
+        let mut answer = self.answer_without_era(request).await;
+        answer.headers.push("store-era", self.era.get().to_string());
+        answer
+    }
+
+    async fn answer_without_era(&self, request: Request) -> Answer {
         self.request_count.set(self.request_count.get() + 1);
         let faults = self.faults.get();
         if faults.slow_ms > 0 {
@@ -188,7 +229,7 @@
     fn records_from(&self, name: &str, from: u64, allow_empty: bool) -> Option<Answer> {
         let mut topics = self.topics.borrow_mut();
         let topic = topics.entry(name.to_owned()).or_default();
-        if from < topic.first_offset {
+        if from < topic.first_offset || from > topic.end_offset() {
             return Some(Answer::of_json(
                 410,
                 json!({ "first": topic.first_offset }).to_string(),
--- a/crates/testbed/tests/site.rs
+++ b/crates/testbed/tests/site.rs
@@ -101,6 +101,81 @@
     assert_eq!(site.caller(1).call("GET", "/old/1").await.status, 404);
 }
 
+/// Waits until `path` is served at every node, at most for [`IN_FORCE_MAX`].
+async fn assert_in_force(site: &Site, path: &str) {
+    let deadline = Instant::now() + IN_FORCE_MAX;
+    for index in 0..site.hosts.len() {
+        let caller = site.caller(index);
+        while caller.call("GET", path).await.status != 200 {
+            assert!(
+                Instant::now() < deadline,
+                "host {index} does not serve {path}"
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Guards against readers that compare offsets of two histories of the store.
+#[ntex::test]
+async fn a_configuration_is_in_force_in_time_after_the_store_came_back_older() {
+    let site = Site::start("restored", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    // The end of the restored log, against that of the lost one: before it, at it, and after it.
+    for (round, rewritten_count) in [0, 1, 2, 3].into_iter().enumerate() {
+        let version = 10 * (round as u32 + 1);
+        let path = |version: u32| format!("/v{version}/");
+        let copy = site.store.copy();
+        for lost in version..version + 3 {
+            site.store.publish(&config(lost, &path(lost)));
+        }
+        assert_in_force(&site, &format!("{}1", path(version + 2))).await;
+        site.store.set_faults(StoreFaults {
+            down: true,
+            ..StoreFaults::default()
+        });
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        site.store.restore(&copy);
+        // The operator writes its newest versions again.
+        for rewritten in version + 3 - rewritten_count..version + 3 {
+            site.store.publish(&config(rewritten, &path(rewritten)));
+        }
+        site.store.publish(&config(version + 5, &path(version + 5)));
+        site.store.set_faults(StoreFaults::default());
+        assert_in_force(&site, &format!("{}1", path(version + 5))).await;
+        let old = site
+            .caller(0)
+            .call("GET", &format!("{}1", path(version + 2)))
+            .await;
+        assert_eq!(old.status, 404, "round {round}");
+    }
+}
+
+/// Guards against an older version that is put in force while the store has only that one.
+#[ntex::test]
+async fn a_restored_store_does_not_bring_an_older_configuration_back() {
+    let mut site = Site::start("older", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    let copy = site.store.copy();
+    site.store.publish(&config(2, "/new/"));
+    assert_in_force(&site, "/new/1").await;
+    let request_count = site.store.request_count();
+    site.store.restore(&copy);
+    let restarted = &mut site.hosts[3];
+    restarted.node = None;
+    restarted.start_node().unwrap();
+    tokio::time::sleep(IN_FORCE_MAX).await;
+    for _ in 0..20 {
+        for index in 0..site.hosts.len() {
+            let result = site.caller(index).call("GET", "/new/1").await;
+            assert_eq!(result.status, 200, "host {index}");
+        }
+    }
+    // Readers that meet the older log must not ask it again and again.
+    let asked_count = site.store.request_count() - request_count;
+    assert!(asked_count < 60, "{asked_count} requests in 2 s");
+}
+
 /// Guards against a node that stays out of the mesh. This happens when it restarts while it cannot
 /// reach the store, where it would read the contacts and the configuration.
 #[ntex::test]
