Take a position in the store's log as a pair of era and offset

Callers saw a version that had been acknowledged not in force in time: handled as by the version before, 80 requests, on all nodes (CONFIG). Cause: an offset was taken for identity and order of records beyond the era of the log that gave it out. After the store came back older, the readers asked on from an offset of the lost log; when the log had grown to it again, what lay before was never read. Until then each read got 410, and the larger of the new position and the applied table's offset led beyond the end again. Era 0, of a log that names none, keeps its numbers. Ruled out: an older table put in force (RouteHistory refuses it; tested).

--- a/crates/control/src/route_reader.rs
+++ b/crates/control/src/route_reader.rs
@@ -138,13 +138,20 @@
     let page = if position == Offset(0) && mesh.routes().version == 0 {
         source.newest(Instant::now() + NEWEST_TIMEOUT).await?
     } else {
-        // Peers may have sent later versions already.
-        let from_offset = position.max(mesh.routes().source_offset.next());
+        let from_offset = skip_applied(position, mesh.routes().source_offset);
         match source.next(from_offset, Instant::now() + wait).await {
             Err(ReadError::Expired(first_offset)) => {
                 log::info!("route records expired from={from_offset} first={first_offset}");
                 source.newest(Instant::now() + NEWEST_TIMEOUT).await?
             }
+            // In another era other records may lie before this position.
+            Ok(page) if page.next_offset.era() != from_offset.era() => {
+                log::info!(
+                    "log of another era from={from_offset} next={}",
+                    page.next_offset
+                );
+                source.newest(Instant::now() + NEWEST_TIMEOUT).await?
+            }
             result => result?,
         }
     };
@@ -153,3 +160,12 @@
     }
     Ok(page.next_offset)
 }
+
+/// Returns the position after the applied table if peers sent tables beyond `position`. Offsets of
+/// another era do not tell that.
+fn skip_applied(position: Offset, applied_offset: Offset) -> Offset {
+    if position != Offset(0) && position.era() != applied_offset.era() {
+        return position;
+    }
+    position.max(applied_offset.next())
+}
--- a/crates/http/tests/connections.rs
+++ b/crates/http/tests/connections.rs
@@ -366,7 +366,7 @@
     tokio::task::spawn_local(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut buffer = [0_u8; 4_096];
-        stream.read(&mut buffer).await.unwrap();
+        assert!(stream.read(&mut buffer).await.unwrap() > 0);
         stream.write_all(start.as_bytes()).await.unwrap();
         while stream.write_all(filler.as_bytes()).await.is_ok() {
             counter.set(counter.get() + filler.len());
--- a/crates/types/src/change.rs
+++ b/crates/types/src/change.rs
@@ -5,8 +5,15 @@
     Serialize, //
 };
 
+/// Number of bits of an [`Offset`] that hold the index of the record.
+const INDEX_BITS: u32 = 40;
+
 /// Offset of a record in a stream of the platform's log; also the version of what the record
 /// changed.
+///
+/// It is a pair of the log's era and the index within the era, since the log gives indexes out again
+/// when it goes back to an older copy. Pairs are ordered by era first. The pair is packed into one
+/// number, which in era 0 is the index itself.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -14,15 +21,35 @@
 pub struct Offset(pub u64);
 
 impl Offset {
-    /// Returns the offset of the next record.
+    /// Returns the offset of the record with `index`, counted from 1, in `era`.
+    pub fn in_era(era: LogEra, index: u64) -> Self {
+        Self(u64::from(era.0) << INDEX_BITS | index)
+    }
+
+    /// Returns the era of the log.
+    pub fn era(self) -> LogEra {
+        LogEra((self.0 >> INDEX_BITS) as u32)
+    }
+
+    /// Returns the index within the era.
+    pub fn index(self) -> u64 {
+        self.0 & ((1 << INDEX_BITS) - 1)
+    }
+
+    /// Returns the offset of the next record in the same era.
     pub fn next(self) -> Self {
         Self(self.0 + 1)
     }
 }
 
 impl std::fmt::Display for Offset {
+    /// Writes the index, after the era and a colon unless the era is 0.
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}", self.0)
+        let era = self.era();
+        if era == LogEra(0) {
+            return write!(f, "{}", self.0);
+        }
+        write!(f, "{era}:{}", self.index())
     }
 }
 
