Restore the operators' changes that a store lost which came back older

Callers saw a service without the profile that its operator had switched it to, once nodes had restarted; a change made after the loss was not applied by any node, when its offset had been given out before. The offset of a change was its version and the readers' position, beyond the era that gave it out; and nobody wrote again what figway itself had written. Change: versions are pairs of the era in which a record was written, which its writer stamps, and the index. On a new era a node folds the log as it is, remembers what it knew, and what the log lacks is appended again under the condition that it still holds the older version. Streams of the store are read by pairs; one that is empty passes its era on with gossip, without a fetch. Left: a record whose writer did not know of the restore yet keeps the old era and may share its version with a lost one; a node that starts between the loss and the restoration has the older profile for about a second.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 mod contact;
 mod dial;
 mod link;
+mod lost_changes;
 mod mesh;
 mod meter;
 mod plane;
--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -26,7 +26,9 @@
 use figway_membership::MemberTable;
 use figway_profile::{
     Fold,
-    FoldState, //
+    FoldState,
+    LostChange,
+    LostChanges, //
 };
 use figway_types::{
     mix,
@@ -97,6 +99,9 @@
     meter: ControlMeter,
     round_trips_us: Mutex<FastMap<String, f64>>,
     outcomes: Mutex<Option<Arc<dyn OutcomeSource>>>,
+    /// Changes that the log lost when it went back to an older copy.
+    lost: Mutex<LostChanges>,
+    lost_signal: watch::Sender<u64>,
 }
 
 impl Mesh {
@@ -127,6 +132,8 @@
             meter: ControlMeter::default(),
             round_trips_us: Mutex::default(),
             outcomes: Mutex::default(),
+            lost: Mutex::default(),
+            lost_signal: watch::Sender::new(0),
         })
     }
 
@@ -245,13 +252,17 @@
         }
     }
 
-    /// Replaces the fold with a whole state, if that is newer than the applied offset.
+    /// Replaces the fold with a whole state, if that is newer than the applied offset. If it is of a
+    /// later era, the changes that the log has lost are remembered.
     pub fn install_state(&self, state: FoldState) {
         let mut fold = self.fold();
         if state.as_of_offset <= fold.as_of_offset() {
             return;
         }
         let as_of_offset = state.as_of_offset;
+        if as_of_offset.era() > fold.as_of_offset().era() {
+            self.remember_lost(fold.state());
+        }
         *fold = Fold::from_state(state);
         self.records.lock().expect("no holder panics").clear();
         drop(fold);
@@ -261,6 +272,37 @@
         self.notify_gossip();
     }
 
+    fn remember_lost(&self, state: &FoldState) {
+        self.lost.lock().expect("no holder panics").remember(state);
+        self.lost_signal.send_modify(|count| *count += 1);
+    }
+
+    /// Returns a watch that changes whenever the log may have lost changes that this node knows.
+    pub(crate) fn watch_lost(&self) -> watch::Receiver<u64> {
+        self.lost_signal.subscribe()
+    }
+
+    /// Returns the changes that this node knows and the applied state lacks, since the log lost them.
+    pub(crate) fn lost_changes(&self) -> Vec<LostChange> {
+        let fold = self.fold();
+        let mut lost = self.lost.lock().expect("no holder panics");
+        lost.forget_held(fold.state());
+        lost.missing_from(fold.state())
+    }
+
+    /// Takes over the era of a peer whose change stream is empty, if this node's is empty too.
+    pub(crate) fn adopt_empty_era(&self, peer_offset: Offset) {
+        let own_offset = self.applied_offset();
+        let both_empty = own_offset.index() == 0 && peer_offset.index() == 0;
+        if !both_empty || peer_offset <= own_offset {
+            return;
+        }
+        self.install_state(FoldState {
+            as_of_offset: peer_offset,
+            ..FoldState::default()
+        });
+    }
+
     /// Applies the records or state from a peer and ends the fetch.
     pub(crate) fn apply_missing_records(&self, missing: MissingRecords) {
         match missing {
--- a/crates/control/src/mesh/news.rs
+++ b/crates/control/src/mesh/news.rs
@@ -122,6 +122,7 @@
             .lock()
             .expect("no holder panics")
             .insert(sender.clone(), progress);
+        self.adopt_empty_era(gossip.applied_offset);
         if same_region {
             self.extend_head_fresh(now + Duration::from_millis(gossip.head_left_ms));
         }
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -36,6 +36,7 @@
     maintain_links,
     LinkPlan, //
 };
+use crate::lost_changes::restore_lost_changes;
 use crate::mesh::Mesh;
 use crate::reach::probe_lost_members;
 use crate::reader::follow_log;
@@ -190,6 +191,10 @@
             start_at,
         ));
         spawn_local(probe_lost_members(Arc::clone(&mesh)));
+        spawn_local(restore_lost_changes(
+            Arc::clone(&mesh),
+            Rc::clone(&self.log),
+        ));
         spawn_local(follow_log(
             Arc::clone(&mesh),
             self.log,
--- a/crates/control/src/reader.rs
+++ b/crates/control/src/reader.rs
@@ -25,6 +25,7 @@
 use figway_types::{
     Backoff,
     ChangeId,
+    LogEra,
     LogRecord,
     Offset, //
 };
@@ -69,13 +70,29 @@
             tokio::time::sleep(RANK_CHECK_EVERY).await;
             continue;
         }
-        let from_offset = mesh.applied_offset().next();
+        let applied_offset = mesh.applied_offset();
         let wait_until = Instant::now() + READ_WAIT;
-        match log.read(CHANGE_STREAM, from_offset, wait_until).await {
+        match log
+            .read(CHANGE_STREAM, applied_offset.next(), wait_until)
+            .await
+        {
+            Ok(page) if page.next_offset.era() > applied_offset.era() => {
+                enter_era(&mesh, log.as_ref(), page.next_offset.era(), &mut backoff).await;
+            }
+            Ok(page) if page.next_offset.era() < applied_offset.era() => {
+                log::warn!(
+                    "page of an earlier era ignored next={} applied={applied_offset}",
+                    page.next_offset
+                );
+                wait_for_retry(&mut backoff).await;
+            }
             Ok(page) => {
                 backoff.reset();
                 apply_page(&mesh, log.as_ref(), &page, retention_ms).await;
             }
+            Err(ReadError::Expired(first_offset)) if first_offset.era() > applied_offset.era() => {
+                enter_era(&mesh, log.as_ref(), first_offset.era(), &mut backoff).await;
+            }
             Err(ReadError::Expired(first_offset)) => {
                 restore_from_snapshot(&mesh, log.as_ref(), first_offset).await;
                 wait_for_retry(&mut backoff).await;
@@ -88,6 +105,29 @@
     }
 }
 
+/// Replaces the applied state with that of the log in `era`, after the log went back to an older
+/// copy or is read for the first time. What the log has lost stays in force until it is restored.
+async fn enter_era(mesh: &Mesh, log: &dyn LogService, era: LogEra, backoff: &mut Backoff) {
+    let page = match read_retained(log, CHANGE_STREAM, Offset::in_era(era, 1)).await {
+        Ok(page) if page.next_offset.era() == era => page,
+        Ok(page) => {
+            log::info!("the log is of era {} already", page.next_offset.era());
+            return;
+        }
+        Err(error) => {
+            log::warn!("could not read the log of era {era}: {error}");
+            wait_for_retry(backoff).await;
+            return;
+        }
+    };
+    let mut state = fold_page(&page).state().clone();
+    // An empty log has no record that names its era.
+    state.as_of_offset = state.as_of_offset.max(Offset::in_era(era, 0));
+    mesh.install_state(state);
+    mesh.extend_head_fresh(Instant::now() + HEAD_FRESH);
+    backoff.reset();
+}
+
 async fn wait_for_retry(backoff: &mut Backoff) {
     let next_attempt_at = backoff.next_attempt_at(Instant::now());
     tokio::time::sleep_until(next_attempt_at.into()).await;
@@ -126,12 +166,13 @@
 
 async fn append_snapshot_if_due(mesh: &Mesh, log: &dyn LogService, now_ms: u64, retention_ms: u64) {
     let state = mesh.fold().state().clone();
-    let nothing_to_keep = state.as_of_offset == Offset(0);
+    let nothing_to_keep = state.as_of_offset.index() == 0;
     if nothing_to_keep || now_ms.saturating_sub(state.snapshot_at_ms) < retention_ms / 2 {
         return;
     }
     let record = ChangeRecord {
         change_id: ChangeId(mesh.random()),
+        restores: None,
         author: mesh.members().own().node_id.0.clone(),
         change: Change::Snapshot {
             state: Box::new(state),
@@ -182,6 +223,12 @@
 /// The log is unavailable.
 pub async fn read_fold(log: &dyn LogService) -> Result<Fold, ReadError> {
     let page = read_retained(log, CHANGE_STREAM, Offset(1)).await?;
+    Ok(fold_page(&page))
+}
+
+/// Folds all retained records of the change stream, starting with the newest usable snapshot if
+/// there is one.
+fn fold_page(page: &Page) -> Fold {
     let mut fold = match newest_snapshot(&page.records, page.first_offset, Offset(0)) {
         Some(state) => Fold::from_state(state),
         None => Fold::default(),
@@ -189,7 +236,7 @@
     for record in &page.records {
         fold.apply(record);
     }
-    Ok(fold)
+    fold
 }
 
 /// Returns the newest snapshot in `records` that is newer than `applied_offset` and leaves no gap
@@ -204,9 +251,16 @@
         let Ok(change) = serde_json::from_str::<ChangeRecord>(&record.body) else {
             continue;
         };
-        let Change::Snapshot { state } = change.change else {
+        let Change::Snapshot { mut state } = change.change else {
             continue;
         };
+        // The log may have gone back to a copy that holds the snapshot. One that was appended late
+        // may cover records which the copy does not hold.
+        let as_of_index = state.as_of_offset.index();
+        if as_of_index >= record.offset.index() {
+            continue;
+        }
+        state.as_of_offset = Offset::in_era(record.offset.era(), as_of_index);
         if state.as_of_offset.next() < first_offset || state.as_of_offset <= applied_offset {
             continue;
         }
--- a/crates/control/tests/mesh_view.rs
+++ b/crates/control/tests/mesh_view.rs
@@ -17,6 +17,7 @@
 use figway_test_support::fixed_seed_config;
 use figway_types::{
     ChangeId,
+    LogEra,
     LogRecord,
     Member,
     MemberState,
@@ -86,9 +87,11 @@
             };
             let record = LogRecord {
                 offset: Offset(index as u64 + 1),
+                written_era: LogEra::default(),
                 appended_at_ms: 1,
                 body: ChangeRecord {
                     change_id: ChangeId(index as u64),
+                    restores: None,
                     author: "operator".to_owned(),
                     change,
                 }
@@ -287,9 +290,15 @@
             let mut state = Fold::default().state().clone();
             state.as_of_offset = Offset(*as_of);
             let change = Change::Snapshot { state: Box::new(state) };
-            let record = ChangeRecord { change_id: ChangeId(1), author: String::new(), change };
+            let record = ChangeRecord {
+                change_id: ChangeId(1),
+                restores: None,
+                author: String::new(),
+                change,
+            };
             records.push(LogRecord {
                 offset: Offset(*offset),
+                written_era: LogEra::default(),
                 appended_at_ms: 1,
                 body: record.to_body(),
             });
@@ -315,9 +324,11 @@
     mesh.rebuild_view();
     let record = |offset, change| LogRecord {
         offset: Offset(offset),
+        written_era: LogEra::default(),
         appended_at_ms: 1,
         body: ChangeRecord {
             change_id: ChangeId(offset),
+            restores: None,
             author: "operator".to_owned(),
             change,
         }
--- a/crates/figway/src/change_log.rs
+++ b/crates/figway/src/change_log.rs
@@ -75,6 +75,7 @@
     pub(crate) async fn append(&mut self, change: Change) -> anyhow::Result<AppendedChange> {
         let record = ChangeRecord {
             change_id: ChangeId(figway_types::entropy()),
+            restores: None,
             author: self.author.clone(),
             change,
         };
--- a/crates/log-client/src/lib.rs
+++ b/crates/log-client/src/lib.rs
@@ -177,6 +177,10 @@
             return Ok(page);
         }
         let more = log.read(stream, last.offset.next(), Instant::now()).await?;
+        if more.next_offset.era() != page.next_offset.era() {
+            let why = "the log went back to an older copy during the read".to_owned();
+            return Err(ReadError::Unavailable(why));
+        }
         if more.records.is_empty() {
             return Ok(page);
         }
--- a/crates/profile/src/fold.rs
+++ b/crates/profile/src/fold.rs
@@ -8,6 +8,7 @@
 
 use figway_types::{
     ChangeId,
+    LogEra,
     LogRecord,
     Offset, //
 };
@@ -34,17 +35,31 @@
 pub struct ProfileVersion {
     /// Offset of the record that published the version.
     pub version_offset: Offset,
+    /// Version that this one restores after the log lost it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub restored_offset: Option<Offset>,
     /// Profile in YAML, as published.
     pub body: String,
     /// Author who published the version.
     pub author: String,
 }
 
+impl ProfileVersion {
+    /// Returns the offset at which an author published the version: that of the restored one, if it
+    /// restores one.
+    pub fn authored_offset(&self) -> Offset {
+        self.restored_offset.unwrap_or(self.version_offset)
+    }
+}
+
 /// Profile that a service follows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pick {
     /// Offset of the record that switched the service.
     pub pick_offset: Offset,
+    /// Pick that this one restores after the log lost it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub restored_offset: Option<Offset>,
     /// Name of the profile.
     pub profile: String,
     /// Earlier picks of other profiles, latest first.
@@ -53,6 +68,14 @@
     pub author: String,
 }
 
+impl Pick {
+    /// Returns the offset at which an author switched the service: that of the restored pick, if it
+    /// restores one.
+    pub fn authored_offset(&self) -> Offset {
+        self.restored_offset.unwrap_or(self.pick_offset)
+    }
+}
+
 /// Earlier pick of a service. By default a retreat switches to the latest one; a node falls back to
 /// one if it can't resolve the later picks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -93,6 +116,9 @@
 pub struct FoldState {
     /// Offset of the last record that was applied; 0 for none.
     pub as_of_offset: Offset,
+    /// Latest era in which a record was written so far.
+    #[serde(default, skip_serializing_if = "LogEra::is_first")]
+    pub written_era: LogEra,
     /// Time of the last snapshot in the stream, or of the first record if there is none, in
     /// milliseconds of the log's clock. Later changes are not in a snapshot, only in the records.
     pub snapshot_at_ms: u64,
@@ -156,6 +182,7 @@
             return None;
         }
         self.state.as_of_offset = record.offset;
+        self.state.written_era = self.state.written_era.max(record.written_era);
         if self.state.snapshot_at_ms == 0 {
             self.state.snapshot_at_ms = record.appended_at_ms;
         }
@@ -168,6 +195,8 @@
         let Ok(change) = serde_json::from_str::<ChangeRecord>(&record.body) else {
             return Verdict::Unreadable;
         };
+        // A version keeps its offset when the log goes back to an older copy that holds it.
+        let version_offset = Offset::in_era(self.state.written_era, record.offset.index());
         if matches!(change.change, Change::Snapshot { .. }) {
             self.state.snapshot_at_ms = record.appended_at_ms;
             return Verdict::Snapshot;
@@ -177,7 +206,7 @@
         }
         self.state
             .change_ids
-            .insert(change.change_id, record.offset);
+            .insert(change.change_id, version_offset);
         match change.change {
             Change::Publish {
                 profile,
@@ -187,7 +216,8 @@
                 &profile,
                 expected_version_offset,
                 ProfileVersion {
-                    version_offset: record.offset,
+                    version_offset,
+                    restored_offset: change.restores,
                     body,
                     author: change.author,
                 },
@@ -200,7 +230,8 @@
                 &service,
                 expected_pick_offset,
                 Pick {
-                    pick_offset: record.offset,
+                    pick_offset: version_offset,
+                    restored_offset: change.restores,
                     profile,
                     earlier: Vec::new(),
                     author: change.author,
@@ -248,12 +279,14 @@
     }
 
     fn prune_change_ids(&mut self) {
-        let as_of = self.state.as_of_offset.0;
-        if !as_of.is_multiple_of(64) {
+        let as_of_index = self.state.as_of_offset.index();
+        if !as_of_index.is_multiple_of(64) {
             return;
         }
-        let oldest = Offset(as_of.saturating_sub(CHANGE_ID_WINDOW_RECORDS));
-        self.state.change_ids.retain(|_, offset| *offset > oldest);
+        let oldest_index = as_of_index.saturating_sub(CHANGE_ID_WINDOW_RECORDS);
+        self.state
+            .change_ids
+            .retain(|_, offset| offset.index() > oldest_index);
     }
 }
 
--- a/crates/profile/src/lib.rs
+++ b/crates/profile/src/lib.rs
@@ -4,6 +4,7 @@
 mod body;
 mod check;
 mod fold;
+mod lost;
 mod record;
 mod resolve;
 mod routes;
@@ -24,6 +25,10 @@
     ProfileVersion,
     Verdict, //
 };
+pub use lost::{
+    LostChange,
+    LostChanges, //
+};
 pub use record::{
     Change,
     ChangeRecord, //
--- a/crates/profile/src/record.rs
+++ b/crates/profile/src/record.rs
@@ -16,6 +16,10 @@
 pub struct ChangeRecord {
     /// Identifier of the change; the same for each attempt to append it.
     pub change_id: ChangeId,
+    /// Version that this change restores, if it repeats one that the log lost when it went back to an
+    /// older copy.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub restores: Option<Offset>,
     /// Author of the change; shown to an operator whose concurrent change lost.
     pub author: String,
     /// Change to apply.
--- a/crates/profile/tests/fold_replay.rs
+++ b/crates/profile/tests/fold_replay.rs
@@ -13,6 +13,7 @@
 use figway_test_support::fixed_seed_config;
 use figway_types::{
     ChangeId,
+    LogEra,
     LogRecord,
     Offset, //
 };
@@ -190,6 +191,7 @@
         };
         records.push(LogRecord {
             offset: Offset(offset),
+            written_era: LogEra::default(),
             appended_at_ms: 1_000 + offset,
             body,
         });
@@ -210,6 +212,7 @@
     };
     ChangeRecord {
         change_id: ChangeId(id),
+        restores: None,
         author: format!("operator-{id}"),
         change,
     }
--- a/crates/testbed/src/cmd/convergence.rs
+++ b/crates/testbed/src/cmd/convergence.rs
@@ -157,6 +157,7 @@
     async fn append(&self, change: Change) -> anyhow::Result<Offset> {
         let record = ChangeRecord {
             change_id: ChangeId(figway_types::entropy()),
+            restores: None,
             author: "operator".to_owned(),
             change,
         };
--- a/crates/testbed/src/cmd/slopes.rs
+++ b/crates/testbed/src/cmd/slopes.rs
@@ -12,6 +12,7 @@
 };
 use figway_types::{
     ChangeId,
+    LogEra,
     LogRecord,
     Member,
     MemberState,
@@ -57,11 +58,13 @@
 fn record(offset: u64, change: Change) -> LogRecord {
     let record = ChangeRecord {
         change_id: ChangeId(figway_types::mix(offset)),
+        restores: None,
         author: "operator".to_owned(),
         change,
     };
     LogRecord {
         offset: Offset(offset),
+        written_era: LogEra::default(),
         appended_at_ms: 1,
         body: record.to_body(),
     }
--- a/crates/testbed/src/log_server.rs
+++ b/crates/testbed/src/log_server.rs
@@ -19,6 +19,7 @@
 };
 use figway_types::{
     FastMap,
+    LogEra,
     LogRecord,
     Offset, //
 };
@@ -197,6 +198,7 @@
         let offset = Offset(stream.appended_count);
         stream.records.push_back(LogRecord {
             offset,
+            written_era: LogEra::default(),
             appended_at_ms,
             body: body.to_owned(),
         });
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -65,6 +65,8 @@
     pub node: Option<Process>,
     /// Address on which the node accepts callers.
     pub caller_address: String,
+    /// Address on which the node answers operators and peers.
+    pub call_address: String,
     /// Address on which the node answers the platform's readiness check.
     pub readiness_address: String,
     settings_path: PathBuf,
@@ -200,6 +202,7 @@
         store_link,
         node: None,
         caller_address: format!("127.0.0.1:{callers}"),
+        call_address: format!("127.0.0.1:{call}"),
         readiness_address: format!("127.0.0.1:{ready}"),
         settings_path,
         _ports: ports,
--- a/crates/testbed/src/site/store.rs
+++ b/crates/testbed/src/site/store.rs
@@ -127,12 +127,13 @@
         self.append(OPERATOR_TOPIC, vec![record]);
     }
 
-    /// Appends a record of figway's own topics, as a node does.
+    /// Appends a record of figway's own topics, as a node does that knows the era.
     pub fn append_own_record(&self, topic: &str, body: &str) {
         let appended_at_ms = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .map_or(0, |since| since.as_millis() as u64);
-        let mut record = appended_at_ms.to_be_bytes().to_vec();
+        let stamp = self.era.get() << 48 | appended_at_ms;
+        let mut record = stamp.to_be_bytes().to_vec();
         record.extend_from_slice(body.as_bytes());
         self.append(topic, vec![record]);
     }
--- a/crates/types/src/change.rs
+++ b/crates/types/src/change.rs
@@ -61,6 +61,13 @@
 #[serde(transparent)]
 pub struct LogEra(pub u32);
 
+impl LogEra {
+    /// Returns whether this is era 0, of a log that names none.
+    pub fn is_first(&self) -> bool {
+        self.0 == 0
+    }
+}
+
 impl std::fmt::Display for LogEra {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{}", self.0)
@@ -84,6 +91,10 @@
 pub struct LogRecord {
     /// Offset in the stream.
     pub offset: Offset,
+    /// Era that the writer knew when it appended the record. It is before that of `offset` for a
+    /// record that the log kept when it went back to an older copy.
+    #[serde(default, skip_serializing_if = "LogEra::is_first")]
+    pub written_era: LogEra,
     /// Time at which the log accepted the record, in milliseconds of the log's clock.
     pub appended_at_ms: u64,
     /// Text that the writer appended.
