Append claims of keys again that the log lost when it came back older

Callers would see an order with an idempotency key run a second time: sent again after the loss, its key was free for a batcher that had not decided it before. Change: a batcher that meets another era reads the whole stream of it, and appends the claims that it knows and the stream lacks before it gives any other verdict; until then it answers that the log is unavailable. Left: claims of a batcher that restarted between the loss and its next append are gone.

--- a/crates/control/src/claim_table.rs
+++ b/crates/control/src/claim_table.rs
@@ -62,6 +62,17 @@
         self.holders.len()
     }
 
+    /// Returns the claims of this table whose keys have no holder in `other`.
+    pub fn claims_missing_from(&self, other: &ClaimTable) -> Vec<Claim> {
+        let mut missing = Vec::new();
+        for (key, holder) in &self.holders {
+            if !other.holders.contains_key(key) {
+                missing.push(holder.claim.clone());
+            }
+        }
+        missing
+    }
+
     /// Skips the records before `first_offset`, which have expired. Never goes back to an earlier
     /// offset.
     pub fn skip_to(&mut self, first_offset: Offset) {
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -12,7 +12,12 @@
     claim_stream,
     read_retained,
     AppendError,
-    LogService, //
+    LogService,
+    Page, //
+};
+use figway_types::{
+    LogEra,
+    Offset, //
 };
 use tokio::sync::{
     mpsc,
@@ -43,6 +48,9 @@
 /// far below the log's limit.
 const APPEND_SPACING: Duration = Duration::from_millis(20);
 
+/// Timeout for appending lost claims again.
+const RESTORE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A queued claim and the channel for its verdict.
 pub(crate) struct ClaimJob {
     pub(crate) claim: Claim,
@@ -70,6 +78,7 @@
                 mesh: Arc::clone(mesh),
                 log: Rc::clone(log),
                 stream: claim_stream(partition),
+                remember_ms,
                 table: ClaimTable::new(remember_ms),
                 loaded: false,
             };
@@ -108,6 +117,7 @@
     mesh: Arc<Mesh>,
     log: Rc<dyn LogService>,
     stream: String,
+    remember_ms: u64,
     table: ClaimTable,
     loaded: bool,
 }
@@ -178,22 +188,59 @@
 
     async fn catch_up(&mut self) -> Result<(), String> {
         let from_offset = self.table.next_offset();
-        let page = read_retained(self.log.as_ref(), &self.stream, from_offset)
+        let page = self.read(from_offset).await?;
+        if page.next_offset.era() != from_offset.era() {
+            return self.enter_era(page.next_offset.era()).await;
+        }
+        apply_page(&mut self.table, &page);
+        Ok(())
+    }
+
+    async fn read(&self, from_offset: Offset) -> Result<Page, String> {
+        read_retained(self.log.as_ref(), &self.stream, from_offset)
             .await
-            .map_err(|error| error.to_string())?;
-        // Expired records can be skipped: the log keeps a record at least as long as a claim holds
-        // its key.
-        self.table.skip_to(page.first_offset);
-        for record in &page.records {
-            let batch = serde_json::from_str(&record.body).unwrap_or_else(|error| {
-                log::error!("claim record {} is unreadable: {error}", record.offset);
-                ClaimBatch {
-                    batch_id: 0,
-                    claims: Vec::new(),
-                }
-            });
-            self.table
-                .apply(record.offset, record.appended_at_ms, &batch);
+            .map_err(|error| error.to_string())
+    }
+
+    /// Reads the whole stream of `era`, after the log went back to an older copy or is read for the
+    /// first time. Appends the claims again that the log has lost, before any other verdict.
+    async fn enter_era(&mut self, era: LogEra) -> Result<(), String> {
+        let page = self.read(Offset::in_era(era, 1)).await?;
+        if page.next_offset.era() != era {
+            return Err(format!(
+                "the log is of era {} already",
+                page.next_offset.era()
+            ));
+        }
+        let mut table = ClaimTable::new(self.remember_ms);
+        apply_page(&mut table, &page);
+        let lost = self.table.claims_missing_from(&table);
+        if !lost.is_empty() {
+            log::info!(
+                "lost claims restored stream={} count={}",
+                self.stream,
+                lost.len()
+            );
+            self.append_lost(&lost).await?;
+            let restored = self.read(table.next_offset()).await?;
+            apply_page(&mut table, &restored);
+        }
+        self.table = table;
+        Ok(())
+    }
+
+    async fn append_lost(&self, lost: &[Claim]) -> Result<(), String> {
+        for claims in lost.chunks(BATCH_MAX_COUNT) {
+            let batch = ClaimBatch {
+                batch_id: self.mesh.random(),
+                claims: claims.to_vec(),
+            };
+            let body = serde_json::to_string(&batch).map_err(|error| error.to_string())?;
+            let deadline = Instant::now() + RESTORE_TIMEOUT;
+            self.log
+                .append(&self.stream, &body, deadline)
+                .await
+                .map_err(|error| error.to_string())?;
         }
         Ok(())
     }
@@ -235,6 +282,23 @@
     }
 }
 
+/// Applies the records of a page to the table.
+fn apply_page(table: &mut ClaimTable, page: &Page) {
+    // Expired records can be skipped: the log keeps a record at least as long as a claim holds its
+    // key.
+    table.skip_to(page.first_offset);
+    for record in &page.records {
+        let batch = serde_json::from_str(&record.body).unwrap_or_else(|error| {
+            log::error!("claim record {} is unreadable: {error}", record.offset);
+            ClaimBatch {
+                batch_id: 0,
+                claims: Vec::new(),
+            }
+        });
+        table.apply(record.offset, record.appended_at_ms, &batch);
+    }
+}
+
 fn answer(job: ClaimJob, verdict: ClaimVerdict) {
     if job.reply.send(verdict).is_err() {
         log::debug!("the caller stopped waiting for a claim");
