Check the contacts at once when the log enters another era

Callers of a host that was added after the store had come back older got no answer from services on other hosts for up to a minute: the host found no contact of a node in the log. Cause: nobody wrote again what figway had written; the contacts were next checked after 30 to 90 s. Change: the nodes that maintain their zone's contacts check them as soon as the change stream is of a later era than the contacts that they read. Evidence: the new test failed before ('the host knows no other one' after 5 s) and passes.

--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -16,6 +16,7 @@
 };
 use figway_types::{
     Backoff,
+    LogEra,
     MemberState,
     Offset, //
 };
@@ -63,7 +64,8 @@
 }
 
 /// Joins the mesh at `start_at` and then maintains the zone's contacts until the process ends.
-/// Joins again when no peer is live any more.
+/// Joins again when no peer is live any more. Checks the contacts at once when the log enters another
+/// era, since it may have lost them.
 pub(crate) async fn maintain_contact(
     mesh: Arc<Mesh>,
     log: Rc<dyn LogService>,
@@ -73,19 +75,30 @@
     tokio::time::sleep_until(start_at.into()).await;
     let mut backoff = Backoff::new(100, 2_000, mesh.random());
     loop {
-        let joined = join(&mesh, log.as_ref(), &peers).await;
-        let next_at = if joined || has_live_peer(&mesh) {
+        let applied_era = mesh.applied_offset().era();
+        let round = join(&mesh, log.as_ref(), &peers).await;
+        let next_at = if round.joined || has_live_peer(&mesh) {
             backoff.reset();
             Instant::now() + CONTACT_CHECK_EVERY / 2 + mesh.jitter(CONTACT_CHECK_EVERY)
         } else {
             backoff.next_attempt_at(Instant::now())
         };
-        wait_until_due_or_alone(&mesh, next_at).await;
+        let contacts_era = round.contacts_era.unwrap_or(applied_era);
+        wait_until_due(&mesh, next_at, contacts_era).await;
     }
 }
 
-/// Waits until `next_at`, or until the last live peer is lost.
-async fn wait_until_due_or_alone(mesh: &Mesh, next_at: Instant) {
+/// Result of one round of joining.
+struct JoinRound {
+    /// Whether any contact answered.
+    joined: bool,
+    /// Era of the log in which the contacts were read, if they were.
+    contacts_era: Option<LogEra>,
+}
+
+/// Waits until `next_at`, until the last live peer is lost, or until the log is of a later era than
+/// `contacts_era`.
+async fn wait_until_due(mesh: &Mesh, next_at: Instant, contacts_era: LogEra) {
     let was_alone = !has_live_peer(mesh);
     while Instant::now() < next_at {
         let step = Duration::from_millis(500);
@@ -94,12 +107,15 @@
         if !was_alone && !has_live_peer(mesh) {
             return;
         }
+        if mesh.applied_offset().era() > contacts_era {
+            return;
+        }
     }
 }
 
 /// Joins through some contacts that are not known as live members yet, and appends a contact if the
-/// zone needs one. Returns whether any contact answered.
-async fn join(mesh: &Mesh, log: &dyn LogService, peers: &[String]) -> bool {
+/// zone needs one.
+async fn join(mesh: &Mesh, log: &dyn LogService, peers: &[String]) -> JoinRound {
     let own = mesh.members().own().clone();
     let alone = !has_live_peer(mesh);
     let mut addresses: Vec<String> = Vec::new();
@@ -109,23 +125,29 @@
     let mut fresh = None;
     if alone || maintains_zone_contacts(mesh) {
         match fresh_contacts(mesh, log).await {
-            Ok(contacts) => {
-                let (in_zone, elsewhere): (Vec<&Contact>, Vec<&Contact>) = contacts
+            Ok(found) => {
+                let (in_zone, elsewhere): (Vec<&Contact>, Vec<&Contact>) = found
+                    .contacts
                     .iter()
                     .partition(|contact| contact.zone == own.zone);
                 for contact in in_zone.into_iter().chain(elsewhere) {
                     addresses.push(contact.control_address.clone());
                 }
-                fresh = Some(contacts);
+                fresh = Some(found);
             }
             Err(error) => log::warn!("could not read contacts: {error}"),
         }
     }
     let joined = join_any(mesh, &addresses).await;
+    let mut contacts_era = None;
     if let Some(fresh) = fresh {
-        append_contact_if_needed(mesh, log, &fresh).await;
+        contacts_era = Some(fresh.era);
+        append_contact_if_needed(mesh, log, &fresh.contacts).await;
+    }
+    JoinRound {
+        joined,
+        contacts_era,
     }
-    joined
 }
 
 async fn join_any(mesh: &Mesh, addresses: &[String]) -> bool {
@@ -232,9 +254,15 @@
     }
 }
 
-async fn fresh_contacts(mesh: &Mesh, log: &dyn LogService) -> Result<Vec<Contact>, ReadError> {
+/// Contacts that were read from the log.
+struct FreshContacts {
+    era: LogEra,
+    contacts: Vec<Contact>,
+}
+
+async fn fresh_contacts(mesh: &Mesh, log: &dyn LogService) -> Result<FreshContacts, ReadError> {
     let page = read_retained(log, CONTACT_STREAM, Offset(1)).await?;
-    let mut list: Vec<Contact> = Vec::new();
+    let mut contacts: Vec<Contact> = Vec::new();
     for record in page.records.iter().rev() {
         if record.appended_at_ms + CONTACT_TTL_MS < page.now_ms {
             break;
@@ -243,9 +271,12 @@
             continue;
         };
         let known = |earlier: &Contact| earlier.control_address == contact.control_address;
-        if contact.cluster == mesh.cluster() && !list.iter().any(known) {
-            list.push(contact);
+        if contact.cluster == mesh.cluster() && !contacts.iter().any(known) {
+            contacts.push(contact);
         }
     }
-    Ok(list)
+    Ok(FreshContacts {
+        era: page.next_offset.era(),
+        contacts,
+    })
 }
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -108,6 +108,7 @@
 
 /// Store and hosts of an emulated site.
 pub struct Site {
+    folder: PathBuf,
     /// Stand-in for the platform's store.
     pub store: Rc<Store>,
     /// Hosts. The service alternates with each host, and the zone after every two hosts.
@@ -131,7 +132,22 @@
         for index in 0..host_count {
             hosts.push(start_host(&folder, &store, index).await?);
         }
-        Ok(Self { store, hosts })
+        Ok(Self {
+            folder,
+            store,
+            hosts,
+        })
+    }
+
+    /// Adds a host that no other host knows.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Site::start`].
+    pub async fn add_host(&mut self) -> anyhow::Result<()> {
+        let host = start_host(&self.folder, &self.store, self.hosts.len()).await?;
+        self.hosts.push(host);
+        Ok(())
     }
 
     /// Returns a caller that calls the node of the host at `index`.
--- a/crates/testbed/src/site/store.rs
+++ b/crates/testbed/src/site/store.rs
@@ -39,6 +39,14 @@
     topics: BTreeMap<String, Topic>,
 }
 
+impl StoreCopy {
+    /// Returns the copy without a topic, as of a time before its first record.
+    pub fn without_topic(mut self, topic: &str) -> Self {
+        self.topics.remove(topic);
+        self
+    }
+}
+
 #[derive(Clone, Default)]
 struct Topic {
     /// Offset of the oldest record.
--- a/crates/testbed/tests/restored_store.rs
+++ b/crates/testbed/tests/restored_store.rs
@@ -191,3 +191,20 @@
     assert_in_force(&site, ORDERS, "fallback").await;
     assert_in_force(&site, READS, "fallback").await;
 }
+
+#[ntex::test]
+async fn a_host_that_is_added_after_the_store_lost_all_contacts_joins_the_others() {
+    let mut site = Site::start("lost-contacts", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    site.store
+        .restore(&site.store.copy().without_topic("figway-contacts"));
+    tokio::time::sleep(IN_FORCE_MAX).await;
+    site.add_host().await.unwrap();
+    let caller = site.caller(4);
+    let deadline = Instant::now() + IN_FORCE_MAX;
+    // No back end of this service is beside the new host.
+    while caller.call("POST", "/orders/1").await.status != 200 {
+        assert!(Instant::now() < deadline, "the host knows no other one");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
