Split admission, and order its queue in one place

The queue's order stood twice, in the choice of the next call and among the calls that wait for a turn under the rate limit. What concerns turns has a file of its own. Behaviour is as before; the tests of admission pass unchanged.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -5,15 +5,15 @@
 //! reserved for short kinds. If the target states a rate limit, calls start no faster than that, and
 //! a call whose turn would come after its deadline is refused. A refused call has not run.
 
+mod turns;
+
+use std::cmp::Ordering;
 use std::time::{
     Duration,
     Instant, //
 };
 
-use figway_types::{
-    NotRunReason,
-    RateLimit, //
-};
+use figway_types::NotRunReason;
 
 use crate::estimate::ServiceTimes;
 use crate::pacer::Pacer;
@@ -107,6 +107,27 @@
     started_at: Instant,
 }
 
+/// Place of a waiting call in the queue. Equal calls start in the order of their arrival.
+#[derive(Clone, Copy, Debug)]
+struct Order {
+    rank: u32,
+    late: bool,
+    /// Worth per slot-second.
+    density: f64,
+}
+
+impl Order {
+    fn compare(self, other: Self) -> Ordering {
+        (self.rank, self.late)
+            .cmp(&(other.rank, other.late))
+            .then(other.density.total_cmp(&self.density))
+    }
+
+    fn is_before(self, other: Self) -> bool {
+        self.compare(other) == Ordering::Less
+    }
+}
+
 /// Slots and queue of one target.
 #[derive(Clone, Debug)]
 pub struct Admission {
@@ -139,31 +160,6 @@
         self.limits = limits;
     }
 
-    /// Sets the rate limit that the target states, or removes it. Calls that already run or wait are
-    /// not removed.
-    pub fn set_rate_limit(&mut self, limit: Option<RateLimit>, now: Instant) {
-        match (&mut self.pacer, limit) {
-            (Some(pacer), Some(limit)) if pacer.limit() == limit => {}
-            (Some(pacer), Some(limit)) => pacer.set_limit(limit, now),
-            (None, Some(limit)) => self.pacer = Some(Pacer::new(limit, now)),
-            (_, None) => self.pacer = None,
-        }
-    }
-
-    /// Returns the rate limit in force, if any.
-    pub fn rate_limit(&self) -> Option<RateLimit> {
-        self.pacer.as_ref().map(Pacer::limit)
-    }
-
-    /// Returns when the rate limit lets the next waiting call start, if calls wait for that.
-    pub fn next_turn_at(&self, now: Instant) -> Option<Instant> {
-        let pacer = self.pacer.as_ref()?;
-        if self.waiting.is_empty() || pacer.has_token(now) {
-            return None;
-        }
-        now.checked_add(pacer.wait(0, now))
-    }
-
     /// Sets whether new calls are refused as [`NotRunReason::Draining`]. Calls that already
     /// run or wait are not removed.
     pub fn set_draining(&mut self, draining: bool) {
@@ -309,78 +305,29 @@
         }
     }
 
-    /// Refuses the waiting calls whose turn under the rate limit would come too late for them. Calls
-    /// of a lower rank may have come before them since they were admitted.
-    fn refuse_without_turn(&mut self, now: Instant, dequeued: &mut Dequeued) {
-        let Some(pacer) = &self.pacer else {
-            return;
-        };
-        let mut kept_count = 0;
-        let mut refused = Vec::new();
-        for index in self.dispatch_order(now) {
-            let call = &self.waiting[index];
-            if self.can_start_after(pacer.wait(kept_count, now), &call.kind, call.deadline, now) {
-                kept_count += 1;
-                continue;
-            }
-            refused.push(call.ticket);
-        }
-        for ticket in refused {
-            self.waiting.retain(|call| call.ticket != ticket);
-            dequeued.refused.push((ticket, NotRunReason::RateLimited));
-        }
-    }
-
-    /// Returns the indexes of the waiting calls in the order in which they start.
-    fn dispatch_order(&self, now: Instant) -> Vec<usize> {
-        let mut order: Vec<usize> = (0..self.waiting.len()).collect();
-        order.sort_by(|a, b| {
-            let (a, b) = (&self.waiting[*a], &self.waiting[*b]);
-            let density = |call: &Waiting| self.times.density(&call.kind, call.worth);
-            (a.rank, self.is_late(a, now))
-                .cmp(&(b.rank, self.is_late(b, now)))
-                .then(density(b).total_cmp(&density(a)))
-        });
-        order
-    }
-
-    /// Returns whether a new call's turn under the rate limit would come too late for it.
-    fn turn_is_too_late(&self, call: &CallView<'_>, now: Instant) -> bool {
-        self.pacer.is_some()
-            && !self.can_start_after(
-                self.expected_turn_wait(call.rank, now),
-                call.kind,
-                call.deadline,
-                now,
-            )
-    }
-
-    /// Returns whether a call of `kind` that starts after `wait` can be answered by `deadline`.
-    fn can_start_after(&self, wait: Duration, kind: &str, deadline: Instant, now: Instant) -> bool {
-        let needed = self.times.min(kind).unwrap_or(Duration::ZERO);
-        let ends_at = now.checked_add(wait.saturating_add(needed));
-        ends_at.is_some_and(|ends_at| ends_at < deadline)
-    }
-
     fn next_to_run(&self, now: Instant) -> Option<usize> {
         if !self.has_token(now) {
             return None;
         }
-        let mut best: Option<(usize, (u32, bool), f64)> = None;
+        let mut first: Option<(usize, Order)> = None;
         for (index, call) in self.waiting.iter().enumerate() {
             if !self.has_slot(call.long) {
                 continue;
             }
-            let order = (call.rank, self.is_late(call, now));
-            let density = self.times.density(&call.kind, call.worth);
-            let better = best.is_none_or(|(_, best_order, best_density)| {
-                order < best_order || (order == best_order && density > best_density)
-            });
-            if better {
-                best = Some((index, order, density));
+            let order = self.order_of(call, now);
+            if first.is_none_or(|(_, first_order)| order.is_before(first_order)) {
+                first = Some((index, order));
             }
         }
-        best.map(|(index, _, _)| index)
+        first.map(|(index, _)| index)
+    }
+
+    fn order_of(&self, call: &Waiting, now: Instant) -> Order {
+        Order {
+            rank: call.rank,
+            late: self.is_late(call, now),
+            density: self.times.density(&call.kind, call.worth),
+        }
     }
 
     /// Returns whether a waiting call would be late even if it ran at once.
@@ -406,18 +353,6 @@
             .max(self.expected_turn_wait(rank, now))
     }
 
-    /// Returns the expected wait of a new call of `rank` for its turn under the rate limit.
-    fn expected_turn_wait(&self, rank: u32, now: Instant) -> Duration {
-        let Some(pacer) = &self.pacer else {
-            return Duration::ZERO;
-        };
-        let mut ahead_count = 0;
-        for call in &self.waiting {
-            ahead_count += usize::from(call.rank <= rank && !self.is_late(call, now));
-        }
-        pacer.wait(ahead_count, now)
-    }
-
     fn expected_slot_wait(&self, rank: u32, now: Instant) -> Duration {
         let slot_count = self.limits.slot_count.max(1);
         if self.running.len() < slot_count as usize {
@@ -447,16 +382,6 @@
         (self.concurrency() * LATE_PER_SLOT_RATIO).ceil() as usize
     }
 
-    /// Returns how many calls the target runs at once when it is fully used: its slots, or fewer if
-    /// the rate limit starts calls more slowly than the slots become free.
-    fn concurrency(&self) -> f64 {
-        let slot_count = f64::from(self.limits.slot_count);
-        match &self.pacer {
-            Some(pacer) => slot_count.min(pacer.limit().per_s() * self.times.overall_mean_s()),
-            None => slot_count,
-        }
-    }
-
     /// Returns the index of the waiting call to shed for a new call of `rank` and `density`, if any
     /// is of a later rank or of less worth per slot-second: the one of the least worth per
     /// slot-second within the last rank.
@@ -491,20 +416,6 @@
         long_count < self.limits.long_max_count() as usize
     }
 
-    /// Returns whether the rate limit lets a call start now.
-    fn has_token(&self, now: Instant) -> bool {
-        self.pacer.as_ref().is_none_or(|pacer| pacer.has_token(now))
-    }
-
-    /// Returns why a call that may not wait can't start now.
-    fn busy_reason(&self, now: Instant) -> NotRunReason {
-        if self.has_token(now) {
-            NotRunReason::Overloaded
-        } else {
-            NotRunReason::RateLimited
-        }
-    }
-
     fn run(&mut self, ticket: Ticket, kind: &str, long: bool, now: Instant) {
         if let Some(pacer) = &mut self.pacer {
             pacer.take_token(now);
