Let the soak's back ends name limits and leave by their answers

Two faults: a back end names a rate limit for 7 s, or states that it is leaving. The checks of a soak have a folder of their own.

--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -2,11 +2,13 @@
 //! processes, and checks the system's guarantees from what callers and back ends observe. The seed
 //! determines the sequence of faults of each injector task.
 
+mod checks;
+mod notices;
+
 use std::cell::{
     Cell,
     RefCell, //
 };
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{
     Duration,
@@ -15,15 +17,17 @@
 
 use figway_types::mix;
 
+use self::notices::{
+    BackendNotice,
+    NoticeKind, //
+};
 use crate::process::Signal;
 use crate::relay::LinkState;
 use crate::site::caller::CallResult;
 use crate::site::store::StoreFaults;
 use crate::site::{
     config,
-    Site,
-    ORDERS,
-    READS, //
+    Site, //
 };
 
 /// Number of hosts in a soak.
@@ -40,6 +44,13 @@
 /// request.
 const DRAIN_MAX: Duration = Duration::from_millis(2_000);
 
+/// Rate limit that a back end names, in requests per second.
+const RATE_LIMIT_PER_S: f64 = 12.0;
+
+/// Time for which a back end names its rate limit. It is longer than the span over which the platform
+/// sums the requests.
+const RATE_LIMIT_DURATION: Duration = Duration::from_millis(7_000);
+
 /// Time within which a node must end after SIGTERM.
 const SHUTDOWN_GRACE: Duration = Duration::from_secs(6);
 
@@ -60,9 +71,11 @@
     SlowBackend,
     RestartBackend,
     DrainBackend,
+    LimitBackend,
+    LeaveBackend,
 }
 
-const FAULTS: [Fault; 14] = [
+const FAULTS: [Fault; 16] = [
     Fault::KillNode,
     Fault::StopNode,
     Fault::PauseNode,
@@ -77,6 +90,8 @@
     Fault::SlowBackend,
     Fault::RestartBackend,
     Fault::DrainBackend,
+    Fault::LimitBackend,
+    Fault::LeaveBackend,
 ];
 
 /// Result of a soak.
@@ -109,6 +124,10 @@
     /// Host index and generation of each back end whose draining was acknowledged, and the time
     /// after which it must not start a request.
     drained_backends: RefCell<Vec<(usize, u64, Instant)>>,
+    /// Limits and leaving states that back ends stated in their answers.
+    notices: RefCell<Vec<BackendNotice>>,
+    /// Host index and time of each kill, stop, pause and end of a pause.
+    disturbances: RefCell<Vec<(usize, Instant)>>,
     config_version: Cell<u32>,
     ends_at: Instant,
     report: RefCell<SoakReport>,
@@ -126,6 +145,8 @@
         site: RefCell::new(site),
         results: RefCell::default(),
         drained_backends: RefCell::default(),
+        notices: RefCell::default(),
+        disturbances: RefCell::default(),
         config_version: Cell::new(1),
         ends_at: Instant::now() + duration,
         report: RefCell::default(),
@@ -252,6 +273,25 @@
                 tokio::time::sleep(DRAIN_MAX + duration).await;
                 backend.set_draining(false).await;
             }
+            Fault::LimitBackend => {
+                let kind = NoticeKind::RateLimit(RATE_LIMIT_PER_S);
+                let notice = BackendNotice::begin(index, &backend, kind);
+                backend.set_rate_limit(&RATE_LIMIT_PER_S.to_string());
+                tokio::time::sleep(RATE_LIMIT_DURATION).await;
+                if backend.generation() == notice.generation {
+                    *backend.rate_limit.borrow_mut() = None;
+                }
+                self.notices.borrow_mut().push(notice.end());
+            }
+            Fault::LeaveBackend => {
+                let notice = BackendNotice::begin(index, &backend, NoticeKind::Leaving);
+                backend.leaving.set(true);
+                tokio::time::sleep(DRAIN_MAX + duration).await;
+                self.notices.borrow_mut().push(notice.end());
+                if backend.generation() == notice.generation {
+                    backend.restart();
+                }
+            }
         }
     }
 
@@ -262,6 +302,7 @@
     }
 
     fn signal_node(&self, index: usize, signal: Signal) {
+        self.disturbances.borrow_mut().push((index, Instant::now()));
         let site = self.site.borrow();
         if let Some(node) = &site.hosts[index].node {
             // The signal fails if another injector has just ended the process, which is not an
@@ -302,104 +343,4 @@
     fn record_violation(&self, violation: String) {
         self.report.borrow_mut().violations.push(violation);
     }
-
-    async fn check_guarantees(&self) {
-        self.check_calls();
-        self.check_drains();
-        self.check_configuration().await;
-    }
-
-    fn check_calls(&self) {
-        let site = self.site.borrow();
-        let mut run_counts: BTreeMap<String, usize> = BTreeMap::new();
-        for (index, host) in site.hosts.iter().enumerate() {
-            let service = if index % 2 == 0 { READS } else { ORDERS };
-            for run in host.backend.runs() {
-                if !run.request_line.contains(service) {
-                    self.record_violation(format!(
-                        "back end of {service} on host {index} ran {}",
-                        run.request_line
-                    ));
-                }
-                if run.origin != READS && run.origin != ORDERS {
-                    self.record_violation(format!(
-                        "request {} has the unknown origin {}",
-                        run.id, run.origin
-                    ));
-                }
-                *run_counts.entry(run.id).or_default() += 1;
-            }
-        }
-        let mut report = self.report.borrow_mut();
-        for (index, is_order, result) in self.results.borrow().iter() {
-            report.call_count += 1;
-            let run_count = run_counts.remove(&result.id).unwrap_or(0);
-            let at = format!("request {} at host {index}", result.id);
-            if *is_order && run_count > 1 {
-                report
-                    .violations
-                    .push(format!("{at} ran {run_count} times"));
-            }
-            if matches!(result.status, 408 | 421 | 429 | 503) && *is_order && run_count > 0 {
-                report.violations.push(format!(
-                    "{at} ran although it was refused with {}",
-                    result.status
-                ));
-            }
-            if result.status == 200 {
-                report.served_count += 1;
-                if !result.sealed || run_count == 0 {
-                    report.violations.push(format!(
-                        "{at} was answered with 200, but without a run or a valid seal"
-                    ));
-                }
-            }
-            if (400..500).contains(&result.status) && !matches!(result.status, 408 | 421 | 429) {
-                report
-                    .violations
-                    .push(format!("{at} was rejected with {}", result.status));
-            }
-        }
-        for id in run_counts.into_keys() {
-            report
-                .violations
-                .push(format!("request {id} ran, but no caller sent it"));
-        }
-    }
-
-    fn check_drains(&self) {
-        let site = self.site.borrow();
-        for (index, generation, deadline) in self.drained_backends.borrow().iter() {
-            for run in site.hosts[*index].backend.runs() {
-                if run.generation == *generation && run.started_at > *deadline {
-                    self.record_violation(format!(
-                        "request {} reached the drained back end of host {index}",
-                        run.id
-                    ));
-                }
-            }
-        }
-    }
-
-    /// Publishes one more configuration, and checks that it is in force on every node after 2 s.
-    async fn check_configuration(&self) {
-        self.config_version.set(self.config_version.get() + 1);
-        let store = Rc::clone(&self.site.borrow().store);
-        store.publish(&config(self.config_version.get(), "/moved/"));
-        tokio::time::sleep(Duration::from_millis(2_000)).await;
-        for index in 0..HOST_COUNT {
-            let caller = self.site.borrow().caller(index);
-            let (moved, old) = (
-                caller.call("GET", "/moved/1").await,
-                caller.call("GET", "/reads/1").await,
-            );
-            if moved.status != 200 || old.status != 404 {
-                self.record_violation(format!(
-                    "host {index} does not apply the newest configuration: \
-                     status {} for the new path and {} for the old path",
-                    moved.status, old.status
-                ));
-            }
-        }
-    }
 }
