Let the soak's store come back older

The checks of the soak hold for it as they are: the newest configuration is in force on every host at the end.

--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -71,11 +71,12 @@
     SlowBackend,
     RestartBackend,
     DrainBackend,
+    RestoreStore,
     LimitBackend,
     LeaveBackend,
 }
 
-const FAULTS: [Fault; 16] = [
+const FAULTS: [Fault; 17] = [
     Fault::KillNode,
     Fault::StopNode,
     Fault::PauseNode,
@@ -90,6 +91,7 @@
     Fault::SlowBackend,
     Fault::RestartBackend,
     Fault::DrainBackend,
+    Fault::RestoreStore,
     Fault::LimitBackend,
     Fault::LeaveBackend,
 ];
@@ -273,6 +275,13 @@
                 tokio::time::sleep(DRAIN_MAX + duration).await;
                 backend.set_draining(false).await;
             }
+            Fault::RestoreStore => {
+                let copy = store.copy();
+                tokio::time::sleep(duration * 3).await;
+                store.restore(&copy);
+                // The operator writes its newest configuration again.
+                store.publish(&config(self.config_version.get(), "/reads/"));
+            }
             Fault::LimitBackend => {
                 let kind = NoticeKind::RateLimit(RATE_LIMIT_PER_S);
                 let notice = BackendNotice::begin(index, &backend, kind);
