Bound the bytes of all answers that are read at once

Seen: eight answers that are each within the size limit and never end are all kept until their deadline; on a host of 88 MB, fifteen answers of a faulty target that grow to 16 MiB each would end the process. Change: a client buffers twice the largest answer for all answers together; beyond it one that is above 64 KiB is given up like one that is too large. Evidence: the new test had eight of eight waiting until the deadline before, and cuts at least five now.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,9 @@
 //! Pooled HTTP/1.1 client. Each connection carries one request at a time, without pipelining.
 
-use std::cell::RefCell;
+use std::cell::{
+    Cell,
+    RefCell, //
+};
 use std::net::IpAddr;
 use std::time::{
     Duration,
@@ -11,8 +14,7 @@
 use futures::future::LocalBoxFuture;
 use http_body_util::{
     BodyExt as _,
-    Full,
-    Limited, //
+    Full, //
 };
 use hyper::body::{
     Bytes,
@@ -48,6 +50,12 @@
 /// a process that is ending may still accept connections.
 const ACCEPT_SETTLE: Duration = Duration::from_millis(50);
 
+/// Number of answers of the largest size whose bytes may be buffered at once.
+const LARGEST_ANSWER_COUNT: usize = 2;
+
+/// Size up to which an answer is read even if others fill the buffer, in bytes.
+const SMALL_ANSWER_BYTES: usize = 64 * 1_024;
+
 /// Limits of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientLimits {
@@ -60,7 +68,7 @@
     pub non_idempotent_idle_max_ms: u64,
     /// Connect timeout, in milliseconds.
     pub connect_max_ms: u64,
-    /// Largest answer body, in bytes.
+    /// Largest answer body, in bytes. Twice as much is buffered for all answers together.
     pub body_max_bytes: usize,
     /// Local address that connections are bound to; the system chooses it if absent.
     pub local_ip: Option<IpAddr>,
@@ -86,10 +94,49 @@
     expires_at: Instant,
 }
 
+/// Bytes of one answer's body, which count as buffered until they are dropped.
+struct BufferedBody<'a> {
+    total_bytes: &'a Cell<usize>,
+    bytes: Vec<u8>,
+}
+
+impl<'a> BufferedBody<'a> {
+    fn new(total_bytes: &'a Cell<usize>) -> Self {
+        Self {
+            total_bytes,
+            bytes: Vec::new(),
+        }
+    }
+
+    fn extend(&mut self, data: &[u8]) {
+        self.bytes.extend_from_slice(data);
+        self.total_bytes.set(self.total_bytes.get() + data.len());
+    }
+
+    /// Returns whether the body is too large by itself, or together with the others.
+    fn is_too_large(&self, body_max_bytes: usize) -> bool {
+        let length = self.bytes.len();
+        if length > body_max_bytes {
+            return true;
+        }
+        let total_max_bytes = body_max_bytes.saturating_mul(LARGEST_ANSWER_COUNT);
+        self.total_bytes.get() > total_max_bytes && length > SMALL_ANSWER_BYTES
+    }
+}
+
+impl Drop for BufferedBody<'_> {
+    fn drop(&mut self) {
+        self.total_bytes
+            .set(self.total_bytes.get() - self.bytes.len());
+    }
+}
+
 /// HTTP client with a pool of idle connections for each address.
 pub struct HttpClient {
     pool: RefCell<FastMap<String, Vec<IdleConnection>>>,
     limits: ClientLimits,
+    /// Bytes of the bodies that are being read.
+    buffered_bytes: Cell<usize>,
 }
 
 impl HttpClient {
@@ -98,6 +145,7 @@
         Self {
             pool: RefCell::default(),
             limits,
+            buffered_bytes: Cell::new(0),
         }
     }
 
@@ -222,17 +270,11 @@
                 ));
             }
         }
-        let limited = Limited::new(body, self.limits.body_max_bytes);
-        let body = limited.collect().await.map_err(|error| {
-            if error.is::<http_body_util::LengthLimitError>() {
-                return SendFailure::TooLarge;
-            }
-            SendFailure::Broken(format!("the answer broke off: {error}"))
-        })?;
+        let body = self.read_body(body).await?;
         let answer = Answer {
             status: head.status.as_u16(),
             headers,
-            body: ntex::util::Bytes::copy_from_slice(&body.to_bytes()),
+            body,
         };
         self.return_to_pool(outbound.address, connection, &answer);
         Ok(Answer {
@@ -240,6 +282,22 @@
             ..answer
         })
     }
+
+    async fn read_body(&self, mut body: Incoming) -> Result<ntex::util::Bytes, SendFailure> {
+        let mut buffered = BufferedBody::new(&self.buffered_bytes);
+        while let Some(frame) = body.frame().await {
+            let frame = frame
+                .map_err(|error| SendFailure::Broken(format!("the answer broke off: {error}")))?;
+            let Some(data) = frame.data_ref() else {
+                continue;
+            };
+            buffered.extend(data);
+            if buffered.is_too_large(self.limits.body_max_bytes) {
+                return Err(SendFailure::TooLarge);
+            }
+        }
+        Ok(ntex::util::Bytes::copy_from_slice(&buffered.bytes))
+    }
 }
 
 impl Transport for HttpClient {
--- a/crates/http/tests/connections.rs
+++ b/crates/http/tests/connections.rs
@@ -239,15 +239,19 @@
     (address, connection_count)
 }
 
-fn client() -> HttpClient {
-    HttpClient::new(ClientLimits {
+fn client_limits() -> ClientLimits {
+    ClientLimits {
         idle_max_count: 8,
         idle_max_ms: 2_000,
         non_idempotent_idle_max_ms: 2_000,
         connect_max_ms: 500,
         body_max_bytes: 1_024,
         local_ip: None,
-    })
+    }
+}
+
+fn client() -> HttpClient {
+    HttpClient::new(client_limits())
 }
 
 async fn send(client: &HttpClient, address: &str, id: &str) -> Result<Answer, SendFailure> {
@@ -420,3 +424,47 @@
         assert_eq!(written_bytes.get(), usize::MAX, "{start:?}: still open");
     }
 }
+
+/// Answers that are each within the limit, but never end, must not fill the memory together.
+#[ntex::test]
+async fn many_large_answers_at_once_are_bounded_in_their_sum() {
+    let chunk: &'static str = "x".repeat(1_000).leak();
+    let mut addresses = Vec::new();
+    for _ in 0..8 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        addresses.push(listener.local_addr().unwrap().to_string());
+        tokio::task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buffer = [0_u8; 4_096];
+            assert!(stream.read(&mut buffer).await.unwrap() > 0);
+            let head = "HTTP/1.1 200 OK\r\nx-id: one\r\n\r\n";
+            stream.write_all(head.as_bytes()).await.unwrap();
+            for _ in 0..900 {
+                if stream.write_all(chunk.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            std::future::pending::<()>().await;
+        });
+    }
+    let client = HttpClient::new(ClientLimits {
+        body_max_bytes: 1_024 * 1_024,
+        ..client_limits()
+    });
+    let calls = addresses
+        .iter()
+        .map(|address| send(&client, address, "one"));
+    let results = futures::future::join_all(calls).await;
+    let mut cut_count = 0;
+    for result in &results {
+        cut_count += usize::from(*result == Err(SendFailure::TooLarge));
+    }
+    // Two answers of the largest size may be buffered at once.
+    assert!(cut_count >= 5, "{results:?}");
+    // The bytes of those that were cut do not count any more.
+    let (address, _) = start_raw(vec![vec![
+        "HTTP/1.1 200 OK\r\nx-id: one\r\ncontent-length: 5\r\n\r\nwhole",
+    ]])
+    .await;
+    assert_eq!(send(&client, &address, "one").await.unwrap().status, 200);
+}
