Copy an answer's body once, and tell waits at targets that stay

Read again: the body of an answer was copied a second time, and the wait that a refused caller is told took targets into account that are leaving.

--- a/crates/dataplane/src/pick.rs
+++ b/crates/dataplane/src/pick.rs
@@ -106,15 +106,22 @@
     })
 }
 
-/// Returns the shortest time until any target is expected to start the call, if a target is known.
+/// Returns the shortest time until any target that stays is expected to start the call, if one is
+/// known.
 pub(crate) fn shortest_wait(worker: &Worker, rule: &Rule<'_>) -> Option<Duration> {
     let plane = &worker.plane;
     let entries = entries(worker, rule);
-    let Candidates { candidates, .. } = build_candidates(plane, &entries);
+    let Candidates {
+        candidates,
+        leaving,
+    } = build_candidates(plane, &entries);
     let loads = plane.loads();
     let now = Instant::now();
     let mut shortest_ms: Option<f64> = None;
     for candidate in &candidates {
+        if leaving.contains(&candidate.node_id) {
+            continue;
+        }
         let ran_ms = loads.ran_ms(candidate.node_id, rule.name).unwrap_or(0.0);
         let concurrency = candidate.concurrency(ran_ms);
         let wait_ms = loads.wait_ms(candidate.node_id, rule.name, concurrency, ran_ms, now);
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -97,6 +97,7 @@
 /// Bytes of one answer's body, which count as buffered until they are dropped.
 struct BufferedBody<'a> {
     total_bytes: &'a Cell<usize>,
+    counted_bytes: usize,
     bytes: Vec<u8>,
 }
 
@@ -104,30 +105,35 @@
     fn new(total_bytes: &'a Cell<usize>) -> Self {
         Self {
             total_bytes,
+            counted_bytes: 0,
             bytes: Vec::new(),
         }
     }
 
     fn extend(&mut self, data: &[u8]) {
         self.bytes.extend_from_slice(data);
+        self.counted_bytes += data.len();
         self.total_bytes.set(self.total_bytes.get() + data.len());
     }
 
+    fn into_bytes(mut self) -> ntex::util::Bytes {
+        std::mem::take(&mut self.bytes).into()
+    }
+
     /// Returns whether the body is too large by itself, or together with the others.
     fn is_too_large(&self, body_max_bytes: usize) -> bool {
-        let length = self.bytes.len();
-        if length > body_max_bytes {
+        if self.counted_bytes > body_max_bytes {
             return true;
         }
         let total_max_bytes = body_max_bytes.saturating_mul(LARGEST_ANSWER_COUNT);
-        self.total_bytes.get() > total_max_bytes && length > SMALL_ANSWER_BYTES
+        self.total_bytes.get() > total_max_bytes && self.counted_bytes > SMALL_ANSWER_BYTES
     }
 }
 
 impl Drop for BufferedBody<'_> {
     fn drop(&mut self) {
         self.total_bytes
-            .set(self.total_bytes.get() - self.bytes.len());
+            .set(self.total_bytes.get() - self.counted_bytes);
     }
 }
 
@@ -296,7 +302,7 @@
                 return Err(SendFailure::TooLarge);
             }
         }
-        Ok(ntex::util::Bytes::copy_from_slice(&buffered.bytes))
+        Ok(buffered.into_bytes())
     }
 }
 
