Refuse a call on arrival whose turn under a rate limit would come too late for a prompt answer

Callers saw lookups refused or lost after 150 ms to their whole deadline. Cause: calls that became late while they waited were put behind newer ones that could still be prompt, which took all turns, so that the late ones were refused only when nothing was left of their time. Change: under a limit calls start by rank and worth, then in order of arrival, and a call behind others is admitted only if its turn comes in time for a prompt answer. Without a limit the queue is as it was.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -325,7 +325,8 @@
     fn order_of(&self, call: &Waiting, now: Instant) -> Order {
         Order {
             rank: call.rank,
-            late: self.is_late(call, now),
+            // Under a rate limit a call that would be late is refused instead of put behind others.
+            late: self.pacer.is_none() && self.is_late(call, now),
             density: self.times.density(&call.kind, call.worth),
         }
     }
--- a/crates/admission/src/admission/turns.rs
+++ b/crates/admission/src/admission/turns.rs
@@ -52,7 +52,8 @@
         }
         queue.sort_by(|(a, _), (b, _)| a.compare(*b));
         for (_, call) in queue {
-            if self.can_start_after(pacer.wait(kept_count, now), &call.kind, call.deadline, now) {
+            let start_by = self.latest_start(&call.kind, call.prompt_by, call.deadline, kept_count);
+            if is_before(pacer.wait(kept_count, now), now, start_by) {
                 kept_count += 1;
                 continue;
             }
@@ -66,32 +67,46 @@
 
     /// Returns whether a new call's turn under the rate limit would come too late for it.
     pub(super) fn turn_is_too_late(&self, call: &CallView<'_>, now: Instant) -> bool {
-        self.pacer.is_some()
-            && !self.can_start_after(
-                self.expected_turn_wait(call.rank, now),
-                call.kind,
-                call.deadline,
-                now,
-            )
+        let Some(pacer) = &self.pacer else {
+            return false;
+        };
+        let ahead_count = self.ahead_count(call.rank);
+        let start_by = self.latest_start(call.kind, call.prompt_by, call.deadline, ahead_count);
+        !is_before(pacer.wait(ahead_count, now), now, start_by)
     }
 
-    /// Returns whether a call of `kind` that starts after `wait` can be answered by `deadline`.
-    fn can_start_after(&self, wait: Duration, kind: &str, deadline: Instant, now: Instant) -> bool {
+    /// Returns until when a call of `kind` may start: so that it can be answered by its deadline. A
+    /// call behind others must also start in time for a prompt answer, since later turns are better
+    /// used by calls that can still be prompt.
+    fn latest_start(
+        &self,
+        kind: &str,
+        prompt_by: Option<Instant>,
+        deadline: Instant,
+        ahead_count: usize,
+    ) -> Instant {
         let needed = self.times.min(kind).unwrap_or(Duration::ZERO);
-        let ends_at = now.checked_add(wait.saturating_add(needed));
-        ends_at.is_some_and(|ends_at| ends_at < deadline)
+        let answerable_by = deadline.checked_sub(needed).unwrap_or(deadline);
+        match prompt_by {
+            Some(prompt_by) if ahead_count > 0 => {
+                let mean = self.times.mean(kind);
+                answerable_by.min(prompt_by.checked_sub(mean).unwrap_or(prompt_by))
+            }
+            _ => answerable_by,
+        }
+    }
+
+    /// Returns the number of waiting calls that start before a new one of `rank`.
+    fn ahead_count(&self, rank: u32) -> usize {
+        self.waiting.iter().filter(|call| call.rank <= rank).count()
     }
 
     /// Returns the expected wait of a new call of `rank` for its turn under the rate limit.
     pub(super) fn expected_turn_wait(&self, rank: u32, now: Instant) -> Duration {
-        let Some(pacer) = &self.pacer else {
-            return Duration::ZERO;
-        };
-        let mut ahead_count = 0;
-        for call in &self.waiting {
-            ahead_count += usize::from(call.rank <= rank && !self.is_late(call, now));
+        match &self.pacer {
+            Some(pacer) => pacer.wait(self.ahead_count(rank), now),
+            None => Duration::ZERO,
         }
-        pacer.wait(ahead_count, now)
     }
 
     /// Returns how many calls the target runs at once when it is fully used: its slots, or fewer if
@@ -118,3 +133,8 @@
         }
     }
 }
+
+/// Returns whether `wait` from `now` on ends before `latest`.
+fn is_before(wait: Duration, now: Instant, latest: Instant) -> bool {
+    now.checked_add(wait).is_some_and(|end| end < latest)
+}
