Keep a limit in the soak until the last of its faults ends

Traced in the nodes' logs: the limit was lifted 7.0 s after it began, and until then 12 to 13 calls a second were sent. Two series of faults limited the same back end, and the end of the first took the header back while the check of the second still expected it. The check and its bound stay; the back end now names its limit as long as the check expects it.

--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -128,6 +128,8 @@
     drained_backends: RefCell<Vec<(usize, u64, Instant)>>,
     /// Limits and leaving states that back ends stated in their answers.
     notices: RefCell<Vec<BackendNotice>>,
+    /// Host index of each fault under way that limits a back end.
+    limited_hosts: RefCell<Vec<usize>>,
     /// Host index and time of each kill, stop, pause and end of a pause.
     disturbances: RefCell<Vec<(usize, Instant)>>,
     config_version: Cell<u32>,
@@ -148,6 +150,7 @@
         results: RefCell::default(),
         drained_backends: RefCell::default(),
         notices: RefCell::default(),
+        limited_hosts: RefCell::default(),
         disturbances: RefCell::default(),
         config_version: Cell::new(1),
         ends_at: Instant::now() + duration,
@@ -286,11 +289,10 @@
                 let kind = NoticeKind::RateLimit(RATE_LIMIT_PER_S);
                 let notice = BackendNotice::begin(index, &backend, kind);
                 backend.set_rate_limit(&RATE_LIMIT_PER_S.to_string());
+                self.limited_hosts.borrow_mut().push(index);
                 tokio::time::sleep(RATE_LIMIT_DURATION).await;
-                if backend.generation() == notice.generation {
-                    *backend.rate_limit.borrow_mut() = None;
-                }
                 self.notices.borrow_mut().push(notice.end());
+                self.end_rate_limit(index);
             }
             Fault::LeaveBackend => {
                 let notice = BackendNotice::begin(index, &backend, NoticeKind::Leaving);
@@ -304,6 +306,19 @@
         }
     }
 
+    /// Ends one fault that limits the back end on the host at `index`. The back end names its limit
+    /// until the last one ends.
+    fn end_rate_limit(&self, index: usize) {
+        let mut limited_hosts = self.limited_hosts.borrow_mut();
+        if let Some(position) = limited_hosts.iter().position(|host| *host == index) {
+            limited_hosts.swap_remove(position);
+        }
+        if !limited_hosts.contains(&index) {
+            let site = self.site.borrow();
+            *site.hosts[index].backend.rate_limit.borrow_mut() = None;
+        }
+    }
+
     fn publish(&self) {
         self.config_version.set(self.config_version.get() + 1);
         let store = Rc::clone(&self.site.borrow().store);
