--- a/crates/http/tests/connections.rs
+++ b/crates/http/tests/connections.rs
@@ -380,8 +380,7 @@
     (address, written_bytes)
 }
 
-/// A faulty server sends bytes without end: in the head, in a body of any encoding, or instead of an
-/// answer.
+/// Guards against a faulty server that sends bytes until the client closes.
 #[ntex::test]
 async fn an_answer_without_end_is_given_up_at_the_size_limit_and_its_connection_closed() {
     let long_line = "x".repeat(1_000);
--- a/crates/testbed/src/site/store.rs
+++ b/crates/testbed/src/site/store.rs
@@ -81,6 +81,8 @@
     request_count: Cell<u64>,
     /// Number of times that the store was restored from a copy, plus 1.
     era: Cell<u64>,
+    /// Text that answers name instead of the era, if any.
+    wrong_era: RefCell<Option<String>>,
     phase: RefCell<Option<watch::Sender<ServerPhase>>>,
 }
 
@@ -98,6 +100,7 @@
             faults: Cell::default(),
             request_count: Cell::new(0),
             era: Cell::new(1),
+            wrong_era: RefCell::default(),
             phase: RefCell::default(),
         });
         let (address, phase) = serve_on_free_port(store.clone()).await?;
@@ -161,6 +164,11 @@
         self.append_signal.send_modify(|count| *count += 1);
     }
 
+    /// Makes answers name `text` as their era, or the true era again.
+    pub fn set_wrong_era(&self, text: Option<&str>) {
+        *self.wrong_era.borrow_mut() = text.map(str::to_owned);
+    }
+
     /// Drops all records of the operator's topic but the newest, which gets a new offset.
     pub fn truncate_history(&self) {
         let mut topics = self.topics.borrow_mut();
@@ -188,7 +196,11 @@
 
     async fn answer(&self, request: Request) -> Answer {
         let mut answer = self.answer_without_era(request).await;
-        answer.headers.push("store-era", self.era.get().to_string());
+        let era = self.era.get().to_string();
+        let wrong_era = self.wrong_era.borrow();
+        let named_era = wrong_era.as_deref().unwrap_or(&era);
+        answer.headers.push("store-era", named_era);
+        drop(wrong_era);
         answer
     }
 
--- a/crates/testbed/tests/restored_store.rs
+++ b/crates/testbed/tests/restored_store.rs
@@ -21,6 +21,7 @@
 };
 use figway_testbed::site::store::StoreFaults;
 use figway_testbed::site::{
+    config,
     Site,
     ORDERS,
     READS, //
@@ -39,6 +40,9 @@
 /// Longest time until a change is in force on every node.
 const IN_FORCE_MAX: Duration = Duration::from_secs(5);
 
+/// Time after which every reader of the change stream has had an answer.
+const LONG_POLL: Duration = Duration::from_millis(2_300);
+
 /// Profile that every service can follow.
 const PROFILE: &str =
     "kinds:\n  - {name: all, method: GET, path_prefix: /, idempotent: true, worth: 1, budget_ms: 500}\n";
@@ -208,3 +212,48 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
+
+#[ntex::test]
+async fn an_era_that_falls_or_is_no_number_is_logged_and_nothing_is_lost() {
+    let site = Site::start("wrong-era", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    site.store.restore(&site.store.copy());
+    publish(&site, "steady");
+    switch(&site, READS, Offset(0), "steady");
+    assert_in_force(&site, READS, "steady").await;
+    let wrong_eras = ["1", "0", "second", "-2", "", "99999999999", "70000"];
+    for (index, text) in wrong_eras.into_iter().enumerate() {
+        site.store.set_wrong_era(Some(text));
+        let version = 2 + index as u32;
+        let path = format!("/v{version}/");
+        site.store.publish(&config(version, &path));
+        assert_served(&site, &format!("{path}1")).await;
+        tokio::time::sleep(LONG_POLL).await;
+        assert_in_force(&site, READS, "steady").await;
+    }
+    site.store.set_wrong_era(None);
+    switch(&site, ORDERS, Offset(0), "steady");
+    assert_in_force(&site, ORDERS, "steady").await;
+    let mut logs = String::new();
+    for host in &site.hosts {
+        logs.push_str(&host.log().unwrap());
+    }
+    for line in ["store era of an answer falls", "store era ignored"] {
+        assert!(logs.contains(line), "no line says: {line}");
+    }
+}
+
+/// Waits until reads of `path` are served at every node.
+async fn assert_served(site: &Site, path: &str) {
+    let deadline = Instant::now() + IN_FORCE_MAX;
+    for index in 0..site.hosts.len() {
+        let caller = site.caller(index);
+        while caller.call("GET", path).await.status != 200 {
+            assert!(
+                Instant::now() < deadline,
+                "host {index} does not serve {path}"
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
