Wait for a served path in one place of the tests

The loop stood in the tests of the site and again in those of the restored store. It is shared now and takes its bound, 2 s and 5 s as before; no assertion changed.

--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -78,3 +78,18 @@
         }
     }
 }
+
+/// Waits until reads of `path` are served at every node, at most for `within`.
+pub(crate) async fn assert_served(site: &Site, path: &str, within: Duration) {
+    let deadline = Instant::now() + within;
+    for index in 0..site.hosts.len() {
+        let caller = site.caller(index);
+        while caller.call("GET", path).await.status != 200 {
+            assert!(
+                Instant::now() < deadline,
+                "host {index} does not serve {path}"
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
--- a/crates/testbed/tests/restored_store.rs
+++ b/crates/testbed/tests/restored_store.rs
@@ -32,7 +32,10 @@
     Offset, //
 };
 
-use crate::common::wait_site_ready;
+use crate::common::{
+    assert_served,
+    wait_site_ready, //
+};
 
 /// Topic of the operators' own changes.
 const CHANGE_TOPIC: &str = "figway-changes";
@@ -227,7 +230,7 @@
         let version = 2 + index as u32;
         let path = format!("/v{version}/");
         site.store.publish(&config(version, &path));
-        assert_served(&site, &format!("{path}1")).await;
+        assert_served(&site, &format!("{path}1"), IN_FORCE_MAX).await;
         tokio::time::sleep(LONG_POLL).await;
         assert_in_force(&site, READS, "steady").await;
     }
@@ -242,18 +245,3 @@
         assert!(logs.contains(line), "no line says: {line}");
     }
 }
-
-/// Waits until reads of `path` are served at every node.
-async fn assert_served(site: &Site, path: &str) {
-    let deadline = Instant::now() + IN_FORCE_MAX;
-    for index in 0..site.hosts.len() {
-        let caller = site.caller(index);
-        while caller.call("GET", path).await.status != 200 {
-            assert!(
-                Instant::now() < deadline,
-                "host {index} does not serve {path}"
-            );
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-    }
-}
--- a/crates/testbed/tests/site.rs
+++ b/crates/testbed/tests/site.rs
@@ -21,7 +21,10 @@
 };
 use figway_testbed::soak::soak;
 
-use crate::common::wait_site_ready;
+use crate::common::{
+    assert_served,
+    wait_site_ready, //
+};
 
 /// Longest time that the platform allows until a published configuration is in force.
 const IN_FORCE_MAX: Duration = Duration::from_millis(2_000);
@@ -101,21 +104,6 @@
     assert_eq!(site.caller(1).call("GET", "/old/1").await.status, 404);
 }
 
-/// Waits until `path` is served at every node, at most for [`IN_FORCE_MAX`].
-async fn assert_in_force(site: &Site, path: &str) {
-    let deadline = Instant::now() + IN_FORCE_MAX;
-    for index in 0..site.hosts.len() {
-        let caller = site.caller(index);
-        while caller.call("GET", path).await.status != 200 {
-            assert!(
-                Instant::now() < deadline,
-                "host {index} does not serve {path}"
-            );
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-    }
-}
-
 /// Guards against readers that compare offsets of two histories of the store.
 #[ntex::test]
 async fn a_configuration_is_in_force_in_time_after_the_store_came_back_older() {
@@ -129,7 +117,7 @@
         for lost in version..version + 3 {
             site.store.publish(&config(lost, &path(lost)));
         }
-        assert_in_force(&site, &format!("{}1", path(version + 2))).await;
+        assert_served(&site, &format!("{}1", path(version + 2)), IN_FORCE_MAX).await;
         site.store.set_faults(StoreFaults {
             down: true,
             ..StoreFaults::default()
@@ -142,7 +130,7 @@
         }
         site.store.publish(&config(version + 5, &path(version + 5)));
         site.store.set_faults(StoreFaults::default());
-        assert_in_force(&site, &format!("{}1", path(version + 5))).await;
+        assert_served(&site, &format!("{}1", path(version + 5)), IN_FORCE_MAX).await;
         let old = site
             .caller(0)
             .call("GET", &format!("{}1", path(version + 2)))
@@ -158,7 +146,7 @@
     wait_site_ready(&site).await;
     let copy = site.store.copy();
     site.store.publish(&config(2, "/new/"));
-    assert_in_force(&site, "/new/1").await;
+    assert_served(&site, "/new/1", IN_FORCE_MAX).await;
     let request_count = site.store.request_count();
     site.store.restore(&copy);
     let restarted = &mut site.hosts[3];
