CONFIG: ask the log itself when nobody confirms the route table

Cause: a node took silence for freshness. Two nodes followed the table and a few checked it each 1.5 s, all others each 16 to 24 s, by ranks over members that membership calls live. Whatever took those few away at once blinded the rest. Ruled out: a version known and not put in force (no such line).

Now each node holds a lease: until when its table is known to have been the newest. It begins with an own read, travels with answers to forwarded calls and to pings, counts from the earliest time at which the answer can have been written, on a clock that goes on while a machine is suspended. Who loses it asks the log. A page that does not reach the log's end is followed by the newest table, not by the backlog.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,6 +19,7 @@
 mod reader;
 mod records;
 mod route_history;
+mod route_lease;
 mod route_reader;
 mod rpc;
 mod server;
@@ -45,6 +46,7 @@
     read_fold,
     restore_from_snapshot, //
 };
+pub use route_lease::RouteConfirmation;
 pub use rpc::{
     Claim,
     ClaimVerdict,
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -12,6 +12,7 @@
     LinkCounts, //
 };
 use figway_types::{
+    BootInstant,
     Member,
     NodeId, //
 };
@@ -172,7 +173,9 @@
         node_id: own.node_id,
     };
     let context = context_until(Instant::now() + wait + PEER_TIMEOUT);
+    let sent_at = BootInstant::now();
     let pong = client.ping(context, ping).await?;
+    let answered_at = sent_at + Duration::from_millis(pong.held_ms);
     let same_region = peer.region == own.region;
     let lacks_routes = mesh.merge_gossip(&peer.node_id, &pong.news, same_region);
     if lacks_routes {
@@ -181,6 +184,9 @@
             mesh.apply_missing_routes(missing.await?);
         }
     }
+    if let Some(confirmation) = pong.news.routes.confirmation() {
+        mesh.merge_route_confirmation(&confirmation, answered_at);
+    }
     let peer_offset = pong.news.applied_offset;
     if pong.wants_delivery {
         let missing = mesh.missing_records_after(peer_offset);
--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -47,6 +47,7 @@
 use crate::meter::ControlMeter;
 use crate::records::RecentRecords;
 use crate::route_history::RouteHistory;
+use crate::route_lease::RouteLease;
 use crate::rpc::{
     KeyOutcome,
     MissingRecords, //
@@ -82,6 +83,9 @@
     fold: Mutex<Fold>,
     records: Mutex<RecentRecords>,
     routes: Mutex<RouteHistory>,
+    route_lease: Mutex<RouteLease>,
+    /// Whether this node read the applied route table from the log itself.
+    routes_read_here: AtomicBool,
     members: Mutex<MemberTable>,
     quarantine: Mutex<Quarantine>,
     view: ArcSwap<View>,
@@ -115,6 +119,8 @@
             fold: Mutex::default(),
             records: Mutex::default(),
             routes: Mutex::default(),
+            route_lease: Mutex::default(),
+            routes_read_here: AtomicBool::new(false),
             members: Mutex::new(MemberTable::new(own, now)),
             quarantine: Mutex::default(),
             view: ArcSwap::default(),
@@ -190,6 +196,11 @@
         Duration::from_micros(self.random() % bound_us)
     }
 
+    /// Returns a random number from 0 to 1.
+    pub(crate) fn random_ratio(&self) -> f64 {
+        self.random() as f64 / u64::MAX as f64
+    }
+
     /// Returns the offset of the last applied record.
     pub fn applied_offset(&self) -> Offset {
         *self.head.borrow()
--- a/crates/control/src/mesh/news.rs
+++ b/crates/control/src/mesh/news.rs
@@ -38,9 +38,10 @@
     }
 
     /// Returns whether updates reach this node from the log before they reach its peers: it reads
-    /// the change stream, or it follows the route table.
+    /// the change stream, it follows the route table, or it has just read that itself.
     pub(crate) fn is_gossip_origin(&self) -> bool {
         self.reads_log.load(Ordering::Relaxed)
+            || self.routes_read_here.load(Ordering::Relaxed)
             || self
                 .log_rank()
                 .is_some_and(|rank| rank < ROUTE_PUSHER_COUNT)
--- a/crates/control/src/mesh/routes.rs
+++ b/crates/control/src/mesh/routes.rs
@@ -7,15 +7,24 @@
 };
 use figway_types::{
     rendezvous_weight,
+    BootInstant,
     MemberState,
     NodeId, //
 };
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    MutexGuard, //
+};
+use std::time::Duration;
 
 use super::Mesh;
+use crate::route_lease::{
+    RouteConfirmation,
+    RouteLease, //
+};
 use crate::rpc::{
     MissingRoutes,
     RouteGossip, //
@@ -51,10 +60,60 @@
         self.notify_gossip();
     }
 
+    /// Installs a whole table that this node has read from the log itself.
+    pub(crate) fn install_read_table(&self, table: RouteTable) {
+        self.routes_read_here.store(true, Ordering::Relaxed);
+        self.install_route_table(table);
+    }
+
+    /// Records that the log held no table newer than the applied one at `confirmed_at`.
+    pub(crate) fn confirm_routes(&self, confirmed_at: BootInstant) {
+        if self.routes().version == 0 {
+            return;
+        }
+        self.route_lease().confirm(confirmed_at);
+    }
+
+    /// Returns since when the applied table is not known to be the newest one, for peers.
+    pub fn route_confirmation(&self) -> Option<RouteConfirmation> {
+        // The version is read after the lease: it may be newer than the confirmed one, not older.
+        let age = self.route_lease_age()?;
+        Some(RouteConfirmation {
+            version: self.routes().version,
+            age,
+        })
+    }
+
+    /// Merges a peer's confirmation. The peer sent it at `sent_at` or later.
+    pub fn merge_route_confirmation(&self, confirmation: &RouteConfirmation, sent_at: BootInstant) {
+        if confirmation.version > self.routes().version {
+            return;
+        }
+        self.confirm_routes(sent_at.saturating_sub(confirmation.age));
+    }
+
+    /// Returns the age of the last confirmation of the applied table, if there is one.
+    pub fn route_lease_age(&self) -> Option<Duration> {
+        self.route_lease().age(BootInstant::now())
+    }
+
+    /// Returns the time until this node must ask the log for a newer table.
+    pub(crate) fn route_lease_left(&self, spread: f64) -> Duration {
+        let node_count = self.view().node_count;
+        self.route_lease()
+            .time_left(BootInstant::now(), node_count, spread)
+    }
+
+    fn route_lease(&self) -> MutexGuard<'_, RouteLease> {
+        self.route_lease.lock().expect("no holder panics")
+    }
+
     /// Returns the gossip about the table for a peer that has `version`.
     pub(crate) fn route_gossip_for(&self, version: Option<u64>) -> RouteGossip {
+        let confirmed_age = self.route_lease_age();
         let routes = self.routes.lock().expect("no holder panics");
         RouteGossip {
+            confirmed_age_ms: confirmed_age.map(|age| age.as_millis() as u64 + 1),
             version: routes.table().version,
             changes: version
                 .and_then(|version| routes.changes_after(version, GOSSIP_ROUTE_MAX_COUNT))
@@ -80,6 +139,7 @@
             self.put_routes_in_force(routes.table());
         }
         drop(routes);
+        self.routes_read_here.store(false, Ordering::Relaxed);
         if version > before {
             log::info!("routes in force version={version} before={before} from=peer");
             self.notify_gossip();
@@ -103,7 +163,10 @@
         match missing {
             MissingRoutes::Nothing => {}
             MissingRoutes::Changes(changes) => self.apply_changes(&changes),
-            MissingRoutes::Table(table) => self.install_route_table(*table),
+            MissingRoutes::Table(table) => {
+                self.routes_read_here.store(false, Ordering::Relaxed);
+                self.install_route_table(*table);
+            }
         }
     }
 
--- a/crates/control/src/route_reader.rs
+++ b/crates/control/src/route_reader.rs
@@ -1,6 +1,6 @@
 //! Reader of the operator's route table. The two nodes of the first ranks near the log follow it
-//! with long polls and push changes to their peers. A few nodes of each region check often for
-//! missed changes, the other nodes rarely.
+//! with long polls and push changes to their peers. Each node but the first asks the log when its
+//! lease on the table runs out, whoever else reads it.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,32 +15,32 @@
 };
 use figway_types::{
     Backoff,
+    BootInstant,
     Offset, //
 };
 
 use crate::mesh::Mesh;
+use crate::route_lease::{
+    ask_spread,
+    spacing, //
+};
 
-/// Number of nodes that follow the table. The second one covers a failure of the first.
+/// Number of nodes that follow the table with long polls.
 const READER_COUNT: usize = 2;
 
-/// Longest time that the log holds a reader's poll back while it has no new table.
-const READ_WAIT: Duration = Duration::from_secs(3);
-
-/// Timeout for reading the newest table.
-const NEWEST_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Number of nodes of each region that check often for missed changes.
-const CHECKER_COUNT: usize = 2;
+/// Longest time that the log holds the first reader's poll back while it has no new table. Each poll
+/// that ends confirms the table, so that it is shorter than a lease.
+const READ_WAIT: Duration = Duration::from_millis(500);
 
-/// Shortest mean interval between the checks of each node that checks often.
-const CHECK_EVERY: Duration = Duration::from_millis(1_500);
+/// The same for the second reader, which covers a failure of the first.
+const STANDBY_WAIT: Duration = Duration::from_millis(3_000);
 
-/// Shortest mean interval between the checks of each other node.
-const BACKGROUND_CHECK_EVERY: Duration = Duration::from_secs(20);
+/// Timeout of the first request after a success, beyond the time that the log may hold it back. It
+/// doubles with each failure, so that a large table also passes a slow link.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// Upper limit for the checks per second of all nodes together. Each node of a larger mesh checks
-/// less often.
-const CHECK_RATE_MAX: f64 = 400.0;
+/// Longest timeout of a request.
+const REQUEST_TIMEOUT_MAX: Duration = Duration::from_millis(1_800);
 
 /// Assumed size of a table in the log, in megabits.
 const TABLE_MBIT: f64 = 0.8;
@@ -62,17 +62,31 @@
 pub(crate) async fn follow_routes(mesh: Arc<Mesh>, source: Rc<dyn RouteSource>, start_at: Instant) {
     tokio::time::sleep_until((start_at + first_pause(&mesh)).into()).await;
     let mut backoff = Backoff::new(30, RETRY_MAX_MS, mesh.random());
+    let mut failure_count = 0;
     let mut position = Offset(0);
     loop {
-        let reads = mesh.log_rank().is_some_and(|rank| rank < READER_COUNT);
-        if !reads && mesh.routes().version > 0 {
-            tokio::time::sleep(check_pause(&mesh)).await;
-        }
-        let wait = if reads { READ_WAIT } else { Duration::ZERO };
         let started_at = Instant::now();
-        match read_once(&mesh, source.as_ref(), position, wait).await {
+        let timeout = request_timeout(failure_count);
+        let read = |wait| {
+            let timing = ReadTiming { wait, timeout };
+            read_once(&mesh, source.as_ref(), position, timing)
+        };
+        let result = match mesh.log_rank() {
+            Some(0) => read(READ_WAIT).await,
+            Some(1) => tokio::select! {
+                result = read(STANDBY_WAIT) => result,
+                () = wait_for_lease_end(&mesh, || false) => read(Duration::ZERO).await,
+            },
+            _ => {
+                let became_reader = || mesh.log_rank().is_some_and(|rank| rank < READER_COUNT);
+                wait_for_lease_end(&mesh, became_reader).await;
+                read(Duration::ZERO).await
+            }
+        };
+        match result {
             Ok(next_offset) => {
                 position = next_offset;
+                failure_count = 0;
                 backoff.reset();
                 if mesh.routes().version == 0 {
                     tokio::time::sleep(EMPTY_PAUSE).await;
@@ -81,20 +95,55 @@
             Err(error) => {
                 log::warn!(
                     "could not read the route table version={} position={position} took_ms={} \
-                     why={error}",
+                     confirmed_ms={} why={error}",
                     mesh.routes().version,
-                    started_at.elapsed().as_millis()
+                    started_at.elapsed().as_millis(),
+                    mesh.route_lease_age().map_or(0, |age| age.as_millis()),
                 );
                 if matches!(error, ReadError::Expired(_)) {
                     position = Offset(0);
                 }
-                let next_attempt_at = backoff.next_attempt_at(Instant::now());
+                failure_count += 1;
+                let spaced_at = match failure_count {
+                    1 => started_at,
+                    _ => started_at + spacing(mesh.view().node_count),
+                };
+                let next_attempt_at = backoff.next_attempt_at(Instant::now()).max(spaced_at);
                 tokio::time::sleep_until(next_attempt_at.into()).await;
             }
         }
     }
 }
 
+/// Times of one read.
+#[derive(Clone, Copy, Debug)]
+struct ReadTiming {
+    /// Longest time that the log may hold the read back while it has no new table.
+    wait: Duration,
+    /// Longest time that a request takes beyond that.
+    timeout: Duration,
+}
+
+fn request_timeout(failure_count: u32) -> Duration {
+    let factor = 1 << failure_count.min(8);
+    (REQUEST_TIMEOUT * factor).min(REQUEST_TIMEOUT_MAX)
+}
+
+/// Waits until the lease on the applied table runs out, which peers may extend meanwhile, or until
+/// `is_over`.
+async fn wait_for_lease_end(mesh: &Mesh, is_over: impl Fn() -> bool) {
+    let zone = mesh.members().own().zone.clone();
+    let rank = mesh.own_rank(&zone, &|member| member.zone == zone);
+    let spread = ask_spread(rank, mesh.random_ratio());
+    loop {
+        let left = mesh.route_lease_left(spread);
+        if left.is_zero() || is_over() {
+            return;
+        }
+        tokio::time::sleep(left).await;
+    }
+}
+
 /// Returns the pause before the first read. When all nodes start at once, those near the log with
 /// wide links read first, and the others may receive the routes from them sooner than from the
 /// log.
@@ -110,19 +159,6 @@
     (transfer * 2 + round_trip * FIRST_PAUSE_ROUND_TRIP_COUNT).min(FIRST_PAUSE_MAX)
 }
 
-/// Returns the pause before the next check of a node that is not a reader.
-fn check_pause(mesh: &Mesh) -> Duration {
-    let region = mesh.members().own().region.clone();
-    let rank = mesh.own_rank(&region, &|member| member.region == region);
-    let every = match rank {
-        Some(rank) if rank < CHECKER_COUNT => CHECK_EVERY,
-        _ => BACKGROUND_CHECK_EVERY,
-    };
-    let node_count = mesh.view().node_count as f64;
-    let pause = every.max(Duration::from_secs_f64(node_count / CHECK_RATE_MAX));
-    pause.mul_f64(0.8) + mesh.jitter(pause.mul_f64(0.4))
-}
-
 /// Reads the log once from `position` on, or its newest table if `position` is 0 and no table was
 /// applied. Returns the position of the next read.
 ///
@@ -133,31 +169,63 @@
     mesh: &Mesh,
     source: &dyn RouteSource,
     position: Offset,
-    wait: Duration,
+    timing: ReadTiming,
 ) -> Result<Offset, ReadError> {
-    let page = if position == Offset(0) && mesh.routes().version == 0 {
-        source.newest(Instant::now() + NEWEST_TIMEOUT).await?
-    } else {
-        let from_offset = skip_applied(position, mesh.routes().source_offset);
-        match source.next(from_offset, Instant::now() + wait).await {
-            Err(ReadError::Expired(first_offset)) => {
-                log::info!("route records expired from={from_offset} first={first_offset}");
-                source.newest(Instant::now() + NEWEST_TIMEOUT).await?
-            }
-            // In another era other records may lie before this position.
-            Ok(page) if page.next_offset.era() != from_offset.era() => {
-                log::info!(
-                    "log of another era from={from_offset} next={}",
-                    page.next_offset
-                );
-                source.newest(Instant::now() + NEWEST_TIMEOUT).await?
-            }
-            result => result?,
+    if position == Offset(0) && mesh.routes().version == 0 {
+        return read_newest(mesh, source, timing).await;
+    }
+    let from_offset = skip_applied(position, mesh.routes().source_offset);
+    let started_at = BootInstant::now();
+    let wait_until = Instant::now() + timing.wait;
+    let page = match source
+        .next(from_offset, wait_until, wait_until + timing.timeout)
+        .await
+    {
+        Err(ReadError::Expired(first_offset)) => {
+            log::info!("route records expired from={from_offset} first={first_offset}");
+            return read_newest(mesh, source, timing).await;
+        }
+        // In another era other records may lie before this position.
+        Ok(page) if page.next_offset.era() != from_offset.era() => {
+            log::info!(
+                "log of another era from={from_offset} next={}",
+                page.next_offset
+            );
+            return read_newest(mesh, source, timing).await;
         }
+        result => result?,
+    };
+    // The log held an empty answer back for the whole wait.
+    let confirmed_at = if page.next_offset == from_offset
+        && BootInstant::now().saturating_since(started_at) >= timing.wait
+    {
+        started_at + timing.wait
+    } else {
+        started_at
     };
     if let Some(table) = page.table {
-        mesh.install_route_table(table);
+        mesh.install_read_table(table);
+    }
+    if page.next_offset < page.end_offset {
+        // The newest table costs less than all the tables in between.
+        return read_newest(mesh, source, timing).await;
+    }
+    mesh.confirm_routes(confirmed_at);
+    Ok(page.next_offset)
+}
+
+/// Reads the newest table. Returns the position of the next read.
+async fn read_newest(
+    mesh: &Mesh,
+    source: &dyn RouteSource,
+    timing: ReadTiming,
+) -> Result<Offset, ReadError> {
+    let started_at = BootInstant::now();
+    let page = source.newest(Instant::now() + timing.timeout).await?;
+    if let Some(table) = page.table {
+        mesh.install_read_table(table);
     }
+    mesh.confirm_routes(started_at);
     Ok(page.next_offset)
 }
 
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -1,5 +1,7 @@
 //! Remote calls between nodes and the messages that they carry.
 
+use std::time::Duration;
+
 use figway_admission::CrashReport;
 use figway_profile::{
     FoldState,
@@ -17,6 +19,8 @@
     Serialize, //
 };
 
+use crate::route_lease::RouteConfirmation;
+
 /// Protocol version. A node refuses peers with another version.
 pub(crate) const PROTOCOL_VERSION: u32 = 1;
 
@@ -73,12 +77,25 @@
 pub(crate) struct RouteGossip {
     /// Version of the table that the sender applied last.
     pub version: u64,
+    /// Time since the log was known to hold no newer version, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub confirmed_age_ms: Option<u64>,
     /// Changes since the receiver's version, if the sender still keeps them and they are small;
     /// otherwise empty, and the receiver pulls them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub changes: Vec<RouteChange>,
 }
 
+impl RouteGossip {
+    /// Returns the sender's confirmation of its table, if it has one.
+    pub(crate) fn confirmation(&self) -> Option<RouteConfirmation> {
+        Some(RouteConfirmation {
+            version: self.version,
+            age: Duration::from_millis(self.confirmed_age_ms?),
+        })
+    }
+}
+
 /// Route updates that bring a node up to date.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum MissingRoutes {
@@ -97,6 +114,9 @@
     pub news: Gossip,
     /// Whether the answering node is behind and asks the sender of the ping for a `deliver` call.
     pub wants_delivery: bool,
+    /// Time for which the answer was held back, in milliseconds.
+    #[serde(default)]
+    pub held_ms: u64,
 }
 
 /// Records or state that bring a node up to date with the change stream.
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -152,6 +152,7 @@
     }
 
     async fn ping(self, _: Context, ping: Ping) -> Pong {
+        let received_at = Instant::now();
         let same_region = self.is_same_region();
         self.mesh
             .merge_gossip(&ping.node_id, &ping.news, same_region);
@@ -162,6 +163,7 @@
         }
         Pong {
             wants_delivery: behind && self.mesh.try_begin_fetch(),
+            held_ms: received_at.elapsed().as_millis() as u64,
             news: self.mesh.gossip_for(&ping.node_id),
         }
     }
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -5,6 +5,7 @@
     Instant, //
 };
 
+use figway_control::RouteConfirmation;
 use figway_http::{
     Answer,
     Headers,
@@ -17,6 +18,7 @@
     LoadReport, //
 };
 use figway_types::{
+    BootInstant,
     NodeId,
     NotRunReason, //
 };
@@ -156,8 +158,12 @@
         echo_header: None,
         idempotent: call.rule.idempotent,
     };
+    let sent_at = BootInstant::now();
     match worker.peers.send(&outbound).await {
-        Ok(answer) => parse_peer_answer(&worker.plane, node_id, answer),
+        Ok(answer) => {
+            merge_route_confirmation(&worker.plane, &answer, sent_at);
+            parse_peer_answer(&worker.plane, node_id, answer)
+        }
         Err(SendFailure::Refused(why)) => {
             worker.plane.mesh.suspect(node_id, &why);
             AttemptResult::not_sent(NotRunReason::Unreachable)
@@ -269,6 +275,33 @@
     }
 }
 
+/// Merges what the peer's answer tells of its route table. The peer wrote the answer later than the
+/// time at which the call was sent by the call's time in the queue and at the target.
+fn merge_route_confirmation(plane: &DataPlane, answer: &Answer, sent_at: BootInstant) {
+    let Some(confirmation) = answer
+        .header(headers::ROUTES)
+        .and_then(parse_route_confirmation)
+    else {
+        return;
+    };
+    let (queue_time, run_time) = answer
+        .header(headers::QUEUE_AND_RUN_MS)
+        .and_then(parse_queue_and_run_ms)
+        .unwrap_or_default();
+    plane
+        .mesh
+        .merge_route_confirmation(&confirmation, sent_at + queue_time + run_time);
+}
+
+/// Parses a confirmation from `VERSION,AGE_MS`.
+fn parse_route_confirmation(text: &str) -> Option<RouteConfirmation> {
+    let (version, age_ms) = text.split_once(',')?;
+    Some(RouteConfirmation {
+        version: version.parse().ok()?,
+        age: Duration::from_millis(age_ms.parse().ok()?),
+    })
+}
+
 /// Parses the time in the queue and the time at the target from `QUEUE_MS,RUN_MS`.
 fn parse_queue_and_run_ms(text: &str) -> Option<(Duration, Duration)> {
     let (queue_ms, run_ms) = text.split_once(',')?;
--- a/crates/dataplane/src/headers.rs
+++ b/crates/dataplane/src/headers.rs
@@ -52,7 +52,7 @@
 pub(crate) const SENT: &str = "x-figway-sent";
 
 /// Headers that a node adds to the target's answer when it answers a peer.
-pub(crate) const PEER_HEADERS: [&str; 11] = [
+pub(crate) const PEER_HEADERS: [&str; 12] = [
     OUTCOME,
     REASON,
     REQUEST_ID,
@@ -64,6 +64,7 @@
     FAILED_RATIO,
     MEAN_RAN_MS,
     TARGET_STATE,
+    ROUTES,
 ];
 
 /// Expected wait for a slot of the answering target, in milliseconds.
@@ -92,3 +93,7 @@
 
 /// What the forwarding node knows of the target, absent if that is nothing.
 pub(crate) const ADMIT_TARGET_STATE: &str = "x-figway-admit-target-state";
+
+/// Version of the answering node's route table and its confirmed age in milliseconds, separated by a
+/// comma. Absent if the age is of no use to the receiver.
+pub(crate) const ROUTES: &str = "x-figway-routes";
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use figway_control::RouteConfirmation;
 use figway_http::{
     Answer,
     Headers,
@@ -23,12 +24,16 @@
     Outcome, //
 };
 use crate::headers;
+use crate::plane::DataPlane;
 use crate::target_state::TargetState;
 use crate::worker::Worker;
 
 /// Failed ratio below which the header is left out.
 const REPORTED_FAILED_RATIO_MIN: f64 = 0.02;
 
+/// Confirmed age of the route table from which on it is not sent to peers.
+const CONFIRMED_AGE_MAX: Duration = Duration::from_millis(700);
+
 /// Returns whether the request is a call that a peer forwards.
 pub(crate) fn is_forwarded(request: &Request) -> bool {
     request.headers.get(headers::ADMIT_KIND).is_some()
@@ -59,12 +64,31 @@
     };
     let report = plane.gate.load_report(rank);
     let mut answer = encode_result(result, report);
+    if let Some(confirmation) = useful_confirmation(plane) {
+        answer
+            .headers
+            .push(headers::ROUTES, encode_confirmation(&confirmation));
+    }
     if let Some(state) = plane.local_target.notable_state() {
         answer.headers.push(headers::TARGET_STATE, state.encode());
     }
     answer
 }
 
+/// Returns the confirmation of this node's route table, if it can extend a peer's lease.
+fn useful_confirmation(plane: &DataPlane) -> Option<RouteConfirmation> {
+    plane
+        .mesh
+        .route_confirmation()
+        .filter(|confirmation| confirmation.age < CONFIRMED_AGE_MAX)
+}
+
+fn encode_confirmation(confirmation: &RouteConfirmation) -> String {
+    // The age is rounded up.
+    let age_ms = confirmation.age.as_millis() + 1;
+    format!("{},{age_ms}", confirmation.version)
+}
+
 fn parse_call(request: &Request) -> Option<AdmissionRequest<'_>> {
     let header = |name| request.headers.get(name);
     let budget_ms: u64 = header(headers::BUDGET_MS)?.parse().ok()?;
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -150,6 +150,10 @@
         self.metrics.set_gauge("waiting", waiting_count as u64);
         self.metrics
             .set_gauge("routes_version", view.routes.version);
+        if let Some(age) = self.mesh.route_lease_age() {
+            self.metrics
+                .set_gauge("routes_confirmed_age_ms", age.as_millis() as u64);
+        }
         let unknown_kind_count = view.routes.unknown_kinds.len() as u64;
         self.metrics
             .set_gauge("routes_unknown_kind", unknown_kind_count);
--- a/crates/log-client/src/lib.rs
+++ b/crates/log-client/src/lib.rs
@@ -132,6 +132,8 @@
     pub table: Option<RouteTable>,
     /// Offset from which the next read continues.
     pub next_offset: Offset,
+    /// Offset after the last record of the source at the time of the read.
+    pub end_offset: Offset,
 }
 
 /// Source of the operator's route tables, for deployments whose platform has one.
@@ -150,11 +152,12 @@
     /// # Errors
     ///
     /// [`ReadError::Expired`] if the records at `from_offset` have expired.
-    /// [`ReadError::Unavailable`] if the source did not answer in time.
+    /// [`ReadError::Unavailable`] if the source did not answer before `deadline`.
     fn next(
         &self,
         from_offset: Offset,
         wait_until: Instant,
+        deadline: Instant,
     ) -> LocalBoxFuture<'_, Result<RoutePage, ReadError>>;
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 //! types alone.
 
 mod backoff;
+mod boot_instant;
 mod change;
 mod finding;
 mod member;
@@ -12,6 +13,7 @@
 mod request;
 
 pub use backoff::Backoff;
+pub use boot_instant::BootInstant;
 pub use change::{
     ChangeId,
     LogEra,
