Ask a hub of the zone before the log when the lease on the routes ends

Callers saw nothing of it; the price was too high. Cause: without calls between nodes, as in the 8 s before traffic and on large sites, each node's lease ran out, so that the calls to the store grew with the number of nodes. Now a node asks one of the first nodes of its zone first, and those ask the node that follows the table. The worst case does not change: a hub that does not answer extends nothing. Ruled out: answering the long polls of pings early (messages over every link, also between regions), a raised age of leases (the sum against configApply is nearly used up).

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod codec;
 mod contact;
 mod dial;
+mod lease_hub;
 mod link;
 mod lost_changes;
 mod mesh;
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -160,7 +160,7 @@
 /// Exchanges gossip with the peer, which may hold its answer back for up to `wait` while it has no
 /// update, and then transfers the records, routes and members that either side lacks. Returns
 /// whether this node is still behind the peer.
-async fn exchange_gossip(
+pub(crate) async fn exchange_gossip(
     mesh: &Mesh,
     peer: &Member,
     client: &PeerClient,
--- a/crates/control/src/mesh/routes.rs
+++ b/crates/control/src/mesh/routes.rs
@@ -8,6 +8,7 @@
 use figway_types::{
     rendezvous_weight,
     BootInstant,
+    Member,
     MemberState,
     NodeId, //
 };
@@ -192,11 +193,6 @@
         if own.state != MemberState::Live {
             return None;
         }
-        let log_order = |member: &figway_types::Member| {
-            let distance = member.log_round_trip_ms / LOG_DISTANCE_STEP_MS;
-            let weight = rendezvous_weight("routes", &member.node_id.0);
-            (distance, Reverse(member.link_mbps), Reverse(weight))
-        };
         let own_order = log_order(own);
         let mut rank = 0;
         for member in members.members() {
@@ -207,6 +203,16 @@
         Some(rank)
     }
 
+    /// Returns the live member of the first rank for reading the log.
+    pub(crate) fn first_log_reader(&self) -> Option<Member> {
+        let members = self.members();
+        members
+            .members()
+            .filter(|member| member.state == MemberState::Live)
+            .min_by_key(|member| log_order(member))
+            .cloned()
+    }
+
     /// Replaces the view with one that uses `table`. The caller holds the lock of the table, so
     /// that views are replaced in the order of versions.
     fn put_routes_in_force(&self, table: &RouteTable) {
@@ -220,6 +226,13 @@
     }
 }
 
+/// Returns the key that orders members for reading the log.
+fn log_order(member: &Member) -> (u64, Reverse<u32>, Reverse<u64>) {
+    let distance = member.log_round_trip_ms / LOG_DISTANCE_STEP_MS;
+    let weight = rendezvous_weight("routes", &member.node_id.0);
+    (distance, Reverse(member.link_mbps), Reverse(weight))
+}
+
 /// Guard of a fetch of missing routes, which is in flight until the guard is dropped.
 pub(crate) struct RouteFetch<'a> {
     mesh: &'a Mesh,
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -32,6 +32,7 @@
     dial,
     peer_timeout_context, //
 };
+use crate::lease_hub::follow_hub;
 use crate::link::{
     maintain_links,
     LinkPlan, //
@@ -203,6 +204,7 @@
         ));
         if let Some(routes) = self.routes {
             spawn_local(follow_routes(Arc::clone(&mesh), routes, start_at));
+            spawn_local(follow_hub(Arc::clone(&mesh)));
         }
         Ok(ControlPlane { mesh, agent })
     }
--- a/crates/control/src/route_lease.rs
+++ b/crates/control/src/route_lease.rs
@@ -8,11 +8,11 @@
 use figway_types::BootInstant;
 
 /// Age of a confirmation from which on a node asks the log itself.
-const ASK_AFTER: Duration = Duration::from_millis(700);
+const ASK_AFTER: Duration = Duration::from_millis(800);
 
 /// Time over which the nodes of a zone spread their first calls, so that the first ones ask and the
 /// others learn from them.
-const ASK_SPREAD: Duration = Duration::from_millis(400);
+const ASK_SPREAD: Duration = Duration::from_millis(300);
 
 /// Number of steps of that time. The nodes of the first ranks have one each, all others share the
 /// last one.
