Log which crash reports a node makes and learns

The logs could not tell whether reports of a crash do not travel, travel slowly or are not used: hypotheses 1 to 3 of docs/incidents/crashing-requests.md. One line for each report of an own target, and one for each message that brings new ones.

--- a/crates/control/src/mesh/news.rs
+++ b/crates/control/src/mesh/news.rs
@@ -129,10 +129,17 @@
         }
         self.merge_members(&gossip.rumours);
         let mut quarantine = self.quarantine();
+        let mut new_count = 0;
         for report in &gossip.crashes {
-            quarantine.merge(report, now);
+            new_count += usize::from(quarantine.merge(report, now));
         }
         drop(quarantine);
+        if new_count > 0 {
+            log::info!(
+                "crash reports merged from={sender} new={new_count} received={}",
+                gossip.crashes.len()
+            );
+        }
         self.apply_route_gossip(&gossip.routes)
     }
 
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -312,6 +312,11 @@
 
 fn record_crash(plane: &Arc<DataPlane>, call: &AdmissionRequest<'_>) -> u64 {
     let crash_id = plane.mesh.random();
+    log::info!(
+        "crash reported request={} fingerprint={:016x} crash={crash_id:016x}",
+        call.request_id,
+        call.fingerprint.0
+    );
     plane.target_watch.mark_lost(&plane.mesh, "it crashed");
     plane
         .mesh
