BUDGET: send every crash report, and count a crash once for each fingerprint

Callers saw: a request that crashes back ends took one down at each further arrival, with the requests at work there, long after its third crash.

Cause: each request at work at a crash made a report of its own, and a message carried the first 16 unexpired ones in the order of a hash map, the same for 300 s.

Now a node numbers its reports, a message holds those after the number that the peer acknowledged, and the nodes that saw a crash push at once: every report arrives, in an order that ends. A crash has the same id on all nodes, from the run of the target, so that it counts once for a fingerprint, however many equal requests were at work. A target that answers a suspected request reports that too: a request is refused after two crashes only if more targets crashed than survived, so that a frequent GET that merely was at work is not refused for five minutes. Evictions are counted.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -16,7 +16,10 @@
     Ticket, //
 };
 pub use quarantine::{
+    run_id,
     CrashReport,
-    Quarantine, //
+    Quarantine,
+    ReportBatch,
+    SurvivalReport, //
 };
 pub use retry_budget::RetryBudget;
--- a/crates/admission/src/quarantine.rs
+++ b/crates/admission/src/quarantine.rs
@@ -1,8 +1,11 @@
 //! Quarantine of requests that crash the targets which run them.
 //!
-//! Each crash is reported once with an id. Reports are merged as a set, so that nodes with the same
-//! reports agree. Two crashes with the same fingerprint quarantine it until they expire.
+//! One crash is reported once for each request that was at work. A request with the same fingerprint
+//! that a target answers speaks against the suspicion. Reports are merged as a set, so that nodes
+//! with the same reports agree, and each has a sequence number, so that peers can be sent exactly
+//! those that they lack.
 
+use std::collections::VecDeque;
 use std::time::{
     Duration,
     Instant, //
@@ -17,116 +20,264 @@
     Serialize, //
 };
 
-/// Requests with a fingerprint are refused once it has this number of unexpired crashes.
+/// Requests with a fingerprint are refused once it has this number of unexpired crashes, and more
+/// crashes than targets that survived it.
 const QUARANTINE_CRASH_COUNT: usize = 2;
 
-/// Time after which a crash expires.
-const CRASH_TTL: Duration = Duration::from_secs(300);
+/// Time after which a report expires.
+const REPORT_TTL: Duration = Duration::from_secs(300);
 
-/// Maximum number of stored reports; those that expire first are evicted first.
+/// Maximum number of stored reports. The oldest are evicted first.
 const REPORT_MAX_COUNT: usize = 4_096;
 
+/// Maximum number of stored reports of survivals for one fingerprint.
+const SURVIVAL_MAX_COUNT: usize = 16;
+
 /// Report that a target crashed while it ran a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
-    /// Random id of the crash.
+    /// Id of the crash and the request, see [`run_id`].
     pub crash_id: u64,
     /// Time until the report expires, in milliseconds; the receiver stores it as a deadline.
     pub left_ms: u64,
 }
 
+/// Report that a target answered a request whose fingerprint has crash reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SurvivalReport {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Id of the target's run and the request, see [`run_id`].
+    pub run_id: u64,
+    /// Time until the report expires, in milliseconds; the receiver stores it as a deadline.
+    pub left_ms: u64,
+}
+
+/// Returns the id of a request at one run of a target. It is the same on every node, so that a
+/// crash or a survival counts once, however many requests with the fingerprint were at work.
+pub fn run_id(fingerprint: Fingerprint, instance: &str, started_at_ms: u64) -> u64 {
+    let run = figway_types::stable_hash(instance) ^ figway_types::mix(started_at_ms);
+    figway_types::mix(run ^ fingerprint.0.rotate_left(23))
+}
+
+/// What happened to a target that ran a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Ending {
+    Crashed,
+    Survived,
+}
+
 #[derive(Clone, Copy, Debug)]
-struct Crash {
+struct Report {
+    sequence: u64,
+    ending: Ending,
     fingerprint: Fingerprint,
+    run_id: u64,
     expires_at: Instant,
 }
 
-/// Reported crashes by their ids.
+/// Reports of one fingerprint: the ids of the runs, with the times at which the reports expire.
+#[derive(Clone, Debug, Default)]
+struct Suspicion {
+    crashes: FastMap<u64, Instant>,
+    survivals: FastMap<u64, Instant>,
+}
+
+impl Suspicion {
+    fn runs(&mut self, ending: Ending) -> &mut FastMap<u64, Instant> {
+        match ending {
+            Ending::Crashed => &mut self.crashes,
+            Ending::Survived => &mut self.survivals,
+        }
+    }
+}
+
+fn count_unexpired(runs: &FastMap<u64, Instant>, now: Instant) -> usize {
+    runs.values()
+        .filter(|expires_at| **expires_at > now)
+        .count()
+}
+
+/// Batch of reports for a peer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReportBatch {
+    /// Reports of crashes.
+    pub crashes: Vec<CrashReport>,
+    /// Reports of survivals.
+    pub survivals: Vec<SurvivalReport>,
+    /// Sequence number of the last report that the receiver has with this batch, if it has all up to
+    /// the one after which the batch begins.
+    pub last_sequence: u64,
+}
+
+/// Unexpired reports, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    crashes: FastMap<u64, Crash>,
+    reports: VecDeque<Report>,
+    suspicions: FastMap<Fingerprint, Suspicion>,
+    last_sequence: u64,
+    evicted_count: u64,
 }
 
 impl Quarantine {
-    /// Records a crash that this node observed and returns the report to send to its peers.
-    pub fn record_crash(
+    /// Records that a target crashed while it ran a request. Returns whether this is new.
+    pub fn record_crash(&mut self, fingerprint: Fingerprint, crash_id: u64, now: Instant) -> bool {
+        let expires_at = now + REPORT_TTL;
+        self.add(Ending::Crashed, fingerprint, crash_id, expires_at, now)
+    }
+
+    /// Records that a target answered a request, if the request is suspected to crash targets.
+    /// Returns whether this is new.
+    pub fn record_survival(
         &mut self,
         fingerprint: Fingerprint,
-        crash_id: u64,
+        run_id: impl FnOnce() -> u64,
         now: Instant,
-    ) -> CrashReport {
-        let report = CrashReport {
-            fingerprint,
-            crash_id,
-            left_ms: CRASH_TTL.as_millis() as u64,
+    ) -> bool {
+        let Some(suspicion) = self.suspicions.get(&fingerprint) else {
+            return false;
         };
-        self.merge(&report, now);
-        report
-    }
-
-    /// Merges a report; returns whether it is new and unexpired.
-    pub fn merge(&mut self, report: &CrashReport, now: Instant) -> bool {
-        if report.left_ms == 0 || self.crashes.contains_key(&report.crash_id) {
+        if suspicion.survivals.len() >= SURVIVAL_MAX_COUNT {
             return false;
         }
-        self.evict_if_full(now);
-        let left_ms = report.left_ms.min(CRASH_TTL.as_millis() as u64);
-        let crash = Crash {
-            fingerprint: report.fingerprint,
-            expires_at: now + Duration::from_millis(left_ms),
-        };
-        self.crashes.insert(report.crash_id, crash);
-        true
+        let expires_at = now + REPORT_TTL;
+        self.add(Ending::Survived, fingerprint, run_id(), expires_at, now)
+    }
+
+    /// Merges a peer's report of a crash; returns whether it is new and unexpired.
+    pub fn merge_crash(&mut self, report: &CrashReport, now: Instant) -> bool {
+        let expires_at = expiry(report.left_ms, now);
+        self.add(
+            Ending::Crashed,
+            report.fingerprint,
+            report.crash_id,
+            expires_at,
+            now,
+        )
+    }
+
+    /// Merges a peer's report of a survival; returns whether it is new and unexpired.
+    pub fn merge_survival(&mut self, report: &SurvivalReport, now: Instant) -> bool {
+        let expires_at = expiry(report.left_ms, now);
+        self.add(
+            Ending::Survived,
+            report.fingerprint,
+            report.run_id,
+            expires_at,
+            now,
+        )
     }
 
     /// Returns whether requests with the fingerprint are refused.
     pub fn is_quarantined(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        let mut crash_count = 0;
-        for crash in self.crashes.values() {
-            if crash.fingerprint == fingerprint && crash.expires_at > now {
-                crash_count += 1;
-            }
-        }
-        crash_count >= QUARANTINE_CRASH_COUNT
+        self.suspicions.get(&fingerprint).is_some_and(|suspicion| {
+            let crash_count = count_unexpired(&suspicion.crashes, now);
+            crash_count >= QUARANTINE_CRASH_COUNT
+                && crash_count > count_unexpired(&suspicion.survivals, now)
+        })
+    }
+
+    /// Returns the sequence number of the newest report; 0 if there was none yet.
+    pub fn last_sequence(&self) -> u64 {
+        self.last_sequence
+    }
+
+    /// Returns how many unexpired reports were evicted because there were too many.
+    pub fn evicted_count(&self) -> u64 {
+        self.evicted_count
     }
 
-    /// Returns up to `max_count` unexpired reports to send to a peer.
-    pub fn reports(&self, max_count: usize, now: Instant) -> Vec<CrashReport> {
-        let mut reports = Vec::new();
-        for (crash_id, crash) in &self.crashes {
-            if reports.len() >= max_count {
+    /// Returns the oldest reports after a sequence number, up to `max_count`.
+    pub fn reports_after(&self, sequence: u64, max_count: usize, now: Instant) -> ReportBatch {
+        let mut batch = ReportBatch {
+            last_sequence: self.last_sequence,
+            ..ReportBatch::default()
+        };
+        let first = self
+            .reports
+            .partition_point(|report| report.sequence <= sequence);
+        for (count, report) in self.reports.iter().skip(first).enumerate() {
+            if count >= max_count {
                 break;
             }
-            let left = crash.expires_at.saturating_duration_since(now);
-            if left.is_zero() {
-                continue;
+            batch.last_sequence = report.sequence;
+            let left_ms = report.expires_at.saturating_duration_since(now).as_millis() as u64;
+            let fingerprint = report.fingerprint;
+            match report.ending {
+                Ending::Crashed => batch.crashes.push(CrashReport {
+                    fingerprint,
+                    crash_id: report.run_id,
+                    left_ms,
+                }),
+                Ending::Survived => batch.survivals.push(SurvivalReport {
+                    fingerprint,
+                    run_id: report.run_id,
+                    left_ms,
+                }),
             }
-            reports.push(CrashReport {
-                fingerprint: crash.fingerprint,
-                crash_id: *crash_id,
-                left_ms: left.as_millis() as u64,
-            });
         }
-        reports
+        batch
     }
 
-    fn evict_if_full(&mut self, now: Instant) {
-        if self.crashes.len() < REPORT_MAX_COUNT {
-            return;
+    fn add(
+        &mut self,
+        ending: Ending,
+        fingerprint: Fingerprint,
+        run_id: u64,
+        expires_at: Instant,
+        now: Instant,
+    ) -> bool {
+        self.remove_expired(now);
+        if expires_at <= now {
+            return false;
+        }
+        let suspicion = self.suspicions.entry(fingerprint).or_default();
+        if suspicion.runs(ending).contains_key(&run_id) {
+            return false;
+        }
+        suspicion.runs(ending).insert(run_id, expires_at);
+        if self.reports.len() >= REPORT_MAX_COUNT {
+            self.evicted_count += 1;
+            self.remove_oldest();
         }
-        self.crashes.retain(|_, crash| crash.expires_at > now);
-        while self.crashes.len() >= REPORT_MAX_COUNT {
-            let Some((oldest, _)) = self
-                .crashes
-                .iter()
-                .min_by_key(|(_, crash)| crash.expires_at)
-            else {
+        self.last_sequence += 1;
+        self.reports.push_back(Report {
+            sequence: self.last_sequence,
+            ending,
+            fingerprint,
+            run_id,
+            expires_at,
+        });
+        true
+    }
+
+    /// Removes expired reports. A report that expires before one that was merged earlier is removed
+    /// together with that one.
+    fn remove_expired(&mut self, now: Instant) {
+        while let Some(oldest) = self.reports.front() {
+            if oldest.expires_at > now {
                 return;
-            };
-            let oldest = *oldest;
-            self.crashes.remove(&oldest);
+            }
+            self.remove_oldest();
+        }
+    }
+
+    fn remove_oldest(&mut self) {
+        let Some(report) = self.reports.pop_front() else {
+            return;
+        };
+        let Some(suspicion) = self.suspicions.get_mut(&report.fingerprint) else {
+            return;
+        };
+        suspicion.runs(report.ending).remove(&report.run_id);
+        if suspicion.crashes.is_empty() && suspicion.survivals.is_empty() {
+            self.suspicions.remove(&report.fingerprint);
         }
     }
 }
+
+fn expiry(left_ms: u64, now: Instant) -> Instant {
+    now + Duration::from_millis(left_ms).min(REPORT_TTL)
+}
--- /dev/null
+++ b/crates/admission/tests/quarantine.rs
@@ -0,0 +1,154 @@
+//! Quarantine of requests that crash targets.
+//!
+//! The tests guard against reports that never travel, and against requests that are refused for
+//! crashes of which they were only witnesses.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_admission::{
+    run_id,
+    Quarantine, //
+};
+use figway_test_support::fixed_seed_config;
+use figway_types::Fingerprint;
+use proptest::prelude::*;
+
+/// Number of fingerprints in generated reports.
+const FINGERPRINT_COUNT: u64 = 4;
+
+/// Copies all reports of `from` after a sequence number, in batches, and returns their number.
+fn copy_reports(from: &Quarantine, to: &mut Quarantine, batch_max_count: usize) -> usize {
+    let now = Instant::now();
+    let mut sequence = 0;
+    let mut count = 0;
+    while sequence < from.last_sequence() {
+        let batch = from.reports_after(sequence, batch_max_count, now);
+        assert!(
+            batch.last_sequence > sequence,
+            "no progress after {sequence}"
+        );
+        sequence = batch.last_sequence;
+        count += batch.crashes.len() + batch.survivals.len();
+        for report in batch.crashes.iter().rev() {
+            to.merge_crash(report, now);
+            to.merge_crash(report, now);
+        }
+        for report in &batch.survivals {
+            to.merge_survival(report, now);
+        }
+    }
+    count
+}
+
+proptest! {
+    #![proptest_config(fixed_seed_config(49, 256))]
+
+    #[test]
+    fn quarantines_agree_for_any_order_of_reports(
+        reports in prop::collection::vec(
+            (0..FINGERPRINT_COUNT, 0..20_u64, prop::bool::weighted(0.7)),
+            0..60,
+        ),
+        batch_max_count in 1..8_usize,
+    ) {
+        let now = Instant::now();
+        let mut first = Quarantine::default();
+        for (fingerprint, run, crashed) in reports {
+            let fingerprint = Fingerprint(fingerprint);
+            if crashed {
+                first.record_crash(fingerprint, run, now);
+            } else {
+                first.record_survival(fingerprint, || run, now);
+            }
+        }
+        let mut second = Quarantine::default();
+        copy_reports(&first, &mut second, batch_max_count);
+        for fingerprint in 0..FINGERPRINT_COUNT {
+            let fingerprint = Fingerprint(fingerprint);
+            prop_assert_eq!(
+                first.is_quarantined(fingerprint, now),
+                second.is_quarantined(fingerprint, now)
+            );
+        }
+    }
+
+    #[test]
+    fn every_report_is_in_some_batch_however_many_there_are(
+        crash_count in 1..400_u64,
+        batch_max_count in 1..64_usize,
+    ) {
+        let now = Instant::now();
+        let mut quarantine = Quarantine::default();
+        for crash in 0..crash_count {
+            quarantine.record_crash(Fingerprint(crash), crash, now);
+        }
+        let mut copy = Quarantine::default();
+        let sent_count = copy_reports(&quarantine, &mut copy, batch_max_count);
+        prop_assert_eq!(sent_count as u64, crash_count);
+        prop_assert_eq!(copy.last_sequence(), crash_count);
+    }
+}
+
+#[test]
+fn two_crashes_quarantine_a_fingerprint_until_they_expire() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let fingerprint = Fingerprint(7);
+    quarantine.record_crash(fingerprint, 1, now);
+    quarantine.record_crash(fingerprint, 1, now);
+    assert!(!quarantine.is_quarantined(fingerprint, now));
+    quarantine.record_crash(fingerprint, 2, now);
+    assert!(quarantine.is_quarantined(fingerprint, now));
+    assert!(!quarantine.is_quarantined(Fingerprint(8), now));
+    assert!(!quarantine.is_quarantined(fingerprint, now + Duration::from_secs(301)));
+}
+
+#[test]
+fn equal_requests_at_work_at_one_crash_count_as_one_crash() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let fingerprint = Fingerprint(7);
+    for _ in 0..5 {
+        let crash_id = run_id(fingerprint, "i-1", 1_000);
+        quarantine.record_crash(fingerprint, crash_id, now);
+    }
+    assert!(!quarantine.is_quarantined(fingerprint, now));
+    quarantine.record_crash(fingerprint, run_id(fingerprint, "i-1", 2_000), now);
+    assert!(quarantine.is_quarantined(fingerprint, now));
+}
+
+#[test]
+fn a_request_that_more_targets_survive_than_crash_is_not_quarantined() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let fingerprint = Fingerprint(7);
+    assert!(!quarantine.record_survival(fingerprint, || 10, now));
+    quarantine.record_crash(fingerprint, 1, now);
+    for run in [10, 11, 11, 12] {
+        quarantine.record_survival(fingerprint, || run, now);
+    }
+    for crash in [2, 3] {
+        quarantine.record_crash(fingerprint, crash, now);
+        assert!(
+            !quarantine.is_quarantined(fingerprint, now),
+            "crash {crash}"
+        );
+    }
+    quarantine.record_crash(fingerprint, 4, now);
+    assert!(quarantine.is_quarantined(fingerprint, now));
+}
+
+#[test]
+fn reports_beyond_the_limit_evict_the_oldest_and_are_counted() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    for crash in 0..5_000_u64 {
+        quarantine.record_crash(Fingerprint(crash), crash, now);
+    }
+    assert_eq!(quarantine.evicted_count(), 5_000 - 4_096);
+    quarantine.record_crash(Fingerprint(4_999), 1, now);
+    assert!(quarantine.is_quarantined(Fingerprint(4_999), now));
+}
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -148,8 +148,11 @@
                 // also pushes it to its own peers, since it may be that no node polls the origin.
                 _ = changes.changed() => {
                     changes.borrow_and_update();
-                    if mesh.is_gossip_origin() && mesh.has_updates_for(&peer.node_id) {
+                    let mut pushes = mesh.has_own_reports_for(&peer.node_id)
+                        || mesh.is_gossip_origin() && mesh.has_updates_for(&peer.node_id);
+                    while pushes {
                         exchange_gossip(mesh, peer, &client, Duration::ZERO).await?;
+                        pushes = mesh.has_own_reports_for(&peer.node_id);
                     }
                 }
             }
--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -1,6 +1,7 @@
 //! State of one node's control plane. The tasks of the control plane share it, and the data plane
 //! reads it.
 
+mod crashes;
 mod news;
 mod report;
 mod routes;
@@ -40,6 +41,7 @@
 };
 use tokio::sync::watch;
 
+use self::crashes::ReportProgress;
 use self::report::{
     log_installed,
     log_verdict, //
@@ -88,6 +90,11 @@
     routes_read_here: AtomicBool,
     members: Mutex<MemberTable>,
     quarantine: Mutex<Quarantine>,
+    report_progress: Mutex<FastMap<NodeId, ReportProgress>>,
+    /// Epoch of the numbers of this node's crash reports, drawn at the start of the process.
+    report_epoch: u64,
+    /// Number of the last crash report that this node observed itself.
+    own_report: Mutex<u64>,
     view: ArcSwap<View>,
     view_changes: watch::Sender<u64>,
     head: watch::Sender<Offset>,
@@ -123,6 +130,9 @@
             routes_read_here: AtomicBool::new(false),
             members: Mutex::new(MemberTable::new(own, now)),
             quarantine: Mutex::default(),
+            report_progress: Mutex::default(),
+            report_epoch: mix(seed),
+            own_report: Mutex::default(),
             view: ArcSwap::default(),
             view_changes: watch::Sender::new(0),
             head: watch::Sender::new(Offset(0)),
--- /dev/null
+++ b/crates/control/src/mesh/crashes.rs
@@ -0,0 +1,158 @@
+//! Crash reports: what this node observed, and which reports each peer has.
+//!
+//! Each node numbers its reports. A message to a peer holds those after the number that the peer
+//! acknowledged, so that every report arrives, however many there are and in whatever order nodes
+//! learn of them. Numbers are valid in the epoch of one process.
+
+use std::time::Instant;
+
+use figway_admission::ReportBatch;
+use figway_types::{
+    Fingerprint,
+    NodeId, //
+};
+
+use super::Mesh;
+use crate::rpc::{
+    Gossip,
+    ReportAck,
+    ReportRange, //
+};
+
+/// Largest number of reports in one message.
+const REPORT_MAX_COUNT: usize = 64;
+
+/// Crash reports that were exchanged with one peer.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ReportProgress {
+    /// Number of this node's last report that the peer acknowledged.
+    acked: u64,
+    /// Number of this node's last report that was sent to the peer.
+    sent: u64,
+    /// What this node merged from the peer.
+    merged: ReportAck,
+}
+
+/// Reports for a peer, with their place among this node's reports.
+#[derive(Debug, Default)]
+pub(super) struct ReportNews {
+    pub(super) batch: ReportBatch,
+    pub(super) range: Option<ReportRange>,
+    pub(super) ack: Option<ReportAck>,
+}
+
+impl Mesh {
+    /// Records that a target crashed while it ran a request with the fingerprint, as this node or the
+    /// node beside the target observed. Peers are told at once.
+    pub fn record_crash(&self, fingerprint: Fingerprint, crash_id: u64) {
+        let now = Instant::now();
+        let mut quarantine = self.quarantine();
+        if !quarantine.record_crash(fingerprint, crash_id, now) {
+            return;
+        }
+        let sequence = quarantine.last_sequence();
+        let quarantined = quarantine.is_quarantined(fingerprint, now);
+        drop(quarantine);
+        log::info!(
+            "crash reported fingerprint={:016x} crash={crash_id:016x} sequence={sequence} \
+             quarantined={quarantined}",
+            fingerprint.0
+        );
+        self.publish_own_report(sequence);
+    }
+
+    /// Records that a target answered a request with the fingerprint, if crashes are reported of it.
+    pub fn record_survival(&self, fingerprint: Fingerprint, run_id: impl FnOnce() -> u64) {
+        let mut quarantine = self.quarantine();
+        if !quarantine.record_survival(fingerprint, run_id, Instant::now()) {
+            return;
+        }
+        let sequence = quarantine.last_sequence();
+        drop(quarantine);
+        log::info!(
+            "survival reported fingerprint={:016x} sequence={sequence}",
+            fingerprint.0
+        );
+        self.publish_own_report(sequence);
+    }
+
+    /// Returns the reports for a peer, and counts them as sent.
+    pub(super) fn reports_for(&self, receiver: &NodeId) -> ReportNews {
+        let quarantine = self.quarantine();
+        let mut all = self.report_progress.lock().expect("no holder panics");
+        let progress = all.entry(receiver.clone()).or_default();
+        let ack = Some(progress.merged).filter(|merged| *merged != ReportAck::default());
+        if progress.acked >= quarantine.last_sequence() {
+            return ReportNews {
+                ack,
+                ..ReportNews::default()
+            };
+        }
+        let batch = quarantine.reports_after(progress.acked, REPORT_MAX_COUNT, Instant::now());
+        progress.sent = batch.last_sequence;
+        ReportNews {
+            range: Some(ReportRange {
+                epoch: self.report_epoch,
+                after: progress.acked,
+                last: batch.last_sequence,
+            }),
+            batch,
+            ack,
+        }
+    }
+
+    /// Merges the crash reports in a peer's gossip, and what it acknowledges of this node's.
+    pub(super) fn merge_reports(&self, sender: &NodeId, gossip: &Gossip) {
+        let now = Instant::now();
+        let mut quarantine = self.quarantine();
+        let mut new_count = 0;
+        for report in &gossip.crashes {
+            new_count += usize::from(quarantine.merge_crash(report, now));
+        }
+        for report in &gossip.survivals {
+            new_count += usize::from(quarantine.merge_survival(report, now));
+        }
+        let last_sequence = quarantine.last_sequence();
+        drop(quarantine);
+        let mut all = self.report_progress.lock().expect("no holder panics");
+        let progress = all.entry(sender.clone()).or_default();
+        match gossip.report_ack {
+            Some(ack) if ack.epoch == self.report_epoch => progress.acked = ack.last,
+            Some(_) => progress.acked = 0,
+            None => {}
+        }
+        if let Some(range) = gossip.report_range {
+            progress.merged.extend(range);
+        }
+        drop(all);
+        if new_count > 0 {
+            log::info!("crash reports merged from={sender} new={new_count} last={last_sequence}");
+            self.notify_gossip();
+        }
+    }
+
+    /// Returns whether there are reports that were not sent to the peer yet.
+    pub(super) fn has_reports_for(&self, peer: &NodeId) -> bool {
+        let last_sequence = self.quarantine().last_sequence();
+        self.reports_sent_to(peer) < last_sequence
+    }
+
+    /// Returns whether there are reports that this node observed itself and has not sent to the peer
+    /// yet.
+    pub(crate) fn has_own_reports_for(&self, peer: &NodeId) -> bool {
+        let own_sequence = *self.own_report.lock().expect("no holder panics");
+        self.reports_sent_to(peer) < own_sequence
+    }
+
+    fn reports_sent_to(&self, peer: &NodeId) -> u64 {
+        let all = self.report_progress.lock().expect("no holder panics");
+        all.get(peer).map_or(0, |progress| progress.sent)
+    }
+
+    fn publish_own_report(&self, sequence: u64) {
+        let mut own_sequence = self.own_report.lock().expect("no holder panics");
+        *own_sequence = (*own_sequence).max(sequence);
+        drop(own_sequence);
+        self.notify_gossip();
+    }
+}
--- a/crates/control/src/mesh/news.rs
+++ b/crates/control/src/mesh/news.rs
@@ -28,9 +28,6 @@
 /// Number of nodes, by their rank at the log, that push new routes to their peers at once.
 const ROUTE_PUSHER_COUNT: usize = 2;
 
-/// Largest number of crash reports in one message.
-const CRASH_MAX_COUNT: usize = 16;
-
 impl Mesh {
     /// Records whether this node reads the log itself.
     pub(crate) fn set_reads_log(&self, reads_log: bool) {
@@ -84,6 +81,7 @@
         let member_digest = members.digest().total();
         let member_count = members.present_count();
         drop(members);
+        let reports = self.reports_for(receiver);
         let head_left = self.head_fresh_until().saturating_duration_since(now);
         Gossip {
             applied_offset: self.applied_offset(),
@@ -91,7 +89,10 @@
             member_digest,
             member_count,
             rumours: updates,
-            crashes: self.quarantine().reports(CRASH_MAX_COUNT, now),
+            crashes: reports.batch.crashes,
+            survivals: reports.batch.survivals,
+            report_range: reports.range,
+            report_ack: reports.ack,
             routes: self.route_gossip_for(self.peer_route_version(receiver)),
         }
     }
@@ -103,6 +104,7 @@
         };
         if progress.applied_offset < self.applied_offset()
             || progress.route_version < self.routes().version
+            || self.has_reports_for(peer)
         {
             return true;
         }
@@ -128,18 +130,7 @@
             self.extend_head_fresh(now + Duration::from_millis(gossip.head_left_ms));
         }
         self.merge_members(&gossip.rumours);
-        let mut quarantine = self.quarantine();
-        let mut new_count = 0;
-        for report in &gossip.crashes {
-            new_count += usize::from(quarantine.merge(report, now));
-        }
-        drop(quarantine);
-        if new_count > 0 {
-            log::info!(
-                "crash reports merged from={sender} new={new_count} received={}",
-                gossip.crashes.len()
-            );
-        }
+        self.merge_reports(sender, gossip);
         self.apply_route_gossip(&gossip.routes)
     }
 
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use figway_admission::CrashReport;
+use figway_admission::{
+    CrashReport,
+    SurvivalReport, //
+};
 use figway_profile::{
     FoldState,
     RouteChange,
@@ -67,11 +70,55 @@
     /// Crash reports that count towards quarantine.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<CrashReport>,
+    /// Reports of targets that answered requests with crash reports.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub survivals: Vec<SurvivalReport>,
+    /// Place of these reports among all those of the sender.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub report_range: Option<ReportRange>,
+    /// Which of the receiver's reports the sender has.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub report_ack: Option<ReportAck>,
     /// Gossip about the route table.
     #[serde(default)]
     pub routes: RouteGossip,
 }
 
+/// Place of the crash reports in a message among all those of its sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ReportRange {
+    /// Epoch of the sender's numbers.
+    pub epoch: u64,
+    /// Number after which the reports begin.
+    pub after: u64,
+    /// Number of the last report.
+    pub last: u64,
+}
+
+/// Acknowledgement of a peer's crash reports up to a number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ReportAck {
+    /// Epoch of the peer's numbers; 0 before the first report.
+    pub epoch: u64,
+    /// Number of the last report.
+    pub last: u64,
+}
+
+impl ReportAck {
+    /// Extends the acknowledgement by the reports of one message, if they follow without a gap.
+    pub(crate) fn extend(&mut self, range: ReportRange) {
+        if self.epoch != range.epoch {
+            *self = Self {
+                epoch: range.epoch,
+                last: 0,
+            };
+        }
+        if range.after <= self.last {
+            self.last = self.last.max(range.last);
+        }
+    }
+}
+
 /// Gossip about the route table.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct RouteGossip {
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -1,12 +1,12 @@
 //! Admission to the local target: waits for a slot, then runs the call.
 
-use std::sync::Arc;
 use std::time::{
     Duration,
     Instant, //
 };
 
 use figway_admission::{
+    run_id,
     AdmissionLimits,
     CallView, //
 };
@@ -286,7 +286,12 @@
                 );
                 AttemptResult::sent(Outcome::Unknown("unsound-answer"))
             }
-            None => AttemptResult::sent(Outcome::Answered(answer)),
+            None => {
+                plane
+                    .mesh
+                    .record_survival(call.fingerprint, || target_run_id(worker, call, target));
+                AttemptResult::sent(Outcome::Answered(answer))
+            }
         },
         Err(SendFailure::Late) => AttemptResult::sent(Outcome::Unknown(DEADLINE_EXCEEDED)),
         Err(SendFailure::TooLarge) => AttemptResult::sent(Outcome::Unknown("answer-too-large")),
@@ -303,29 +308,31 @@
                 target.instance,
             );
             AttemptResult {
-                crash_id: crashed.then(|| record_crash(plane, call)),
+                crash_id: crashed.then(|| record_crash(worker, call, target)),
                 ..AttemptResult::sent(Outcome::Unknown("broken"))
             }
         }
     }
 }
 
-fn record_crash(plane: &Arc<DataPlane>, call: &AdmissionRequest<'_>) -> u64 {
-    let crash_id = plane.mesh.random();
-    log::info!(
-        "crash reported request={} fingerprint={:016x} crash={crash_id:016x}",
-        call.request_id,
-        call.fingerprint.0
-    );
+fn record_crash(worker: &Worker, call: &AdmissionRequest<'_>, target: &Target) -> u64 {
+    let plane = &worker.plane;
+    let crash_id = target_run_id(worker, call, target);
     plane.target_watch.mark_lost(&plane.mesh, "it crashed");
-    plane
-        .mesh
-        .quarantine()
-        .record_crash(call.fingerprint, crash_id, Instant::now());
-    plane.mesh.notify_member_changes();
+    plane.mesh.record_crash(call.fingerprint, crash_id);
     crash_id
 }
 
+/// Returns the id of the call at this run of the target. A target that names no instance is identified
+/// by its host and by how often it was announced anew.
+fn target_run_id(worker: &Worker, call: &AdmissionRequest<'_>, target: &Target) -> u64 {
+    if target.instance.is_empty() {
+        let run_count = worker.plane.target_watch.run_count();
+        return run_id(call.fingerprint, &worker.own_member.node_id.0, run_count);
+    }
+    run_id(call.fingerprint, &target.instance, target.started_at_ms)
+}
+
 fn admission_limits(plane: &DataPlane, target: &Target) -> AdmissionLimits {
     let view = plane.mesh.view();
     let limits = &plane.profile_of(&view, &target.service).0.limits;
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -67,11 +67,7 @@
         waited_ms: result.queue_time.as_millis(),
     });
     if let Some(crash_id) = result.crash_id {
-        let now = Instant::now();
-        plane
-            .mesh
-            .quarantine()
-            .record_crash(call.fingerprint, crash_id, now);
+        plane.mesh.record_crash(call.fingerprint, crash_id);
     }
     result
 }
--- a/crates/dataplane/src/target_watch.rs
+++ b/crates/dataplane/src/target_watch.rs
@@ -51,6 +51,8 @@
     leaving_since: Option<Instant>,
     /// Whether an answer of the latest run stated that the target is leaving.
     leaving_stated: bool,
+    /// How often the target was announced while it counted as lost.
+    run_count: u64,
 }
 
 /// Announcement state of the local target.
@@ -95,6 +97,7 @@
             .latest
             .is_of_run(&target.instance, target.started_at_ms);
         state.leaving_stated &= !is_new_run;
+        state.run_count += u64::from(state.announced_until.is_none());
         let mut target = target.clone();
         // Announcements may be delayed, so a ready one does not undo what an answer stated.
         target.draining |= state.leaving_stated;
@@ -165,6 +168,11 @@
         set_local_target(mesh, None, why);
     }
 
+    /// Returns how often the target was announced while it counted as lost.
+    pub(crate) fn run_count(&self) -> u64 {
+        self.state.lock().expect("no holder panics").run_count
+    }
+
     /// Returns whether the target began to leave so long ago that queued calls no longer run on it.
     pub(crate) fn rejects_queued_calls(&self, now: Instant) -> bool {
         let state = self.state.lock().expect("no holder panics");
