--- a/crates/admission/tests/quarantine.rs
+++ b/crates/admission/tests/quarantine.rs
@@ -13,7 +13,10 @@
     Quarantine, //
 };
 use figway_test_support::fixed_seed_config;
-use figway_types::Fingerprint;
+use figway_types::{
+    Fingerprint,
+    RequestView, //
+};
 use proptest::prelude::*;
 
 /// Number of fingerprints in generated reports.
@@ -152,3 +155,21 @@
     quarantine.record_crash(Fingerprint(4_999), 1, now);
     assert!(quarantine.is_quarantined(Fingerprint(4_999), now));
 }
+
+#[test]
+fn a_request_keeps_its_fingerprint_whichever_service_its_route_leads_to() {
+    let request = RequestView {
+        addressee: "site.example",
+        method: "GET",
+        path: "/reads/1",
+        idempotency_key: None,
+        body: b"",
+    };
+    let elsewhere = RequestView {
+        addressee: "other.example",
+        ..request
+    };
+    // The view has no field for the service, so that a split or moved route can't change it.
+    assert_eq!(request.fingerprint(), request.fingerprint());
+    assert_ne!(request.fingerprint(), elsewhere.fingerprint());
+}
--- a/crates/dataplane/src/interface.rs
+++ b/crates/dataplane/src/interface.rs
@@ -25,6 +25,15 @@
     Host(&'a str),
 }
 
+impl<'a> Addressing<'a> {
+    /// Returns the name of the service or host.
+    pub(crate) fn name(self) -> &'a str {
+        match self {
+            Addressing::Service(name) | Addressing::Host(name) => name,
+        }
+    }
+}
+
 impl std::fmt::Display for Addressing<'_> {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -248,7 +248,7 @@
     } = properties;
     let request = incoming.request;
     let fingerprint = RequestView {
-        service: rule.service,
+        addressee: incoming.addressing.name(),
         method: &request.method,
         path: &request.path,
         idempotency_key: key,
--- a/crates/types/src/request.rs
+++ b/crates/types/src/request.rs
@@ -3,8 +3,9 @@
 /// Parts of a request that identify it.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestView<'a> {
-    /// Service that runs the request.
-    pub service: &'a str,
+    /// Service or host that the caller names. A route to another service, or to several, does not make
+    /// another request of it.
+    pub addressee: &'a str,
     /// HTTP method in upper case.
     pub method: &'a str,
     /// Path, including the query string.
@@ -15,7 +16,7 @@
     pub body: &'a [u8],
 }
 
-/// Identity of a request across resends: hash of the service, method, path, and idempotency key or
+/// Identity of a request across resends: hash of the addressee, method, path, and idempotency key or
 /// body.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
@@ -29,7 +30,7 @@
         use std::hash::Hasher;
 
         let mut hasher = rustc_hash::FxHasher::default();
-        for part in [self.service, self.method, self.path] {
+        for part in [self.addressee, self.method, self.path] {
             hasher.write(part.as_bytes());
             hasher.write_u8(0);
         }
