LOST: count a request from its first byte to the last byte of its answer in a planned stop

Cause: the drain counted a request from when it was read whole until its handler returned. Neither the reading before nor the sending after was waited for, and a request that was read after that was passed on.

Now a connection is busy from the first byte of a request until its answer is sent, one count for the drain. The rest of a closing answer may take 10 s instead of 1 s.

--- a/crates/dataplane/src/builder.rs
+++ b/crates/dataplane/src/builder.rs
@@ -1,9 +1,6 @@
 //! Builder of a node's data plane.
 
-use std::sync::atomic::{
-    AtomicBool,
-    AtomicUsize, //
-};
+use std::sync::atomic::AtomicBool;
 use std::sync::{
     Arc,
     Mutex, //
@@ -14,7 +11,10 @@
     ClaimAgent,
     Mesh, //
 };
-use figway_http::ServerPhase;
+use figway_http::{
+    BusyConnections,
+    ServerPhase, //
+};
 use figway_profile::Profile;
 use figway_routing::TransitPrices;
 use tokio::sync::watch;
@@ -155,7 +155,7 @@
             draining: AtomicBool::new(false),
             phase: watch::Sender::new(ServerPhase::Open),
             running: Mutex::default(),
-            in_flight_count: AtomicUsize::new(0),
+            busy_connections: BusyConnections::default(),
             body_max_bytes: self.body_max_bytes,
             connection_max_count: self.connection_max_count,
             origin: Mutex::new(self.origin),
--- a/crates/dataplane/src/front.rs
+++ b/crates/dataplane/src/front.rs
@@ -7,6 +7,7 @@
 
 use figway_http::{
     Answer,
+    BusyConnections,
     Handler,
     Request,
     ServerLimits, //
@@ -72,6 +73,10 @@
             idle_max_ms: limits.idle_max_ms,
         }
     }
+
+    fn busy_connections(&self) -> Option<&BusyConnections> {
+        Some(&self.worker.plane.busy_connections)
+    }
 }
 
 /// Serves peers, operators, the local target and callers on one address.
@@ -95,7 +100,6 @@
     fn handle(&self, request: Request) -> LocalBoxFuture<'_, Answer> {
         Box::pin(async move {
             if is_forwarded(&request) {
-                let _in_flight = self.worker.plane.begin_call();
                 return serve_forwarded(&self.worker, &request).await;
             }
             if let Some(answer) = operator::answer(&self.worker, &request).await {
@@ -119,6 +123,10 @@
             idle_max_ms: PEER_IDLE_MAX_MS,
         }
     }
+
+    fn busy_connections(&self) -> Option<&BusyConnections> {
+        Some(&self.worker.plane.busy_connections)
+    }
 }
 
 /// Serves the metrics as text at `GET /metrics`.
@@ -160,7 +168,6 @@
 
 async fn serve_caller_request(worker: &Worker, request: &Request) -> Answer {
     let plane = &worker.plane;
-    let _in_flight = plane.begin_call();
     let interface = plane.interface.as_ref();
     let generated_id;
     let request_id = match interface.request_id(request) {
@@ -187,7 +194,11 @@
         origin: &origin,
         deadline: budget.and_then(|budget| request.arrived_at.checked_add(budget)),
     };
-    let served = serve_call(worker, &incoming).await;
+    let served = if plane.refuses_calls() {
+        Outcome::NotRun(NotRunReason::Draining).into()
+    } else {
+        serve_call(worker, &incoming).await
+    };
     let retry_after = served
         .expected_wait
         .or_else(|| retry_after(&served.outcome));
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -2,7 +2,6 @@
 
 use std::sync::atomic::{
     AtomicBool,
-    AtomicUsize,
     Ordering, //
 };
 use std::sync::{
@@ -22,6 +21,7 @@
 };
 use figway_http::{
     Answer,
+    BusyConnections,
     Request,
     ServerPhase, //
 };
@@ -63,7 +63,7 @@
 /// Share of the grace period that a drain may use.
 const DRAIN_GRACE_RATIO: f64 = 0.84;
 
-/// Time for requests that were read before connections closed to be counted as in flight.
+/// Time for idle connections to close, and for bytes that have arrived on others to be counted.
 const CLOSE_SETTLE: Duration = Duration::from_millis(120);
 
 /// Period at which a drain checks for calls in flight.
@@ -86,7 +86,7 @@
     pub(crate) draining: AtomicBool,
     pub(crate) phase: watch::Sender<ServerPhase>,
     pub(crate) running: Mutex<FastMap<String, AttemptKind>>,
-    pub(crate) in_flight_count: AtomicUsize,
+    pub(crate) busy_connections: BusyConnections,
     pub(crate) body_max_bytes: usize,
     pub(crate) connection_max_count: usize,
     pub(crate) origin: Mutex<String>,
@@ -244,16 +244,14 @@
         self.phase.subscribe()
     }
 
-    /// Counts a call as in flight until the guard drops.
-    pub(crate) fn begin_call(self: &Arc<Self>) -> InFlightGuard {
-        self.in_flight_count.fetch_add(1, Ordering::Relaxed);
-        InFlightGuard {
-            plane: Arc::clone(self),
-        }
+    /// Returns whether the node stops so soon that a call which it takes now might not end before.
+    pub(crate) fn refuses_calls(&self) -> bool {
+        *self.phase.borrow() == ServerPhase::Closed
     }
 
-    /// Stops accepting calls, then waits until all calls in flight have ended or the drain's share
-    /// of the grace period is over.
+    /// Stops accepting calls, then waits until all answers are sent or the drain's share of the grace
+    /// period is over. A request that is read completely so late that it might not end in time is
+    /// refused.
     pub async fn drain(&self) {
         let now = Instant::now();
         let deadline = now + self.drain_grace().mul_f64(DRAIN_GRACE_RATIO);
@@ -269,12 +267,11 @@
         tokio::time::sleep_until((now + DRAIN_ACCEPT).min(deadline).into()).await;
         // Callers with open connections would otherwise start calls that cannot finish in time.
         self.phase.send_replace(ServerPhase::Closed);
-        // Requests that were read before must be counted as in flight, or they would be cut off.
         tokio::time::sleep(CLOSE_SETTLE).await;
         loop {
-            let in_flight_count = self.in_flight_count.load(Ordering::Relaxed);
-            if Instant::now() >= deadline || in_flight_count == 0 {
-                log::info!("drain ended in_flight={in_flight_count}");
+            let busy_count = self.busy_connections.count();
+            if Instant::now() >= deadline || busy_count == 0 {
+                log::info!("drain ended busy_connections={busy_count}");
                 return;
             }
             tokio::time::sleep(DRAIN_POLL_PERIOD).await;
@@ -319,14 +316,3 @@
         running.remove(&self.request_id);
     }
 }
-
-/// Guard that counts a call as in flight.
-pub(crate) struct InFlightGuard {
-    plane: Arc<DataPlane>,
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.plane.in_flight_count.fetch_sub(1, Ordering::Relaxed);
-    }
-}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -22,6 +22,7 @@
 };
 pub use server::{
     serve,
+    BusyConnections,
     Handler,
     ServerLimits,
     ServerPhase, //
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,6 +2,11 @@
 //! the other.
 
 use std::rc::Rc;
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering, //
+};
+use std::sync::Arc;
 use std::time::{
     Duration,
     Instant, //
@@ -41,6 +46,7 @@
 use tokio::sync::watch;
 use tokio::time::{
     sleep_until,
+    timeout,
     timeout_at, //
 };
 
@@ -54,7 +60,10 @@
 /// Delay after a failed accept, during which file descriptors can become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Timeout for sending the last answer before a connection is closed.
+/// Timeout for sending the rest of the last answer of a connection.
+const SEND_TIMEOUT: Duration = Duration::from_millis(10_000);
+
+/// Timeout for closing a connection.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Limits of a server's connections. They can change while the server runs.
@@ -81,6 +90,32 @@
     Closed,
 }
 
+/// Number of connections that carry a request: from its first byte until the last byte of its answer
+/// is sent.
+#[derive(Clone, Debug, Default)]
+pub struct BusyConnections(Arc<AtomicUsize>);
+
+impl BusyConnections {
+    /// Returns the current number.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn begin(&self) -> BusyGuard {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        BusyGuard(Arc::clone(&self.0))
+    }
+}
+
+/// Counts a connection as busy until it is dropped.
+struct BusyGuard(Arc<AtomicUsize>);
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Answers the requests that a server receives.
 pub trait Handler {
     /// Returns the answer to one request. The future is dropped if the client closes the
@@ -89,6 +124,11 @@
 
     /// Returns the current limits.
     fn limits(&self) -> ServerLimits;
+
+    /// Returns the count of busy connections that those of this handler belong to, if they are counted.
+    fn busy_connections(&self) -> Option<&BusyConnections> {
+        None
+    }
 }
 
 /// Accepts and serves connections until the phase is [`ServerPhase::Closed`].
@@ -160,17 +200,28 @@
         };
         self.serve_requests(&io).await;
         // A client that reads slowly may not have received the whole last answer yet.
-        if tokio::time::timeout(SHUTDOWN_TIMEOUT, io.shutdown())
-            .await
-            .is_err()
-        {
-            log::debug!("could not send the last answer of a connection in time");
+        if has_unsent_bytes(&io) {
+            let _busy = self.begin_busy();
+            if timeout(SEND_TIMEOUT, io.flush(true)).await.is_err() {
+                log::info!("could not send the last answer of a connection in time");
+            }
         }
+        if timeout(SHUTDOWN_TIMEOUT, io.shutdown()).await.is_err() {
+            log::debug!("could not close a connection in time");
+        }
+    }
+
+    fn begin_busy(&self) -> Option<BusyGuard> {
+        self.handler.busy_connections().map(BusyConnections::begin)
     }
 
     async fn serve_requests(&mut self, io: &Io) {
         let codec = Codec::new(0, self.config.get());
         loop {
+            if !self.wait_for_bytes(io).await {
+                return;
+            }
+            let _busy = self.begin_busy();
             let request = match self.read_request(io, &codec).await {
                 ReadOutcome::Request(request) => request,
                 ReadOutcome::Refused(status) => {
@@ -196,9 +247,6 @@
     }
 
     async fn read_request(&mut self, io: &Io, codec: &Codec) -> ReadOutcome {
-        if !self.wait_for_bytes(io).await {
-            return ReadOutcome::Ended;
-        }
         let arrived_at = Instant::now();
         let limits = self.handler.limits();
         let deadline = arrived_at + Duration::from_millis(limits.request_max_ms);
@@ -368,6 +416,12 @@
     }
 }
 
+/// Returns whether a part of an answer is still to be sent.
+fn has_unsent_bytes(io: &Io) -> bool {
+    io.with_write_buf(|unsent| !unsent.is_empty())
+        .unwrap_or(false)
+}
+
 fn answer_closes(answer: &Answer) -> bool {
     answer.headers.get("connection") == Some("close")
 }
