--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -264,7 +264,7 @@
     let page = read_retained(log, CONTACT_STREAM, Offset(1)).await?;
     let mut contacts: Vec<Contact> = Vec::new();
     for record in page.records.iter().rev() {
-        if record.appended_at_ms + CONTACT_TTL_MS < page.now_ms {
+        if record.appended_at_ms.saturating_add(CONTACT_TTL_MS) < page.now_ms {
             break;
         }
         let Ok(contact) = serde_json::from_str::<Contact>(&record.body) else {
--- a/crates/control/src/mesh/news.rs
+++ b/crates/control/src/mesh/news.rs
@@ -9,6 +9,7 @@
 };
 
 use figway_types::{
+    deadline_after_ms,
     rendezvous_weight,
     Member,
     MemberState,
@@ -127,7 +128,7 @@
             .insert(sender.clone(), progress);
         self.adopt_empty_era(gossip.applied_offset);
         if same_region {
-            self.extend_head_fresh(now + Duration::from_millis(gossip.head_left_ms));
+            self.extend_head_fresh(deadline_after_ms(now, gossip.head_left_ms));
         }
         self.merge_members(&gossip.rumours);
         self.merge_reports(sender, gossip);
--- a/crates/control/src/mesh/routes.rs
+++ b/crates/control/src/mesh/routes.rs
@@ -90,6 +90,7 @@
         if confirmation.version > self.routes().version {
             return;
         }
+        let sent_at = sent_at.min(BootInstant::now());
         self.confirm_routes(sent_at.saturating_sub(confirmation.age));
     }
 
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -9,6 +9,7 @@
 };
 
 use figway_types::{
+    deadline_after_ms,
     Member,
     MemberState,
     NodeId,
@@ -158,7 +159,7 @@
             .merge_gossip(&ping.node_id, &ping.news, same_region);
         let behind = ping.news.applied_offset > self.mesh.applied_offset();
         if !behind {
-            let wait_until = Instant::now() + Duration::from_millis(ping.wait_ms);
+            let wait_until = deadline_after_ms(Instant::now(), ping.wait_ms);
             wait_for_updates(&self.mesh, &ping.node_id, wait_until).await;
         }
         Pong {
@@ -196,7 +197,7 @@
     }
 
     async fn claim(self, _: Context, claim: Claim, left_ms: u64) -> ClaimVerdict {
-        let deadline = Instant::now() + Duration::from_millis(left_ms);
+        let deadline = deadline_after_ms(Instant::now(), left_ms);
         self.batchers.claim(claim, deadline).await
     }
 
--- a/crates/control/src/survey.rs
+++ b/crates/control/src/survey.rs
@@ -2,12 +2,10 @@
 //! members that have not left.
 
 use std::sync::Arc;
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::time::Instant;
 
 use figway_types::{
+    deadline_after_ms,
     MemberState,
     Offset, //
 };
@@ -75,7 +73,7 @@
     request: &'a SurveyRequest,
 ) -> LocalBoxFuture<'a, SurveyReport> {
     Box::pin(async move {
-        let deadline = Instant::now() + Duration::from_millis(request.left_ms);
+        let deadline = deadline_after_ms(Instant::now(), request.left_ms);
         let mut report = own_report(mesh, &request.service, request.version_offset);
         let chunk_len = request.below.len().div_ceil(FAN_OUT).max(1);
         let mut asked = FuturesUnordered::new();
@@ -141,7 +139,7 @@
             .get(&node.node_id)
             .is_some_and(|member| member.region != members.own().region)
     };
-    let deadline = Instant::now() + Duration::from_millis(request.left_ms);
+    let deadline = deadline_after_ms(Instant::now(), request.left_ms);
     let client = dial(mesh, &node.control_address, cross_region).await?;
     Ok(client.survey(context_until(deadline), request).await?)
 }
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -104,7 +104,7 @@
             idempotent: route.may_repeat(),
             worth: ROUTE_WORTH * 0.5_f64.powi(route.priority.min(60) as i32),
             long: false,
-            rank: ROUTE_BASE_RANK + route.priority,
+            rank: ROUTE_BASE_RANK.saturating_add(route.priority),
             prompt_ms: Some(route.prompt_ms),
             attempt_max_count: route.attempt_max_count.max(1) as usize,
             profile,
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -10,6 +10,7 @@
 };
 use figway_routing::LoadReport;
 use figway_types::{
+    deadline_after_ms,
     Fingerprint,
     NotRunReason, //
 };
@@ -102,14 +103,14 @@
         worth: header(headers::ADMIT_WORTH)?.parse().ok()?,
         long: header(headers::ADMIT_LONG) == Some("true"),
         rank: header(headers::ADMIT_RANK)?.parse().ok()?,
-        prompt_by: prompt_ms.map(|ms| request.arrived_at + Duration::from_millis(ms)),
+        prompt_by: prompt_ms.map(|ms| deadline_after_ms(request.arrived_at, ms)),
         fingerprint: Fingerprint(fingerprint),
         method: &request.method,
         path: &request.path,
         headers: &request.headers,
         body: &request.body,
         origin: header(headers::ADMIT_ORIGIN)?,
-        deadline: request.arrived_at + Duration::from_millis(budget_ms),
+        deadline: deadline_after_ms(request.arrived_at, budget_ms),
         attempt_kind: header(headers::ADMIT_ATTEMPT_KIND)
             .map_or(AttemptKind::First, AttemptKind::from_name),
     })
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -66,6 +66,13 @@
 /// Time for idle connections to close, and for bytes that have arrived on others to be counted.
 const CLOSE_SETTLE: Duration = Duration::from_millis(120);
 
+/// Largest number of slots that a target may announce.
+const SLOT_MAX_COUNT: u32 = 1_000_000;
+
+/// Latest start that a target may announce, in Unix milliseconds: the year 2200. A later one could
+/// never be followed by a newer run.
+const STARTED_AT_MAX_MS: u64 = 7_258_118_400_000;
+
 /// Period at which a drain checks for calls in flight.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -192,8 +199,17 @@
                 return Err(format!("the target of this host is at {expected}"));
             }
         }
-        if target.slot_count == 0 {
-            return Err("a target needs one slot or more".to_owned());
+        if !(1..=SLOT_MAX_COUNT).contains(&target.slot_count) {
+            return Err(format!(
+                "a target has 1 to {SLOT_MAX_COUNT} slots, not {}",
+                target.slot_count
+            ));
+        }
+        if target.started_at_ms > STARTED_AT_MAX_MS {
+            return Err(format!(
+                "the target can't have started at {} ms",
+                target.started_at_ms
+            ));
         }
         let known_target = self.mesh.members().own().target.clone();
         if known_target.is_none_or(|known| known.instance != target.instance) {
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -13,6 +13,7 @@
     Request, //
 };
 use figway_types::{
+    deadline_after_ms,
     NotRunReason,
     RequestView, //
 };
@@ -255,7 +256,7 @@
         body: &request.body,
     }
     .fingerprint();
-    let rule_deadline = request.arrived_at + Duration::from_millis(budget_ms);
+    let rule_deadline = deadline_after_ms(request.arrived_at, budget_ms);
     let deadline = incoming
         .deadline
         .unwrap_or(rule_deadline)
@@ -274,7 +275,7 @@
         arrived_at: request.arrived_at,
         prompt_by: rule
             .prompt_ms
-            .map(|prompt_ms| request.arrived_at + Duration::from_millis(prompt_ms)),
+            .map(|prompt_ms| deadline_after_ms(request.arrived_at, prompt_ms)),
         deadline,
         fingerprint,
         parent_is_repeat,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -12,6 +12,7 @@
     Instant, //
 };
 
+use figway_types::deadline_after_ms;
 use futures::future::LocalBoxFuture;
 use ntex::http::body::BodySize;
 use ntex::http::h1::{
@@ -249,7 +250,7 @@
     async fn read_request(&mut self, io: &Io, codec: &Codec) -> ReadOutcome {
         let arrived_at = Instant::now();
         let limits = self.handler.limits();
-        let deadline = arrived_at + Duration::from_millis(limits.request_max_ms);
+        let deadline = deadline_after_ms(arrived_at, limits.request_max_ms);
         let read = async {
             let (head, payload) = match io.recv(codec).await {
                 Ok(Some(item)) => item,
@@ -310,8 +311,8 @@
             if io.with_read_buf(|buf| !buf.is_empty()) {
                 return true;
             }
-            let idle_max = Duration::from_millis(self.handler.limits().idle_max_ms);
-            let idle_until = idle_since + idle_max;
+            let idle_max_ms = self.handler.limits().idle_max_ms;
+            let idle_until = deadline_after_ms(idle_since, idle_max_ms);
             if idle_until <= Instant::now() {
                 return false;
             }
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -141,6 +141,11 @@
         self.listen_address.borrow().clone()
     }
 
+    /// Returns the address to which the back end sends its heartbeats.
+    pub fn announce_address(&self) -> &str {
+        &self.announce_address
+    }
+
     /// Sets the address that heartbeats name, from which requests reach the back end.
     pub fn announce_at(&self, address: &str) {
         *self.announced_address.borrow_mut() = address.to_owned();
--- a/crates/types/src/change.rs
+++ b/crates/types/src/change.rs
@@ -8,6 +8,9 @@
 /// Number of bits of an [`Offset`] that hold the index of the record.
 const INDEX_BITS: u32 = 40;
 
+/// Largest index; a larger one, which no log reaches, counts as this one.
+const INDEX_MAX: u64 = (1 << INDEX_BITS) - 1;
+
 /// Offset of a record in a stream of the platform's log; also the version of what the record
 /// changed.
 ///
@@ -23,7 +26,7 @@
 impl Offset {
     /// Returns the offset of the record with `index`, counted from 1, in `era`.
     pub fn in_era(era: LogEra, index: u64) -> Self {
-        Self(u64::from(era.0) << INDEX_BITS | index)
+        Self(u64::from(era.0) << INDEX_BITS | index.min(INDEX_MAX))
     }
 
     /// Returns the era of the log.
@@ -33,12 +36,12 @@
 
     /// Returns the index within the era.
     pub fn index(self) -> u64 {
-        self.0 & ((1 << INDEX_BITS) - 1)
+        self.0 & INDEX_MAX
     }
 
     /// Returns the offset of the next record in the same era.
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self::in_era(self.era(), self.index() + 1)
     }
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -48,6 +48,15 @@
 /// Hash set with a fast, non-cryptographic hasher, for keys that come from inside the system.
 pub type FastSet<K> = std::collections::HashSet<K, rustc_hash::FxBuildHasher>;
 
+/// Longest time that a message can set a deadline ahead. Longer times count as this one.
+const DEADLINE_MAX: std::time::Duration = std::time::Duration::from_secs(365 * 24 * 3_600);
+
+/// Returns the deadline `left_ms` milliseconds after `now`. The time may come from a message, so that
+/// it can be of any size.
+pub fn deadline_after_ms(now: std::time::Instant, left_ms: u64) -> std::time::Instant {
+    now + std::time::Duration::from_millis(left_ms).min(DEADLINE_MAX)
+}
+
 /// Returns a hash of `value` that is the same in every process of one release.
 pub fn stable_hash(value: &str) -> u64 {
     use std::hash::Hasher;
