CONFIG, elsewhere: let any node of a region read the change stream when the region's view is stale

Callers would have seen: a switch or retreat that the log acknowledged is not followed by a region whose first three nodes by rank are live but can't reach the log.

Two causes, both found by the test. Later ranks never read. And gossip from a peer whose own view was stale set this node's to "fresh until now", so that with a message a second the second rank never stepped in either; a message that was under way for long made the view look fresher, too. Now later ranks read after 3 s more and ask each 2 to 6 s while the log is away; a view counts from the earliest time at which the answer can have been written, as the lease of the routes does, and one that is stale says nothing. Worst case 8 s of freshness, 3 s and 1 ms a rank, 1 s: 12 s of 20.

Test: a_change_is_in_force_in_time_when_only_the_last_rank_reaches_the_log failed before, and also with later ranks alone (no record after 20 s); it passes in 13 s with both.

--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -176,11 +176,13 @@
         node_id: own.node_id,
     };
     let context = context_until(Instant::now() + wait + PEER_TIMEOUT);
-    let sent_at = BootInstant::now();
+    let (sent_at, boot_sent_at) = (Instant::now(), BootInstant::now());
     let pong = client.ping(context, ping).await?;
-    let answered_at = sent_at + Duration::from_millis(pong.held_ms);
+    // The answer was not written before this time.
+    let held = Duration::from_millis(pong.held_ms).min(sent_at.elapsed());
     let same_region = peer.region == own.region;
-    let lacks_routes = mesh.merge_gossip(&peer.node_id, &pong.news, same_region);
+    let head_from = same_region.then_some(sent_at + held);
+    let lacks_routes = mesh.merge_gossip(&peer.node_id, &pong.news, head_from);
     if lacks_routes {
         if let Some(_fetch) = mesh.try_begin_route_fetch() {
             let missing = client.pull_routes(peer_timeout_context(), mesh.routes().version);
@@ -188,7 +190,7 @@
         }
     }
     if let Some(confirmation) = pong.news.routes.confirmation() {
-        mesh.merge_route_confirmation(&confirmation, answered_at);
+        mesh.merge_route_confirmation(&confirmation, boot_sent_at + held);
     }
     let peer_offset = pong.news.applied_offset;
     if pong.wants_delivery {
--- a/crates/control/src/mesh/news.rs
+++ b/crates/control/src/mesh/news.rs
@@ -113,10 +113,15 @@
         members.has_pending_updates() && progress.member_digest != members.digest().total()
     }
 
-    /// Merges gossip from `sender`. The sender's view of the log's head counts only if
-    /// `same_region` is true. Returns whether this node still lacks some of the sender's routes.
-    pub(crate) fn merge_gossip(&self, sender: &NodeId, gossip: &Gossip, same_region: bool) -> bool {
-        let now = Instant::now();
+    /// Merges gossip from `sender`. Its view of the log's head counts from `head_from`, the earliest
+    /// time at which the gossip can have been written, and only if that is given. Returns whether
+    /// this node still lacks some of the sender's routes.
+    pub(crate) fn merge_gossip(
+        &self,
+        sender: &NodeId,
+        gossip: &Gossip,
+        head_from: Option<Instant>,
+    ) -> bool {
         let progress = PeerProgress {
             applied_offset: gossip.applied_offset,
             route_version: gossip.routes.version,
@@ -127,8 +132,10 @@
             .expect("no holder panics")
             .insert(sender.clone(), progress);
         self.adopt_empty_era(gossip.applied_offset);
-        if same_region {
-            self.extend_head_fresh(deadline_after_ms(now, gossip.head_left_ms));
+        // A peer whose own view is stale says nothing about the head.
+        let head_left_ms = Some(gossip.head_left_ms).filter(|left_ms| *left_ms > 0);
+        if let (Some(head_from), Some(head_left_ms)) = (head_from, head_left_ms) {
+            self.extend_head_fresh(deadline_after_ms(head_from, head_left_ms));
         }
         self.merge_members(&gossip.rumours);
         self.merge_reports(sender, gossip);
--- a/crates/control/src/reader.rs
+++ b/crates/control/src/reader.rs
@@ -1,5 +1,5 @@
-//! Reader of the change stream. In each region the node of the first rank reads the log; the next
-//! ones also read it when the region's view of the log's head becomes stale.
+//! Reader of the change stream. In each region the node of the first rank reads the log; the others
+//! also read it, one after the other, when the region's view of the log's head becomes stale.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -36,14 +36,21 @@
 const READ_WAIT: Duration = Duration::from_secs(2);
 
 /// Time for which the region's view of the head is fresh after a read.
-const HEAD_FRESH: Duration = Duration::from_secs(6);
+const HEAD_FRESH: Duration = Duration::from_secs(8);
 
-/// Staleness of the region's view, per rank, after which a node of that rank also reads.
+/// Staleness of the region's view, per rank, after which a node of one of the first ranks also reads.
 const FAILOVER_STEP: Duration = Duration::from_secs(1);
 
-/// Largest number of nodes of a region that read, so that an outage of the log does not cause a
-/// storm of requests.
-const READER_MAX_COUNT: usize = 3;
+/// Number of nodes of a region that read at short intervals while the log is unavailable.
+const FAILOVER_COUNT: usize = 3;
+
+/// Further staleness, per rank, after which a node of a later rank also reads. It may be the only one
+/// that reaches the log.
+const LATER_RANK_STEP: Duration = Duration::from_millis(1);
+
+/// Pause between two reads of a node of a later rank while the log is unavailable, so that an outage
+/// does not cause a storm of requests.
+const LATER_RANK_RETRY: Duration = Duration::from_secs(4);
 
 /// Interval at which a node that does not read checks whether it should.
 const RANK_CHECK_EVERY: Duration = Duration::from_millis(250);
@@ -84,7 +91,7 @@
                     "page of an earlier era ignored next={} applied={applied_offset}",
                     page.next_offset
                 );
-                wait_for_retry(&mut backoff).await;
+                wait_for_retry(&mesh, &mut backoff).await;
             }
             Ok(page) => {
                 backoff.reset();
@@ -95,11 +102,11 @@
             }
             Err(ReadError::Expired(first_offset)) => {
                 restore_from_snapshot(&mesh, log.as_ref(), first_offset).await;
-                wait_for_retry(&mut backoff).await;
+                wait_for_retry(&mesh, &mut backoff).await;
             }
             Err(ReadError::Unavailable(why)) => {
                 log::warn!("could not read the log: {why}");
-                wait_for_retry(&mut backoff).await;
+                wait_for_retry(&mesh, &mut backoff).await;
             }
         }
     }
@@ -116,7 +123,7 @@
         }
         Err(error) => {
             log::warn!("could not read the log of era {era}: {error}");
-            wait_for_retry(backoff).await;
+            wait_for_retry(mesh, backoff).await;
             return;
         }
     };
@@ -128,23 +135,33 @@
     backoff.reset();
 }
 
-async fn wait_for_retry(backoff: &mut Backoff) {
+async fn wait_for_retry(mesh: &Mesh, backoff: &mut Backoff) {
     let next_attempt_at = backoff.next_attempt_at(Instant::now());
     tokio::time::sleep_until(next_attempt_at.into()).await;
+    if region_rank(mesh).is_some_and(|rank| rank >= FAILOVER_COUNT) {
+        tokio::time::sleep(LATER_RANK_RETRY / 2 + mesh.jitter(LATER_RANK_RETRY)).await;
+    }
 }
 
 /// Returns whether this node should read the log. The node of the first rank always does, the next
 /// ones only while the region's view of the head is stale.
 fn should_read(mesh: &Mesh) -> bool {
-    let region = mesh.members().own().region.clone();
-    let Some(rank) = mesh.own_rank(&region, &|member| member.region == region) else {
-        return false;
-    };
-    if rank == 0 {
-        return true;
+    match region_rank(mesh) {
+        Some(0) => true,
+        Some(rank) => mesh.head_fresh_until() + failover_after(rank) <= Instant::now(),
+        None => false,
     }
-    rank < READER_MAX_COUNT
-        && mesh.head_fresh_until() + FAILOVER_STEP * rank as u32 <= Instant::now()
+}
+
+/// Returns how long the region's view must have been stale before a node of `rank` reads.
+fn failover_after(rank: usize) -> Duration {
+    let later_rank = rank.saturating_sub(FAILOVER_COUNT);
+    FAILOVER_STEP * rank.min(FAILOVER_COUNT) as u32 + LATER_RANK_STEP * later_rank as u32
+}
+
+fn region_rank(mesh: &Mesh) -> Option<usize> {
+    let region = mesh.members().own().region.clone();
+    mesh.own_rank(&region, &|member| member.region == region)
 }
 
 async fn apply_page(mesh: &Mesh, log: &dyn LogService, page: &Page, retention_ms: u64) {
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -135,14 +135,6 @@
     peer: Rc<RefCell<Option<Member>>>,
 }
 
-impl PeerServer {
-    fn is_same_region(&self) -> bool {
-        let peer = self.peer.borrow();
-        peer.as_ref()
-            .is_some_and(|peer| peer.region == self.mesh.members().own().region)
-    }
-}
-
 impl Peer for PeerServer {
     async fn hello(self, _: Context, hello: Hello) -> Result<Hello, String> {
         check_hello(&self.mesh, &hello)?;
@@ -154,9 +146,8 @@
 
     async fn ping(self, _: Context, ping: Ping) -> Pong {
         let received_at = Instant::now();
-        let same_region = self.is_same_region();
-        self.mesh
-            .merge_gossip(&ping.node_id, &ping.news, same_region);
+        // How long the ping was under way is not known, so that it tells nothing about the head.
+        self.mesh.merge_gossip(&ping.node_id, &ping.news, None);
         let behind = ping.news.applied_offset > self.mesh.applied_offset();
         if !behind {
             let wait_until = deadline_after_ms(Instant::now(), ping.wait_ms);
