--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -161,6 +161,10 @@
             self.metrics
                 .set_gauge("routes_confirmed_age_ms", age.as_millis() as u64);
         }
+        self.metrics.set_gauge(
+            "crash_reports_evicted",
+            self.mesh.quarantine().evicted_count(),
+        );
         let unknown_kind_count = view.routes.unknown_kinds.len() as u64;
         self.metrics
             .set_gauge("routes_unknown_kind", unknown_kind_count);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,11 +3,13 @@
 //! Code that answers requests implements [`Handler`], and code that sends requests does so through
 //! [`Transport`]. Bodies aren't streamed: each is read to its end before the message is passed on.
 
+mod busy;
 mod client;
 mod message;
 mod server;
 mod socket;
 
+pub use busy::BusyConnections;
 pub use client::{
     ClientLimits,
     HttpClient, //
@@ -22,7 +24,6 @@
 };
 pub use server::{
     serve,
-    BusyConnections,
     Handler,
     ServerLimits,
     ServerPhase, //
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,11 +2,6 @@
 //! the other.
 
 use std::rc::Rc;
-use std::sync::atomic::{
-    AtomicUsize,
-    Ordering, //
-};
-use std::sync::Arc;
 use std::time::{
     Duration,
     Instant, //
@@ -51,6 +46,10 @@
     timeout_at, //
 };
 
+use crate::busy::{
+    BusyConnections,
+    BusyGuard, //
+};
 use crate::message::{
     Answer,
     Headers,
@@ -91,32 +90,6 @@
     Closed,
 }
 
-/// Number of connections that carry a request: from its first byte until the last byte of its answer
-/// is sent.
-#[derive(Clone, Debug, Default)]
-pub struct BusyConnections(Arc<AtomicUsize>);
-
-impl BusyConnections {
-    /// Returns the current number.
-    pub fn count(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
-    }
-
-    fn begin(&self) -> BusyGuard {
-        self.0.fetch_add(1, Ordering::Relaxed);
-        BusyGuard(Arc::clone(&self.0))
-    }
-}
-
-/// Counts a connection as busy until it is dropped.
-struct BusyGuard(Arc<AtomicUsize>);
-
-impl Drop for BusyGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Answers the requests that a server receives.
 pub trait Handler {
     /// Returns the answer to one request. The future is dropped if the client closes the
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -17,11 +17,20 @@
 };
 use figway_testbed::deployment::{
     Deployment,
+    Zone,
     AL_RAMLA,
     VERBAND, //
 };
 use figway_testbed::fleet::Fleet;
-use figway_testbed::process::Signal;
+use figway_testbed::mesh_farm::{
+    Farm,
+    FarmSpec, //
+};
+use figway_testbed::process::{
+    Process,
+    Programs,
+    Signal, //
+};
 use figway_testbed::site::Site;
 
 /// Longest wait until nodes converge on a membership or a profile; the stated goal is 20 s.
@@ -61,6 +70,23 @@
     fleet
 }
 
+/// Starts a log and a farm of control planes in `zones`, and waits until they know each other.
+pub(crate) async fn start_farm(node_count: usize, zones: &[Zone]) -> (Process, Farm) {
+    let programs = Programs::find().expect("the programs are built");
+    let log = Process::start(&programs.testbed, &["log"], None).expect("the log starts");
+    let farm = Farm::start(&FarmSpec {
+        node_count,
+        service_count: 4,
+        log_url: format!("http://{}", log.address("log")),
+        zones: zones.to_vec(),
+    })
+    .expect("the farm starts");
+    farm.wait_joined(Duration::from_secs(60))
+        .await
+        .expect("the nodes find each other");
+    (log, farm)
+}
+
 /// Sends `signal` to the node of each host.
 pub(crate) fn signal_nodes(fleet: &Fleet, signal: Signal) {
     for host in &fleet.hosts {
