BUDGET: send a restarted peer all crash reports again

Callers would have seen: a request that is quarantined everywhere is passed on by a node that was restarted, and crashes targets again. Now no acknowledgement means none.

Test: a_restarted_node_learns_from_its_peers_which_requests_are_quarantined failed before ("unknown at-peer" with 3 targets running) and passes.

--- a/crates/control/src/mesh/crashes.rs
+++ b/crates/control/src/mesh/crashes.rs
@@ -116,11 +116,11 @@
         drop(quarantine);
         let mut all = self.report_progress.lock().expect("no holder panics");
         let progress = all.entry(sender.clone()).or_default();
-        match gossip.report_ack {
-            Some(ack) if ack.epoch == self.report_epoch => progress.acked = ack.last,
-            Some(_) => progress.acked = 0,
-            None => {}
-        }
+        // A peer that restarted acknowledges nothing, or an epoch that it still has from before.
+        progress.acked = match gossip.report_ack {
+            Some(ack) if ack.epoch == self.report_epoch => ack.last,
+            Some(_) | None => 0,
+        };
         if let Some(range) = gossip.report_range {
             progress.merged.extend(range);
         }
--- a/crates/testbed/tests/calls.rs
+++ b/crates/testbed/tests/calls.rs
@@ -237,6 +237,33 @@
     }
 }
 
+/// Guards against a request that crashes targets again because a node forgot its crashes when it was
+/// restarted, and its peers do not tell it again.
+#[ntex::test]
+async fn a_restarted_node_learns_from_its_peers_which_requests_are_quarantined() {
+    let mut fleet = start_al_ramla("crash-again", &["stockdesk"], 4).await;
+    let headers = [("x-figway-service", "stockdesk"), ("x-call-id", "deadly")];
+    for n in 0..2 {
+        let url = format!("http://{}/stock?crash=1", fleet.hosts[n].call_address());
+        fleet.get(&url, &headers).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+    }
+    fleet.hosts[0].node.signal(Signal::Kill).unwrap();
+    fleet.restart_host(0).unwrap();
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    let mut running_count = 0;
+    for host in &mut fleet.hosts {
+        running_count += usize::from(!host.target.has_ended());
+    }
+    let url = format!("http://{}/stock?crash=1", fleet.hosts[0].call_address());
+    let reply = fleet.get(&url, &headers).await.unwrap();
+    let last = format!("{} {}", reply.outcome, reply.reason);
+    assert_eq!(
+        last, "not-run quarantined",
+        "{running_count} targets were running"
+    );
+}
+
 /// Guards against an answer that is written to the wrong call. This happens when a call ends at its
 /// deadline and its late answer is read on a connection that the next call reuses.
 #[ntex::test]
