Ask a hub with a ping alone, without fetching what the ping finds missing

A large table over a small link would have been cut off and would have held the one fetch that a node makes at a time. Now the ping is a function of its own; links fetch as before.

--- a/crates/control/src/lease_hub.rs
+++ b/crates/control/src/lease_hub.rs
@@ -20,7 +20,7 @@
     dial,
     handshake, //
 };
-use crate::link::exchange_gossip;
+use crate::link::ping_peer;
 use crate::mesh::Mesh;
 
 /// Age of the last confirmation from which on a node asks its hub.
@@ -66,8 +66,8 @@
             tokio::time::sleep(left).await;
             continue;
         }
-        let exchange = exchange_gossip(mesh, hub, &client, Duration::ZERO);
-        tokio::time::timeout(HUB_TIMEOUT, exchange).await??;
+        let ping = ping_peer(mesh, hub, &client, Duration::ZERO);
+        tokio::time::timeout(HUB_TIMEOUT, ping).await??;
         tokio::time::sleep(ASK_HUB_PAUSE).await;
     }
     Ok(())
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -30,7 +30,8 @@
     Gossip,
     MissingRecords,
     PeerClient,
-    Ping, //
+    Ping,
+    Pong, //
 };
 
 /// Shortest time between two rotations, which replace links by others at random.
@@ -163,35 +164,20 @@
 /// Exchanges gossip with the peer, which may hold its answer back for up to `wait` while it has no
 /// update, and then transfers the records, routes and members that either side lacks. Returns
 /// whether this node is still behind the peer.
-pub(crate) async fn exchange_gossip(
+async fn exchange_gossip(
     mesh: &Mesh,
     peer: &Member,
     client: &PeerClient,
     wait: Duration,
 ) -> anyhow::Result<bool> {
-    let own = mesh.members().own().clone();
-    let ping = Ping {
-        news: mesh.gossip_for(&peer.node_id),
-        wait_ms: wait.as_millis() as u64,
-        node_id: own.node_id,
-    };
-    let context = context_until(Instant::now() + wait + PEER_TIMEOUT);
-    let (sent_at, boot_sent_at) = (Instant::now(), BootInstant::now());
-    let pong = client.ping(context, ping).await?;
-    // The answer was not written before this time.
-    let held = Duration::from_millis(pong.held_ms).min(sent_at.elapsed());
-    let same_region = peer.region == own.region;
-    let head_from = same_region.then_some(sent_at + held);
-    let lacks_routes = mesh.merge_gossip(&peer.node_id, &pong.news, head_from);
-    if lacks_routes {
+    let answer = ping_peer(mesh, peer, client, wait).await?;
+    if answer.lacks_routes {
         if let Some(_fetch) = mesh.try_begin_route_fetch() {
             let missing = client.pull_routes(peer_timeout_context(), mesh.routes().version);
             mesh.apply_missing_routes(missing.await?);
         }
     }
-    if let Some(confirmation) = pong.news.routes.confirmation() {
-        mesh.merge_route_confirmation(&confirmation, boot_sent_at + held);
-    }
+    let pong = answer.pong;
     let peer_offset = pong.news.applied_offset;
     if pong.wants_delivery {
         let missing = mesh.missing_records_after(peer_offset);
@@ -208,6 +194,40 @@
     Ok(peer_offset > mesh.applied_offset() || pong.news.routes.version > mesh.routes().version)
 }
 
+/// Answer of a peer to a ping.
+pub(crate) struct PingAnswer {
+    pong: Pong,
+    /// Whether this node still lacks some of the peer's routes.
+    lacks_routes: bool,
+}
+
+/// Sends the peer this node's gossip, and merges that of the answer, which may be held back for up to
+/// `wait`.
+pub(crate) async fn ping_peer(
+    mesh: &Mesh,
+    peer: &Member,
+    client: &PeerClient,
+    wait: Duration,
+) -> anyhow::Result<PingAnswer> {
+    let own = mesh.members().own().clone();
+    let ping = Ping {
+        news: mesh.gossip_for(&peer.node_id),
+        wait_ms: wait.as_millis() as u64,
+        node_id: own.node_id,
+    };
+    let context = context_until(Instant::now() + wait + PEER_TIMEOUT);
+    let (sent_at, boot_sent_at) = (Instant::now(), BootInstant::now());
+    let pong = client.ping(context, ping).await?;
+    // The answer was not written before this time.
+    let held = Duration::from_millis(pong.held_ms).min(sent_at.elapsed());
+    let head_from = (peer.region == own.region).then_some(sent_at + held);
+    let lacks_routes = mesh.merge_gossip(&peer.node_id, &pong.news, head_from);
+    if let Some(confirmation) = pong.news.routes.confirmation() {
+        mesh.merge_route_confirmation(&confirmation, boot_sent_at + held);
+    }
+    Ok(PingAnswer { pong, lacks_routes })
+}
+
 /// Returns whether to compare the member tables bucket by bucket, because they differ by more than
 /// the member changes in the gossip are likely to resolve, or because this exchange is sampled.
 fn needs_member_sync(mesh: &Mesh, peer_gossip: &Gossip) -> bool {
