DRAIN: keep a departure by its run, beside the member record, and acknowledge it once peers hold it

What callers saw: a back end that had left got requests again, and they were cut off when it ended. A node acknowledged the leaving, was killed and started again, and a heartbeat from before the leaving arrived late.

Cause: that a run of a target is leaving was known to the process beside it alone (TargetWatch). Its member record of a later generation, without that knowledge, replaced the one that said so at all peers, and nobody told the new process. A departure is a fact about a run of a target (instance and start); it was kept as one of a run of a node.

Mend: one lifecycle for each run, which merging only moves forward: ready, draining, departed. It lies beside the member records, so that no update, refutation or removal of a member loses it. Peers that hold it leave the run out by themselves, whatever the record says, and hand it back: what concerns the receiver's own target with the handshake, all else in a numbered feed that is sent until it is acknowledged (the crash reports had it; it is now shared, mesh/feed.rs). A node that has just started waits for two handshakes before it believes an announcement, at most until 0.8 s after its start.

Ruled out: rank by generation alone (a restarted node has the later one); a guess by time or by the count of heartbeats (several may be late); asking the target's health (a stand-in or a target that serves on may answer 200); the log (a call of the store each departure, none while it is down).

--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -185,7 +185,7 @@
 /// rest.
 async fn join_through(mesh: &Mesh, address: &str) -> anyhow::Result<()> {
     let client = dial(mesh, address, false).await?;
-    let peer = handshake(mesh, &client).await?;
+    let peer = handshake(mesh, &client, None).await?;
     let buckets = mesh.members().digest().buckets().to_vec();
     let members = client.sync_members(peer_timeout_context(), buckets).await?;
     mesh.merge_members(&members);
--- a/crates/control/src/dial.rs
+++ b/crates/control/src/dial.rs
@@ -17,7 +17,10 @@
     anyhow,
     Context as _, //
 };
-use figway_types::Member;
+use figway_types::{
+    Member,
+    NodeId, //
+};
 use tarpc::context::Context;
 use tarpc::serde_transport;
 use tarpc::tokio_util::codec::{
@@ -80,27 +83,41 @@
     Ok(new_client.client)
 }
 
-/// Performs the handshake on a new connection and returns the peer's own member record.
+/// Performs the handshake on a new connection to `peer`, whose name is not known if it was found
+/// through a contact. Returns the peer's own member record.
 ///
 /// # Errors
 ///
 /// The peer did not answer, or one of the two nodes refused the link.
-pub(crate) async fn handshake(mesh: &Mesh, client: &PeerClient) -> anyhow::Result<Member> {
-    let hello = client.hello(peer_timeout_context(), own_hello(mesh)).await;
+pub(crate) async fn handshake(
+    mesh: &Mesh,
+    client: &PeerClient,
+    peer: Option<&NodeId>,
+) -> anyhow::Result<Member> {
+    let hello = client
+        .hello(peer_timeout_context(), own_hello(mesh, peer))
+        .await;
     let theirs = hello
         .context("could not introduce this node")?
         .map_err(|refusal| anyhow!("the peer refused the link: {refusal}"))?;
     check_hello(mesh, &theirs).map_err(|refusal| anyhow!("the link is refused: {refusal}"))?;
-    mesh.merge_members(std::slice::from_ref(&theirs.member));
+    mesh.merge_hello(&theirs);
     Ok(theirs.member)
 }
 
-/// Returns this node's handshake message.
-pub(crate) fn own_hello(mesh: &Mesh) -> Hello {
+/// Returns this node's handshake message to `receiver`.
+pub(crate) fn own_hello(mesh: &Mesh, receiver: Option<&NodeId>) -> Hello {
+    let members = mesh.members();
+    let ending_runs = match receiver {
+        Some(receiver) => members.ending_runs().reports_on(receiver, Instant::now()),
+        None => Vec::new(),
+    };
     Hello {
         protocol_version: PROTOCOL_VERSION,
         cluster: mesh.cluster().to_owned(),
-        member: mesh.members().own().clone(),
+        member: members.own().clone(),
+        ending_runs,
+        holds_ending_runs: true,
     }
 }
 
--- a/crates/control/src/lease_hub.rs
+++ b/crates/control/src/lease_hub.rs
@@ -55,7 +55,7 @@
     let cross_region = hub.region != mesh.members().own().region;
     let client = tokio::time::timeout(HUB_TIMEOUT, async {
         let client = dial(mesh, &hub.control_address, cross_region).await?;
-        handshake(mesh, &client).await?;
+        handshake(mesh, &client, Some(&hub.node_id)).await?;
         anyhow::Ok(client)
     })
     .await??;
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -129,7 +129,7 @@
     let dialled_at = Instant::now();
     let client = dial(mesh, &peer.control_address, cross_region).await?;
     mesh.record_round_trip(&peer.zone, dialled_at.elapsed());
-    handshake(mesh, &client).await?;
+    handshake(mesh, &client, Some(&peer.node_id)).await?;
     let mut changes = mesh.watch_gossip();
     exchange_gossip(mesh, peer, &client, Duration::ZERO).await?;
     loop {
@@ -149,11 +149,11 @@
                 // also pushes it to its own peers, since it may be that no node polls the origin.
                 _ = changes.changed() => {
                     changes.borrow_and_update();
-                    let mut pushes = mesh.has_own_reports_for(&peer.node_id)
+                    let mut pushes = mesh.has_own_news_for(&peer.node_id)
                         || mesh.is_gossip_origin() && mesh.has_updates_for(&peer.node_id);
                     while pushes {
                         exchange_gossip(mesh, peer, &client, Duration::ZERO).await?;
-                        pushes = mesh.has_own_reports_for(&peer.node_id);
+                        pushes = mesh.has_own_news_for(&peer.node_id);
                     }
                 }
             }
--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -2,6 +2,8 @@
 //! reads it.
 
 mod crashes;
+mod ending_runs;
+mod feed;
 mod lost;
 mod news;
 mod report;
@@ -41,7 +43,8 @@
 };
 use tokio::sync::watch;
 
-use self::crashes::ReportProgress;
+use self::ending_runs::RunFeed;
+use self::feed::FeedProgress;
 use self::report::{
     log_installed,
     log_verdict, //
@@ -90,11 +93,12 @@
     routes_read_here: AtomicBool,
     members: Mutex<MemberTable>,
     quarantine: Mutex<Quarantine>,
-    report_progress: Mutex<FastMap<NodeId, ReportProgress>>,
-    /// Epoch of the numbers of this node's crash reports, drawn at the start of the process.
-    report_epoch: u64,
+    report_progress: Mutex<FastMap<NodeId, FeedProgress>>,
+    /// Epoch of the numbers in this node's feeds, drawn at the start of the process.
+    feed_epoch: u64,
     /// Number of the last crash report that this node observed itself.
     own_report: Mutex<u64>,
+    run_feed: RunFeed,
     view: ArcSwap<View>,
     view_changes: watch::Sender<u64>,
     head: watch::Sender<Offset>,
@@ -131,8 +135,9 @@
             members: Mutex::new(MemberTable::new(own, now)),
             quarantine: Mutex::default(),
             report_progress: Mutex::default(),
-            report_epoch: mix(seed),
+            feed_epoch: mix(seed),
             own_report: Mutex::default(),
+            run_feed: RunFeed::new(now),
             view: ArcSwap::default(),
             view_changes: watch::Sender::new(0),
             head: watch::Sender::new(Offset(0)),
--- a/crates/control/src/mesh/crashes.rs
+++ b/crates/control/src/mesh/crashes.rs
@@ -1,8 +1,4 @@
 //! Crash reports: what this node observed, and which reports each peer has.
-//!
-//! Each node numbers its reports. A message to a peer holds those after the number that the peer
-//! acknowledged, so that every report arrives, however many there are and in whatever order nodes
-//! learn of them. Numbers are valid in the epoch of one process.
 
 use std::time::Instant;
 
@@ -12,33 +8,23 @@
     NodeId, //
 };
 
+use super::feed::FeedProgress;
 use super::Mesh;
 use crate::rpc::{
-    Gossip,
-    ReportAck,
-    ReportRange, //
+    FeedAck,
+    FeedRange,
+    Gossip, //
 };
 
 /// Largest number of reports in one message.
 const REPORT_MAX_COUNT: usize = 64;
 
-/// Crash reports that were exchanged with one peer.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct ReportProgress {
-    /// Number of this node's last report that the peer acknowledged.
-    acked: u64,
-    /// Number of this node's last report that was sent to the peer.
-    sent: u64,
-    /// What this node merged from the peer.
-    merged: ReportAck,
-}
-
 /// Reports for a peer, with their place among this node's reports.
 #[derive(Debug, Default)]
 pub(super) struct ReportNews {
     pub(super) batch: ReportBatch,
-    pub(super) range: Option<ReportRange>,
-    pub(super) ack: Option<ReportAck>,
+    pub(super) range: Option<FeedRange>,
+    pub(super) ack: Option<FeedAck>,
 }
 
 impl Mesh {
@@ -81,21 +67,16 @@
         let quarantine = self.quarantine();
         let mut all = self.report_progress.lock().expect("no holder panics");
         let progress = all.entry(receiver.clone()).or_default();
-        let ack = Some(progress.merged).filter(|merged| *merged != ReportAck::default());
-        if progress.acked >= quarantine.last_sequence() {
+        let ack = progress.ack();
+        if progress.acked() >= quarantine.last_sequence() {
             return ReportNews {
                 ack,
                 ..ReportNews::default()
             };
         }
-        let batch = quarantine.reports_after(progress.acked, REPORT_MAX_COUNT, Instant::now());
-        progress.sent = batch.last_sequence;
+        let batch = quarantine.reports_after(progress.acked(), REPORT_MAX_COUNT, Instant::now());
         ReportNews {
-            range: Some(ReportRange {
-                epoch: self.report_epoch,
-                after: progress.acked,
-                last: batch.last_sequence,
-            }),
+            range: Some(progress.send_up_to(self.feed_epoch, batch.last_sequence)),
             batch,
             ack,
         }
@@ -116,14 +97,7 @@
         drop(quarantine);
         let mut all = self.report_progress.lock().expect("no holder panics");
         let progress = all.entry(sender.clone()).or_default();
-        // A peer that restarted acknowledges nothing, or an epoch that it still has from before.
-        progress.acked = match gossip.report_ack {
-            Some(ack) if ack.epoch == self.report_epoch => ack.last,
-            Some(_) | None => 0,
-        };
-        if let Some(range) = gossip.report_range {
-            progress.merged.extend(range);
-        }
+        progress.receive(self.feed_epoch, gossip.report_ack, gossip.report_range);
         drop(all);
         if new_count > 0 {
             log::info!("crash reports merged from={sender} new={new_count} last={last_sequence}");
@@ -139,14 +113,14 @@
 
     /// Returns whether there are reports that this node observed itself and has not sent to the peer
     /// yet.
-    pub(crate) fn has_own_reports_for(&self, peer: &NodeId) -> bool {
+    pub(super) fn has_own_reports_for(&self, peer: &NodeId) -> bool {
         let own_sequence = *self.own_report.lock().expect("no holder panics");
         self.reports_sent_to(peer) < own_sequence
     }
 
     fn reports_sent_to(&self, peer: &NodeId) -> u64 {
         let all = self.report_progress.lock().expect("no holder panics");
-        all.get(peer).map_or(0, |progress| progress.sent)
+        all.get(peer).map_or(0, FeedProgress::sent)
     }
 
     fn publish_own_report(&self, sequence: u64) {
--- a/crates/control/src/mesh/news.rs
+++ b/crates/control/src/mesh/news.rs
@@ -83,6 +83,7 @@
         let member_count = members.present_count();
         drop(members);
         let reports = self.reports_for(receiver);
+        let runs = self.ending_runs_for(receiver);
         let head_left = self.head_fresh_until().saturating_duration_since(now);
         Gossip {
             applied_offset: self.applied_offset(),
@@ -94,6 +95,9 @@
             survivals: reports.batch.survivals,
             report_range: reports.range,
             report_ack: reports.ack,
+            ending_runs: runs.batch.runs,
+            run_range: runs.range,
+            run_ack: runs.ack,
             routes: self.route_gossip_for(self.peer_route_version(receiver)),
         }
     }
@@ -106,6 +110,7 @@
         if progress.applied_offset < self.applied_offset()
             || progress.route_version < self.routes().version
             || self.has_reports_for(peer)
+            || self.has_ending_runs_for(peer)
         {
             return true;
         }
@@ -113,6 +118,11 @@
         members.has_pending_updates() && progress.member_digest != members.digest().total()
     }
 
+    /// Returns whether this node observed something itself that it has not sent to the peer yet.
+    pub(crate) fn has_own_news_for(&self, peer: &NodeId) -> bool {
+        self.has_own_reports_for(peer) || self.has_own_runs_for(peer)
+    }
+
     /// Merges gossip from `sender`. Its view of the log's head counts from `head_from`, the earliest
     /// time at which the gossip can have been written, and only if that is given. Returns whether
     /// this node still lacks some of the sender's routes.
@@ -139,6 +149,7 @@
         }
         self.merge_members(&gossip.rumours);
         self.merge_reports(sender, gossip);
+        self.merge_run_feed(sender, gossip);
         self.apply_route_gossip(&gossip.routes)
     }
 
--- a/crates/control/src/reach.rs
+++ b/crates/control/src/reach.rs
@@ -76,7 +76,7 @@
     let cross_region = member.region != mesh.members().own().region;
     let joined = async {
         let client = dial(&mesh, &member.control_address, cross_region).await?;
-        handshake(&mesh, &client).await
+        handshake(&mesh, &client, Some(&member.node_id)).await
     };
     match joined.await {
         Ok(found) => log::info!(
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -12,6 +12,7 @@
     RouteTable, //
 };
 use figway_types::{
+    EndingRun,
     LogRecord,
     Member,
     NodeId,
@@ -36,6 +37,13 @@
     pub cluster: String,
     /// The sender's own member record.
     pub member: Member,
+    /// What the sender knows of ending runs of the target beside the receiver, which may have started
+    /// again and forgotten them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ending_runs: Vec<EndingRun>,
+    /// Whether the sender keeps ending runs that it is told; earlier builds don't.
+    #[serde(default)]
+    pub holds_ending_runs: bool,
 }
 
 /// Long poll that is always in flight on a link. The receiver answers as soon as it has an update
@@ -75,38 +83,47 @@
     pub survivals: Vec<SurvivalReport>,
     /// Place of these reports among all those of the sender.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub report_range: Option<ReportRange>,
+    pub report_range: Option<FeedRange>,
     /// Which of the receiver's reports the sender has.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub report_ack: Option<ReportAck>,
+    pub report_ack: Option<FeedAck>,
+    /// Runs of targets that have begun to end.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ending_runs: Vec<EndingRun>,
+    /// Place of these runs among all those that the sender knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub run_range: Option<FeedRange>,
+    /// Which of the runs that the receiver knows the sender has.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub run_ack: Option<FeedAck>,
     /// Gossip about the route table.
     #[serde(default)]
     pub routes: RouteGossip,
 }
 
-/// Place of the crash reports in a message among all those of its sender.
+/// Place of the items in a message in a numbered feed of its sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ReportRange {
+pub(crate) struct FeedRange {
     /// Epoch of the sender's numbers.
     pub epoch: u64,
-    /// Number after which the reports begin.
+    /// Number after which the items begin.
     pub after: u64,
-    /// Number of the last report.
+    /// Number of the last item.
     pub last: u64,
 }
 
-/// Acknowledgement of a peer's crash reports up to a number.
+/// Acknowledgement of a peer's numbered feed up to a number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ReportAck {
-    /// Epoch of the peer's numbers; 0 before the first report.
+pub(crate) struct FeedAck {
+    /// Epoch of the peer's numbers; 0 before the first item.
     pub epoch: u64,
-    /// Number of the last report.
+    /// Number of the last item.
     pub last: u64,
 }
 
-impl ReportAck {
-    /// Extends the acknowledgement by the reports of one message, if they follow without a gap.
-    pub(crate) fn extend(&mut self, range: ReportRange) {
+impl FeedAck {
+    /// Extends the acknowledgement by the items of one message, if they follow without a gap.
+    pub(crate) fn extend(&mut self, range: FeedRange) {
         if self.epoch != range.epoch {
             *self = Self {
                 epoch: range.epoch,
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -139,9 +139,10 @@
     async fn hello(self, _: Context, hello: Hello) -> Result<Hello, String> {
         check_hello(&self.mesh, &hello)?;
         log::debug!("link opened by node={}", hello.member.node_id);
-        self.mesh.merge_members(std::slice::from_ref(&hello.member));
+        self.mesh.merge_hello(&hello);
+        let answer = own_hello(&self.mesh, Some(&hello.member.node_id));
         *self.peer.borrow_mut() = Some(hello.member);
-        Ok(own_hello(&self.mesh))
+        Ok(answer)
     }
 
     async fn ping(self, _: Context, ping: Ping) -> Pong {
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -17,7 +17,8 @@
     Findings,
     Member,
     MemberState,
-    Offset, //
+    Offset,
+    RunStage, //
 };
 
 /// Profile in force for one service.
@@ -175,6 +176,8 @@
     true
 }
 
+/// Returns the members with a target by service. What the table knows of ending runs outweighs the
+/// member records, since a node that started again may have forgotten what it acknowledged.
 fn targets_by_service(members: &MemberTable) -> FastMap<String, Arc<[Arc<Member>]>> {
     let mut lists: FastMap<String, Vec<Arc<Member>>> = FastMap::default();
     for member in members.members() {
@@ -185,7 +188,11 @@
             continue;
         };
         let list = lists.entry(target.service.clone()).or_default();
-        list.push(Arc::new(member.clone()));
+        match members.ending_runs().stage(&member.node_id, target) {
+            Some(RunStage::Departed) => {}
+            Some(RunStage::Draining) => list.push(Arc::new(as_draining(member))),
+            None => list.push(Arc::new(member.clone())),
+        }
     }
     let mut by_service = FastMap::default();
     for (service, list) in lists {
@@ -193,3 +200,11 @@
     }
     by_service
 }
+
+fn as_draining(member: &Member) -> Member {
+    let mut draining = member.clone();
+    if let Some(target) = &mut draining.target {
+        target.draining = true;
+    }
+    draining
+}
--- a/crates/dataplane/src/operator.rs
+++ b/crates/dataplane/src/operator.rs
@@ -37,7 +37,7 @@
     }
     let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
     let answer = match (request.method.as_str(), path) {
-        ("POST", "/figway/announce") => announce(worker, &request.body),
+        ("POST", "/figway/announce") => announce(worker, &request.body).await,
         ("GET", "/figway/in-force") => in_force(worker, query).await,
         ("GET", "/figway/status") => json_answer(200, &node_status(worker)),
         ("GET", "/figway/members") => members(worker),
@@ -48,7 +48,7 @@
 
 /// `POST /figway/announce`: the local target announces its address, its service, its slots and
 /// whether it is draining.
-fn announce(worker: &Worker, body: &[u8]) -> Answer {
+async fn announce(worker: &Worker, body: &[u8]) -> Answer {
     let target = match serde_json::from_slice::<Target>(body) {
         // These announcements carry no sequence number, so they are not ordered by start either.
         Ok(target) if target.address.parse::<std::net::SocketAddr>().is_ok() => Target {
@@ -63,7 +63,7 @@
         sequence: 0,
         cold_start_remaining_ms: 0,
     };
-    match worker.plane.record_announcement(&announcement) {
+    match worker.plane.record_announcement(&announcement).await {
         Ok(_) => Answer::of_status(204),
         Err(why) => bad_request(&why),
     }
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -73,6 +73,10 @@
 /// never be followed by a newer run.
 const STARTED_AT_MAX_MS: u64 = 7_258_118_400_000;
 
+/// Longest wait for peers to hold that the target is leaving. The target gives its message up after
+/// 1 s.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Period at which a drain checks for calls in flight.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -188,32 +192,22 @@
         }
     }
 
-    /// Records an announcement of the local target.
+    /// Records an announcement of the local target. One that says that the target is draining returns
+    /// only once peers hold that too.
     ///
     /// # Errors
     ///
     /// Why the announcement is not valid: wrong address or no slots.
-    pub fn record_announcement(
+    pub async fn record_announcement(
         &self,
         announcement: &Announcement,
     ) -> Result<AnnounceOutcome, String> {
+        let hold_until = Instant::now() + HOLD_TIMEOUT;
         let target = &announcement.target;
-        if let Some(expected) = &self.target_address {
-            if *expected != target.address {
-                return Err(format!("the target of this host is at {expected}"));
-            }
-        }
-        if !(1..=SLOT_MAX_COUNT).contains(&target.slot_count) {
-            return Err(format!(
-                "a target has 1 to {SLOT_MAX_COUNT} slots, not {}",
-                target.slot_count
-            ));
-        }
-        if target.started_at_ms > STARTED_AT_MAX_MS {
-            return Err(format!(
-                "the target can't have started at {} ms",
-                target.started_at_ms
-            ));
+        self.check_target(target)?;
+        if target.is_identified() {
+            // Peers may know that the run is ending, if this node has forgotten that.
+            self.mesh.wait_until_informed().await;
         }
         let known_target = self.mesh.members().own().target.clone();
         if known_target.is_none_or(|known| known.instance != target.instance) {
@@ -226,9 +220,33 @@
         if outcome == AnnounceOutcome::Accepted {
             self.apply_target_state(self.local_target.begin_run(target));
         }
+        if target.draining && !self.peers_hold(target, hold_until).await {
+            return Ok(AnnounceOutcome::Unconfirmed);
+        }
         Ok(outcome)
     }
 
+    /// Returns whether peers hold by `deadline` that the run of the target is ending, so that the end
+    /// of this node loses nothing.
+    async fn peers_hold(&self, target: &Target, deadline: Instant) -> bool {
+        !target.is_identified() || self.mesh.wait_until_held(&target.instance, deadline).await
+    }
+
+    fn check_target(&self, target: &Target) -> Result<(), String> {
+        if let Some(expected) = &self.target_address {
+            if *expected != target.address {
+                return Err(format!("the target of this host is at {expected}"));
+            }
+        }
+        if !(1..=SLOT_MAX_COUNT).contains(&target.slot_count) {
+            return Err(format!(
+                "a target has 1 to {SLOT_MAX_COUNT} slots, not {}",
+                target.slot_count
+            ));
+        }
+        check_started_at(target.started_at_ms)
+    }
+
     /// Records what the local target states about itself in an answer.
     pub(crate) fn record_notice(&self, target: &Target, answer: &Answer) {
         let notice = self.interface.target_notice(answer);
@@ -253,10 +271,21 @@
     }
 
     /// Records that an instance of the target has left permanently. `started_at_ms` is its start
-    /// time in Unix milliseconds, 0 if unknown.
-    pub fn record_departure(&self, instance: &str, started_at_ms: u64) {
+    /// time in Unix milliseconds, 0 if unknown. Returns whether peers hold that too.
+    ///
+    /// # Errors
+    ///
+    /// The target can't have started at that time.
+    pub async fn record_departure(
+        &self,
+        instance: &str,
+        started_at_ms: u64,
+    ) -> Result<bool, String> {
+        let hold_until = Instant::now() + HOLD_TIMEOUT;
+        check_started_at(started_at_ms)?;
         self.target_watch
             .record_departure(&self.mesh, instance, started_at_ms);
+        Ok(self.mesh.wait_until_held(instance, hold_until).await)
     }
 
     /// Returns a watch of the phase, which tells servers how to handle their connections.
@@ -324,6 +353,15 @@
     }
 }
 
+fn check_started_at(started_at_ms: u64) -> Result<(), String> {
+    if started_at_ms > STARTED_AT_MAX_MS {
+        return Err(format!(
+            "the target can't have started at {started_at_ms} ms"
+        ));
+    }
+    Ok(())
+}
+
 /// Guard that registers a call as running at the local target.
 pub(crate) struct RunGuard<'a> {
     plane: &'a DataPlane,
--- a/crates/dataplane/src/target_watch.rs
+++ b/crates/dataplane/src/target_watch.rs
@@ -12,6 +12,7 @@
 use figway_control::Mesh;
 use figway_types::{
     Announcement,
+    RunStage,
     Target, //
 };
 
@@ -33,6 +34,8 @@
     Accepted,
     /// A newer announcement or a departure was recorded before.
     Stale,
+    /// The target is leaving, which no peer holds yet, so that a restart of this node could lose it.
+    Unconfirmed,
 }
 
 /// Latest accepted announcement.
@@ -49,8 +52,6 @@
     latest: LatestAnnouncement,
     announced_until: Option<Instant>,
     leaving_since: Option<Instant>,
-    /// Whether an answer of the latest run stated that the target is leaving.
-    leaving_stated: bool,
     /// How often the target was announced while it counted as lost.
     run_count: u64,
 }
@@ -79,11 +80,13 @@
     ) -> AnnounceOutcome {
         let now = Instant::now();
         let target = &announcement.target;
+        let known_stage = mesh.own_run_stage(target);
         let mut state = self.state.lock().expect("no holder panics");
-        if !state.latest.is_older_than(announcement) {
+        let is_departed = known_stage == Some(RunStage::Departed);
+        if is_departed || !state.latest.is_older_than(announcement) {
             log::info!(
                 "announcement ignored instance={} started_at_ms={} sequence={} known_instance={} \
-                 known_started_at_ms={} known_sequence={}",
+                 known_started_at_ms={} known_sequence={} known_stage={known_stage:?}",
                 target.instance,
                 announcement.target.started_at_ms,
                 announcement.sequence,
@@ -93,14 +96,13 @@
             );
             return AnnounceOutcome::Stale;
         }
-        let is_new_run = !state
-            .latest
-            .is_of_run(&target.instance, target.started_at_ms);
-        state.leaving_stated &= !is_new_run;
         state.run_count += u64::from(state.announced_until.is_none());
         let mut target = target.clone();
-        // Announcements may be delayed, so a ready one does not undo what an answer stated.
-        target.draining |= state.leaving_stated;
+        if target.draining {
+            mesh.end_own_run(&target.instance, target.started_at_ms, RunStage::Draining);
+        }
+        // Announcements may be delayed, so a ready one does not undo what was known of the run.
+        target.draining |= known_stage == Some(RunStage::Draining);
         state.latest = LatestAnnouncement {
             instance: target.instance.clone(),
             started_at_ms: announcement.target.started_at_ms,
@@ -121,26 +123,34 @@
     /// Records that an answer of the target stated that it is leaving. It then drains until its next
     /// run.
     pub(crate) fn record_leaving(&self, mesh: &Mesh, leaving: &TargetState) {
-        let mut state = self.state.lock().expect("no holder panics");
-        let is_latest_run = state
-            .latest
-            .is_of_run(&leaving.instance, leaving.started_at_ms);
-        if !is_latest_run || state.leaving_stated {
+        mesh.end_own_run(&leaving.instance, leaving.started_at_ms, RunStage::Draining);
+        self.apply_known_stage(mesh);
+    }
+
+    /// Stops giving out the target if its run is known to be ending, as peers may have told.
+    fn apply_known_stage(&self, mesh: &Mesh) {
+        let Some(mut target) = mesh.members().own().target.clone() else {
             return;
+        };
+        match mesh.own_run_stage(&target) {
+            None => return,
+            Some(RunStage::Draining) => {
+                target.draining = true;
+                set_local_target(mesh, Some(&target), "leaving");
+            }
+            Some(RunStage::Departed) => {
+                self.state.lock().expect("no holder panics").announced_until = None;
+                set_local_target(mesh, None, "departed");
+            }
         }
-        state.leaving_stated = true;
+        let mut state = self.state.lock().expect("no holder panics");
         state.leaving_since.get_or_insert(Instant::now());
-        drop(state);
-        let target = mesh.members().own().target.clone();
-        if let Some(mut target) = target {
-            target.draining = true;
-            set_local_target(mesh, Some(&target), "leaving");
-        }
     }
 
-    /// Records that an instance of the target has left permanently. The departure is ignored if
-    /// another instance or a later start is known, because the departed one was already replaced.
+    /// Records that an instance of the target has left permanently. The target stays if another
+    /// instance or a later start is known, because the departed one was already replaced.
     pub(crate) fn record_departure(&self, mesh: &Mesh, instance: &str, started_at_ms: u64) {
+        mesh.end_own_run(instance, started_at_ms, RunStage::Departed);
         let mut state = self.state.lock().expect("no holder panics");
         let is_other = state.latest.instance != instance && !state.latest.instance.is_empty();
         let is_earlier = started_at_ms != 0 && started_at_ms < state.latest.started_at_ms;
@@ -158,7 +168,10 @@
         state.latest.left = true;
         state.announced_until = None;
         state.leaving_since.get_or_insert(Instant::now());
+        let known_start_ms = state.latest.started_at_ms;
         drop(state);
+        // A departure that names no start is that of the known run.
+        mesh.end_own_run(instance, known_start_ms, RunStage::Departed);
         set_local_target(mesh, None, "departed");
     }
 
@@ -181,10 +194,15 @@
             .is_some_and(|since| since + LEAVE_QUEUE_MAX <= now)
     }
 
-    /// Marks the target as lost when its announcements stop.
+    /// Marks the target as lost when its announcements stop, and stops giving it out when peers tell
+    /// that its run is ending.
     pub(crate) async fn watch(&self, mesh: &Arc<Mesh>) {
+        let mut run_changes = mesh.watch_own_runs();
         loop {
-            tokio::time::sleep(CHECK_PERIOD).await;
+            let told = tokio::time::timeout(CHECK_PERIOD, run_changes.changed()).await;
+            if told.is_ok() {
+                self.apply_known_stage(mesh);
+            }
             let announced_until = self.state.lock().expect("no holder panics").announced_until;
             if announced_until.is_some_and(|until| until <= Instant::now()) {
                 self.mark_lost(mesh, "it announces itself no more");
@@ -194,10 +212,6 @@
 }
 
 impl LatestAnnouncement {
-    fn is_of_run(&self, instance: &str, started_at_ms: u64) -> bool {
-        self.instance == instance && self.started_at_ms == started_at_ms
-    }
-
     /// Returns whether the announcement is newer than this one. An instance that has left is
     /// rejected unless its start time is later than the known one.
     fn is_older_than(&self, announcement: &Announcement) -> bool {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,9 +1,12 @@
 //! Member table: a node's view of the members of the mesh, merged from gossip.
 //!
 //! Updates of one member are ordered by generation, incarnation and state, and the greatest one
-//! wins. Tables that have merged the same updates are therefore equal, whatever their order.
+//! wins. Tables that have merged the same updates are therefore equal, whatever their order. Beside the
+//! members, the table keeps the runs of targets that have begun to end.
 
 mod digest;
+mod ending_runs;
+mod holders;
 mod links;
 mod table;
 
@@ -11,6 +14,11 @@
     Digest,
     BUCKET_COUNT, //
 };
+pub use ending_runs::{
+    EndingRunBatch,
+    EndingRuns, //
+};
+pub use holders::is_held_safely;
 pub use links::{
     choose_links,
     LinkCounts, //
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -10,6 +10,7 @@
 };
 
 use figway_types::{
+    EndingRun,
     FastMap,
     FastSet,
     Member,
@@ -21,6 +22,7 @@
     bucket_of,
     Digest, //
 };
+use crate::ending_runs::EndingRuns;
 
 /// Time that a suspect has to refute the suspicion before it is marked as left.
 const SUSPECT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -63,6 +65,8 @@
     /// How often each pending update is still to be sent.
     remaining_send_counts: FastMap<NodeId, u32>,
     digest: Digest,
+    /// Kept apart from the entries, so that no update or removal of a member loses them.
+    ending_runs: EndingRuns,
     change_count: u64,
 }
 
@@ -75,6 +79,7 @@
             pending_updates: VecDeque::new(),
             remaining_send_counts: FastMap::default(),
             digest: Digest::default(),
+            ending_runs: EndingRuns::default(),
             change_count: 0,
         };
         table.store(own, now);
@@ -125,6 +130,19 @@
         members
     }
 
+    /// Returns the runs of targets that have begun to end.
+    pub fn ending_runs(&self) -> &EndingRuns {
+        &self.ending_runs
+    }
+
+    /// Merges a report that a run of a target has begun to end. Returns whether it tells more than was
+    /// known.
+    pub fn merge_ending_run(&mut self, report: &EndingRun, now: Instant) -> bool {
+        let changed = self.ending_runs.merge(report, now);
+        self.change_count += u64::from(changed);
+        changed
+    }
+
     /// Applies `change` to the table's own node and increments its incarnation.
     pub fn update_own(&mut self, now: Instant, change: impl FnOnce(&mut Member)) {
         let mut own = self.own().clone();
@@ -180,8 +198,9 @@
     }
 
     /// Marks suspects as left when their suspicion has timed out, and removes members that left
-    /// more than `LEFT_RETENTION` ago.
+    /// more than `LEFT_RETENTION` ago and reports on ending runs that have expired.
     pub fn expire(&mut self, now: Instant) {
+        self.ending_runs.expire(now);
         let mut live_zones: FastSet<String> = FastSet::default();
         for member in self.members() {
             if member.state == MemberState::Live && !live_zones.contains(&member.zone) {
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -62,6 +62,8 @@
     announced_address: RefCell<String>,
     /// Number of starts, from 1; a part of the instance's name.
     generation: Cell<u64>,
+    /// Name of an earlier generation under which this one runs.
+    kept_name: RefCell<Option<String>>,
     /// Sequence number of the last heartbeat of this generation.
     sequence: Cell<u64>,
     draining: Cell<bool>,
@@ -106,6 +108,7 @@
             listen_address: RefCell::default(),
             announced_address: RefCell::default(),
             generation: Cell::new(1),
+            kept_name: RefCell::default(),
             sequence: Cell::new(0),
             draining: Cell::new(false),
             drop_answer_one_in: Cell::new(0),
@@ -176,6 +179,7 @@
         self.sequence.set(0);
         self.draining.set(false);
         *self.rate_limit.borrow_mut() = None;
+        *self.kept_name.borrow_mut() = None;
         self.leaving.set(false);
     }
 
@@ -184,6 +188,14 @@
         *self.rate_limit.borrow_mut() = Some(limit.to_owned());
     }
 
+    /// Simulates a restart under the same instance name. The start is later, and sequence numbers
+    /// begin anew.
+    pub fn restart_under_same_name(&self) {
+        let name = self.instance_name();
+        self.restart();
+        *self.kept_name.borrow_mut() = Some(name);
+    }
+
     /// Returns the current generation: 1 at first, and one more after each restart.
     pub fn generation(&self) -> u64 {
         self.generation.get()
@@ -200,6 +212,9 @@
     }
 
     fn instance_name(&self) -> String {
+        if let Some(name) = &*self.kept_name.borrow() {
+            return name.clone();
+        }
         format!(
             "i-{}-{}",
             self.listen_address().replace([':', '.'], "-"),
@@ -224,11 +239,23 @@
 
     /// Sends one heartbeat. Returns whether the node acknowledged it.
     pub async fn send_heartbeat(&self) -> bool {
+        let sequence = self.next_sequence();
+        self.send_heartbeat_of(sequence, self.draining.get()).await
+    }
+
+    /// Returns the sequence number of the next heartbeat, which may be sent late.
+    pub fn next_sequence(&self) -> u64 {
         self.sequence.set(self.sequence.get() + 1);
+        self.sequence.get()
+    }
+
+    /// Sends a heartbeat with the given sequence number and state, such as one that was delayed.
+    /// Returns whether the node acknowledged it.
+    pub async fn send_heartbeat_of(&self, sequence: u64, draining: bool) -> bool {
         let body = json!({
             "service": self.service, "address": self.announced_address(), "zone": self.zone,
-            "version": "v1", "slots": 12, "coldLeft": "0ms", "sequence": self.sequence.get(),
-            "state": if self.draining.get() { "draining" } else { "ready" },
+            "version": "v1", "slots": 12, "coldLeft": "0ms", "sequence": sequence,
+            "state": if draining { "draining" } else { "ready" },
             "born": self.born_ms(),
         });
         self.post("heartbeat", &body).await
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::time::{
     Duration,
     Instant, //
@@ -31,11 +32,17 @@
     Programs,
     Signal, //
 };
+use figway_testbed::site::backend::Backend;
+use figway_testbed::site::caller::CallResult;
 use figway_testbed::site::Site;
+use tokio::task::JoinHandle;
 
 /// Longest wait until nodes converge on a membership or a profile; the stated goal is 20 s.
 pub(crate) const WAIT: Duration = Duration::from_secs(20);
 
+/// Pause between two requests of one reader.
+const CALL_PERIOD: Duration = Duration::from_millis(20);
+
 /// Returns the folder of a deployment's profiles.
 pub(crate) fn profiles_dir(deployment: &Deployment) -> PathBuf {
     PathBuf::from(env!("CARGO_MANIFEST_DIR"))
@@ -150,3 +157,64 @@
     let answer = client.send(&outbound).await.unwrap();
     String::from_utf8_lossy(&answer.body).into_owned()
 }
+
+/// Returns the number of requests that the back end ran from `since` on.
+pub(crate) fn run_count_since(backend: &Backend, since: Instant) -> usize {
+    let runs = backend.runs();
+    runs.iter().filter(|run| run.started_at >= since).count()
+}
+
+/// Starts a caller at the host at `index` that reads once in [`CALL_PERIOD`] for `duration`.
+pub(crate) fn start_reader(
+    site: &Site,
+    index: usize,
+    duration: Duration,
+) -> JoinHandle<Vec<CallResult>> {
+    let caller = Rc::new(site.caller(index));
+    tokio::task::spawn_local(async move {
+        let ends_at = Instant::now() + duration;
+        let mut calls = Vec::new();
+        while Instant::now() < ends_at {
+            let caller = Rc::clone(&caller);
+            calls.push(tokio::task::spawn_local(async move {
+                caller.call("GET", "/reads/1").await
+            }));
+            tokio::time::sleep(CALL_PERIOD).await;
+        }
+        let mut results = Vec::new();
+        for call in calls {
+            results.push(call.await.unwrap());
+        }
+        results
+    })
+}
+
+/// Starts a reader at each of the first `host_count` hosts.
+pub(crate) fn start_readers(
+    site: &Site,
+    host_count: usize,
+    duration: Duration,
+) -> Vec<JoinHandle<Vec<CallResult>>> {
+    let mut readers = Vec::new();
+    for index in 0..host_count {
+        readers.push(start_reader(site, index, duration));
+    }
+    readers
+}
+
+/// Waits for the readers and returns all their results.
+pub(crate) async fn results_of(readers: Vec<JoinHandle<Vec<CallResult>>>) -> Vec<CallResult> {
+    let mut results = Vec::new();
+    for reader in readers {
+        results.extend(reader.await.unwrap());
+    }
+    results
+}
+
+/// Kills the node of the host at `index` and starts it again.
+pub(crate) async fn restart_node(site: &mut Site, index: usize) {
+    let node = site.hosts[index].node.take().unwrap();
+    node.signal(Signal::Kill).unwrap();
+    drop(node);
+    site.hosts[index].start_node().unwrap();
+}
--- a/crates/testbed/tests/target_notices.rs
+++ b/crates/testbed/tests/target_notices.rs
@@ -9,13 +9,18 @@
     Instant, //
 };
 
-use figway_testbed::process::Signal;
 use figway_testbed::site::backend::Backend;
 use figway_testbed::site::caller::CallResult;
 use figway_testbed::site::Site;
-use tokio::task::JoinHandle;
 
-use crate::common::wait_site_ready;
+use crate::common::{
+    restart_node,
+    results_of,
+    run_count_since,
+    start_reader,
+    start_readers,
+    wait_site_ready, //
+};
 
 /// Span of time over which the platform sums the requests at a limited back end.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
@@ -26,9 +31,6 @@
 /// Time after which a node that has passed on that a back end is leaving may not send requests to it.
 const LEAVE_MAX: Duration = Duration::from_secs(2);
 
-/// Pause between two requests of one caller.
-const CALL_PERIOD: Duration = Duration::from_millis(20);
-
 /// Returns the number of requests that the platform allows in [`LIMIT_WINDOW`].
 fn allowed_count(limit_per_s: f64) -> usize {
     (1.5 * limit_per_s * LIMIT_WINDOW.as_secs_f64()) as usize + 5
@@ -51,11 +53,6 @@
     busiest
 }
 
-fn run_count_since(backend: &Backend, since: Instant) -> usize {
-    let runs = backend.runs();
-    runs.iter().filter(|run| run.started_at >= since).count()
-}
-
 /// Returns whether the back end ran and answered any of the requests since `since`.
 fn ran_any(backend: &Backend, since: Instant, results: &[CallResult]) -> bool {
     let runs = backend.runs();
@@ -67,55 +64,6 @@
     })
 }
 
-/// Starts a caller at the host at `index` that reads once in [`CALL_PERIOD`] for `duration`.
-fn start_reader(site: &Site, index: usize, duration: Duration) -> JoinHandle<Vec<CallResult>> {
-    let caller = Rc::new(site.caller(index));
-    tokio::task::spawn_local(async move {
-        let ends_at = Instant::now() + duration;
-        let mut calls = Vec::new();
-        while Instant::now() < ends_at {
-            let caller = Rc::clone(&caller);
-            calls.push(tokio::task::spawn_local(async move {
-                caller.call("GET", "/reads/1").await
-            }));
-            tokio::time::sleep(CALL_PERIOD).await;
-        }
-        let mut results = Vec::new();
-        for call in calls {
-            results.push(call.await.unwrap());
-        }
-        results
-    })
-}
-
-/// Starts a reader at each of the first `host_count` hosts.
-fn start_readers(
-    site: &Site,
-    host_count: usize,
-    duration: Duration,
-) -> Vec<JoinHandle<Vec<CallResult>>> {
-    let mut readers = Vec::new();
-    for index in 0..host_count {
-        readers.push(start_reader(site, index, duration));
-    }
-    readers
-}
-
-async fn results_of(readers: Vec<JoinHandle<Vec<CallResult>>>) -> Vec<CallResult> {
-    let mut results = Vec::new();
-    for reader in readers {
-        results.extend(reader.await.unwrap());
-    }
-    results
-}
-
-async fn restart_node(site: &mut Site, index: usize) {
-    let node = site.hosts[index].node.take().unwrap();
-    node.signal(Signal::Kill).unwrap();
-    drop(node);
-    site.hosts[index].start_node().unwrap();
-}
-
 #[ntex::test]
 async fn a_back_end_gets_no_more_requests_than_the_rate_limit_that_it_names() {
     let site = Site::start("limit", 4).await.unwrap();
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
 mod backoff;
 mod boot_instant;
 mod change;
+mod ending_run;
 mod finding;
 mod member;
 mod outcome;
@@ -20,6 +21,10 @@
     LogRecord,
     Offset, //
 };
+pub use ending_run::{
+    EndingRun,
+    RunStage, //
+};
 pub use finding::{
     Finding,
     Findings,
--- a/crates/types/src/member.rs
+++ b/crates/types/src/member.rs
@@ -80,6 +80,14 @@
     pub draining: bool,
 }
 
+impl Target {
+    /// Returns whether the target names its instance and its start, so that its runs can be told
+    /// apart.
+    pub fn is_identified(&self) -> bool {
+        !self.instance.is_empty() && self.started_at_ms > 0
+    }
+}
+
 fn is_zero(value: &u64) -> bool {
     *value == 0
 }
