DRAIN, elsewhere: callers' nodes share that a back end states its leaving, in the one state of its run

What callers would see: a back end that states its leaving in answers alone got calls of nodes that had not passed such an answer on, after the node beside it was killed with the only shared copy. Now a node that passes such an answer on reports it like every ending run; the view leaves the run out, and PeerTargets keeps rate limits alone. Its second exclusion in the choice of a target is gone.

Ruled out: keeping both (a run would be leaving in two places that expire apart).

--- a/crates/control/src/mesh/ending_runs.rs
+++ b/crates/control/src/mesh/ending_runs.rs
@@ -103,6 +103,12 @@
         self.notify_member_changes();
     }
 
+    /// Records that a run of the target beside a peer stated in an answer that it is leaving.
+    pub fn learn_draining(&self, peer: &NodeId, instance: &str, started_at_ms: u64) {
+        let report = EndingRuns::new_report(peer, instance, started_at_ms, RunStage::Draining);
+        self.merge_ending_runs(peer, &[report]);
+    }
+
     /// Returns the stage of its end that a run of the target beside this node has reached, or `None`
     /// if it is ready as far as this node knows.
     pub fn own_run_stage(&self, target: &Target) -> Option<RunStage> {
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -234,6 +234,12 @@
         .header(headers::TARGET_STATE)
         .and_then(TargetState::decode);
     let is_success = answer.is_success() && answer.header(headers::OUTCOME) == Some("answered");
+    if let Some(leaving) = state.as_ref().filter(|state| state.leaving) {
+        // Its node may be killed before it has told anyone else.
+        plane
+            .mesh
+            .learn_draining(node_id, &leaving.instance, leaving.started_at_ms);
+    }
     plane.peer_targets.record(node_id, state, is_success);
     let (queue_time, run_time) = answer
         .header(headers::QUEUE_AND_RUN_MS)
--- a/crates/dataplane/src/peer_targets.rs
+++ b/crates/dataplane/src/peer_targets.rs
@@ -1,5 +1,5 @@
-//! What this node knows of targets beside its peers. It binds this node's own calls, and is passed on
-//! with the calls that it forwards, since the peer may have restarted and lost it.
+//! Rate limits of targets beside peers. They bind this node's own calls, and are passed on with the
+//! calls that it forwards, since the peer may have restarted and lost them.
 
 use std::sync::{
     Mutex,
@@ -14,10 +14,10 @@
 
 use crate::target_state::TargetState;
 
-/// Largest number of states that are kept. Above it, those of targets that stay are dropped first.
+/// Largest number of states that are kept. Above it, all are dropped and learned anew.
 const STATE_MAX_COUNT: usize = 4_096;
 
-/// Notable states of targets by the node beside them.
+/// States of limited targets by the node beside them.
 #[derive(Debug, Default)]
 pub(crate) struct PeerTargets {
     states: Mutex<FastMap<NodeId, TargetState>>,
@@ -28,24 +28,17 @@
     /// a missing state that the target states no limit.
     pub(crate) fn record(&self, node_id: &NodeId, stated: Option<TargetState>, is_success: bool) {
         let mut states = self.states.lock().expect("no holder panics");
-        match (states.get_mut(node_id), stated) {
-            (Some(known), Some(stated)) => {
-                let leaving = stated.leaving || (known.leaving && known.is_same_run(&stated));
-                *known = TargetState { leaving, ..stated };
-            }
-            (None, Some(stated)) => {
+        match stated.filter(|stated| stated.rate_limit.is_some()) {
+            Some(limited) => {
                 if states.len() >= STATE_MAX_COUNT {
-                    states.retain(|_, state| state.leaving);
+                    states.clear();
                 }
-                states.insert(node_id.clone(), stated);
+                states.insert(node_id.clone(), limited);
             }
-            (Some(known), None) if is_success => {
-                known.rate_limit = None;
-                if !known.leaving {
-                    states.remove(node_id);
-                }
+            None if is_success => {
+                states.remove(node_id);
             }
-            (_, None) => {}
+            None => {}
         }
     }
 
--- a/crates/dataplane/src/pick.rs
+++ b/crates/dataplane/src/pick.rs
@@ -67,11 +67,8 @@
     let rule = &call.rule;
     let own_member = &worker.own_member;
     let entries = entries(worker, rule);
-    let Candidates {
-        candidates,
-        leaving,
-    } = build_candidates(plane, &entries);
-    let excluded: Vec<&NodeId> = tried.iter().chain(leaving).collect();
+    let candidates = build_candidates(plane, &entries);
+    let excluded: Vec<&NodeId> = tried.iter().collect();
     let mut loads = plane.loads();
     let now = Instant::now();
     // This node's gate knows the load of the target on this host exactly, whoever sent the calls.
@@ -109,22 +106,16 @@
     })
 }
 
-/// Returns the shortest time until any target that stays is expected to start the call, if one is
+/// Returns the shortest time until any target is expected to start the call, if one is
 /// known.
 pub(crate) fn shortest_wait(worker: &Worker, rule: &Rule<'_>) -> Option<Duration> {
     let plane = &worker.plane;
     let entries = entries(worker, rule);
-    let Candidates {
-        candidates,
-        leaving,
-    } = build_candidates(plane, &entries);
+    let candidates = build_candidates(plane, &entries);
     let loads = plane.loads();
     let now = Instant::now();
     let mut shortest_ms: Option<f64> = None;
     for candidate in &candidates {
-        if leaving.contains(&candidate.node_id) {
-            continue;
-        }
         let ran_ms = loads.ran_ms(candidate.node_id, rule.name).unwrap_or(0.0);
         let concurrency = candidate.concurrency(ran_ms);
         let wait_ms = loads.wait_ms(candidate.node_id, rule.name, concurrency, ran_ms, now);
@@ -148,18 +139,10 @@
         .entries(&view, &worker.own_member, key)
 }
 
-/// Targets as pickers see them.
-struct Candidates<'a> {
-    candidates: Vec<Candidate<'a>>,
-    /// Nodes of the candidates that stated that they are leaving.
-    leaving: Vec<&'a NodeId>,
-}
-
-/// Adds what this node knows of the targets from their answers.
-fn build_candidates<'a>(plane: &DataPlane, entries: &'a [TargetEntry]) -> Candidates<'a> {
+/// Returns the targets in the form that pickers use, with the rate limits that this node knows.
+fn build_candidates<'a>(plane: &DataPlane, entries: &'a [TargetEntry]) -> Vec<Candidate<'a>> {
     let known_states = plane.peer_targets.lock();
     let mut candidates = Vec::with_capacity(entries.len());
-    let mut leaving = Vec::new();
     for entry in entries {
         let mut candidate = entry.candidate();
         if entry.distance == Distance::Host {
@@ -167,14 +150,8 @@
         }
         if let Some(state) = known_states.state_of(&entry.member) {
             candidate.rate_limit = state.rate_limit;
-            if state.leaving {
-                leaving.push(&entry.member.node_id);
-            }
         }
         candidates.push(candidate);
     }
-    Candidates {
-        candidates,
-        leaving,
-    }
+    candidates
 }
