Soak: back ends that deregister while heartbeats from before arrive late, with and without a kill of their node

Two more faults; the guarantee is the one that draining back ends have: no request later than 2 s after the acknowledgement, for good.

--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -3,6 +3,7 @@
 //! determines the sequence of faults of each injector task.
 
 mod checks;
+mod departures;
 mod notices;
 
 use std::cell::{
@@ -78,9 +79,11 @@
     CutAnswers,
     RepeatAnswers,
     RepeatRefusals,
+    DepartBackend,
+    DepartBackendAndKillNode,
 }
 
-const FAULTS: [Fault; 20] = [
+const FAULTS: [Fault; 22] = [
     Fault::KillNode,
     Fault::StopNode,
     Fault::PauseNode,
@@ -101,6 +104,8 @@
     Fault::CutAnswers,
     Fault::RepeatAnswers,
     Fault::RepeatRefusals,
+    Fault::DepartBackend,
+    Fault::DepartBackendAndKillNode,
 ];
 
 /// Result of a soak.
@@ -276,15 +281,14 @@
             Fault::DrainBackend => {
                 let generation = backend.generation();
                 let acknowledged = backend.set_draining(true).await;
-                if acknowledged && backend.generation() == generation {
-                    let deadline = Instant::now() + DRAIN_MAX;
-                    self.drained_backends
-                        .borrow_mut()
-                        .push((index, generation, deadline));
+                if acknowledged {
+                    self.expect_unused(index, generation);
                 }
                 tokio::time::sleep(DRAIN_MAX + duration).await;
                 backend.set_draining(false).await;
             }
+            Fault::DepartBackend => self.depart(index, &backend, duration, false).await,
+            Fault::DepartBackendAndKillNode => self.depart(index, &backend, duration, true).await,
             Fault::RestoreStore => {
                 let copy = store.copy();
                 tokio::time::sleep(duration * 3).await;
