--- a/crates/control/src/mesh/ending_runs.rs
+++ b/crates/control/src/mesh/ending_runs.rs
@@ -109,6 +109,11 @@
         self.merge_ending_runs(peer, &[report]);
     }
 
+    /// Returns the number of ending runs that this node knows.
+    pub fn ending_run_count(&self) -> usize {
+        self.members().ending_runs().count()
+    }
+
     /// Returns the stage of its end that a run of the target beside this node has reached, or `None`
     /// if it is ready as far as this node knows.
     pub fn own_run_stage(&self, target: &Target) -> Option<RunStage> {
@@ -170,6 +175,9 @@
 
     /// Returns the ending runs for a peer, and counts them as sent.
     pub(super) fn ending_runs_for(&self, receiver: &NodeId) -> RunNews {
+        if !self.holds_ending_runs(receiver) {
+            return RunNews::default();
+        }
         let members = self.members();
         let runs = members.ending_runs();
         let mut all = self.run_feed.progress.lock().expect("no holder panics");
@@ -203,13 +211,13 @@
     /// Returns whether there are ending runs that were not sent to the peer yet.
     pub(super) fn has_ending_runs_for(&self, peer: &NodeId) -> bool {
         let last_sequence = self.members().ending_runs().last_sequence();
-        self.runs_sent_to(peer) < last_sequence
+        self.lacks_runs_up_to(peer, last_sequence)
     }
 
     /// Returns whether there are runs that this node ended itself and has not sent to the peer yet.
     pub(super) fn has_own_runs_for(&self, peer: &NodeId) -> bool {
         let own_sequence = *self.run_feed.own_sequence.lock().expect("no holder panics");
-        self.runs_sent_to(peer) < own_sequence
+        self.lacks_runs_up_to(peer, own_sequence)
     }
 
     fn merge_ending_runs(&self, sender: &NodeId, reports: &[EndingRun]) {
@@ -277,9 +285,17 @@
         has_peer && !has_informant
     }
 
-    fn runs_sent_to(&self, peer: &NodeId) -> u64 {
+    /// Returns whether the peer's build holds ending runs. An earlier one would never acknowledge any.
+    fn holds_ending_runs(&self, peer: &NodeId) -> bool {
+        self.run_feed.informants.borrow().get(peer) == Some(&true)
+    }
+
+    /// Returns whether the peer should be sent runs up to `sequence` and was not yet.
+    fn lacks_runs_up_to(&self, peer: &NodeId, sequence: u64) -> bool {
         let all = self.run_feed.progress.lock().expect("no holder panics");
-        all.get(peer).map_or(0, FeedProgress::sent)
+        let sent = all.get(peer).map_or(0, FeedProgress::sent);
+        drop(all);
+        sent < sequence && self.holds_ending_runs(peer)
     }
 }
 
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -173,6 +173,8 @@
         self.metrics
             .set_gauge("routes_unknown_kind", unknown_kind_count);
         self.metrics.set_gauge("members", view.node_count as u64);
+        self.metrics
+            .set_gauge("ending_runs", self.mesh.ending_run_count() as u64);
         self.metrics
             .set_gauge("control_region_bytes", self.mesh.meter().region_bytes());
         self.metrics
--- a/crates/dataplane/src/target_watch.rs
+++ b/crates/dataplane/src/target_watch.rs
@@ -80,6 +80,10 @@
     ) -> AnnounceOutcome {
         let now = Instant::now();
         let target = &announcement.target;
+        if target.draining {
+            // Also an announcement that came late tells that its run is ending.
+            mesh.end_own_run(&target.instance, target.started_at_ms, RunStage::Draining);
+        }
         let known_stage = mesh.own_run_stage(target);
         let mut state = self.state.lock().expect("no holder panics");
         let is_departed = known_stage == Some(RunStage::Departed);
@@ -98,9 +102,6 @@
         }
         state.run_count += u64::from(state.announced_until.is_none());
         let mut target = target.clone();
-        if target.draining {
-            mesh.end_own_run(&target.instance, target.started_at_ms, RunStage::Draining);
-        }
         // Announcements may be delayed, so a ready one does not undo what was known of the run.
         target.draining |= known_stage == Some(RunStage::Draining);
         state.latest = LatestAnnouncement {
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -211,7 +211,8 @@
         self.send_heartbeat().await
     }
 
-    fn instance_name(&self) -> String {
+    /// Returns the name under which the back end announces itself.
+    pub fn instance_name(&self) -> String {
         if let Some(name) = &*self.kept_name.borrow() {
             return name.clone();
         }
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -4,6 +4,7 @@
 
 mod checks;
 mod departures;
+mod fault;
 mod notices;
 
 use std::cell::{
@@ -18,6 +19,10 @@
 
 use figway_types::mix;
 
+use self::fault::{
+    Fault,
+    FAULTS, //
+};
 use self::notices::{
     BackendNotice,
     NoticeKind, //
@@ -56,58 +61,6 @@
 /// Time within which a node must end after SIGTERM.
 const SHUTDOWN_GRACE: Duration = Duration::from_secs(6);
 
-/// Fault that a soak can inject. The names of the variants appear in its report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fault {
-    KillNode,
-    StopNode,
-    PauseNode,
-    CutStore,
-    SlowStore,
-    StoreDown,
-    StoreLosesAnswers,
-    ForgetHistory,
-    DamagedConfig,
-    ConfigStorm,
-    LoseAnswers,
-    SlowBackend,
-    RestartBackend,
-    DrainBackend,
-    RestoreStore,
-    LimitBackend,
-    LeaveBackend,
-    CutAnswers,
-    RepeatAnswers,
-    RepeatRefusals,
-    DepartBackend,
-    DepartBackendAndKillNode,
-}
-
-const FAULTS: [Fault; 22] = [
-    Fault::KillNode,
-    Fault::StopNode,
-    Fault::PauseNode,
-    Fault::CutStore,
-    Fault::SlowStore,
-    Fault::StoreDown,
-    Fault::StoreLosesAnswers,
-    Fault::ForgetHistory,
-    Fault::DamagedConfig,
-    Fault::ConfigStorm,
-    Fault::LoseAnswers,
-    Fault::SlowBackend,
-    Fault::RestartBackend,
-    Fault::DrainBackend,
-    Fault::RestoreStore,
-    Fault::LimitBackend,
-    Fault::LeaveBackend,
-    Fault::CutAnswers,
-    Fault::RepeatAnswers,
-    Fault::RepeatRefusals,
-    Fault::DepartBackend,
-    Fault::DepartBackendAndKillNode,
-];
-
 /// Result of a soak.
 #[derive(Debug, Default)]
 pub struct SoakReport {
--- a/crates/testbed/tests/odd_entries.rs
+++ b/crates/testbed/tests/odd_entries.rs
@@ -37,6 +37,10 @@
 
 /// Posts an entry as another writer does. Returns the status, or 0 without an answer.
 async fn post_heartbeat(address: &str, instance: &str, body: String) -> u16 {
+    post(address, &format!("/instances/{instance}/heartbeat"), body).await
+}
+
+async fn post(address: &str, path: &str, body: String) -> u16 {
     let client = HttpClient::new(ClientLimits {
         idle_max_count: 1,
         idle_max_ms: 1_000,
@@ -48,7 +52,7 @@
     let outbound = OutboundRequest {
         address,
         method: "POST",
-        path: &format!("/instances/{instance}/heartbeat"),
+        path,
         headers: &Headers::default(),
         body: &body.into(),
         deadline: Instant::now() + Duration::from_secs(2),
@@ -120,6 +124,25 @@
     }
 }
 
+#[ntex::test]
+async fn a_deregistration_with_an_odd_start_takes_no_back_end_away() {
+    let site = Site::start("odd-departure", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    let backend = &site.hosts[0].backend;
+    let path = format!("/instances/{}/deregister", backend.instance_name());
+    for born in [u64::MAX, 9_000_000_000_000_000] {
+        let body = json!({ "born": born }).to_string();
+        let status = post(backend.announce_address(), &path, body).await;
+        assert_eq!(status, 400, "{born}");
+    }
+    let before = backend.runs().len();
+    let deadline = Instant::now() + GIVEN_UP_AFTER;
+    while backend.runs().len() == before {
+        assert!(Instant::now() < deadline, "the back end gets no work");
+        site.caller(0).call("GET", "/reads/1").await;
+    }
+}
+
 #[ntex::test]
 async fn a_time_of_any_size_in_a_configuration_is_served() {
     let mut site = Site::start("odd-time", 4).await.unwrap();
