Testbed: reserve a port by UDP before TCP, so that a probe never meets another site's node

Seen once, beside two soaks and other tests: a node of departures.rs did not start, "could not listen on 127.0.0.1:21442: Address already in use", a port that its site held by UDP. Cause, by reading and by an experiment: reserve() bound TCP first, also on ports that others had reserved, for the moment until its UDP socket was refused; a node that binds its port in that moment fails. That the one failure was this is not shown.

--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -179,9 +179,12 @@
         loop {
             let index = figway_types::entropy() % (PORT_RANGE.end - PORT_RANGE.start);
             let port = (PORT_RANGE.start + index) as u16;
-            let tcp = std::net::TcpListener::bind(("127.0.0.1", port));
-            let udp = std::net::UdpSocket::bind(("127.0.0.1", port));
-            if let (Ok(_), Ok(udp)) = (tcp, udp) {
+            // The UDP socket comes first: a probe of a TCP port that another site has reserved could
+            // meet its node while that binds the port.
+            let Ok(udp) = std::net::UdpSocket::bind(("127.0.0.1", port)) else {
+                continue;
+            };
+            if std::net::TcpListener::bind(("127.0.0.1", port)).is_ok() {
                 self.reservations.push(udp);
                 return Ok(port);
             }
