Tell linked peers at once when the own target changes

A node that has just started waits for its peers' word before it believes an announcement, so that the handshakes no longer carry the target as they did when the heartbeat came first; the record then waited for a peer to ask. Now the node sends it over its links as soon as it changes (one message a link and change; changes of its target alone, no refutations).

--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -6,6 +6,7 @@
 mod feed;
 mod lost;
 mod news;
+mod own_target;
 mod report;
 mod routes;
 
@@ -45,6 +46,7 @@
 
 use self::ending_runs::RunFeed;
 use self::feed::FeedProgress;
+use self::own_target::OwnTargetNews;
 use self::report::{
     log_installed,
     log_verdict, //
@@ -99,6 +101,7 @@
     /// Number of the last crash report that this node observed itself.
     own_report: Mutex<u64>,
     run_feed: RunFeed,
+    own_target_news: OwnTargetNews,
     view: ArcSwap<View>,
     view_changes: watch::Sender<u64>,
     head: watch::Sender<Offset>,
@@ -138,6 +141,7 @@
             feed_epoch: mix(seed),
             own_report: Mutex::default(),
             run_feed: RunFeed::new(now),
+            own_target_news: OwnTargetNews::default(),
             view: ArcSwap::default(),
             view_changes: watch::Sender::new(0),
             head: watch::Sender::new(Offset(0)),
--- a/crates/control/src/mesh/news.rs
+++ b/crates/control/src/mesh/news.rs
@@ -78,10 +78,12 @@
             .progress_of(receiver)
             .map(|progress| progress.member_digest);
         let mut members = self.members();
-        let updates = members.take_pending_updates(receiver, known_digest, MEMBER_UPDATE_MAX_COUNT);
+        let mut updates =
+            members.take_pending_updates(receiver, known_digest, MEMBER_UPDATE_MAX_COUNT);
         let member_digest = members.digest().total();
         let member_count = members.present_count();
         drop(members);
+        self.add_own_target(receiver, &mut updates);
         let reports = self.reports_for(receiver);
         let runs = self.ending_runs_for(receiver);
         let head_left = self.head_fresh_until().saturating_duration_since(now);
@@ -120,7 +122,9 @@
 
     /// Returns whether this node observed something itself that it has not sent to the peer yet.
     pub(crate) fn has_own_news_for(&self, peer: &NodeId) -> bool {
-        self.has_own_reports_for(peer) || self.has_own_runs_for(peer)
+        self.has_own_reports_for(peer)
+            || self.has_own_runs_for(peer)
+            || self.has_own_target_for(peer)
     }
 
     /// Merges gossip from `sender`. Its view of the log's head counts from `head_from`, the earliest
--- a/crates/dataplane/src/target_watch.rs
+++ b/crates/dataplane/src/target_watch.rs
@@ -234,8 +234,7 @@
 }
 
 fn set_local_target(mesh: &Mesh, target: Option<&Target>, why: &str) {
-    let mut members = mesh.members();
-    if members.own().target.as_ref() == target {
+    if mesh.members().own().target.as_ref() == target {
         return;
     }
     match target {
@@ -249,7 +248,5 @@
         ),
         None => log::warn!("target lost why={why}"),
     }
-    members.update_own(Instant::now(), |own| own.target = target.cloned());
-    drop(members);
-    mesh.notify_member_changes();
+    mesh.set_own_target(target);
 }
