--- a/crates/testbed/src/cmd/convergence.rs
+++ b/crates/testbed/src/cmd/convergence.rs
@@ -48,6 +48,12 @@
 /// Number of switches that are timed.
 const SWITCH_COUNT: usize = 20;
 
+/// Number of departures that are measured.
+const DEPARTURE_COUNT: usize = 10;
+
+/// Pause after each departure, in which its acknowledgements travel.
+const DEPARTURE_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Time over which the costs of the idle mesh are measured.
 const IDLE_PERIOD: Duration = Duration::from_secs(10);
 
@@ -62,7 +68,7 @@
         println!(
             "nodes joined_ms idle_b_per_s_node idle_far_b_per_s idle_cpu_percent_node \
              switch_p50_ms switch_p99_ms switch_max_ms b_per_change_node far_b_per_change \
-             outage_max_ms"
+             outage_max_ms departed_max_ms b_per_departure_node idle_after_b_per_s_node"
         );
         let node_count = self.nodes;
         let programs = Programs::find()?;
@@ -93,6 +99,7 @@
         }
         let after = farm.control_bytes();
         let busy_s = 0.25 * SWITCH_COUNT as f64;
+        let departures = departure_costs(&farm, &idle).await?;
         let outage_max = writer.switch_before_outage(&farm, &log_url).await?;
         times.sort_unstable();
         let quantile_ms = |quantile: f64| {
@@ -104,7 +111,7 @@
             ((after - before) as f64 - idle_per_s * busy_s) / SWITCH_COUNT as f64
         };
         println!(
-            "{node_count} {} {:.0} {:.0} {:.2} {:.1} {:.1} {:.1} {:.0} {:.0} {:.1}",
+            "{node_count} {} {:.0} {:.0} {:.2} {:.1} {:.1} {:.1} {:.0} {:.0} {:.1} {:.1} {:.0} {:.0}",
             joined.as_millis(),
             idle.region_bytes_per_s / nodes,
             idle.cross_region_bytes_per_s / 2.0,
@@ -115,6 +122,9 @@
             per_change(before.0, after.0, idle.region_bytes_per_s) / nodes,
             per_change(before.1, after.1, idle.cross_region_bytes_per_s) / 2.0,
             outage_max.as_secs_f64() * 1e3,
+            departures.slowest.as_secs_f64() * 1e3,
+            departures.region_bytes / nodes,
+            departures.idle_after.region_bytes_per_s / nodes,
         );
         Ok(())
     }
@@ -140,6 +150,32 @@
     })
 }
 
+struct DepartureCosts {
+    slowest: Duration,
+    /// Control bytes of all nodes within regions for one departure.
+    region_bytes: f64,
+    /// Costs while all nodes know the departures and nothing else changes.
+    idle_after: IdleCosts,
+}
+
+/// Measures how long departures of targets take to be known on all nodes, and what they cost.
+async fn departure_costs(farm: &Farm, idle: &IdleCosts) -> anyhow::Result<DepartureCosts> {
+    let started_at = Instant::now();
+    let (bytes_before, _) = farm.control_bytes();
+    let mut slowest = Duration::ZERO;
+    for index in 0..DEPARTURE_COUNT {
+        slowest = slowest.max(farm.depart(index, TIMEOUT).await?);
+        tokio::time::sleep(DEPARTURE_PAUSE).await;
+    }
+    let (bytes_after, _) = farm.control_bytes();
+    let idle_bytes = idle.region_bytes_per_s * started_at.elapsed().as_secs_f64();
+    Ok(DepartureCosts {
+        slowest,
+        region_bytes: ((bytes_after - bytes_before) as f64 - idle_bytes) / DEPARTURE_COUNT as f64,
+        idle_after: idle_costs(farm).await?,
+    })
+}
+
 /// Appends changes to the log as an operator's commands do.
 struct ChangeWriter {
     log: HttpLog,
--- a/crates/testbed/src/mesh_farm.rs
+++ b/crates/testbed/src/mesh_farm.rs
@@ -25,6 +25,7 @@
     MemberState,
     NodeId,
     Offset,
+    RunStage,
     Target, //
 };
 
@@ -142,6 +143,26 @@
         Ok(times)
     }
 
+    /// Lets a run of the target beside the node at `index` depart, and waits until all nodes know it.
+    /// Returns how long that took.
+    ///
+    /// # Errors
+    ///
+    /// Not all nodes know it after `wait`.
+    pub async fn depart(&self, index: usize, wait: Duration) -> anyhow::Result<Duration> {
+        let started_at = Instant::now();
+        let known_count = self.meshes[index].ending_run_count();
+        self.meshes[index].end_own_run(&format!("i-{index}"), 1, RunStage::Departed);
+        let knows = |mesh: &Arc<Mesh>| mesh.ending_run_count() > known_count;
+        while !self.meshes.iter().all(knows) {
+            if started_at.elapsed() > wait {
+                bail!("a departure is not known on all nodes");
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        Ok(started_at.elapsed())
+    }
+
     /// Returns the control bytes of all nodes: those within regions, and those on connections that
     /// nodes opened to other regions. Each message is counted by its sender and by its receiver;
     /// accepted connections count as within the region.
