--- a/crates/control/tests/blind_log_readers.rs
+++ b/crates/control/tests/blind_log_readers.rs
@@ -20,11 +20,10 @@
     LogService as _,
     CHANGE_STREAM, //
 };
+use figway_test_support::live_member;
 use figway_types::{
     rendezvous_weight,
-    Member,
-    MemberState,
-    NodeId, //
+    MemberState, //
 };
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
@@ -48,19 +47,7 @@
 }
 
 async fn start_node(index: usize, log: &GatedLog) -> ControlPlane {
-    let own = Member {
-        node_id: NodeId(node_id(index)),
-        generation_ms: 1,
-        incarnation: 0,
-        state: MemberState::Live,
-        region: REGION.to_owned(),
-        zone: "muscat-a".to_owned(),
-        control_address: String::new(),
-        call_address: "127.0.0.1:1".to_owned(),
-        log_round_trip_ms: 0,
-        link_mbps: 0,
-        target: None,
-    };
+    let own = live_member(&node_id(index), REGION, "muscat-a");
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     ControlBuilder::new("blind", own, Rc::new(log.clone()))
         .log_region(REGION)
--- a/crates/control/tests/mesh_view.rs
+++ b/crates/control/tests/mesh_view.rs
@@ -14,13 +14,15 @@
     ChangeRecord,
     Fold, //
 };
-use figway_test_support::fixed_seed_config;
+use figway_test_support::{
+    fixed_seed_config,
+    live_member, //
+};
 use figway_types::{
     ChangeId,
     LogEra,
     LogRecord,
     Member,
-    MemberState,
     NodeId,
     Offset,
     Target, //
@@ -105,19 +107,7 @@
 }
 
 fn member(name: &str) -> Member {
-    Member {
-        node_id: NodeId(name.to_owned()),
-        generation_ms: 1,
-        incarnation: 0,
-        state: MemberState::Live,
-        region: "muscat".to_owned(),
-        zone: "muscat-a".to_owned(),
-        control_address: "127.0.0.1:1".to_owned(),
-        call_address: "127.0.0.1:2".to_owned(),
-        log_round_trip_ms: 0,
-        link_mbps: 0,
-        target: None,
-    }
+    live_member(name, "muscat", "muscat-a")
 }
 
 /// Returns the fold of each prefix of `records`, indexed by its last offset.
--- a/crates/control/tests/restored_claims.rs
+++ b/crates/control/tests/restored_claims.rs
@@ -14,30 +14,15 @@
     ControlBuilder,
     ControlPlane, //
 };
-use figway_types::{
-    Member,
-    MemberState,
-    NodeId, //
-};
+use figway_test_support::live_member;
+use figway_types::NodeId;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
 use crate::common::MemoryLog;
 
 async fn start_node(log: &MemoryLog) -> ControlPlane {
-    let own = Member {
-        node_id: NodeId("muscat-a-1".to_owned()),
-        generation_ms: 1,
-        incarnation: 0,
-        state: MemberState::Live,
-        region: "muscat".to_owned(),
-        zone: "muscat-a".to_owned(),
-        control_address: String::new(),
-        call_address: "127.0.0.1:1".to_owned(),
-        log_round_trip_ms: 0,
-        link_mbps: 0,
-        target: None,
-    };
+    let own = live_member("muscat-a-1", "muscat", "muscat-a");
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     ControlBuilder::new("claims", own, Rc::new(log.clone()))
         .log_region("muscat")
--- a/crates/control/tests/route_lease.rs
+++ b/crates/control/tests/route_lease.rs
@@ -11,32 +11,14 @@
     RouteConfirmation, //
 };
 use figway_profile::RouteTable;
+use figway_test_support::live_member;
 use figway_types::{
     BootInstant,
-    Member,
-    MemberState,
-    NodeId,
     Offset, //
 };
 
-fn own_member() -> Member {
-    Member {
-        node_id: NodeId("node-1".to_owned()),
-        generation_ms: 1,
-        incarnation: 0,
-        state: MemberState::Live,
-        region: "land".to_owned(),
-        zone: "east".to_owned(),
-        control_address: String::new(),
-        call_address: String::new(),
-        log_round_trip_ms: 1,
-        link_mbps: 0,
-        target: None,
-    }
-}
-
 fn mesh_with_table(version: u64) -> Arc<Mesh> {
-    let mesh = Mesh::new("mesh", own_member(), None, 1);
+    let mesh = Mesh::new("mesh", live_member("node-1", "land", "east"), None, 1);
     mesh.install_route_table(RouteTable {
         version,
         source_offset: Offset(version),
@@ -81,7 +63,7 @@
 
 #[test]
 fn a_node_without_a_table_has_no_lease() {
-    let mesh = Mesh::new("mesh", own_member(), None, 1);
+    let mesh = Mesh::new("mesh", live_member("node-1", "land", "east"), None, 1);
     mesh.merge_route_confirmation(&confirmation(0, 0), BootInstant::now());
     assert_eq!(mesh.route_confirmation(), None);
 }
--- a/crates/membership/tests/ending_runs.rs
+++ b/crates/membership/tests/ending_runs.rs
@@ -14,7 +14,10 @@
     EndingRuns,
     MemberTable, //
 };
-use figway_test_support::fixed_seed_config;
+use figway_test_support::{
+    fixed_seed_config,
+    live_member, //
+};
 use figway_types::{
     EndingRun,
     FastSet,
@@ -37,18 +40,10 @@
 }
 
 fn member(index: usize, generation_ms: u64) -> Member {
+    let zone = if index < 2 { "east" } else { "west" };
     Member {
-        node_id: node_id(index),
         generation_ms,
-        incarnation: 0,
-        state: MemberState::Live,
-        region: "land".to_owned(),
-        zone: if index < 2 { "east" } else { "west" }.to_owned(),
-        control_address: String::new(),
-        call_address: String::new(),
-        log_round_trip_ms: 0,
-        link_mbps: 0,
-        target: None,
+        ..live_member(&node_id(index).0, "land", zone)
     }
 }
 
