--- a/crates/control/src/mesh/ending_runs.rs
+++ b/crates/control/src/mesh/ending_runs.rs
@@ -13,7 +13,7 @@
 };
 
 use figway_membership::{
-    is_held_safely,
+    is_replicated,
     EndingRunBatch,
     EndingRuns, //
 };
@@ -43,10 +43,10 @@
 
 /// Longest wait of a node that has just started for its first peers. Its target gives an announcement
 /// up after 1 s.
-const INFORM_TIMEOUT: Duration = Duration::from_millis(800);
+const INTRODUCTION_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Number of peers that a node that has just started waits for.
-const INFORMANT_COUNT: usize = 2;
+const INTRODUCTION_COUNT: usize = 2;
 
 /// Feed of ending runs to and from the peers.
 pub(super) struct RunFeed {
@@ -57,10 +57,10 @@
     acks: watch::Sender<u64>,
     /// Changes whenever a peer told something new of the target beside this node.
     own_changes: watch::Sender<u64>,
-    /// Peers that have introduced themselves, and whether their build holds ending runs.
-    informants: watch::Sender<FastMap<NodeId, bool>>,
-    /// Time until which announcements wait for informants.
-    inform_until: Instant,
+    /// Peers that have introduced themselves by a handshake, and whether their build holds ending runs.
+    introduced: watch::Sender<FastMap<NodeId, bool>>,
+    /// Time until which announcements wait for introductions.
+    introductions_until: Instant,
 }
 
 impl RunFeed {
@@ -70,8 +70,8 @@
             own_sequence: Mutex::default(),
             acks: watch::Sender::new(0),
             own_changes: watch::Sender::new(0),
-            informants: watch::Sender::default(),
-            inform_until: now + INFORM_TIMEOUT,
+            introduced: watch::Sender::default(),
+            introductions_until: now + INTRODUCTION_TIMEOUT,
         }
     }
 }
@@ -128,7 +128,7 @@
 
     /// Waits until enough peers hold what is known of the end of the instance beside this node. Returns
     /// whether at least one holds it at the deadline, or no peer could hold it.
-    pub async fn wait_until_held(&self, instance: &str, deadline: Instant) -> bool {
+    pub async fn wait_until_replicated(&self, instance: &str, deadline: Instant) -> bool {
         let mut acks = self.run_feed.acks.subscribe();
         loop {
             acks.borrow_and_update();
@@ -147,16 +147,16 @@
 
     /// Waits until peers have told what they know of the target beside this node, but not longer than
     /// shortly after the start of the process.
-    pub async fn wait_until_informed(&self) {
-        let mut informants = self.run_feed.informants.subscribe();
+    pub async fn wait_for_introductions(&self) {
+        let mut introduced = self.run_feed.introduced.subscribe();
         loop {
-            let informant_count = informants.borrow_and_update().len();
+            let introduced_count = introduced.borrow_and_update().len();
             let other_count = self.members().present_count() - 1;
-            if informant_count > 0 && informant_count >= INFORMANT_COUNT.min(other_count) {
+            if introduced_count > 0 && introduced_count >= INTRODUCTION_COUNT.min(other_count) {
                 return;
             }
-            let until = self.run_feed.inform_until;
-            let changed = tokio::time::timeout_at(until.into(), informants.changed()).await;
+            let until = self.run_feed.introductions_until;
+            let changed = tokio::time::timeout_at(until.into(), introduced.changed()).await;
             if changed.is_err() {
                 return;
             }
@@ -168,8 +168,8 @@
         let peer = &hello.member.node_id;
         self.merge_ending_runs(peer, &hello.ending_runs);
         self.merge_members(std::slice::from_ref(&hello.member));
-        self.run_feed.informants.send_modify(|informants| {
-            informants.insert(peer.clone(), hello.holds_ending_runs);
+        self.run_feed.introduced.send_modify(|introduced| {
+            introduced.insert(peer.clone(), hello.holds_ending_runs);
         });
     }
 
@@ -261,7 +261,7 @@
 
     fn are_enough(&self, holders: &FastSet<NodeId>) -> bool {
         let members = self.members();
-        is_held_safely(members.own(), members.members(), holders)
+        is_replicated(members.own(), members.members(), holders)
     }
 
     /// Returns whether a peer could hold a report: one that is linked and of a build that does, or one
@@ -271,23 +271,23 @@
         let own_id = &members.own().node_id;
         let is_peer =
             |member: &Member| member.node_id != *own_id && member.state != MemberState::Left;
-        let informants = self.run_feed.informants.borrow();
-        let mut has_informant = false;
+        let introduced = self.run_feed.introduced.borrow();
+        let mut has_earlier_build = false;
         let mut has_peer = false;
         for member in members.members().filter(|member| is_peer(member)) {
             has_peer = true;
-            match informants.get(&member.node_id) {
+            match introduced.get(&member.node_id) {
                 Some(true) => return true,
-                Some(false) => has_informant = true,
+                Some(false) => has_earlier_build = true,
                 None => {}
             }
         }
-        has_peer && !has_informant
+        has_peer && !has_earlier_build
     }
 
     /// Returns whether the peer's build holds ending runs. An earlier one would never acknowledge any.
     fn holds_ending_runs(&self, peer: &NodeId) -> bool {
-        self.run_feed.informants.borrow().get(peer) == Some(&true)
+        self.run_feed.introduced.borrow().get(peer) == Some(&true)
     }
 
     /// Returns whether the peer should be sent runs up to `sequence` and was not yet.
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -75,7 +75,7 @@
 
 /// Longest wait for peers to hold that the target is leaving. The target gives its message up after
 /// 1 s.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(700);
+const REPLICATION_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Period at which a drain checks for calls in flight.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
@@ -204,12 +204,12 @@
         &self,
         announcement: &Announcement,
     ) -> Result<AnnounceOutcome, String> {
-        let hold_until = Instant::now() + HOLD_TIMEOUT;
+        let replicate_until = Instant::now() + REPLICATION_TIMEOUT;
         let target = &announcement.target;
         self.check_target(target)?;
         if target.is_identified() {
             // Peers may know that the run is ending, if this node has forgotten that.
-            self.mesh.wait_until_informed().await;
+            self.mesh.wait_for_introductions().await;
         }
         let known_target = self.mesh.members().own().target.clone();
         if known_target.is_none_or(|known| known.instance != target.instance) {
@@ -222,7 +222,7 @@
         if outcome == AnnounceOutcome::Accepted {
             self.apply_target_state(self.local_target.begin_run(target));
         }
-        if target.draining && !self.peers_hold(target, hold_until).await {
+        if target.draining && !self.is_end_replicated(target, replicate_until).await {
             return Ok(AnnounceOutcome::Unconfirmed);
         }
         Ok(outcome)
@@ -230,8 +230,12 @@
 
     /// Returns whether peers hold by `deadline` that the run of the target is ending, so that the end
     /// of this node loses nothing.
-    async fn peers_hold(&self, target: &Target, deadline: Instant) -> bool {
-        !target.is_identified() || self.mesh.wait_until_held(&target.instance, deadline).await
+    async fn is_end_replicated(&self, target: &Target, deadline: Instant) -> bool {
+        !target.is_identified()
+            || self
+                .mesh
+                .wait_until_replicated(&target.instance, deadline)
+                .await
     }
 
     fn check_target(&self, target: &Target) -> Result<(), String> {
@@ -283,11 +287,14 @@
         instance: &str,
         started_at_ms: u64,
     ) -> Result<bool, String> {
-        let hold_until = Instant::now() + HOLD_TIMEOUT;
+        let replicate_until = Instant::now() + REPLICATION_TIMEOUT;
         check_started_at(started_at_ms)?;
         self.target_watch
             .record_departure(&self.mesh, instance, started_at_ms);
-        Ok(self.mesh.wait_until_held(instance, hold_until).await)
+        Ok(self
+            .mesh
+            .wait_until_replicated(instance, replicate_until)
+            .await)
     }
 
     /// Returns a watch of the phase, which tells servers how to handle their connections.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -6,8 +6,8 @@
 
 mod digest;
 mod ending_runs;
-mod holders;
 mod links;
+mod replication;
 mod table;
 
 pub use digest::{
@@ -18,11 +18,11 @@
     EndingRunBatch,
     EndingRuns, //
 };
-pub use holders::is_held_safely;
 pub use links::{
     choose_links,
     LinkCounts, //
 };
+pub use replication::is_replicated;
 pub use table::{
     MemberTable,
     MergeOutcome, //
--- a/crates/membership/src/holders.rs
+++ b/crates/membership/src/replication.rs
@@ -9,11 +9,11 @@
 };
 
 /// Number of peers that should hold it.
-const HOLDER_COUNT: usize = 2;
+const REPLICA_COUNT: usize = 2;
 
 /// Returns whether `holders` are as many peers of `own` as asked for, at least one of them in another
 /// availability zone. If fewer peers are known, or no other zone has a live one, as many as there are.
-pub fn is_held_safely<'a>(
+pub fn is_replicated<'a>(
     own: &Member,
     members: impl Iterator<Item = &'a Member>,
     holders: &FastSet<NodeId>,
@@ -35,5 +35,5 @@
             other_zone_holds |= holds;
         }
     }
-    holder_count >= HOLDER_COUNT.min(peer_count) && (other_zone_holds || !other_zone_live)
+    holder_count >= REPLICA_COUNT.min(peer_count) && (other_zone_holds || !other_zone_live)
 }
--- a/crates/membership/tests/ending_runs.rs
+++ b/crates/membership/tests/ending_runs.rs
@@ -10,7 +10,7 @@
 };
 
 use figway_membership::{
-    is_held_safely,
+    is_replicated,
     EndingRuns,
     MemberTable, //
 };
@@ -209,7 +209,7 @@
             }
         }
         let table = &self.tables[0];
-        if is_held_safely(table.own(), table.members(), &holders) && !holders.is_empty() {
+        if is_replicated(table.own(), table.members(), &holders) && !holders.is_empty() {
             self.acknowledged.push(target);
         }
     }
@@ -387,7 +387,7 @@
         for index in indexes {
             holders.insert(node_id(*index));
         }
-        is_held_safely(&own, members.iter(), &holders)
+        is_replicated(&own, members.iter(), &holders)
     };
     assert!(!is_held(&members, &[]));
     assert!(!is_held(&members, &[1]));
