Log the fingerprint of each run at a target, and which instance was lost

Without them the logs can't tell whether equal requests bear the same fingerprint on all nodes, nor which run ended beside a report of a crash. No change of logic.

--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -194,10 +194,11 @@
             return;
         }
         log::info!(
-            "call run request={} kind={} instance={} outcome={outcome} why={reason} waited_ms={} \
-             ran_ms={}",
+            "call run request={} kind={} fingerprint={:016x} instance={} outcome={outcome} \
+             why={reason} waited_ms={} ran_ms={}",
             self.call.request_id,
             self.call.kind,
+            self.call.fingerprint.0,
             self.instance,
             self.queue_time.as_millis(),
             self.started_at.elapsed().as_millis(),
--- a/crates/dataplane/src/target_watch.rs
+++ b/crates/dataplane/src/target_watch.rs
@@ -234,7 +234,8 @@
 }
 
 fn set_local_target(mesh: &Mesh, target: Option<&Target>, why: &str) {
-    if mesh.members().own().target.as_ref() == target {
+    let known = mesh.members().own().target.clone();
+    if known.as_ref() == target {
         return;
     }
     match target {
@@ -246,7 +247,10 @@
             target.slot_count,
             target.draining,
         ),
-        None => log::warn!("target lost why={why}"),
+        None => {
+            let instance = known.map_or(String::new(), |known| known.instance);
+            log::warn!("target lost instance={instance} why={why}");
+        }
     }
     mesh.set_own_target(target);
 }
