--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -163,6 +163,16 @@
         self.runs.borrow().clone()
     }
 
+    /// Returns the request that was the `index`-th one to start, from 0.
+    pub fn run_at(&self, index: usize) -> Option<Run> {
+        self.runs.borrow().get(index).cloned()
+    }
+
+    /// Returns how many requests have started, in all generations.
+    pub fn run_count(&self) -> usize {
+        self.runs.borrow().len()
+    }
+
     /// Returns when the connection of the request closed while it ran, if it did.
     pub fn cut_at(&self, id: &str) -> Option<Instant> {
         let cut_runs = self.cut_runs.borrow();
--- a/crates/testbed/src/site/caller.rs
+++ b/crates/testbed/src/site/caller.rs
@@ -79,25 +79,45 @@
         path: &str,
         padding_bytes: usize,
     ) -> CallResult {
+        let id = self.next_id();
+        let body = format!("{id}{}", "x".repeat(padding_bytes));
+        self.send(&id, method, path, &body, BUDGET).await
+    }
+
+    /// Sends a request without a body, so that it equals others on the same path, and waits for its
+    /// answer for `budget`.
+    pub async fn call_alike(&self, method: &str, path: &str, budget: Duration) -> CallResult {
+        let id = self.next_id();
+        self.send(&id, method, path, "", budget).await
+    }
+
+    fn next_id(&self) -> String {
         self.sent_count.set(self.sent_count.get() + 1);
-        let id = format!(
-            "{:016x}",
-            figway_types::mix(self.seed ^ self.sent_count.get())
-        );
+        let number = figway_types::mix(self.seed ^ self.sent_count.get());
+        format!("{number:016x}")
+    }
+
+    async fn send(
+        &self,
+        id: &str,
+        method: &str,
+        path: &str,
+        body: &str,
+        budget: Duration,
+    ) -> CallResult {
         let mut headers = Headers::default();
         headers.push("host", HOST_HEADER);
-        headers.push("x-figway-attempt-id", id.as_str());
-        headers.push("x-figway-deadline-ms", BUDGET.as_millis().to_string());
+        headers.push("x-figway-attempt-id", id);
+        headers.push("x-figway-deadline-ms", budget.as_millis().to_string());
         headers.push("x-figway-caller-service", "forged");
-        let body = format!("{id}{}", "x".repeat(padding_bytes));
         let sent_at = Instant::now();
         let outbound = OutboundRequest {
             address: &self.address,
             method,
             path,
             headers: &headers,
-            body: &body.clone().into(),
-            deadline: sent_at + BUDGET,
+            body: &body.to_owned().into(),
+            deadline: sent_at + budget,
             echo_header: None,
             idempotent: false,
         };
@@ -119,7 +139,7 @@
             Err(_) => (0, false),
         };
         CallResult {
-            id,
+            id: id.to_owned(),
             status,
             sealed,
             unsent,
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod crash;
 pub mod store;
 pub mod wire;
 
@@ -204,9 +205,9 @@
     let mut ports = ReservedPorts::default();
     let (call, control) = (ports.reserve()?, ports.reserve()?);
     let (callers, ready, announcements) = (ports.reserve()?, ports.reserve()?, ports.reserve()?);
-    let metrics = ports.reserve()?;
+    let (metrics, target) = (ports.reserve()?, ports.reserve()?);
     let backend = Backend::start(service, zone, &format!("127.0.0.1:{announcements}")).await?;
-    let wire = AnswerWire::start(&backend.listen_address()).await?;
+    let wire = AnswerWire::start(&format!("127.0.0.1:{target}"), &backend.listen_address()).await?;
     backend.announce_at(&wire.address);
     let name = format!("node-{index}");
     let settings = format!(
--- a/crates/testbed/src/site/wire.rs
+++ b/crates/testbed/src/site/wire.rs
@@ -10,13 +10,14 @@
     AsyncWriteExt as _, //
 };
 use tokio::net::tcp::{
-    OwnedReadHalf,
-    OwnedWriteHalf, //
+    ReadHalf,
+    WriteHalf, //
 };
 use tokio::net::{
     TcpListener,
     TcpStream, //
 };
+use tokio::sync::watch;
 
 /// Damage that is done to the answers of a back end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -37,6 +38,26 @@
     Dribble,
 }
 
+/// What the address of a back end does with connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WireState {
+    /// Connections are accepted and served.
+    #[default]
+    Up,
+    /// Connections are accepted and closed at once, and those that were open are closed.
+    Reset,
+    /// New connections are refused, and those that were open are closed.
+    Closed,
+    /// New connections are refused, and those that were open stay open and carry nothing.
+    Silent,
+}
+
+impl WireState {
+    fn accepts(self) -> bool {
+        matches!(self, WireState::Up | WireState::Reset)
+    }
+}
+
 /// Step by which [`WireFault::CutAnywhere`] moves, in thousandths of an answer.
 const CUT_STEP: usize = 37;
 
@@ -49,21 +70,23 @@
     pub address: String,
     /// Damage of the answers from now on.
     pub fault: Cell<WireFault>,
+    state: watch::Sender<WireState>,
     upstream_address: String,
     cut_count: Cell<usize>,
 }
 
 impl AnswerWire {
-    /// Starts a wire to the back end at `upstream_address`.
+    /// Starts a wire at `address` to the back end at `upstream_address`.
     ///
     /// # Errors
     ///
-    /// No port is free.
-    pub async fn start(upstream_address: &str) -> anyhow::Result<Rc<Self>> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+    /// The address is in use.
+    pub async fn start(address: &str, upstream_address: &str) -> anyhow::Result<Rc<Self>> {
+        let listener = TcpListener::bind(address).await?;
         let wire = Rc::new(Self {
             address: listener.local_addr()?.to_string(),
             fault: Cell::default(),
+            state: watch::Sender::default(),
             upstream_address: upstream_address.to_owned(),
             cut_count: Cell::new(0),
         });
@@ -71,20 +94,50 @@
         Ok(wire)
     }
 
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
-        while let Ok((downstream, _)) = listener.accept().await {
-            tokio::task::spawn_local(Rc::clone(&self).serve(downstream));
+    /// Sets what the address does with connections.
+    pub fn set_state(&self, state: WireState) {
+        self.state.send_replace(state);
+    }
+
+    async fn accept(self: Rc<Self>, mut listener: TcpListener) {
+        let mut state = self.state.subscribe();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((downstream, _)) = accepted else {
+                        return;
+                    };
+                    tokio::task::spawn_local(Rc::clone(&self).serve_while_up(downstream));
+                }
+                () = wait_while(&mut state, WireState::accepts) => {
+                    drop(listener);
+                    wait_while(&mut state, |state| !state.accepts()).await;
+                    listener = TcpListener::bind(&self.address)
+                        .await
+                        .expect("the port is reserved");
+                }
+            }
+        }
+    }
+
+    async fn serve_while_up(self: Rc<Self>, mut downstream: TcpStream) {
+        let mut state = self.state.subscribe();
+        tokio::select! {
+            () = self.serve(&mut downstream) => return,
+            () = wait_while(&mut state, |state| state == WireState::Up) => {}
         }
+        // A silent connection closes when the address is in use again.
+        wait_while(&mut state, |state| state == WireState::Silent).await;
     }
 
-    async fn serve(self: Rc<Self>, downstream: TcpStream) {
-        let Ok(upstream) = TcpStream::connect(&self.upstream_address).await else {
+    async fn serve(&self, downstream: &mut TcpStream) {
+        let Ok(mut upstream) = TcpStream::connect(&self.upstream_address).await else {
             return;
         };
         downstream.set_nodelay(true).ok();
         upstream.set_nodelay(true).ok();
-        let (mut request_in, mut answer_out) = downstream.into_split();
-        let (mut answer_in, mut request_out) = upstream.into_split();
+        let (mut request_in, mut answer_out) = downstream.split();
+        let (mut answer_in, mut request_out) = upstream.split();
         let mut earlier = Vec::new();
         let mut buffer = vec![0; 64 * 1_024];
         loop {
@@ -114,7 +167,7 @@
     }
 
     /// Writes the answer with the present fault. Returns whether the connection stays open.
-    async fn write_answer(&self, out: &mut OwnedWriteHalf, answer: &[u8]) -> bool {
+    async fn write_answer(&self, out: &mut WriteHalf<'_>, answer: &[u8]) -> bool {
         let cut_permille = match self.fault.get() {
             WireFault::Cut(permille) => permille,
             WireFault::CutAnywhere => {
@@ -136,9 +189,15 @@
     }
 }
 
+/// Waits while the state is one for which `is_same` returns true.
+async fn wait_while(state: &mut watch::Receiver<WireState>, is_same: impl Fn(WireState) -> bool) {
+    // The sender outlives its connections, so that the wait ends by a change only.
+    state.wait_for(|state| !is_same(*state)).await.ok();
+}
+
 /// Writes the head of the answer at once and its body a byte at a time. Returns whether the connection
 /// stays open.
-async fn dribble(out: &mut OwnedWriteHalf, answer: &[u8]) -> bool {
+async fn dribble(out: &mut WriteHalf<'_>, answer: &[u8]) -> bool {
     let body_start = head_len(answer).unwrap_or(answer.len());
     if out.write_all(&answer[..body_start]).await.is_err() {
         return false;
@@ -153,7 +212,7 @@
 }
 
 /// Reads one answer with a `content-length` into `answer`. Returns whether it is complete.
-async fn read_answer(from: &mut OwnedReadHalf, answer: &mut Vec<u8>) -> bool {
+async fn read_answer(from: &mut ReadHalf<'_>, answer: &mut Vec<u8>) -> bool {
     let mut buffer = vec![0; 64 * 1_024];
     loop {
         let count = from.read(&mut buffer).await.unwrap_or(0);
--- /dev/null
+++ b/crates/testbed/tests/crashed_runs.rs
@@ -0,0 +1,394 @@
+//! End-to-end tests of requests that crash the back ends which run them. Nodes run as real processes;
+//! store and back ends are emulated.
+//!
+//! The tests guard against crashes that no node counts because the attempt that made them has ended
+//! before, and against refusing requests that crash nothing.
+
+mod common;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_testbed::site::crash::{
+    start_crashes,
+    CrashRule,
+    CrashTimes, //
+};
+use figway_testbed::site::wire::WireState;
+use figway_testbed::site::{
+    Site,
+    ORDERS, //
+};
+
+use crate::common::{
+    assert_served,
+    wait_site_ready, //
+};
+
+/// Hosts of a site. Those with an even index run reads, those with an odd one call them.
+const HOST_COUNT: usize = 8;
+
+/// Path of the request that crashes back ends.
+const CRASHING: &str = "/reads/crashing";
+
+/// Arrivals of the crashing request, in turn at the hosts that call reads.
+const ARRIVAL_COUNT: usize = 9;
+
+/// Back ends that one request may crash.
+const CRASH_MAX_COUNT: usize = 3;
+
+/// How a caller sends the crashing request.
+#[derive(Clone, Copy, Debug)]
+struct Arrivals {
+    /// Deadline of each request.
+    budget: Duration,
+    /// Time after which the caller leaves, if it does not wait.
+    leaves_after: Option<Duration>,
+    /// Pause between two arrivals.
+    pause: Duration,
+}
+
+const PROMPT_ARRIVALS: Arrivals = Arrivals {
+    budget: Duration::from_millis(800),
+    leaves_after: None,
+    pause: Duration::from_millis(1_200),
+};
+
+/// Rule by which a back end ends at once, and is back after a while.
+const PROMPT_CRASH: CrashRule = CrashRule {
+    path_prefix: CRASHING,
+    origin: None,
+    after: Duration::ZERO,
+    ends_as: WireState::Closed,
+    down_for: Duration::from_millis(700),
+};
+
+/// Lets the crashing request arrive at one host after the other.
+async fn send_crashing(site: &Site, arrivals: Arrivals) {
+    for number in 0..ARRIVAL_COUNT {
+        let caller = site.caller((2 * number + 1) % HOST_COUNT);
+        let call = caller.call_alike("GET", CRASHING, arrivals.budget);
+        match arrivals.leaves_after {
+            // The request is cancelled, which closes its connection.
+            Some(leaves_after) => drop(tokio::time::timeout(leaves_after, call).await),
+            None => drop(call.await),
+        }
+        tokio::time::sleep(arrivals.pause).await;
+    }
+}
+
+fn assert_few_crashes(times: &CrashTimes) {
+    let crash_count = times.borrow().len();
+    assert!(crash_count > 0, "nothing crashed");
+    assert!(
+        crash_count <= CRASH_MAX_COUNT,
+        "{crash_count} back ends crashed in {ARRIVAL_COUNT} arrivals"
+    );
+}
+
+/// Plays the arrivals on a new site and checks how many back ends crash.
+async fn assert_quarantined(name: &str, rule: CrashRule, arrivals: Arrivals) {
+    let site = Site::start(name, HOST_COUNT).await.unwrap();
+    wait_site_ready(&site).await;
+    for host in &site.hosts {
+        host.backend.slow_ms.set(400);
+    }
+    let times = start_crashes(&site, &rule);
+    send_crashing(&site, arrivals).await;
+    assert_few_crashes(&times);
+}
+
+#[ntex::test]
+async fn a_crash_after_the_deadline_of_its_request_counts() {
+    let rule = CrashRule {
+        after: Duration::from_millis(250),
+        ..PROMPT_CRASH
+    };
+    let arrivals = Arrivals {
+        budget: Duration::from_millis(150),
+        ..PROMPT_ARRIVALS
+    };
+    assert_quarantined("crash-late", rule, arrivals).await;
+}
+
+#[ntex::test]
+async fn a_crash_after_the_caller_of_its_request_left_counts() {
+    let rule = CrashRule {
+        after: Duration::from_millis(250),
+        ..PROMPT_CRASH
+    };
+    let arrivals = Arrivals {
+        leaves_after: Some(Duration::from_millis(90)),
+        ..PROMPT_ARRIVALS
+    };
+    assert_quarantined("crash-left", rule, arrivals).await;
+}
+
+#[ntex::test]
+async fn a_crash_that_leaves_its_connections_open_and_silent_counts() {
+    let rule = CrashRule {
+        after: Duration::from_millis(5),
+        ends_as: WireState::Silent,
+        down_for: Duration::from_millis(1_500),
+        ..PROMPT_CRASH
+    };
+    let arrivals = Arrivals {
+        pause: Duration::from_millis(2_000),
+        ..PROMPT_ARRIVALS
+    };
+    assert_quarantined("crash-silent", rule, arrivals).await;
+}
+
+#[ntex::test]
+async fn a_crash_of_a_back_end_that_is_back_at_once_counts() {
+    let rule = CrashRule {
+        ends_as: WireState::Reset,
+        down_for: Duration::from_millis(60),
+        ..PROMPT_CRASH
+    };
+    assert_quarantined("crash-back", rule, PROMPT_ARRIVALS).await;
+}
+
+/// Requests of one path that are sent regularly, and what became of them.
+struct Watched {
+    sent_count: Cell<usize>,
+    served_count: Cell<usize>,
+    /// Longest time that the requests of one host were not served.
+    longest_gap: Cell<Duration>,
+}
+
+/// Sends requests that are alike from the hosts until `ends_at`.
+async fn watch_requests(
+    site: &Site,
+    hosts: &[usize],
+    path: &'static str,
+    period: Duration,
+    ends_at: Instant,
+) -> Watched {
+    let watched = Rc::new(Watched {
+        sent_count: Cell::new(0),
+        served_count: Cell::new(0),
+        longest_gap: Cell::default(),
+    });
+    let mut tasks = Vec::new();
+    for host in hosts {
+        let caller = site.caller(*host);
+        let watched = Rc::clone(&watched);
+        tasks.push(tokio::task::spawn_local(async move {
+            let mut served_at = Instant::now();
+            while Instant::now() < ends_at {
+                let result = caller
+                    .call_alike("GET", path, Duration::from_millis(800))
+                    .await;
+                watched.sent_count.set(watched.sent_count.get() + 1);
+                if result.status == 200 {
+                    watched.served_count.set(watched.served_count.get() + 1);
+                    served_at = Instant::now();
+                }
+                let gap = watched.longest_gap.get().max(served_at.elapsed());
+                watched.longest_gap.set(gap);
+                tokio::time::sleep(period).await;
+            }
+        }));
+    }
+    for task in tasks {
+        task.await.unwrap();
+    }
+    Rc::into_inner(watched).expect("the tasks have ended")
+}
+
+impl Watched {
+    fn assert_served(&self, gap_max: Duration) {
+        let (sent, served) = (self.sent_count.get(), self.served_count.get());
+        assert!(
+            served * 100 >= sent * 90,
+            "{served} of {sent} requests were served"
+        );
+        let gap = self.longest_gap.get();
+        assert!(gap <= gap_max, "nothing was served for {gap:?}");
+    }
+}
+
+#[ntex::test]
+async fn a_harmless_request_of_another_caller_is_served_beside_the_one_that_crashes() {
+    let site = Site::start("crash-caller", HOST_COUNT).await.unwrap();
+    wait_site_ready(&site).await;
+    let rule = CrashRule {
+        origin: Some(ORDERS),
+        ..PROMPT_CRASH
+    };
+    let times = start_crashes(&site, &rule);
+    let ends_at = Instant::now() + PROMPT_ARRIVALS.pause * ARRIVAL_COUNT as u32;
+    let period = Duration::from_millis(150);
+    let harmless = watch_requests(&site, &[0, 2, 4, 6], CRASHING, period, ends_at);
+    let (harmless, ()) = futures::join!(harmless, send_crashing(&site, PROMPT_ARRIVALS));
+    assert_few_crashes(&times);
+    harmless.assert_served(Duration::from_secs(1));
+}
+
+#[ntex::test]
+async fn a_frequent_harmless_request_is_served_however_many_crashes_it_is_at_work_at() {
+    let site = Site::start("crash-frequent", HOST_COUNT).await.unwrap();
+    wait_site_ready(&site).await;
+    for host in &site.hosts {
+        host.backend.slow_ms.set(100);
+    }
+    let times = start_crashes(&site, &PROMPT_CRASH);
+    let culprit_count = 10;
+    let pause = Duration::from_millis(900);
+    let ends_at = Instant::now() + pause * culprit_count;
+    let hosts = [1, 1, 1, 3, 3, 3, 5, 5, 5, 7, 7, 7];
+    let period = Duration::from_millis(20);
+    let frequent = watch_requests(&site, &hosts, "/reads/frequent", period, ends_at);
+    let culprits = async {
+        for number in 0..culprit_count {
+            let caller = site.caller(2 * (number as usize % 4) + 1);
+            let path = format!("{CRASHING}-{number}");
+            caller
+                .call_alike("GET", &path, PROMPT_ARRIVALS.budget)
+                .await;
+            tokio::time::sleep(pause).await;
+        }
+    };
+    let (frequent, ()) = futures::join!(frequent, culprits);
+    let crash_count = times.borrow().len();
+    assert!(
+        crash_count >= culprit_count as usize,
+        "{crash_count} crashes"
+    );
+    frequent.assert_served(Duration::from_secs(2));
+}
+
+/// Sends a request until it is served. Returns the time from its first failure until then.
+async fn time_until_served(site: &Site, host: usize, path: String) -> Duration {
+    let caller = site.caller(host);
+    let mut failed_at = None;
+    loop {
+        let result = caller
+            .call_alike("GET", &path, PROMPT_ARRIVALS.budget)
+            .await;
+        if result.status == 200 {
+            return failed_at.map_or(Duration::ZERO, |at: Instant| at.elapsed());
+        }
+        failed_at.get_or_insert_with(Instant::now);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[ntex::test]
+async fn a_rare_harmless_request_at_work_at_one_crash_is_served_again_within_a_second() {
+    let site = Site::start("crash-rare", HOST_COUNT).await.unwrap();
+    wait_site_ready(&site).await;
+    for host in &site.hosts {
+        host.backend.slow_ms.set(300);
+    }
+    let rule = CrashRule {
+        after: Duration::from_millis(100),
+        ..PROMPT_CRASH
+    };
+    let times = start_crashes(&site, &rule);
+    let mut rare = Vec::new();
+    for number in 0..24 {
+        let host = 2 * (number % 4) + 1;
+        rare.push(time_until_served(
+            &site,
+            host,
+            format!("/reads/rare-{number}"),
+        ));
+    }
+    // The caller leaves before the crash, so that the request is not sent a second time.
+    let culprit = async {
+        tokio::time::sleep(Duration::from_millis(40)).await;
+        let caller = site.caller(1);
+        let call = caller.call_alike("GET", CRASHING, PROMPT_ARRIVALS.budget);
+        drop(tokio::time::timeout(Duration::from_millis(90), call).await);
+    };
+    let (served_after, ()) = futures::join!(futures::future::join_all(rare), culprit);
+    assert_eq!(times.borrow().len(), 1, "crashes");
+    for after in served_after {
+        assert!(after <= Duration::from_secs(1), "served after {after:?}");
+    }
+}
+
+/// Starts slow reads that are alike, whose callers leave soon, so that they may be at work on each
+/// back end.
+async fn give_up_slow_reads(site: &Site) {
+    for host in &site.hosts {
+        host.backend.slow_ms.set(400);
+    }
+    let callers = [site.caller(1), site.caller(3)];
+    let mut calls = Vec::new();
+    for number in 0..12 {
+        let call = callers[number % 2].call_alike("GET", "/reads/slow", PROMPT_ARRIVALS.budget);
+        calls.push(tokio::time::timeout(Duration::from_millis(100), call));
+    }
+    drop(futures::future::join_all(calls).await);
+}
+
+/// Asserts that no node has reported a crash.
+fn assert_no_reports(site: &Site) {
+    for host in &site.hosts {
+        let log = host.log().unwrap();
+        assert!(!log.contains("crash reported"), "{}: {log}", host.name);
+    }
+}
+
+#[ntex::test]
+async fn a_planned_end_of_a_back_end_is_no_crash_of_what_it_has_at_work() {
+    for draining in [false, true] {
+        let name = format!("crash-planned-{draining}");
+        let site = Site::start(&name, 4).await.unwrap();
+        wait_site_ready(&site).await;
+        give_up_slow_reads(&site).await;
+        for host in [&site.hosts[0], &site.hosts[2]] {
+            host.backend.heartbeat_paused.set(true);
+            let acknowledged = if draining {
+                host.backend.set_draining(true).await
+            } else {
+                host.backend.deregister().await
+            };
+            assert!(acknowledged);
+            host.wire.set_state(WireState::Closed);
+        }
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        assert_no_reports(&site);
+    }
+}
+
+#[ntex::test]
+async fn a_back_end_whose_heartbeats_are_late_has_not_crashed() {
+    let site = Site::start("crash-late-beats", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    for host in &site.hosts {
+        host.backend.heartbeat_paused.set(true);
+    }
+    give_up_slow_reads(&site).await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert_no_reports(&site);
+}
+
+#[ntex::test]
+async fn a_run_that_answers_again_takes_its_crash_reports_back() {
+    let site = Site::start("crash-answers-again", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    give_up_slow_reads(&site).await;
+    for host in &site.hosts {
+        host.wire.set_state(WireState::Silent);
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    for host in &site.hosts {
+        host.wire.set_state(WireState::Up);
+        host.backend.slow_ms.set(0);
+    }
+    assert_served(&site, "/reads/other", Duration::from_secs(2)).await;
+    assert_served(&site, "/reads/other", Duration::from_secs(2)).await;
+    let caller = site.caller(1);
+    let again = caller
+        .call_alike("GET", "/reads/slow", PROMPT_ARRIVALS.budget)
+        .await;
+    assert_eq!(again.status, 200, "{again:?}");
+}
