--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,11 +1,12 @@
-//! Admission of calls beside a target, the retry budget, and the quarantine of requests that crash
-//! targets.
+//! Admission of calls beside a target, the retry budget, the calls at work in a run of a target, and
+//! the quarantine of requests that crash targets.
 
 mod admission;
 mod estimate;
 mod pacer;
 mod quarantine;
 mod retry_budget;
+mod run_book;
 
 pub use admission::{
     Admission,
@@ -23,3 +24,8 @@
     SurvivalReport, //
 };
 pub use retry_budget::RetryBudget;
+pub use run_book::{
+    CallEnding,
+    RunBook,
+    Suspect, //
+};
--- a/crates/admission/src/quarantine.rs
+++ b/crates/admission/src/quarantine.rs
@@ -1,6 +1,7 @@
 //! Quarantine of requests that crash the targets which run them.
 //!
-//! One crash is reported once for each request that was at work. A request with the same fingerprint
+//! One crash is reported once for each request that was at work. A run that was taken for ended and
+//! answers again takes its reports back. A request with the same fingerprint
 //! that a target answers speaks against the suspicion. Reports are merged as a set, so that nodes
 //! with the same reports agree, and each has a sequence number, so that peers can be sent exactly
 //! those that they lack.
@@ -67,6 +68,8 @@
 enum Ending {
     Crashed,
     Survived,
+    /// It was taken for crashed, and was not.
+    Revived,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -83,6 +86,8 @@
 struct Suspicion {
     crashes: FastMap<u64, Instant>,
     survivals: FastMap<u64, Instant>,
+    /// Crashes that were taken back.
+    withdrawals: FastMap<u64, Instant>,
 }
 
 impl Suspicion {
@@ -90,8 +95,22 @@
         match ending {
             Ending::Crashed => &mut self.crashes,
             Ending::Survived => &mut self.survivals,
+            Ending::Revived => &mut self.withdrawals,
         }
     }
+
+    fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.survivals.is_empty() && self.withdrawals.is_empty()
+    }
+
+    /// Returns the number of crashes that have not expired and were not taken back.
+    fn crash_count(&self, now: Instant) -> usize {
+        let mut count = 0;
+        for (crash_id, expires_at) in &self.crashes {
+            count += usize::from(*expires_at > now && !self.withdrawals.contains_key(crash_id));
+        }
+        count
+    }
 }
 
 fn count_unexpired(runs: &FastMap<u64, Instant>, now: Instant) -> usize {
@@ -107,6 +126,8 @@
     pub crashes: Vec<CrashReport>,
     /// Reports of survivals.
     pub survivals: Vec<SurvivalReport>,
+    /// Crashes that were taken back.
+    pub withdrawals: Vec<CrashReport>,
     /// Sequence number of the last report that the receiver has with this batch, if it has all up to
     /// the one after which the batch begins.
     pub last_sequence: u64,
@@ -146,6 +167,30 @@
         self.add(Ending::Survived, fingerprint, run_id(), expires_at, now)
     }
 
+    /// Takes a crash back, since the run that was taken for ended answered again. Returns whether
+    /// this is new.
+    pub fn withdraw_crash(
+        &mut self,
+        fingerprint: Fingerprint,
+        crash_id: u64,
+        now: Instant,
+    ) -> bool {
+        let expires_at = now + REPORT_TTL;
+        self.add(Ending::Revived, fingerprint, crash_id, expires_at, now)
+    }
+
+    /// Merges a peer's report that a crash was taken back; returns whether it is new and unexpired.
+    pub fn merge_withdrawal(&mut self, report: &CrashReport, now: Instant) -> bool {
+        let expires_at = expiry(report.left_ms, now);
+        self.add(
+            Ending::Revived,
+            report.fingerprint,
+            report.crash_id,
+            expires_at,
+            now,
+        )
+    }
+
     /// Merges a peer's report of a crash; returns whether it is new and unexpired.
     pub fn merge_crash(&mut self, report: &CrashReport, now: Instant) -> bool {
         let expires_at = expiry(report.left_ms, now);
@@ -173,7 +218,7 @@
     /// Returns whether requests with the fingerprint are refused.
     pub fn is_quarantined(&self, fingerprint: Fingerprint, now: Instant) -> bool {
         self.suspicions.get(&fingerprint).is_some_and(|suspicion| {
-            let crash_count = count_unexpired(&suspicion.crashes, now);
+            let crash_count = suspicion.crash_count(now);
             crash_count >= QUARANTINE_CRASH_COUNT
                 && crash_count > count_unexpired(&suspicion.survivals, now)
         })
@@ -211,6 +256,11 @@
                     crash_id: report.run_id,
                     left_ms,
                 }),
+                Ending::Revived => batch.withdrawals.push(CrashReport {
+                    fingerprint,
+                    crash_id: report.run_id,
+                    left_ms,
+                }),
                 Ending::Survived => batch.survivals.push(SurvivalReport {
                     fingerprint,
                     run_id: report.run_id,
@@ -272,7 +322,7 @@
             return;
         };
         suspicion.runs(report.ending).remove(&report.run_id);
-        if suspicion.crashes.is_empty() && suspicion.survivals.is_empty() {
+        if suspicion.is_empty() {
             self.suspicions.remove(&report.fingerprint);
         }
     }
--- a/crates/admission/tests/quarantine.rs
+++ b/crates/admission/tests/quarantine.rs
@@ -173,3 +173,27 @@
     assert_eq!(request.fingerprint(), request.fingerprint());
     assert_ne!(request.fingerprint(), elsewhere.fingerprint());
 }
+
+#[test]
+fn a_crash_that_is_taken_back_no_longer_counts_on_any_node() {
+    let now = Instant::now();
+    let mut first = Quarantine::default();
+    let fingerprint = Fingerprint(7);
+    first.record_crash(fingerprint, 1, now);
+    first.record_crash(fingerprint, 2, now);
+    assert!(first.is_quarantined(fingerprint, now));
+    first.withdraw_crash(fingerprint, 2, now);
+    let mut second = Quarantine::default();
+    // The withdrawal may arrive before the crash.
+    for crash in [2, 1] {
+        let batch = first.reports_after(0, 3, now);
+        for report in &batch.withdrawals {
+            second.merge_withdrawal(report, now);
+        }
+        second.record_crash(fingerprint, crash, now);
+    }
+    assert!(!first.is_quarantined(fingerprint, now));
+    assert!(!second.is_quarantined(fingerprint, now));
+    second.record_crash(fingerprint, 3, now);
+    assert!(second.is_quarantined(fingerprint, now));
+}
--- a/crates/control/src/mesh/crashes.rs
+++ b/crates/control/src/mesh/crashes.rs
@@ -47,6 +47,22 @@
         self.publish_own_report(sequence);
     }
 
+    /// Takes a crash back, since the run that was taken for ended answered again. Peers are told at
+    /// once.
+    pub fn withdraw_crash(&self, fingerprint: Fingerprint, crash_id: u64) {
+        let mut quarantine = self.quarantine();
+        if !quarantine.withdraw_crash(fingerprint, crash_id, Instant::now()) {
+            return;
+        }
+        let sequence = quarantine.last_sequence();
+        drop(quarantine);
+        log::info!(
+            "crash report withdrawn fingerprint={:016x} crash={crash_id:016x} sequence={sequence}",
+            fingerprint.0
+        );
+        self.publish_own_report(sequence);
+    }
+
     /// Records that a target answered a request with the fingerprint, if crashes are reported of it.
     pub fn record_survival(&self, fingerprint: Fingerprint, run_id: impl FnOnce() -> u64) {
         let mut quarantine = self.quarantine();
@@ -93,6 +109,9 @@
         for report in &gossip.survivals {
             new_count += usize::from(quarantine.merge_survival(report, now));
         }
+        for report in &gossip.withdrawals {
+            new_count += usize::from(quarantine.merge_withdrawal(report, now));
+        }
         let last_sequence = quarantine.last_sequence();
         drop(quarantine);
         let mut all = self.report_progress.lock().expect("no holder panics");
--- a/crates/control/src/mesh/news.rs
+++ b/crates/control/src/mesh/news.rs
@@ -95,6 +95,7 @@
             rumours: updates,
             crashes: reports.batch.crashes,
             survivals: reports.batch.survivals,
+            withdrawals: reports.batch.withdrawals,
             report_range: reports.range,
             report_ack: reports.ack,
             ending_runs: runs.batch.runs,
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -81,6 +81,9 @@
     /// Reports of targets that answered requests with crash reports.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub survivals: Vec<SurvivalReport>,
+    /// Crashes that were taken back, since the run answered again.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub withdrawals: Vec<CrashReport>,
     /// Place of these reports among all those of the sender.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub report_range: Option<FeedRange>,
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -6,12 +6,14 @@
 };
 
 use figway_admission::{
-    run_id,
     AdmissionLimits,
+    CallEnding,
     CallView, //
 };
 use figway_http::{
+    Answer,
     OutboundRequest,
+    Reachability,
     SendFailure, //
 };
 use figway_types::{
@@ -27,6 +29,11 @@
 };
 use crate::interface::ForwardContext;
 use crate::plane::DataPlane;
+use crate::run_watch::{
+    CallGuard,
+    RunEndEvidence,
+    Suspicion, //
+};
 use crate::worker::Worker;
 
 /// Shortest remaining time with which a call is still worth sending to the target.
@@ -255,83 +262,90 @@
         .local_target
         .record_sent(call.attempt_kind, Instant::now());
     plane.metrics.count_sent(call.attempt_kind.name());
-    let sent = worker.targets.send(&outbound).await;
-    if let Ok(answer) = &sent {
-        plane.record_notice(target, answer);
-    }
-    match sent {
-        Ok(answer) => match plane.interface.not_run_reason(&answer) {
-            Some(reason) => {
-                log::info!(
-                    "target refused request={} kind={} instance={} status={} why={}",
-                    call.request_id,
-                    call.kind,
-                    target.instance,
-                    answer.status,
-                    reason.name(),
-                );
-                if reason == NotRunReason::Misdirected {
-                    plane
-                        .target_watch
-                        .mark_lost(&plane.mesh, "another one answers");
-                }
-                AttemptResult::sent(Outcome::NotRun(reason))
-            }
-            None if !plane.interface.is_valid_answer(&answer) => {
-                log::warn!(
-                    "answer discarded request={} kind={} instance={} status={}",
-                    call.request_id,
-                    call.kind,
-                    target.instance,
-                    answer.status,
-                );
-                AttemptResult::sent(Outcome::Unknown("unsound-answer"))
-            }
-            None => {
-                plane
-                    .mesh
-                    .record_survival(call.fingerprint, || target_run_id(worker, call, target));
-                AttemptResult::sent(Outcome::Answered(answer))
-            }
-        },
+    let at_work = plane
+        .run_watch
+        .begin_call(call.fingerprint, call.request_id);
+    match worker.targets.send(&outbound).await {
+        Ok(answer) => {
+            plane.record_notice(target, &answer);
+            take_answer(plane, call, target, at_work, answer)
+        }
         Err(SendFailure::Late) => AttemptResult::sent(Outcome::Unknown(DEADLINE_EXCEEDED)),
-        Err(SendFailure::TooLarge) => AttemptResult::sent(Outcome::Unknown("answer-too-large")),
+        Err(SendFailure::TooLarge) => {
+            at_work.finish(CallEnding::Answered);
+            AttemptResult::sent(Outcome::Unknown("answer-too-large"))
+        }
         Err(SendFailure::Refused(why)) => {
+            at_work.finish(CallEnding::NotSent);
+            plane.run_watch.suspect(Suspicion::Refused);
             plane.target_watch.mark_lost(&plane.mesh, &why);
             AttemptResult::not_sent(NotRunReason::Unreachable)
         }
         Err(SendFailure::Broken(why)) => {
-            let crashed = !worker.targets.can_connect(&target.address).await;
+            let reachability = worker.targets.probe(&target.address).await;
+            let crashed = reachability != Reachability::Accepts;
             log::warn!(
                 "target broke off request={} kind={} instance={} crashed={crashed} why={why}",
                 call.request_id,
                 call.kind,
                 target.instance,
             );
+            if crashed {
+                plane.record_run_end(at_work.run_number(), RunEndEvidence::Broken);
+            }
             AttemptResult {
-                crash_id: crashed.then(|| record_crash(worker, call, target)),
+                crash_id: plane
+                    .run_watch
+                    .crash_id(at_work.run_number(), call.fingerprint),
                 ..AttemptResult::sent(Outcome::Unknown("broken"))
             }
         }
     }
 }
 
-fn record_crash(worker: &Worker, call: &AdmissionRequest<'_>, target: &Target) -> u64 {
-    let plane = &worker.plane;
-    let crash_id = target_run_id(worker, call, target);
-    plane.target_watch.mark_lost(&plane.mesh, "it crashed");
-    plane.mesh.record_crash(call.fingerprint, crash_id);
-    crash_id
-}
-
-/// Returns the id of the call at this run of the target. A target that names no instance is identified
-/// by its host and by how often it was announced anew.
-fn target_run_id(worker: &Worker, call: &AdmissionRequest<'_>, target: &Target) -> u64 {
-    if target.instance.is_empty() {
-        let run_count = worker.plane.target_watch.run_count();
-        return run_id(call.fingerprint, &worker.own_member.node_id.0, run_count);
+/// Returns the result of a call that the target answered.
+fn take_answer(
+    plane: &DataPlane,
+    call: &AdmissionRequest<'_>,
+    target: &Target,
+    at_work: CallGuard<'_>,
+    answer: Answer,
+) -> AttemptResult {
+    if let Some(reason) = plane.interface.not_run_reason(&answer) {
+        log::info!(
+            "target refused request={} kind={} instance={} status={} why={}",
+            call.request_id,
+            call.kind,
+            target.instance,
+            answer.status,
+            reason.name(),
+        );
+        let run_number = at_work.run_number();
+        if reason == NotRunReason::Misdirected {
+            at_work.finish(CallEnding::NotSent);
+            plane.record_run_end(run_number, RunEndEvidence::Misdirected);
+        } else {
+            at_work.finish(CallEnding::Answered);
+        }
+        return AttemptResult::sent(Outcome::NotRun(reason));
+    }
+    if !plane.interface.is_valid_answer(&answer) {
+        log::warn!(
+            "answer discarded request={} kind={} instance={} status={}",
+            call.request_id,
+            call.kind,
+            target.instance,
+            answer.status,
+        );
+        return AttemptResult::sent(Outcome::Unknown("unsound-answer"));
+    }
+    let run_number = at_work.run_number();
+    at_work.finish(CallEnding::Answered);
+    plane.withdraw_crashes(run_number);
+    if let Some(answer_id) = plane.run_watch.answer_id(call.fingerprint) {
+        plane.mesh.record_survival(call.fingerprint, || answer_id);
     }
-    run_id(call.fingerprint, &target.instance, target.started_at_ms)
+    AttemptResult::sent(Outcome::Answered(answer))
 }
 
 fn admission_limits(plane: &DataPlane, target: &Target) -> AdmissionLimits {
--- a/crates/dataplane/src/builder.rs
+++ b/crates/dataplane/src/builder.rs
@@ -28,6 +28,7 @@
 use crate::peer_targets::PeerTargets;
 use crate::plane::DataPlane;
 use crate::retry::RetryState;
+use crate::run_watch::RunWatch;
 use crate::target_watch::TargetWatch;
 use crate::trace::LogBudget;
 
@@ -146,6 +147,7 @@
             gate: TargetGate::default(),
             loads: Mutex::default(),
             retries: RetryState::new(self.shared_retry_burst_count),
+            run_watch: RunWatch::default(),
             target_watch: TargetWatch::new(self.announce_every),
             local_target: LocalTarget::default(),
             peer_targets: PeerTargets::default(),
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -26,6 +26,8 @@
 mod plane;
 mod proxy;
 mod retry;
+mod run_probe;
+mod run_watch;
 mod steps;
 mod target_state;
 mod target_watch;
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -45,6 +45,13 @@
 use crate::metrics::Metrics;
 use crate::peer_targets::PeerTargets;
 use crate::retry::RetryState;
+use crate::run_watch::{
+    EndedRun,
+    RunEndEvidence,
+    RunKey,
+    RunWatch,
+    Suspicion, //
+};
 use crate::target_state::TargetState;
 use crate::target_watch::{
     AnnounceOutcome,
@@ -88,6 +95,7 @@
     pub(crate) gate: TargetGate,
     pub(crate) loads: Mutex<LoadTracker>,
     pub(crate) retries: RetryState,
+    pub(crate) run_watch: RunWatch,
     pub(crate) target_watch: TargetWatch,
     pub(crate) local_target: LocalTarget,
     pub(crate) peer_targets: PeerTargets,
@@ -169,6 +177,8 @@
             "crash_reports_evicted",
             self.mesh.quarantine().evicted_count(),
         );
+        self.metrics
+            .set_gauge("given_up_calls_dropped", self.run_watch.dropped_count());
         let unknown_kind_count = view.routes.unknown_kinds.len() as u64;
         self.metrics
             .set_gauge("routes_unknown_kind", unknown_kind_count);
@@ -221,6 +231,12 @@
             .record_announcement(&self.mesh, announcement);
         if outcome == AnnounceOutcome::Accepted {
             self.apply_target_state(self.local_target.begin_run(target));
+            let key = self.run_key(target);
+            let replaced = self.run_watch.announce(target, key, Instant::now());
+            // The announcements of a target without a name don't tell one run from the next.
+            if let Some(replaced) = replaced.filter(|_| target.is_identified()) {
+                self.report_run_end(&replaced, RunEndEvidence::Replaced);
+            }
         }
         if target.draining && !self.is_end_replicated(target, replicate_until).await {
             return Ok(AnnounceOutcome::Unconfirmed);
@@ -228,6 +244,67 @@
         Ok(outcome)
     }
 
+    /// Returns the identity of the target's run. A target that names no instance is identified by its
+    /// host and by how often it was announced anew.
+    fn run_key(&self, target: &Target) -> RunKey {
+        if target.is_identified() {
+            return RunKey {
+                instance: target.instance.clone(),
+                started_at_ms: target.started_at_ms,
+            };
+        }
+        RunKey {
+            instance: self.mesh.members().own().node_id.0.clone(),
+            started_at_ms: self.target_watch.run_count(),
+        }
+    }
+
+    /// Records that the run of the target with this number has ended. If that was not planned, what
+    /// it had at work is reported.
+    pub(crate) fn record_run_end(&self, run_number: u64, evidence: RunEndEvidence) {
+        let Some(ended) = self.run_watch.end(run_number, Instant::now()) else {
+            return;
+        };
+        self.target_watch.mark_lost(&self.mesh, evidence.name());
+        self.report_run_end(&ended, evidence);
+    }
+
+    /// Reports what an ended run had at work, unless its end was planned.
+    fn report_run_end(&self, ended: &EndedRun, evidence: RunEndEvidence) {
+        if ended.is_known() {
+            return;
+        }
+        let target = &ended.target;
+        let planned = target.draining || self.mesh.own_run_stage(target).is_some();
+        log::warn!(
+            "target run ended instance={} started_at_ms={} evidence={} planned={planned} \
+             suspects={} requests={}",
+            target.instance,
+            target.started_at_ms,
+            evidence.name(),
+            ended.suspects.len(),
+            ended.format_requests(),
+        );
+        if planned {
+            return;
+        }
+        for suspect in &ended.suspects {
+            let crash_id = ended.crash_id(suspect.fingerprint);
+            self.mesh.record_crash(suspect.fingerprint, crash_id);
+        }
+    }
+
+    /// Takes the crash reports of the present run back, if a call sent to it since answered.
+    pub(crate) fn withdraw_crashes(&self, run_number: u64) {
+        let Some(revived) = self.run_watch.take_revived(run_number) else {
+            return;
+        };
+        for suspect in &revived.suspects {
+            let crash_id = revived.crash_id(suspect.fingerprint);
+            self.mesh.withdraw_crash(suspect.fingerprint, crash_id);
+        }
+    }
+
     /// Returns whether peers hold by `deadline` that the run of the target is ending, so that the end
     /// of this node loses nothing.
     async fn is_end_replicated(&self, target: &Target, deadline: Instant) -> bool {
@@ -338,7 +415,8 @@
 
     /// Marks the local target as lost when its announcements stop. Runs until the process ends.
     pub async fn watch_target(self: Arc<Self>) {
-        self.target_watch.watch(&self.mesh).await;
+        let suspect_run = || self.run_watch.suspect(Suspicion::Missing);
+        self.target_watch.watch(&self.mesh, &suspect_run).await;
     }
 
     /// Starts waiting calls at the pace of the target's rate limit. Runs until the process ends.
--- a/crates/dataplane/src/target_watch.rs
+++ b/crates/dataplane/src/target_watch.rs
@@ -196,8 +196,8 @@
     }
 
     /// Marks the target as lost when its announcements stop, and stops giving it out when peers tell
-    /// that its run is ending.
-    pub(crate) async fn watch(&self, mesh: &Arc<Mesh>) {
+    /// that its run is ending. Calls `on_missing` for the former.
+    pub(crate) async fn watch(&self, mesh: &Arc<Mesh>, on_missing: &dyn Fn()) {
         let mut run_changes = mesh.watch_own_runs();
         loop {
             let told = tokio::time::timeout(CHECK_PERIOD, run_changes.changed()).await;
@@ -207,6 +207,7 @@
             let announced_until = self.state.lock().expect("no holder panics").announced_until;
             if announced_until.is_some_and(|until| until <= Instant::now()) {
                 self.mark_lost(mesh, "it announces itself no more");
+                on_missing();
             }
         }
     }
--- a/crates/figway/src/cmd/node.rs
+++ b/crates/figway/src/cmd/node.rs
@@ -149,7 +149,10 @@
     spawn_server(call_listener, Rc::new(node_front));
     if let Some(platform) = &settings.platform {
         let caller_listener = listen(platform.caller_address).await?;
-        spawn_server(caller_listener, Rc::new(CallerFront::new(worker)));
+        spawn_server(
+            caller_listener,
+            Rc::new(CallerFront::new(Rc::clone(&worker))),
+        );
         let ready_listener = listen(platform.ready_address).await?;
         spawn_server(
             ready_listener,
@@ -162,6 +165,7 @@
         );
     }
     tokio::task::spawn_local(Arc::clone(&data_plane).watch_target());
+    tokio::task::spawn_local(Rc::clone(&worker).watch_target_run());
     tokio::task::spawn_local(Arc::clone(&data_plane).dispatch_turns());
     if let Some(address) = settings.metrics_address {
         spawn_server(
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -4,6 +4,7 @@
     Cell,
     RefCell, //
 };
+use std::io::ErrorKind;
 use std::net::IpAddr;
 use std::time::{
     Duration,
@@ -38,6 +39,7 @@
     Answer,
     Headers,
     OutboundRequest,
+    Reachability,
     SendFailure,
     Transport, //
 };
@@ -217,13 +219,19 @@
         }
     }
 
-    async fn connect(&self, address: &str) -> Result<TcpStream, SendFailure> {
+    /// Connects within the limit; `None` if that takes longer.
+    async fn connect_in_time(&self, address: &str) -> Option<std::io::Result<TcpStream>> {
         let connect_max = Duration::from_millis(self.limits.connect_max_ms);
         let connecting = socket::connect(address, self.limits.local_ip);
-        tokio::time::timeout(connect_max, connecting)
-            .await
-            .map_err(|_| SendFailure::Refused("could not connect in time".to_owned()))?
-            .map_err(|error| SendFailure::Refused(format!("could not connect: {error}")))
+        tokio::time::timeout(connect_max, connecting).await.ok()
+    }
+
+    async fn connect(&self, address: &str) -> Result<TcpStream, SendFailure> {
+        match self.connect_in_time(address).await {
+            Some(Ok(stream)) => Ok(stream),
+            Some(Err(error)) => Err(SendFailure::Refused(format!("could not connect: {error}"))),
+            None => Err(SendFailure::Refused("could not connect in time".to_owned())),
+        }
     }
 
     async fn open(&self, address: &str) -> Result<Connection, SendFailure> {
@@ -334,22 +342,39 @@
         })
     }
 
-    fn can_connect<'a>(&'a self, address: &'a str) -> LocalBoxFuture<'a, bool> {
+    fn probe<'a>(&'a self, address: &'a str) -> LocalBoxFuture<'a, Reachability> {
         Box::pin(async move {
-            let Ok(mut stream) = self.connect(address).await else {
-                return false;
+            let mut stream = match self.connect_in_time(address).await {
+                Some(Ok(stream)) => stream,
+                failed => return reachability(&failed),
             };
             let mut buffer = [0_u8; 1];
             let closed = tokio::time::timeout(ACCEPT_SETTLE, stream.read(&mut buffer)).await;
             match closed {
-                Err(_) | Ok(Ok(1..)) => true,
+                Err(_) | Ok(Ok(1..)) => Reachability::Accepts,
                 // A server that has too many connections closes this one, but accepts the next.
-                Ok(Ok(0) | Err(_)) => self.connect(address).await.is_ok(),
+                Ok(Ok(0) | Err(_)) => reachability(&self.connect_in_time(address).await),
             }
         })
     }
 }
 
+fn reachability(connected: &Option<std::io::Result<TcpStream>>) -> Reachability {
+    match connected {
+        Some(Ok(_)) => Reachability::Accepts,
+        Some(Err(error)) if is_refusal(error) => Reachability::Refuses,
+        Some(Err(_)) | None => Reachability::Silent,
+    }
+}
+
+/// Returns whether the error came from the server's host, not from this one.
+fn is_refusal(error: &std::io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+    )
+}
+
 fn build_request(
     outbound: &OutboundRequest<'_>,
 ) -> Result<hyper::Request<Full<Bytes>>, SendFailure> {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -18,6 +18,7 @@
     Answer,
     Headers,
     OutboundRequest,
+    Reachability,
     Request,
     SendFailure,
     Transport, //
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -181,6 +181,17 @@
     Late,
 }
 
+/// What a server does with a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reachability {
+    /// It accepts the connection and keeps it open, or accepts the next one.
+    Accepts,
+    /// It refuses the connection.
+    Refuses,
+    /// Nothing answers in time, or no connection can be opened from here.
+    Silent,
+}
+
 /// Sends requests and returns answers with complete bodies. Dropping the future of a request closes
 /// its connection.
 pub trait Transport {
@@ -190,6 +201,6 @@
         outbound: &'a OutboundRequest<'a>,
     ) -> LocalBoxFuture<'a, Result<Answer, SendFailure>>;
 
-    /// Returns whether a server accepts connections at `address` and goes on doing so.
-    fn can_connect<'a>(&'a self, address: &'a str) -> LocalBoxFuture<'a, bool>;
+    /// Opens a connection to `address`, and returns what became of it.
+    fn probe<'a>(&'a self, address: &'a str) -> LocalBoxFuture<'a, Reachability>;
 }
--- a/crates/http/tests/connections.rs
+++ b/crates/http/tests/connections.rs
@@ -16,6 +16,7 @@
     Headers,
     HttpClient,
     OutboundRequest,
+    Reachability,
     Request,
     SendFailure,
     ServerLimits,
@@ -419,7 +420,7 @@
         drop(listener);
         drop(accepted);
     });
-    assert!(!client().can_connect(&address).await);
+    assert_eq!(client().probe(&address).await, Reachability::Refuses);
 }
 
 /// A server that has too many connections resets the next one, but goes on accepting others.
@@ -433,7 +434,7 @@
             drop(accepted);
         }
     });
-    assert!(client().can_connect(&address).await);
+    assert_eq!(client().probe(&address).await, Reachability::Accepts);
 }
 
 /// Starts a server that answers each request with `start`, and then with `filler` until the client
