BUDGET: the caller is part of a request's fingerprint, its key is not

What callers saw: a request that crashes back ends for one service only was sent on, since the equal and harmless requests of another service counted as survivals of it; where they did not, those were refused with it.

The fingerprint had no caller, and a key in place of the body, so that a return under another key was another request.

During a rolling upgrade old and new nodes give a request two fingerprints, so that each kind counts its own crashes.

--- a/crates/admission/tests/quarantine.rs
+++ b/crates/admission/tests/quarantine.rs
@@ -159,10 +159,10 @@
 #[test]
 fn a_request_keeps_its_fingerprint_whichever_service_its_route_leads_to() {
     let request = RequestView {
+        caller: "orders",
         addressee: "site.example",
         method: "GET",
         path: "/reads/1",
-        idempotency_key: None,
         body: b"",
     };
     let elsewhere = RequestView {
@@ -174,6 +174,27 @@
     assert_ne!(request.fingerprint(), elsewhere.fingerprint());
 }
 
+#[test]
+fn equal_requests_of_another_caller_or_with_another_body_are_other_requests() {
+    let request = RequestView {
+        caller: "orders",
+        addressee: "site.example",
+        method: "POST",
+        path: "/reads/1",
+        body: b"one",
+    };
+    let of_other_caller = RequestView {
+        caller: "reads",
+        ..request
+    };
+    let with_other_body = RequestView {
+        body: b"two",
+        ..request
+    };
+    assert_ne!(request.fingerprint(), of_other_caller.fingerprint());
+    assert_ne!(request.fingerprint(), with_other_body.fingerprint());
+}
+
 #[test]
 fn a_crash_that_is_taken_back_no_longer_counts_on_any_node() {
     let now = Instant::now();
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -249,10 +249,10 @@
     } = properties;
     let request = incoming.request;
     let fingerprint = RequestView {
+        caller: incoming.origin,
         addressee: incoming.addressing.name(),
         method: &request.method,
         path: &request.path,
-        idempotency_key: key,
         body: &request.body,
     }
     .fingerprint();
