BUDGET: weigh answers against crashes by their number, before the crash too

What callers saw: a frequent request that crashes nothing, at work at several crashes, was refused everywhere for up to 300 s; and a request that crashes some targets was sent on as long as as many others had survived it, 16 at most.

Cause: each run counted once, however often it answered, and only after the first crash; and while a request is refused no target can survive it.

Now refused is what crashed two targets or more and was answered less than four times for each crash. Nodes count the answers of their target (2,048 requests a half-minute, two of these kept) and tell 1, 4 or 16 when a crash is reported, so that a frequent request is cleared within one message. One at work at two crashes is tried again after 60 s; a third crash ends that.

a_request_that_more_targets_survive_than_crash_is_not_quarantined asked for the rule that was at fault: three survivals cleared three crashes. Two tests as strict replace it, one for each error.

Crash reports and the suspicion have files of their own.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -2,11 +2,14 @@
 //! the quarantine of requests that crash targets.
 
 mod admission;
+mod answers;
+mod crash_report;
 mod estimate;
 mod pacer;
 mod quarantine;
 mod retry_budget;
 mod run_book;
+mod suspicion;
 
 pub use admission::{
     Admission,
@@ -16,13 +19,13 @@
     Dequeued,
     Ticket, //
 };
-pub use quarantine::{
+pub use crash_report::{
     run_id,
     CrashReport,
-    Quarantine,
     ReportBatch,
     SurvivalReport, //
 };
+pub use quarantine::Quarantine;
 pub use retry_budget::RetryBudget;
 pub use run_book::{
     CallEnding,
--- a/crates/admission/src/quarantine.rs
+++ b/crates/admission/src/quarantine.rs
@@ -1,32 +1,34 @@
 //! Quarantine of requests that crash the targets which run them.
 //!
 //! One crash is reported once for each request that was at work. A run that was taken for ended and
-//! answers again takes its reports back. A request with the same fingerprint
-//! that a target answers speaks against the suspicion. Reports are merged as a set, so that nodes
+//! answers again takes its reports back. Answers to requests with the same fingerprint speak against
+//! the suspicion, those before the crash too; a node counts them for its own target. Reports are merged as a set, so that nodes
 //! with the same reports agree, and each has a sequence number, so that peers can be sent exactly
 //! those that they lack.
 
 use std::collections::VecDeque;
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::time::Instant;
 
 use figway_types::{
     FastMap,
     Fingerprint, //
 };
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 
-/// Requests with a fingerprint are refused once it has this number of unexpired crashes, and more
-/// crashes than targets that survived it.
-const QUARANTINE_CRASH_COUNT: usize = 2;
+use crate::answers::RecentAnswers;
+use crate::crash_report::{
+    expiry,
+    CrashReport,
+    ReportBatch,
+    SurvivalReport,
+    REPORT_TTL, //
+};
+use crate::suspicion::{
+    Event,
+    Suspicion, //
+};
 
-/// Time after which a report expires.
-const REPORT_TTL: Duration = Duration::from_secs(300);
+/// Numbers of answers by one run of a target at which they are reported.
+const REPORTED_ANSWER_COUNTS: [u32; 3] = [16, 4, 1];
 
 /// Maximum number of stored reports. The oldest are evicted first.
 const REPORT_MAX_COUNT: usize = 4_096;
@@ -34,137 +36,41 @@
 /// Maximum number of stored reports of survivals for one fingerprint.
 const SURVIVAL_MAX_COUNT: usize = 16;
 
-/// Report that a target crashed while it ran a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-    /// Id of the crash and the request, see [`run_id`].
-    pub crash_id: u64,
-    /// Time until the report expires, in milliseconds; the receiver stores it as a deadline.
-    pub left_ms: u64,
-}
-
-/// Report that a target answered a request whose fingerprint has crash reports.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SurvivalReport {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-    /// Id of the target's run and the request, see [`run_id`].
-    pub run_id: u64,
-    /// Time until the report expires, in milliseconds; the receiver stores it as a deadline.
-    pub left_ms: u64,
-}
-
-/// Returns the id of a request at one run of a target. It is the same on every node, so that a
-/// crash or a survival counts once, however many requests with the fingerprint were at work.
-pub fn run_id(fingerprint: Fingerprint, instance: &str, started_at_ms: u64) -> u64 {
-    let run = figway_types::stable_hash(instance) ^ figway_types::mix(started_at_ms);
-    figway_types::mix(run ^ fingerprint.0.rotate_left(23))
-}
-
-/// What happened to a target that ran a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Ending {
-    Crashed,
-    Survived,
-    /// It was taken for crashed, and was not.
-    Revived,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Report {
     sequence: u64,
-    ending: Ending,
+    event: Event,
     fingerprint: Fingerprint,
     run_id: u64,
     expires_at: Instant,
 }
 
-/// Reports of one fingerprint: the ids of the runs, with the times at which the reports expire.
-#[derive(Clone, Debug, Default)]
-struct Suspicion {
-    crashes: FastMap<u64, Instant>,
-    survivals: FastMap<u64, Instant>,
-    /// Crashes that were taken back.
-    withdrawals: FastMap<u64, Instant>,
-}
-
-impl Suspicion {
-    fn runs(&mut self, ending: Ending) -> &mut FastMap<u64, Instant> {
-        match ending {
-            Ending::Crashed => &mut self.crashes,
-            Ending::Survived => &mut self.survivals,
-            Ending::Revived => &mut self.withdrawals,
-        }
-    }
-
-    fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.survivals.is_empty() && self.withdrawals.is_empty()
-    }
-
-    /// Returns the number of crashes that have not expired and were not taken back.
-    fn crash_count(&self, now: Instant) -> usize {
-        let mut count = 0;
-        for (crash_id, expires_at) in &self.crashes {
-            count += usize::from(*expires_at > now && !self.withdrawals.contains_key(crash_id));
-        }
-        count
-    }
-}
-
-fn count_unexpired(runs: &FastMap<u64, Instant>, now: Instant) -> usize {
-    runs.values()
-        .filter(|expires_at| **expires_at > now)
-        .count()
-}
-
-/// Batch of reports for a peer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ReportBatch {
-    /// Reports of crashes.
-    pub crashes: Vec<CrashReport>,
-    /// Reports of survivals.
-    pub survivals: Vec<SurvivalReport>,
-    /// Crashes that were taken back.
-    pub withdrawals: Vec<CrashReport>,
-    /// Sequence number of the last report that the receiver has with this batch, if it has all up to
-    /// the one after which the batch begins.
-    pub last_sequence: u64,
-}
-
 /// Unexpired reports, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     reports: VecDeque<Report>,
     suspicions: FastMap<Fingerprint, Suspicion>,
+    answers: RecentAnswers,
     last_sequence: u64,
+    /// Sequence number of the last report that this node made.
+    own_sequence: u64,
     evicted_count: u64,
 }
 
 impl Quarantine {
     /// Records that a target crashed while it ran a request. Returns whether this is new.
     pub fn record_crash(&mut self, fingerprint: Fingerprint, crash_id: u64, now: Instant) -> bool {
-        let expires_at = now + REPORT_TTL;
-        self.add(Ending::Crashed, fingerprint, crash_id, expires_at, now)
+        let is_new = self.add_own(Event::Crashed, fingerprint, crash_id, now);
+        self.report_recent_answers(fingerprint, now);
+        is_new
     }
 
-    /// Records that a target answered a request, if the request is suspected to crash targets.
-    /// Returns whether this is new.
-    pub fn record_survival(
-        &mut self,
-        fingerprint: Fingerprint,
-        run_id: impl FnOnce() -> u64,
-        now: Instant,
-    ) -> bool {
-        let Some(suspicion) = self.suspicions.get(&fingerprint) else {
-            return false;
-        };
-        if suspicion.survivals.len() >= SURVIVAL_MAX_COUNT {
-            return false;
-        }
-        let expires_at = now + REPORT_TTL;
-        self.add(Ending::Survived, fingerprint, run_id(), expires_at, now)
+    /// Records that a target answered a request. Returns whether this makes a report, since the
+    /// request is suspected to crash targets.
+    pub fn record_answer(&mut self, fingerprint: Fingerprint, run_id: u64, now: Instant) -> bool {
+        let count = self.answers.record(fingerprint, run_id, now);
+        let is_suspected = self.suspicions.contains_key(&fingerprint);
+        is_suspected && self.report_answers(fingerprint, run_id, count, now)
     }
 
     /// Takes a crash back, since the run that was taken for ended answered again. Returns whether
@@ -175,15 +81,14 @@
         crash_id: u64,
         now: Instant,
     ) -> bool {
-        let expires_at = now + REPORT_TTL;
-        self.add(Ending::Revived, fingerprint, crash_id, expires_at, now)
+        self.add_own(Event::Revived, fingerprint, crash_id, now)
     }
 
     /// Merges a peer's report that a crash was taken back; returns whether it is new and unexpired.
     pub fn merge_withdrawal(&mut self, report: &CrashReport, now: Instant) -> bool {
         let expires_at = expiry(report.left_ms, now);
         self.add(
-            Ending::Revived,
+            Event::Revived,
             report.fingerprint,
             report.crash_id,
             expires_at,
@@ -194,20 +99,24 @@
     /// Merges a peer's report of a crash; returns whether it is new and unexpired.
     pub fn merge_crash(&mut self, report: &CrashReport, now: Instant) -> bool {
         let expires_at = expiry(report.left_ms, now);
-        self.add(
-            Ending::Crashed,
+        let is_new = self.add(
+            Event::Crashed,
             report.fingerprint,
             report.crash_id,
             expires_at,
             now,
-        )
+        );
+        if is_new {
+            self.report_recent_answers(report.fingerprint, now);
+        }
+        is_new
     }
 
     /// Merges a peer's report of a survival; returns whether it is new and unexpired.
     pub fn merge_survival(&mut self, report: &SurvivalReport, now: Instant) -> bool {
         let expires_at = expiry(report.left_ms, now);
         self.add(
-            Ending::Survived,
+            Event::Answered(report.answer_count),
             report.fingerprint,
             report.run_id,
             expires_at,
@@ -217,11 +126,8 @@
 
     /// Returns whether requests with the fingerprint are refused.
     pub fn is_quarantined(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        self.suspicions.get(&fingerprint).is_some_and(|suspicion| {
-            let crash_count = suspicion.crash_count(now);
-            crash_count >= QUARANTINE_CRASH_COUNT
-                && crash_count > count_unexpired(&suspicion.survivals, now)
-        })
+        let suspicion = self.suspicions.get(&fingerprint);
+        suspicion.is_some_and(|suspicion| suspicion.is_quarantined(now))
     }
 
     /// Returns the sequence number of the newest report; 0 if there was none yet.
@@ -229,6 +135,11 @@
         self.last_sequence
     }
 
+    /// Returns the sequence number of the newest report that this node made; 0 if it made none yet.
+    pub fn own_sequence(&self) -> u64 {
+        self.own_sequence
+    }
+
     /// Returns how many unexpired reports were evicted because there were too many.
     pub fn evicted_count(&self) -> u64 {
         self.evicted_count
@@ -250,20 +161,21 @@
             batch.last_sequence = report.sequence;
             let left_ms = report.expires_at.saturating_duration_since(now).as_millis() as u64;
             let fingerprint = report.fingerprint;
-            match report.ending {
-                Ending::Crashed => batch.crashes.push(CrashReport {
+            match report.event {
+                Event::Crashed => batch.crashes.push(CrashReport {
                     fingerprint,
                     crash_id: report.run_id,
                     left_ms,
                 }),
-                Ending::Revived => batch.withdrawals.push(CrashReport {
+                Event::Revived => batch.withdrawals.push(CrashReport {
                     fingerprint,
                     crash_id: report.run_id,
                     left_ms,
                 }),
-                Ending::Survived => batch.survivals.push(SurvivalReport {
+                Event::Answered(answer_count) => batch.survivals.push(SurvivalReport {
                     fingerprint,
                     run_id: report.run_id,
+                    answer_count,
                     left_ms,
                 }),
             }
@@ -271,9 +183,53 @@
         batch
     }
 
+    /// Reports the answers that this node has counted before a crash of the request.
+    fn report_recent_answers(&mut self, fingerprint: Fingerprint, now: Instant) {
+        if let Some(answers) = self.answers.get(fingerprint) {
+            self.report_answers(fingerprint, answers.run_id, answers.count, now);
+        }
+    }
+
+    /// Reports a number of answers rounded down to one of [`REPORTED_ANSWER_COUNTS`], so that they make
+    /// few reports. Returns whether this is new.
+    fn report_answers(
+        &mut self,
+        fingerprint: Fingerprint,
+        run_id: u64,
+        count: u32,
+        now: Instant,
+    ) -> bool {
+        let known = self.suspicions.get(&fingerprint);
+        let run_count = known.map_or(0, |suspicion| suspicion.answering_run_count());
+        let is_known = known.is_some_and(|suspicion| suspicion.has_answers_of(run_id));
+        if !is_known && run_count >= SURVIVAL_MAX_COUNT {
+            return false;
+        }
+        for reported in REPORTED_ANSWER_COUNTS {
+            if count >= reported {
+                return self.add_own(Event::Answered(reported), fingerprint, run_id, now);
+            }
+        }
+        false
+    }
+
+    fn add_own(
+        &mut self,
+        event: Event,
+        fingerprint: Fingerprint,
+        run_id: u64,
+        now: Instant,
+    ) -> bool {
+        let is_new = self.add(event, fingerprint, run_id, now + REPORT_TTL, now);
+        if is_new {
+            self.own_sequence = self.last_sequence;
+        }
+        is_new
+    }
+
     fn add(
         &mut self,
-        ending: Ending,
+        event: Event,
         fingerprint: Fingerprint,
         run_id: u64,
         expires_at: Instant,
@@ -284,10 +240,9 @@
             return false;
         }
         let suspicion = self.suspicions.entry(fingerprint).or_default();
-        if suspicion.runs(ending).contains_key(&run_id) {
+        if !suspicion.add(event, run_id, expires_at) {
             return false;
         }
-        suspicion.runs(ending).insert(run_id, expires_at);
         if self.reports.len() >= REPORT_MAX_COUNT {
             self.evicted_count += 1;
             self.remove_oldest();
@@ -295,7 +250,7 @@
         self.last_sequence += 1;
         self.reports.push_back(Report {
             sequence: self.last_sequence,
-            ending,
+            event,
             fingerprint,
             run_id,
             expires_at,
@@ -321,13 +276,9 @@
         let Some(suspicion) = self.suspicions.get_mut(&report.fingerprint) else {
             return;
         };
-        suspicion.runs(report.ending).remove(&report.run_id);
+        suspicion.remove(report.event, report.run_id);
         if suspicion.is_empty() {
             self.suspicions.remove(&report.fingerprint);
         }
     }
 }
-
-fn expiry(left_ms: u64, now: Instant) -> Instant {
-    now + Duration::from_millis(left_ms).min(REPORT_TTL)
-}
--- a/crates/admission/tests/quarantine.rs
+++ b/crates/admission/tests/quarantine.rs
@@ -64,7 +64,7 @@
             if crashed {
                 first.record_crash(fingerprint, run, now);
             } else {
-                first.record_survival(fingerprint, || run, now);
+                first.record_answer(fingerprint, run, now);
             }
         }
         let mut second = Quarantine::default();
@@ -123,25 +123,85 @@
     assert!(quarantine.is_quarantined(fingerprint, now));
 }
 
+/// Records answers of one run.
+fn record_answers(quarantine: &mut Quarantine, fingerprint: Fingerprint, run: u64, count: usize) {
+    for _ in 0..count {
+        quarantine.record_answer(fingerprint, run, Instant::now());
+    }
+}
+
 #[test]
-fn a_request_that_more_targets_survive_than_crash_is_not_quarantined() {
+fn a_request_that_is_answered_far_more_often_than_it_crashes_targets_is_not_quarantined() {
     let now = Instant::now();
     let mut quarantine = Quarantine::default();
     let fingerprint = Fingerprint(7);
-    assert!(!quarantine.record_survival(fingerprint, || 10, now));
-    quarantine.record_crash(fingerprint, 1, now);
-    for run in [10, 11, 11, 12] {
-        quarantine.record_survival(fingerprint, || run, now);
+    // Half of the answers come before the first crash.
+    record_answers(&mut quarantine, fingerprint, 10, 8);
+    for crash in [1, 2] {
+        quarantine.record_crash(fingerprint, crash, now);
     }
-    for crash in [2, 3] {
+    assert!(
+        quarantine.is_quarantined(fingerprint, now),
+        "4 answers told"
+    );
+    record_answers(&mut quarantine, fingerprint, 10, 8);
+    for crash in [3, 4, 5] {
+        assert!(!quarantine.is_quarantined(fingerprint, now));
         quarantine.record_crash(fingerprint, crash, now);
-        assert!(
-            !quarantine.is_quarantined(fingerprint, now),
-            "crash {crash}"
+    }
+    assert!(quarantine.is_quarantined(fingerprint, now), "16 answers");
+}
+
+#[test]
+fn answers_by_some_targets_do_not_outvote_the_crashes_of_others() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let fingerprint = Fingerprint(7);
+    for run in 0..3 {
+        quarantine.record_crash(fingerprint, run, now);
+        record_answers(&mut quarantine, fingerprint, 100 + run, 3);
+        let crash_count = run + 1;
+        assert_eq!(
+            quarantine.is_quarantined(fingerprint, now),
+            crash_count >= 2,
+            "after {crash_count} crashes"
         );
     }
-    quarantine.record_crash(fingerprint, 4, now);
-    assert!(quarantine.is_quarantined(fingerprint, now));
+}
+
+#[test]
+fn a_node_tells_what_it_has_answered_when_it_learns_of_a_crash_from_a_peer() {
+    let now = Instant::now();
+    let fingerprint = Fingerprint(7);
+    let mut beside_crash = Quarantine::default();
+    for crash in [1, 2] {
+        beside_crash.record_crash(fingerprint, crash, now);
+    }
+    let mut elsewhere = Quarantine::default();
+    record_answers(&mut elsewhere, fingerprint, 10, 20);
+    copy_reports(&beside_crash, &mut elsewhere, 8);
+    assert!(!elsewhere.is_quarantined(fingerprint, now));
+    assert_eq!(elsewhere.own_sequence(), 2, "after the first crash");
+    copy_reports(&elsewhere, &mut beside_crash, 8);
+    assert!(!beside_crash.is_quarantined(fingerprint, now));
+}
+
+#[test]
+fn a_request_at_work_at_two_crashes_is_passed_on_again_after_a_while_but_not_after_a_third() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let fingerprint = Fingerprint(7);
+    for crash in [1, 2] {
+        quarantine.record_crash(fingerprint, crash, now);
+    }
+    assert!(quarantine.is_quarantined(fingerprint, now + Duration::from_secs(59)));
+    let later = now + Duration::from_secs(61);
+    assert!(!quarantine.is_quarantined(fingerprint, later));
+    quarantine.record_crash(fingerprint, 3, later);
+    for after_s in [1, 61, 200] {
+        let then = later + Duration::from_secs(after_s);
+        assert!(quarantine.is_quarantined(fingerprint, then), "{after_s} s");
+    }
 }
 
 #[test]
--- a/crates/control/src/mesh/crashes.rs
+++ b/crates/control/src/mesh/crashes.rs
@@ -36,7 +36,7 @@
         if !quarantine.record_crash(fingerprint, crash_id, now) {
             return;
         }
-        let sequence = quarantine.last_sequence();
+        let sequence = quarantine.own_sequence();
         let quarantined = quarantine.is_quarantined(fingerprint, now);
         drop(quarantine);
         log::info!(
@@ -63,13 +63,14 @@
         self.publish_own_report(sequence);
     }
 
-    /// Records that a target answered a request with the fingerprint, if crashes are reported of it.
-    pub fn record_survival(&self, fingerprint: Fingerprint, run_id: impl FnOnce() -> u64) {
+    /// Records that the target beside this node answered a request with the fingerprint. Peers are
+    /// told if crashes are reported of it.
+    pub fn record_answer(&self, fingerprint: Fingerprint, run_id: u64) {
         let mut quarantine = self.quarantine();
-        if !quarantine.record_survival(fingerprint, run_id, Instant::now()) {
+        if !quarantine.record_answer(fingerprint, run_id, Instant::now()) {
             return;
         }
-        let sequence = quarantine.last_sequence();
+        let sequence = quarantine.own_sequence();
         drop(quarantine);
         log::info!(
             "survival reported fingerprint={:016x} sequence={sequence}",
@@ -102,6 +103,7 @@
     pub(super) fn merge_reports(&self, sender: &NodeId, gossip: &Gossip) {
         let now = Instant::now();
         let mut quarantine = self.quarantine();
+        let own_sequence = quarantine.own_sequence();
         let mut new_count = 0;
         for report in &gossip.crashes {
             new_count += usize::from(quarantine.merge_crash(report, now));
@@ -113,7 +115,12 @@
             new_count += usize::from(quarantine.merge_withdrawal(report, now));
         }
         let last_sequence = quarantine.last_sequence();
+        // A peer's report of a crash brings out what this node has counted of the request.
+        let made_sequence = quarantine.own_sequence();
         drop(quarantine);
+        if made_sequence > own_sequence {
+            self.publish_own_report(made_sequence);
+        }
         let mut all = self.report_progress.lock().expect("no holder panics");
         let progress = all.entry(sender.clone()).or_default();
         progress.receive(self.feed_epoch, gossip.report_ack, gossip.report_range);
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -343,7 +343,7 @@
     at_work.finish(CallEnding::Answered);
     plane.withdraw_crashes(run_number);
     if let Some(answer_id) = plane.run_watch.answer_id(call.fingerprint) {
-        plane.mesh.record_survival(call.fingerprint, || answer_id);
+        plane.mesh.record_answer(call.fingerprint, answer_id);
     }
     AttemptResult::sent(Outcome::Answered(answer))
 }
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -119,6 +119,21 @@
     }
 }
 
+/// Waits until every node knows all others.
+pub(crate) async fn wait_site_joined(site: &Site) {
+    let deadline = Instant::now() + WAIT;
+    let expected = format!("figway_members {}\n", site.hosts.len());
+    for host in &site.hosts {
+        while !get_text(&host.metrics_address, "/metrics")
+            .await
+            .contains(&expected)
+        {
+            assert!(Instant::now() < deadline, "{} lacks members", host.name);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
 /// Waits until reads of `path` are served at every node, at most for `within`.
 pub(crate) async fn assert_served(site: &Site, path: &str, within: Duration) {
     let deadline = Instant::now() + within;
--- a/crates/testbed/tests/crashed_runs.rs
+++ b/crates/testbed/tests/crashed_runs.rs
@@ -26,6 +26,7 @@
 
 use crate::common::{
     assert_served,
+    wait_site_joined,
     wait_site_ready, //
 };
 
@@ -67,6 +68,14 @@
     down_for: Duration::from_millis(700),
 };
 
+/// Starts a site whose nodes know each other and serve.
+async fn start_site(name: &str, host_count: usize) -> Site {
+    let site = Site::start(name, host_count).await.unwrap();
+    wait_site_ready(&site).await;
+    wait_site_joined(&site).await;
+    site
+}
+
 /// Lets the crashing request arrive at one host after the other.
 async fn send_crashing(site: &Site, arrivals: Arrivals) {
     for number in 0..ARRIVAL_COUNT {
@@ -92,8 +101,7 @@
 
 /// Plays the arrivals on a new site and checks how many back ends crash.
 async fn assert_quarantined(name: &str, rule: CrashRule, arrivals: Arrivals) {
-    let site = Site::start(name, HOST_COUNT).await.unwrap();
-    wait_site_ready(&site).await;
+    let site = start_site(name, HOST_COUNT).await;
     for host in &site.hosts {
         host.backend.slow_ms.set(400);
     }
@@ -215,8 +223,7 @@
 
 #[ntex::test]
 async fn a_harmless_request_of_another_caller_is_served_beside_the_one_that_crashes() {
-    let site = Site::start("crash-caller", HOST_COUNT).await.unwrap();
-    wait_site_ready(&site).await;
+    let site = start_site("crash-caller", HOST_COUNT).await;
     let rule = CrashRule {
         origin: Some(ORDERS),
         ..PROMPT_CRASH
@@ -232,8 +239,7 @@
 
 #[ntex::test]
 async fn a_frequent_harmless_request_is_served_however_many_crashes_it_is_at_work_at() {
-    let site = Site::start("crash-frequent", HOST_COUNT).await.unwrap();
-    wait_site_ready(&site).await;
+    let site = start_site("crash-frequent", HOST_COUNT).await;
     for host in &site.hosts {
         host.backend.slow_ms.set(100);
     }
@@ -281,8 +287,7 @@
 
 #[ntex::test]
 async fn a_rare_harmless_request_at_work_at_one_crash_is_served_again_within_a_second() {
-    let site = Site::start("crash-rare", HOST_COUNT).await.unwrap();
-    wait_site_ready(&site).await;
+    let site = start_site("crash-rare", HOST_COUNT).await;
     for host in &site.hosts {
         host.backend.slow_ms.set(300);
     }
@@ -341,8 +346,7 @@
 async fn a_planned_end_of_a_back_end_is_no_crash_of_what_it_has_at_work() {
     for draining in [false, true] {
         let name = format!("crash-planned-{draining}");
-        let site = Site::start(&name, 4).await.unwrap();
-        wait_site_ready(&site).await;
+        let site = start_site(&name, 4).await;
         give_up_slow_reads(&site).await;
         for host in [&site.hosts[0], &site.hosts[2]] {
             host.backend.heartbeat_paused.set(true);
@@ -361,8 +365,7 @@
 
 #[ntex::test]
 async fn a_back_end_whose_heartbeats_are_late_has_not_crashed() {
-    let site = Site::start("crash-late-beats", 4).await.unwrap();
-    wait_site_ready(&site).await;
+    let site = start_site("crash-late-beats", 4).await;
     for host in &site.hosts {
         host.backend.heartbeat_paused.set(true);
     }
@@ -373,8 +376,7 @@
 
 #[ntex::test]
 async fn a_run_that_answers_again_takes_its_crash_reports_back() {
-    let site = Site::start("crash-answers-again", 4).await.unwrap();
-    wait_site_ready(&site).await;
+    let site = start_site("crash-answers-again", 4).await;
     give_up_slow_reads(&site).await;
     for host in &site.hosts {
         host.wire.set_state(WireState::Silent);
