Join each zone that is not known, so that zones which start at once find each other

Cause: joining ended after two contacts, the zone's first; then every node had a live peer, and contacts are read again after 30 to 90 s. Only who joined through another zone's contact linked the zones.

Ruled out: the feed of reports (it sent to each linked peer within 1 ms).

--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -1,6 +1,7 @@
 //! Joining the mesh through contacts, which are the peers from the settings and the entries of a
 //! short stream on the platform's log.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{
@@ -52,7 +53,7 @@
 /// others.
 const ATTEMPT_CONCURRENCY: usize = 3;
 
-/// Number of contacts after which joining is complete. Their member tables and the links opened
+/// Number of contacts after which joining the own zone is complete. Their member tables and the links opened
 /// afterwards bring the remaining members.
 const JOIN_PEER_COUNT: usize = 2;
 
@@ -114,31 +115,36 @@
 }
 
 /// Joins through some contacts that are not known as live members yet, and appends a contact if the
-/// zone needs one.
+/// zone needs one. A zone of which no live member is known is joined by a contact of its own, since
+/// zones that start together know only themselves.
 async fn join(mesh: &Mesh, log: &dyn LogService, peers: &[String]) -> JoinRound {
     let own = mesh.members().own().clone();
     let alone = !has_live_peer(mesh);
-    let mut addresses: Vec<String> = Vec::new();
+    let mut near_addresses: Vec<&str> = Vec::new();
     if alone {
-        addresses.extend_from_slice(peers);
+        near_addresses.extend(peers.iter().map(String::as_str));
     }
     let mut fresh = None;
     if alone || maintains_zone_contacts(mesh) {
         match fresh_contacts(mesh, log).await {
-            Ok(found) => {
-                let (in_zone, elsewhere): (Vec<&Contact>, Vec<&Contact>) = found
-                    .contacts
-                    .iter()
-                    .partition(|contact| contact.zone == own.zone);
-                for contact in in_zone.into_iter().chain(elsewhere) {
-                    addresses.push(contact.control_address.clone());
-                }
-                fresh = Some(found);
-            }
+            Ok(found) => fresh = Some(found),
             Err(error) => log::warn!("could not read contacts: {error}"),
         }
     }
-    let joined = join_any(mesh, &addresses).await;
+    let mut by_zone: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    if let Some(found) = &fresh {
+        for contact in &found.contacts {
+            let addresses = by_zone.entry(&contact.zone).or_default();
+            addresses.push(&contact.control_address);
+        }
+    }
+    near_addresses.extend(by_zone.remove(own.zone.as_str()).unwrap_or_default());
+    let mut joined = join_any(mesh, &near_addresses, JOIN_PEER_COUNT).await;
+    for (zone, addresses) in by_zone {
+        if !knows_zone(mesh, zone) {
+            joined |= join_any(mesh, &addresses, 1).await;
+        }
+    }
     let mut contacts_era = None;
     if let Some(fresh) = fresh {
         contacts_era = Some(fresh.era);
@@ -150,12 +156,14 @@
     }
 }
 
-async fn join_any(mesh: &Mesh, addresses: &[String]) -> bool {
+/// Joins through contacts at `addresses` until `peer_count` of them have answered. Returns whether any
+/// has.
+async fn join_any(mesh: &Mesh, addresses: &[&str], peer_count: usize) -> bool {
     let own_address = mesh.members().own().control_address.clone();
     let mut wanted: Vec<&str> = Vec::new();
     for address in addresses {
-        let known = *address == own_address || is_known(mesh, address);
-        if known || wanted.contains(&address.as_str()) {
+        let known = **address == own_address || is_known(mesh, address);
+        if known || wanted.contains(address) {
             continue;
         }
         wanted.push(address);
@@ -174,7 +182,7 @@
     let mut joined_count = 0;
     while let Some(joined) = attempts.next().await {
         joined_count += usize::from(joined);
-        if joined_count >= JOIN_PEER_COUNT {
+        if joined_count >= peer_count {
             break;
         }
     }
@@ -209,6 +217,16 @@
     false
 }
 
+/// Returns whether a live member of the zone is known.
+fn knows_zone(mesh: &Mesh, zone: &str) -> bool {
+    for member in mesh.members().members() {
+        if member.zone == zone && member.state == MemberState::Live {
+            return true;
+        }
+    }
+    false
+}
+
 fn has_live_peer(mesh: &Mesh) -> bool {
     let members = mesh.members();
     for member in members.members() {
--- a/crates/testbed/tests/crashed_runs.rs
+++ b/crates/testbed/tests/crashed_runs.rs
@@ -161,6 +161,25 @@
     assert_quarantined("crash-back", rule, PROMPT_ARRIVALS).await;
 }
 
+#[ntex::test]
+async fn a_request_that_waits_for_a_target_is_not_sent_once_it_is_quarantined() {
+    let site = start_site("crash-waiting", 4).await;
+    let rule = CrashRule {
+        after: Duration::from_millis(30),
+        down_for: Duration::from_millis(120),
+        ..PROMPT_CRASH
+    };
+    let times = start_crashes(&site, &rule);
+    let callers = [site.caller(1), site.caller(3)];
+    let mut calls = Vec::new();
+    for number in 0..40 {
+        calls.push(callers[number % 2].call_alike("GET", CRASHING, PROMPT_ARRIVALS.budget));
+    }
+    drop(futures::future::join_all(calls).await);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_few_crashes(&times);
+}
+
 /// Requests of one path that are sent regularly, and what became of them.
 struct Watched {
     sent_count: Cell<usize>,
