BUDGET: check a request again when its wait for a slot or a target is over

What callers saw: in the record requests waited for seconds, and those that had come before the third end went to back ends after it.

Cause: whether a request is refused was checked when it arrived at the caller's node, not when it left the queue beside the target seconds later, nor after its wait for a target.

The node beside the target now refuses by itself too, so that a caller's node which is out of touch can't send a known request to it.

--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -144,6 +144,10 @@
     if remaining_time(call) < TARGET_TIME_MIN {
         return AttemptResult::not_sent(NotRunReason::Expired);
     }
+    // Others may have crashed targets while this one was queued.
+    if plane.refuses_as_quarantined(call.fingerprint) {
+        return AttemptResult::not_sent(NotRunReason::Quarantined);
+    }
     let target = match local_target(plane, call) {
         Ok(target) => target,
         Err(reason) => return AttemptResult::not_sent(reason),
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -52,7 +52,10 @@
     let plane = &worker.plane;
     let node_id = &entry.member.node_id;
     let mut in_flight = InFlightAttempt::begin(plane, node_id);
-    let result = if entry.distance == Distance::Host {
+    let result = if plane.refuses_as_quarantined(call.fingerprint) {
+        // The call may have waited for a target since it was last checked.
+        AttemptResult::not_sent(NotRunReason::Quarantined)
+    } else if entry.distance == Distance::Host {
         admit(worker, &AdmissionRequest::new(call, attempt_kind)).await
     } else {
         forward_to_peer(worker, call, entry, attempt_kind).await
--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -90,7 +90,7 @@
         let is_retryable = may_retry(call, &result.outcome);
         let merged = result.outcome.merge_earlier(call.earlier_outcome.take());
         call.earlier_outcome.replace(merged);
-        if !is_retryable || is_quarantined(worker, call) {
+        if !is_retryable || worker.plane.refuses_as_quarantined(call.fingerprint) {
             break;
         }
         worker.plane.metrics.count("retry");
@@ -105,12 +105,6 @@
     attempt_kind: AttemptKind,
 }
 
-/// Returns whether the request is quarantined because it crashed targets.
-pub(crate) fn is_quarantined(worker: &Worker, call: &Call<'_>) -> bool {
-    let quarantine = worker.plane.mesh.quarantine();
-    quarantine.is_quarantined(call.fingerprint, Instant::now())
-}
-
 /// Returns whether the call may be sent to another target after an attempt with this outcome.
 fn may_retry(call: &Call<'_>, outcome: &Outcome) -> bool {
     match outcome {
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -33,6 +33,7 @@
 use figway_types::{
     Announcement,
     FastMap,
+    Fingerprint,
     Target, //
 };
 use tokio::sync::watch;
@@ -259,6 +260,19 @@
         }
     }
 
+    /// Returns whether requests with the fingerprint are refused because they crash targets, and counts
+    /// the one that is.
+    pub(crate) fn refuses_as_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        let is_quarantined = self
+            .mesh
+            .quarantine()
+            .is_quarantined(fingerprint, Instant::now());
+        if is_quarantined {
+            self.metrics.count("quarantined");
+        }
+        is_quarantined
+    }
+
     /// Records that the run of the target with this number has ended. If that was not planned, what
     /// it had at work is reported.
     pub(crate) fn record_run_end(&self, run_number: u64, evidence: RunEndEvidence) {
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -18,10 +18,7 @@
     RequestView, //
 };
 
-use crate::attempts::{
-    is_quarantined,
-    run_attempts, //
-};
+use crate::attempts::run_attempts;
 use crate::call::{
     AttemptKind,
     Call,
@@ -341,8 +338,7 @@
 }
 
 async fn run_unkeyed(worker: &Worker, call: &Call<'_>) -> Outcome {
-    if is_quarantined(worker, call) {
-        worker.plane.metrics.count("quarantined");
+    if worker.plane.refuses_as_quarantined(call.fingerprint) {
         return Outcome::NotRun(NotRunReason::Quarantined);
     }
     run_attempts(worker, call).await
--- a/crates/testbed/tests/crashed_runs.rs
+++ b/crates/testbed/tests/crashed_runs.rs
@@ -162,21 +162,27 @@
 }
 
 #[ntex::test]
-async fn a_request_that_waits_for_a_target_is_not_sent_once_it_is_quarantined() {
-    let site = start_site("crash-waiting", 4).await;
-    let rule = CrashRule {
-        after: Duration::from_millis(30),
-        down_for: Duration::from_millis(120),
-        ..PROMPT_CRASH
+async fn a_request_that_waits_for_a_slot_is_not_sent_once_it_is_quarantined() {
+    let site = start_site("crash-waiting", HOST_COUNT).await;
+    // All slots are taken: at the first two back ends for long, at the others for a while.
+    for (host, slow_ms) in [(0, 600), (2, 600), (4, 200), (6, 200)] {
+        site.hosts[host].backend.slow_ms.set(slow_ms);
+    }
+    let times = start_crashes(&site, &PROMPT_CRASH);
+    let callers = [1, 3, 5, 7].map(|host| site.caller(host));
+    let call = |number: usize, path: &'static str, delay_ms: u64| {
+        let caller = &callers[number % 4];
+        async move {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            caller.call_alike("GET", path, PROMPT_ARRIVALS.budget).await;
+        }
     };
-    let times = start_crashes(&site, &rule);
-    let callers = [site.caller(1), site.caller(3)];
     let mut calls = Vec::new();
-    for number in 0..40 {
-        calls.push(callers[number % 2].call_alike("GET", CRASHING, PROMPT_ARRIVALS.budget));
+    for number in 0..60 {
+        calls.push(call(number, "/reads/slow", 0));
+        calls.push(call(number, CRASHING, 50));
     }
-    drop(futures::future::join_all(calls).await);
-    tokio::time::sleep(Duration::from_millis(500)).await;
+    futures::future::join_all(calls).await;
     assert_few_crashes(&times);
 }
 
