Testbed: bind a reserved port again while a process that is being started holds it

Cause: a port is probed by a listener that is closed at once; a process that another thread of the test starts at that moment holds a copy of it until it runs its program.

--- a/crates/testbed/src/site/wire.rs
+++ b/crates/testbed/src/site/wire.rs
@@ -2,8 +2,12 @@
 //! faulty back end does: cut anywhere, or written once more.
 
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use tokio::io::{
     AsyncReadExt as _,
@@ -58,6 +62,12 @@
     }
 }
 
+/// Longest time for which a reserved port may be in use.
+const BIND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause between two tries to bind a reserved port.
+const BIND_PAUSE: Duration = Duration::from_millis(2);
+
 /// Step by which [`WireFault::CutAnywhere`] moves, in thousandths of an answer.
 const CUT_STEP: usize = 37;
 
@@ -82,7 +92,7 @@
     ///
     /// The address is in use.
     pub async fn start(address: &str, upstream_address: &str) -> anyhow::Result<Rc<Self>> {
-        let listener = TcpListener::bind(address).await?;
+        let listener = bind_reserved(address).await?;
         let wire = Rc::new(Self {
             address: listener.local_addr()?.to_string(),
             fault: Cell::default(),
@@ -112,7 +122,7 @@
                 () = wait_while(&mut state, WireState::accepts) => {
                     drop(listener);
                     wait_while(&mut state, |state| !state.accepts()).await;
-                    listener = TcpListener::bind(&self.address)
+                    listener = bind_reserved(&self.address)
                         .await
                         .expect("the port is reserved");
                 }
@@ -189,6 +199,19 @@
     }
 }
 
+/// Binds a reserved port. A process that another test starts holds a copy of a listener that was just
+/// closed until it runs its program.
+async fn bind_reserved(address: &str) -> std::io::Result<TcpListener> {
+    let deadline = Instant::now() + BIND_TIMEOUT;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < deadline => {}
+            bound => return bound,
+        }
+        tokio::time::sleep(BIND_PAUSE).await;
+    }
+}
+
 /// Waits while the state is one for which `is_same` returns true.
 async fn wait_while(state: &mut watch::Receiver<WireState>, is_same: impl Fn(WireState) -> bool) {
     // The sender outlives its connections, so that the wait ends by a change only.
