Log and count a call whose caller left at the node of the caller

The same cause elsewhere: the line 'call ended' and the call's metrics were written after the await that the caller's leaving drops, so that the request which crashed a target had no line at its caller's node. A guard writes them with why=caller-left. The fingerprint stands in the line, so that equal requests are found.

explain_shows_a_run_whose_caller_disconnected asks for it (it had asked for the target's line alone); without the guard no such line is written on this path (read).

--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -43,6 +43,9 @@
 /// has time to retry.
 pub(crate) const HOLD_BUDGET_RATIO: f64 = 0.3;
 
+/// Reason of an unknown outcome: the caller left before the call ended.
+const CALLER_LEFT: &str = "caller-left";
+
 /// A request of a caller, before routing.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Incoming<'a> {
@@ -284,27 +287,57 @@
             None => run_unkeyed(worker, &call).await,
         }
     };
+    let mut record = CallRecord {
+        worker,
+        call: &call,
+        written: false,
+    };
     let outcome = match tokio::time::timeout_at(deadline.into(), serving).await {
         Ok(outcome) => outcome,
         // An attempt was in flight. A failed answer of an earlier attempt is preferred to no
         // answer.
         Err(_) => Outcome::Unknown(DEADLINE_EXCEEDED).merge_earlier(earlier_outcome.take()),
     };
-    let took = request.arrived_at.elapsed();
-    let plane = &worker.plane;
-    plane
-        .metrics
-        .record_call(rule.name, outcome.name(), outcome.reason(), took);
-    let steps = steps.take();
-    // A call that succeeds at its first target has two steps.
-    let notable = !outcome.is_success() || steps.len() > 2;
-    if plane.log_budget.should_log(call.request_id, notable) {
+    record.write(&outcome);
+    let expected_wait = match outcome {
+        Outcome::NotRun(NotRunReason::RateLimited) => shortest_wait(worker, &rule),
+        _ => None,
+    };
+    ServedCall {
+        outcome,
+        expected_wait,
+    }
+}
+
+/// Metrics and log line of a call. If its caller leaves before it ends, they are written on drop.
+struct CallRecord<'a> {
+    worker: &'a Worker,
+    call: &'a Call<'a>,
+    written: bool,
+}
+
+impl CallRecord<'_> {
+    fn write(&mut self, outcome: &Outcome) {
+        self.written = true;
+        let (call, rule) = (self.call, &self.call.rule);
+        let plane = &self.worker.plane;
+        let took = call.arrived_at.elapsed();
+        plane
+            .metrics
+            .record_call(rule.name, outcome.name(), outcome.reason(), took);
+        let steps = call.steps.take();
+        // A call that succeeds at its first target has two steps.
+        let notable = !outcome.is_success() || steps.len() > 2;
+        if !plane.log_budget.should_log(call.request_id, notable) {
+            return;
+        }
         log::info!(
-            "call ended request={} service={} kind={} version={} origin={} rank={} outcome={} \
-             why={} status={} took_ms={} budget_ms={} tries={}",
+            "call ended request={} service={} kind={} fingerprint={:016x} version={} origin={} \
+             rank={} outcome={} why={} status={} took_ms={} budget_ms={} tries={}",
             call.request_id,
             rule.service,
             rule.name,
+            call.fingerprint.0,
             rule.version,
             call.origin,
             rule.rank,
@@ -312,19 +345,19 @@
             outcome.reason(),
             outcome.status(),
             took.as_millis(),
-            deadline
-                .saturating_duration_since(request.arrived_at)
+            call.deadline
+                .saturating_duration_since(call.arrived_at)
                 .as_millis(),
             format_steps(&steps, rule.profile_name),
         );
     }
-    let expected_wait = match outcome {
-        Outcome::NotRun(NotRunReason::RateLimited) => shortest_wait(worker, &rule),
-        _ => None,
-    };
-    ServedCall {
-        outcome,
-        expected_wait,
+}
+
+impl Drop for CallRecord<'_> {
+    fn drop(&mut self) {
+        if !self.written {
+            self.write(&Outcome::Unknown(CALLER_LEFT));
+        }
     }
 }
 
--- a/crates/testbed/tests/explaining.rs
+++ b/crates/testbed/tests/explaining.rs
@@ -81,6 +81,8 @@
     let explanation = explain(&site, &id).await;
     assert!(explanation.contains("call run"), "{explanation}");
     assert!(explanation.contains("why=given-up"), "{explanation}");
+    assert!(explanation.contains("call ended"), "{explanation}");
+    assert!(explanation.contains("why=caller-left"), "{explanation}");
 }
 
 /// More orders arrive at once than the slots and queues of the order service admit, so that some
