Count calls of a run that was given up and goes on as nested calls

Once the attempt was dropped (deadline, caller gone, lost hedge) the calls that the target still made for it counted as calls of a client: by the route's rank, and not charged to the budget of retries where the run was a repeat.

A run that was given up is kept for 3 s, 1,024 of them at most.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -30,5 +30,6 @@
 pub use run_book::{
     CallEnding,
     RunBook,
-    Suspect, //
+    Suspect,
+    GIVEN_UP_TTL, //
 };
--- a/crates/admission/src/run_book.rs
+++ b/crates/admission/src/run_book.rs
@@ -17,7 +17,7 @@
 };
 
 /// Time for which a call that was given up may still run at the target.
-const GIVEN_UP_TTL: Duration = Duration::from_secs(3);
+pub const GIVEN_UP_TTL: Duration = Duration::from_secs(3);
 
 /// Largest number of given-up calls that are kept. The oldest are dropped first.
 const GIVEN_UP_MAX_COUNT: usize = 1_024;
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -261,7 +261,7 @@
         echo_header: plane.interface.echo_header(),
         idempotent: call.idempotent,
     };
-    let _running = plane.begin_run(call.request_id, call.attempt_kind);
+    let running = plane.running.begin(call.request_id, call.attempt_kind);
     plane
         .local_target
         .record_sent(call.attempt_kind, Instant::now());
@@ -271,6 +271,7 @@
         .begin_call(call.fingerprint, call.request_id);
     match worker.targets.send(&outbound).await {
         Ok(answer) => {
+            running.finish();
             plane.record_notice(target, &answer);
             take_answer(plane, call, target, at_work, answer)
         }
@@ -280,6 +281,7 @@
             AttemptResult::sent(Outcome::Unknown("answer-too-large"))
         }
         Err(SendFailure::Refused(why)) => {
+            running.finish();
             at_work.finish(CallEnding::NotSent);
             plane.run_watch.suspect(Suspicion::Refused);
             plane.target_watch.mark_lost(&plane.mesh, &why);
--- a/crates/dataplane/src/builder.rs
+++ b/crates/dataplane/src/builder.rs
@@ -29,6 +29,7 @@
 use crate::plane::DataPlane;
 use crate::retry::RetryState;
 use crate::run_watch::RunWatch;
+use crate::running_calls::RunningCalls;
 use crate::target_watch::TargetWatch;
 use crate::trace::LogBudget;
 
@@ -156,7 +157,7 @@
             log_budget: LogBudget::default(),
             draining: AtomicBool::new(false),
             phase: watch::Sender::new(ServerPhase::Open),
-            running: Mutex::default(),
+            running: RunningCalls::default(),
             busy_connections: BusyConnections::default(),
             body_max_bytes: self.body_max_bytes,
             connection_max_count: self.connection_max_count,
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -32,8 +32,6 @@
 };
 use figway_types::{
     Announcement,
-    FastMap,
-    Fingerprint,
     Target, //
 };
 use tokio::sync::watch;
@@ -47,12 +45,11 @@
 use crate::peer_targets::PeerTargets;
 use crate::retry::RetryState;
 use crate::run_watch::{
-    EndedRun,
     RunEndEvidence,
-    RunKey,
     RunWatch,
     Suspicion, //
 };
+use crate::running_calls::RunningCalls;
 use crate::target_state::TargetState;
 use crate::target_watch::{
     AnnounceOutcome,
@@ -105,7 +102,7 @@
     pub(crate) log_budget: LogBudget,
     pub(crate) draining: AtomicBool,
     pub(crate) phase: watch::Sender<ServerPhase>,
-    pub(crate) running: Mutex<FastMap<String, AttemptKind>>,
+    pub(crate) running: RunningCalls,
     pub(crate) busy_connections: BusyConnections,
     pub(crate) body_max_bytes: usize,
     pub(crate) connection_max_count: usize,
@@ -138,18 +135,7 @@
     /// or `None` if the request does not name a running call.
     pub(crate) fn parent_attempt_kind(&self, request: &Request) -> Option<AttemptKind> {
         let parent_id = self.interface.parent_id(request)?;
-        let running = self.running.lock().expect("no holder panics");
-        running.get(parent_id).copied()
-    }
-
-    /// Registers a call as running at the local target until the guard drops.
-    pub(crate) fn begin_run(&self, request_id: &str, turn: AttemptKind) -> RunGuard<'_> {
-        let mut running = self.running.lock().expect("no holder panics");
-        running.insert(request_id.to_owned(), turn);
-        RunGuard {
-            plane: self,
-            request_id: request_id.to_owned(),
-        }
+        self.running.kind_of(parent_id, Instant::now())
     }
 
     /// Returns the service of this host, which is recorded as the origin of its callers' calls.
@@ -245,80 +231,6 @@
         Ok(outcome)
     }
 
-    /// Returns the identity of the target's run. A target that names no instance is identified by its
-    /// host and by how often it was announced anew.
-    fn run_key(&self, target: &Target) -> RunKey {
-        if target.is_identified() {
-            return RunKey {
-                instance: target.instance.clone(),
-                started_at_ms: target.started_at_ms,
-            };
-        }
-        RunKey {
-            instance: self.mesh.members().own().node_id.0.clone(),
-            started_at_ms: self.target_watch.run_count(),
-        }
-    }
-
-    /// Returns whether requests with the fingerprint are refused because they crash targets, and counts
-    /// the one that is.
-    pub(crate) fn refuses_as_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        let is_quarantined = self
-            .mesh
-            .quarantine()
-            .is_quarantined(fingerprint, Instant::now());
-        if is_quarantined {
-            self.metrics.count("quarantined");
-        }
-        is_quarantined
-    }
-
-    /// Records that the run of the target with this number has ended. If that was not planned, what
-    /// it had at work is reported.
-    pub(crate) fn record_run_end(&self, run_number: u64, evidence: RunEndEvidence) {
-        let Some(ended) = self.run_watch.end(run_number, Instant::now()) else {
-            return;
-        };
-        self.target_watch.mark_lost(&self.mesh, evidence.name());
-        self.report_run_end(&ended, evidence);
-    }
-
-    /// Reports what an ended run had at work, unless its end was planned.
-    fn report_run_end(&self, ended: &EndedRun, evidence: RunEndEvidence) {
-        if ended.is_known() {
-            return;
-        }
-        let target = &ended.target;
-        let planned = target.draining || self.mesh.own_run_stage(target).is_some();
-        log::warn!(
-            "target run ended instance={} started_at_ms={} evidence={} planned={planned} \
-             suspects={} requests={}",
-            target.instance,
-            target.started_at_ms,
-            evidence.name(),
-            ended.suspects.len(),
-            ended.format_requests(),
-        );
-        if planned {
-            return;
-        }
-        for suspect in &ended.suspects {
-            let crash_id = ended.crash_id(suspect.fingerprint);
-            self.mesh.record_crash(suspect.fingerprint, crash_id);
-        }
-    }
-
-    /// Takes the crash reports of the present run back, if a call sent to it since answered.
-    pub(crate) fn withdraw_crashes(&self, run_number: u64) {
-        let Some(revived) = self.run_watch.take_revived(run_number) else {
-            return;
-        };
-        for suspect in &revived.suspects {
-            let crash_id = revived.crash_id(suspect.fingerprint);
-            self.mesh.withdraw_crash(suspect.fingerprint, crash_id);
-        }
-    }
-
     /// Returns whether peers hold by `deadline` that the run of the target is ending, so that the end
     /// of this node loses nothing.
     async fn is_end_replicated(&self, target: &Target, deadline: Instant) -> bool {
@@ -462,16 +374,3 @@
     }
     Ok(())
 }
-
-/// Guard that registers a call as running at the local target.
-pub(crate) struct RunGuard<'a> {
-    plane: &'a DataPlane,
-    request_id: String,
-}
-
-impl Drop for RunGuard<'_> {
-    fn drop(&mut self) {
-        let mut running = self.plane.running.lock().expect("no holder panics");
-        running.remove(&self.request_id);
-    }
-}
--- /dev/null
+++ b/crates/dataplane/src/running_calls.rs
@@ -0,0 +1,94 @@
+//! Calls that the local target is running, which may make nested calls.
+
+use std::sync::{
+    Mutex,
+    MutexGuard, //
+};
+use std::time::Instant;
+
+use figway_admission::GIVEN_UP_TTL;
+use figway_types::FastMap;
+
+use crate::call::AttemptKind;
+
+/// Largest number of calls that are kept after they were given up.
+const GIVEN_UP_MAX_COUNT: usize = 1_024;
+
+#[derive(Clone, Copy, Debug)]
+struct RunningCall {
+    attempt_kind: AttemptKind,
+    /// Time until which a call that was given up counts as running.
+    given_up_until: Option<Instant>,
+}
+
+/// Calls that the local target is running, by request id.
+#[derive(Default)]
+pub(crate) struct RunningCalls {
+    calls: Mutex<FastMap<String, RunningCall>>,
+}
+
+impl RunningCalls {
+    fn lock(&self) -> MutexGuard<'_, FastMap<String, RunningCall>> {
+        self.calls.lock().expect("no holder panics")
+    }
+
+    /// Registers a call as running. Until its end is seen it counts as given up when the guard drops.
+    pub(crate) fn begin(&self, request_id: &str, attempt_kind: AttemptKind) -> RunningGuard<'_> {
+        let call = RunningCall {
+            attempt_kind,
+            given_up_until: None,
+        };
+        self.lock().insert(request_id.to_owned(), call);
+        RunningGuard {
+            calls: self,
+            request_id: request_id.to_owned(),
+            ended: false,
+        }
+    }
+
+    /// Returns the kind of the attempt that made the target run the call, or `None` if it does not run
+    /// it.
+    pub(crate) fn kind_of(&self, request_id: &str, now: Instant) -> Option<AttemptKind> {
+        let calls = self.lock();
+        let call = calls.get(request_id)?;
+        let is_over = call.given_up_until.is_some_and(|until| until <= now);
+        (!is_over).then_some(call.attempt_kind)
+    }
+
+    fn end(&self, request_id: &str, ended: bool, now: Instant) {
+        let mut calls = self.lock();
+        if ended {
+            calls.remove(request_id);
+            return;
+        }
+        if let Some(call) = calls.get_mut(request_id) {
+            call.given_up_until = Some(now + GIVEN_UP_TTL);
+        }
+        if calls.len() > GIVEN_UP_MAX_COUNT {
+            calls.retain(|_, call| call.given_up_until.is_none_or(|until| until > now));
+        }
+        if calls.len() > GIVEN_UP_MAX_COUNT {
+            calls.retain(|_, call| call.given_up_until.is_none());
+        }
+    }
+}
+
+/// Call that the local target is running.
+pub(crate) struct RunningGuard<'a> {
+    calls: &'a RunningCalls,
+    request_id: String,
+    ended: bool,
+}
+
+impl RunningGuard<'_> {
+    /// Records that the target has ended the call.
+    pub(crate) fn finish(mut self) {
+        self.ended = true;
+    }
+}
+
+impl Drop for RunningGuard<'_> {
+    fn drop(&mut self) {
+        self.calls.end(&self.request_id, self.ended, Instant::now());
+    }
+}
--- a/crates/testbed/src/site/caller.rs
+++ b/crates/testbed/src/site/caller.rs
@@ -91,6 +91,12 @@
         self.send(&id, method, path, "", budget).await
     }
 
+    /// Sends a request without a body under the given ID, such as one that a back end makes for a
+    /// request that it runs.
+    pub async fn call_as(&self, id: &str, method: &str, path: &str) -> CallResult {
+        self.send(id, method, path, "", BUDGET).await
+    }
+
     fn next_id(&self) -> String {
         self.sent_count.set(self.sent_count.get() + 1);
         let number = figway_types::mix(self.seed ^ self.sent_count.get());
