Soak: requests that crash back ends and come again at other hosts

Sooner or later than their deadline, with or without a close, back at once or later; checked is the platform's rule: no more than three arrivals at back ends later than 3 s after the third end. The crashes of the stand-ins can be stopped.

--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -37,6 +37,9 @@
 /// Time that each request runs without injected delay.
 const SERVICE_TIME: Duration = Duration::from_millis(15);
 
+/// Beginning of the paths of requests that run until the back end ends, and are never answered.
+pub const HANGING_PREFIX: &str = "/reads/hanging";
+
 /// Request that the back end started to run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -329,7 +332,8 @@
         tokio::time::sleep(SERVICE_TIME + Duration::from_millis(self.slow_ms.get())).await;
         let drop_answer_one_in = self.drop_answer_one_in.get();
         let lost = drop_answer_one_in > 0 && run_count.is_multiple_of(drop_answer_one_in);
-        if lost || generation != self.generation.get() {
+        let hangs = request.path.starts_with(HANGING_PREFIX);
+        if hangs || lost || generation != self.generation.get() {
             std::future::pending::<()>().await;
         }
         running.ended = true;
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -3,6 +3,7 @@
 //! determines the sequence of faults of each injector task.
 
 mod checks;
+mod crashing;
 mod departures;
 mod fault;
 mod notices;
@@ -19,6 +20,7 @@
 
 use figway_types::mix;
 
+use self::crashing::CrashingRequest;
 use self::fault::{
     Fault,
     FAULTS, //
@@ -97,6 +99,8 @@
     limited_hosts: RefCell<Vec<usize>>,
     /// Host index and time of each kill, stop, pause and end of a pause.
     disturbances: RefCell<Vec<(usize, Instant)>>,
+    /// Requests that crashed back ends.
+    crashing_requests: RefCell<Vec<CrashingRequest>>,
     config_version: Cell<u32>,
     ends_at: Instant,
     report: RefCell<SoakReport>,
@@ -117,6 +121,7 @@
         notices: RefCell::default(),
         limited_hosts: RefCell::default(),
         disturbances: RefCell::default(),
+        crashing_requests: RefCell::default(),
         config_version: Cell::new(1),
         ends_at: Instant::now() + duration,
         report: RefCell::default(),
@@ -168,12 +173,13 @@
             let duration = Duration::from_millis(200 + random.below(1_500));
             let description = format!("{fault:?} host {index} for {} ms", duration.as_millis());
             self.report.borrow_mut().faults.push(description);
-            self.inject_fault(fault, index, duration).await;
+            let fault_seed = random.below(u64::MAX);
+            self.inject_fault(fault, index, duration, fault_seed).await;
             tokio::time::sleep(Duration::from_millis(random.below(800))).await;
         }
     }
 
-    async fn inject_fault(&self, fault: Fault, index: usize, duration: Duration) {
+    async fn inject_fault(&self, fault: Fault, index: usize, duration: Duration, seed: u64) {
         let store = Rc::clone(&self.site.borrow().store);
         let backend = Rc::clone(&self.site.borrow().hosts[index].backend);
         match fault {
@@ -240,6 +246,7 @@
                 tokio::time::sleep(DRAIN_MAX + duration).await;
                 backend.set_draining(false).await;
             }
+            Fault::CrashingRequest => self.send_crashing_request(seed).await,
             Fault::DepartBackend => self.depart(index, &backend, duration, false).await,
             Fault::DepartBackendAndKillNode => self.depart(index, &backend, duration, true).await,
             Fault::RestoreStore => {
--- a/crates/testbed/src/soak/checks.rs
+++ b/crates/testbed/src/soak/checks.rs
@@ -20,6 +20,7 @@
         self.check_calls();
         self.check_drains();
         self.check_notices();
+        self.check_crashing_requests();
         self.check_configuration().await;
     }
 
--- a/crates/testbed/src/soak/fault.rs
+++ b/crates/testbed/src/soak/fault.rs
@@ -25,10 +25,11 @@
     RepeatRefusals,
     DepartBackend,
     DepartBackendAndKillNode,
+    CrashingRequest,
 }
 
 /// All faults.
-pub(super) const FAULTS: [Fault; 22] = [
+pub(super) const FAULTS: [Fault; 23] = [
     Fault::KillNode,
     Fault::StopNode,
     Fault::PauseNode,
@@ -51,4 +52,5 @@
     Fault::RepeatRefusals,
     Fault::DepartBackend,
     Fault::DepartBackendAndKillNode,
+    Fault::CrashingRequest,
 ];
--- a/crates/testbed/tests/crashed_runs.rs
+++ b/crates/testbed/tests/crashed_runs.rs
@@ -14,9 +14,8 @@
 };
 
 use figway_testbed::site::crash::{
-    start_crashes,
     CrashRule,
-    CrashTimes, //
+    Crashes, //
 };
 use figway_testbed::site::wire::WireState;
 use figway_testbed::site::{
@@ -59,14 +58,16 @@
     pause: Duration::from_millis(1_200),
 };
 
-/// Rule by which a back end ends at once, and is back after a while.
-const PROMPT_CRASH: CrashRule = CrashRule {
-    path_prefix: CRASHING,
-    origin: None,
-    after: Duration::ZERO,
-    ends_as: WireState::Closed,
-    down_for: Duration::from_millis(700),
-};
+/// Returns the rule by which a back end ends at once, and is back after a while.
+fn prompt_crash() -> CrashRule {
+    CrashRule {
+        path_prefix: CRASHING.to_owned(),
+        origin: None,
+        after: Duration::ZERO,
+        ends_as: WireState::Closed,
+        down_for: Duration::from_millis(700),
+    }
+}
 
 /// Starts a site whose nodes know each other and serve.
 async fn start_site(name: &str, host_count: usize) -> Site {
@@ -90,8 +91,8 @@
     }
 }
 
-fn assert_few_crashes(times: &CrashTimes) {
-    let crash_count = times.borrow().len();
+fn assert_few_crashes(crashes: &Crashes) {
+    let crash_count = crashes.times().len();
     assert!(crash_count > 0, "nothing crashed");
     assert!(
         crash_count <= CRASH_MAX_COUNT,
@@ -105,16 +106,16 @@
     for host in &site.hosts {
         host.backend.slow_ms.set(400);
     }
-    let times = start_crashes(&site, &rule);
+    let crashes = Crashes::start(&site, &rule);
     send_crashing(&site, arrivals).await;
-    assert_few_crashes(&times);
+    assert_few_crashes(&crashes);
 }
 
 #[ntex::test]
 async fn a_crash_after_the_deadline_of_its_request_counts() {
     let rule = CrashRule {
         after: Duration::from_millis(250),
-        ..PROMPT_CRASH
+        ..prompt_crash()
     };
     let arrivals = Arrivals {
         budget: Duration::from_millis(150),
@@ -127,7 +128,7 @@
 async fn a_crash_after_the_caller_of_its_request_left_counts() {
     let rule = CrashRule {
         after: Duration::from_millis(250),
-        ..PROMPT_CRASH
+        ..prompt_crash()
     };
     let arrivals = Arrivals {
         leaves_after: Some(Duration::from_millis(90)),
@@ -142,7 +143,7 @@
         after: Duration::from_millis(5),
         ends_as: WireState::Silent,
         down_for: Duration::from_millis(1_500),
-        ..PROMPT_CRASH
+        ..prompt_crash()
     };
     let arrivals = Arrivals {
         pause: Duration::from_millis(2_000),
@@ -156,7 +157,7 @@
     let rule = CrashRule {
         ends_as: WireState::Reset,
         down_for: Duration::from_millis(60),
-        ..PROMPT_CRASH
+        ..prompt_crash()
     };
     assert_quarantined("crash-back", rule, PROMPT_ARRIVALS).await;
 }
@@ -168,7 +169,7 @@
     for (host, slow_ms) in [(0, 600), (2, 600), (4, 200), (6, 200)] {
         site.hosts[host].backend.slow_ms.set(slow_ms);
     }
-    let times = start_crashes(&site, &PROMPT_CRASH);
+    let crashes = Crashes::start(&site, &prompt_crash());
     let callers = [1, 3, 5, 7].map(|host| site.caller(host));
     let call = |number: usize, path: &'static str, delay_ms: u64| {
         let caller = &callers[number % 4];
@@ -183,7 +184,7 @@
         calls.push(call(number, CRASHING, 50));
     }
     futures::future::join_all(calls).await;
-    assert_few_crashes(&times);
+    assert_few_crashes(&crashes);
 }
 
 /// Requests of one path that are sent regularly, and what became of them.
@@ -251,14 +252,14 @@
     let site = start_site("crash-caller", HOST_COUNT).await;
     let rule = CrashRule {
         origin: Some(ORDERS),
-        ..PROMPT_CRASH
+        ..prompt_crash()
     };
-    let times = start_crashes(&site, &rule);
+    let crashes = Crashes::start(&site, &rule);
     let ends_at = Instant::now() + PROMPT_ARRIVALS.pause * ARRIVAL_COUNT as u32;
     let period = Duration::from_millis(150);
     let harmless = watch_requests(&site, &[0, 2, 4, 6], CRASHING, period, ends_at);
     let (harmless, ()) = futures::join!(harmless, send_crashing(&site, PROMPT_ARRIVALS));
-    assert_few_crashes(&times);
+    assert_few_crashes(&crashes);
     harmless.assert_served(Duration::from_secs(1));
 }
 
@@ -268,7 +269,7 @@
     for host in &site.hosts {
         host.backend.slow_ms.set(100);
     }
-    let times = start_crashes(&site, &PROMPT_CRASH);
+    let crashes = Crashes::start(&site, &prompt_crash());
     let culprit_count = 10;
     let pause = Duration::from_millis(900);
     let ends_at = Instant::now() + pause * culprit_count;
@@ -286,7 +287,7 @@
         }
     };
     let (frequent, ()) = futures::join!(frequent, culprits);
-    let crash_count = times.borrow().len();
+    let crash_count = crashes.times().len();
     assert!(
         crash_count >= culprit_count as usize,
         "{crash_count} crashes"
@@ -318,9 +319,9 @@
     }
     let rule = CrashRule {
         after: Duration::from_millis(100),
-        ..PROMPT_CRASH
+        ..prompt_crash()
     };
-    let times = start_crashes(&site, &rule);
+    let crashes = Crashes::start(&site, &rule);
     let mut rare = Vec::new();
     for number in 0..24 {
         let host = 2 * (number % 4) + 1;
@@ -338,7 +339,7 @@
         drop(tokio::time::timeout(Duration::from_millis(90), call).await);
     };
     let (served_after, ()) = futures::join!(futures::future::join_all(rare), culprit);
-    assert_eq!(times.borrow().len(), 1, "crashes");
+    assert_eq!(crashes.times().len(), 1, "crashes");
     for after in served_after {
         assert!(after <= Duration::from_secs(1), "served after {after:?}");
     }
