BUDGET: a planned end makes no crash report at the caller's node either

What callers saw: requests at work at the planned end of a back end counted as having crashed it, on the nodes of their callers.

--- a/crates/dataplane/src/crashes.rs
+++ b/crates/dataplane/src/crashes.rs
@@ -71,6 +71,7 @@
             ended.format_requests(),
         );
         if planned {
+            self.run_watch.forget_crash();
             return;
         }
         for suspect in &ended.suspects {
--- a/crates/dataplane/src/run_watch.rs
+++ b/crates/dataplane/src/run_watch.rs
@@ -135,8 +135,8 @@
     open: Option<OpenRun>,
     /// Counts the books that were opened.
     run_number: u64,
-    /// The last run that ended, with its number.
-    last_ended: Option<(u64, EndedRun)>,
+    /// The last run that crashed, with its number.
+    last_crash: Option<(u64, EndedRun)>,
 }
 
 /// Run of the local target, with its book of calls.
@@ -213,17 +213,22 @@
         let mut state = self.lock();
         let open = state.open.as_ref()?;
         let is_answer_since = state.run_number == run_number && open.end_count > 0;
-        let (_, ended) = state.last_ended.as_ref()?;
+        let (_, ended) = state.last_crash.as_ref()?;
         if !is_answer_since || ended.key != open.key {
             return None;
         }
-        state.last_ended.take().map(|(_, ended)| ended)
+        state.last_crash.take().map(|(_, ended)| ended)
+    }
+
+    /// Forgets the last end, which was planned and so no crash.
+    pub(crate) fn forget_crash(&self) {
+        self.lock().last_crash = None;
     }
 
     /// Returns the id of the crash that ended the call, if the run is known to have crashed.
     pub(crate) fn crash_id(&self, run_number: u64, fingerprint: Fingerprint) -> Option<u64> {
         let state = self.lock();
-        let (ended_number, ended) = state.last_ended.as_ref()?;
+        let (ended_number, ended) = state.last_crash.as_ref()?;
         (*ended_number == run_number).then(|| ended.crash_id(fingerprint))
     }
 
@@ -288,7 +293,7 @@
             key: open.key,
             earlier_end_count: open.end_count,
         };
-        self.last_ended = Some((self.run_number, ended.clone()));
+        self.last_crash = Some((self.run_number, ended.clone()));
         Some(ended)
     }
 }
--- a/crates/testbed/tests/crashed_runs.rs
+++ b/crates/testbed/tests/crashed_runs.rs
@@ -345,9 +345,9 @@
     }
 }
 
-/// Starts slow reads that are alike, whose callers leave soon, so that they may be at work on each
-/// back end.
-async fn give_up_slow_reads(site: &Site) {
+/// Starts slow reads that are alike, whose callers leave after `leaves_after`, so that they may be at
+/// work on each back end.
+async fn send_slow_reads(site: &Site, leaves_after: Duration) {
     for host in &site.hosts {
         host.backend.slow_ms.set(400);
     }
@@ -355,11 +355,15 @@
     let mut calls = Vec::new();
     for number in 0..12 {
         let call = callers[number % 2].call_alike("GET", "/reads/slow", PROMPT_ARRIVALS.budget);
-        calls.push(tokio::time::timeout(Duration::from_millis(100), call));
+        calls.push(tokio::time::timeout(leaves_after, call));
     }
     drop(futures::future::join_all(calls).await);
 }
 
+async fn give_up_slow_reads(site: &Site) {
+    send_slow_reads(site, Duration::from_millis(100)).await;
+}
+
 /// Asserts that no node has reported a crash.
 fn assert_no_reports(site: &Site) {
     for host in &site.hosts {
@@ -374,16 +378,22 @@
         let name = format!("crash-planned-{draining}");
         let site = start_site(&name, 4).await;
         give_up_slow_reads(&site).await;
-        for host in [&site.hosts[0], &site.hosts[2]] {
-            host.backend.heartbeat_paused.set(true);
-            let acknowledged = if draining {
-                host.backend.set_draining(true).await
-            } else {
-                host.backend.deregister().await
-            };
-            assert!(acknowledged);
-            host.wire.set_state(WireState::Closed);
-        }
+        // Others still wait for their answer when the back ends end.
+        let waiting = send_slow_reads(&site, PROMPT_ARRIVALS.budget);
+        let ends = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            for host in [&site.hosts[0], &site.hosts[2]] {
+                host.backend.heartbeat_paused.set(true);
+                let acknowledged = if draining {
+                    host.backend.set_draining(true).await
+                } else {
+                    host.backend.deregister().await
+                };
+                assert!(acknowledged);
+                host.wire.set_state(WireState::Closed);
+            }
+        };
+        futures::join!(waiting, ends);
         tokio::time::sleep(Duration::from_millis(2_500)).await;
         assert_no_reports(&site);
     }
