--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -31,8 +31,8 @@
 use crate::plane::DataPlane;
 use crate::run_watch::{
     CallGuard,
+    DoubtCause, //
     RunEndEvidence,
-    Suspicion, //
 };
 use crate::worker::Worker;
 
@@ -283,7 +283,7 @@
         Err(SendFailure::Refused(why)) => {
             running.finish();
             at_work.finish(CallEnding::NotSent);
-            plane.run_watch.suspect(Suspicion::Refused);
+            plane.run_watch.suspect(DoubtCause::Refused);
             plane.target_watch.mark_lost(&plane.mesh, &why);
             AttemptResult::not_sent(NotRunReason::Unreachable)
         }
--- a/crates/dataplane/src/crashes.rs
+++ b/crates/dataplane/src/crashes.rs
@@ -56,7 +56,7 @@
 
     /// Reports what an ended run had at work, unless its end was planned.
     pub(crate) fn report_run_end(&self, ended: &EndedRun, evidence: RunEndEvidence) {
-        if ended.is_known() {
+        if ended.adds_nothing() {
             return;
         }
         let target = &ended.target;
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -45,9 +45,9 @@
 use crate::peer_targets::PeerTargets;
 use crate::retry::RetryState;
 use crate::run_watch::{
+    DoubtCause, //
     RunEndEvidence,
     RunWatch,
-    Suspicion, //
 };
 use crate::running_calls::RunningCalls;
 use crate::target_state::TargetState;
@@ -341,7 +341,7 @@
 
     /// Marks the local target as lost when its announcements stop. Runs until the process ends.
     pub async fn watch_target(self: Arc<Self>) {
-        let suspect_run = || self.run_watch.suspect(Suspicion::Missing);
+        let suspect_run = || self.run_watch.suspect(DoubtCause::Missing);
         self.target_watch.watch(&self.mesh, &suspect_run).await;
     }
 
--- a/crates/dataplane/src/run_probe.rs
+++ b/crates/dataplane/src/run_probe.rs
@@ -10,8 +10,8 @@
 
 use crate::run_watch::{
     Doubt,
+    DoubtCause, //
     RunEndEvidence,
-    Suspicion, //
 };
 use crate::worker::Worker;
 
@@ -32,14 +32,14 @@
             let mut pause = PROBE_PAUSE_MIN;
             let mut looked_at = Instant::now();
             while let Some(doubt) = run_watch.take_doubt(Instant::now()) {
-                if doubt.suspicion.is_none() {
+                if doubt.cause.is_none() {
                     tokio::time::sleep(pause).await;
                     pause = (pause * 2).min(PROBE_PAUSE_MAX);
                 }
                 // A run that goes on answering shows its end by its other calls.
                 let heard = run_watch.alive_at().is_some_and(|at| at > looked_at);
                 looked_at = Instant::now();
-                if doubt.suspicion.is_some() || !heard {
+                if doubt.cause.is_some() || !heard {
                     self.probe_run(&doubt).await;
                 }
             }
@@ -52,7 +52,7 @@
             Reachability::Accepts => return,
             Reachability::Refuses => RunEndEvidence::Refused,
             // A target that is only busy accepts no connection either, but announces itself.
-            Reachability::Silent if doubt.suspicion == Some(Suspicion::Missing) => {
+            Reachability::Silent if doubt.cause == Some(DoubtCause::Missing) => {
                 RunEndEvidence::Silent
             }
             Reachability::Silent => return,
--- a/crates/dataplane/src/run_watch.rs
+++ b/crates/dataplane/src/run_watch.rs
@@ -55,7 +55,7 @@
 
 /// Sign that a run may have ended, which calls for a look.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Suspicion {
+pub(crate) enum DoubtCause {
     /// A connection could not be opened.
     Refused,
     /// Announcements are missing.
@@ -92,7 +92,7 @@
     }
 
     /// Returns whether nothing was at work, and the run had been taken for ended before.
-    pub(crate) fn is_known(&self) -> bool {
+    pub(crate) fn adds_nothing(&self) -> bool {
         self.suspects.is_empty() && self.earlier_end_count > 0
     }
 
@@ -119,7 +119,7 @@
 pub(crate) struct Doubt {
     pub(crate) run_number: u64,
     pub(crate) address: String,
-    pub(crate) suspicion: Option<Suspicion>,
+    pub(crate) cause: Option<DoubtCause>,
 }
 
 struct OpenRun {
@@ -127,7 +127,7 @@
     key: RunKey,
     book: RunBook,
     end_count: u64,
-    suspicion: Option<Suspicion>,
+    cause: Option<DoubtCause>,
 }
 
 #[derive(Default)]
@@ -158,7 +158,7 @@
         if let Some(open) = state.open.as_mut().filter(|open| open.key == key) {
             open.target.clone_from(target);
             open.book.record_alive(now);
-            open.suspicion = None;
+            open.cause = None;
             return None;
         }
         let replaced = state.close();
@@ -168,7 +168,7 @@
             key,
             book: RunBook::new(now),
             end_count: 0,
-            suspicion: None,
+            cause: None,
         });
         replaced
     }
@@ -202,7 +202,7 @@
             key: ended.key.clone(),
             book: RunBook::new(now),
             end_count: ended.earlier_end_count + 1,
-            suspicion: None,
+            cause: None,
         });
         Some(ended)
     }
@@ -240,9 +240,9 @@
     }
 
     /// Records a sign that the present run may have ended.
-    pub(crate) fn suspect(&self, suspicion: Suspicion) {
+    pub(crate) fn suspect(&self, cause: DoubtCause) {
         if let Some(open) = &mut self.lock().open {
-            open.suspicion = Some(suspicion);
+            open.cause = Some(cause);
         }
         self.doubted.notify_one();
     }
@@ -252,19 +252,19 @@
         self.doubted.notified().await;
     }
 
-    /// Returns the present doubt, if there is one. Its suspicion is returned once.
+    /// Returns the present doubt, if there is one. Its cause is returned once.
     pub(crate) fn take_doubt(&self, now: Instant) -> Option<Doubt> {
         let mut state = self.lock();
         let run_number = state.run_number;
         let open = state.open.as_mut()?;
-        let suspicion = open.suspicion.take();
-        if suspicion.is_none() && !open.book.has_doubtful_calls(now) {
+        let cause = open.cause.take();
+        if cause.is_none() && !open.book.has_doubtful_calls(now) {
             return None;
         }
         Some(Doubt {
             run_number,
             address: open.target.address.clone(),
-            suspicion,
+            cause,
         })
     }
 
