--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -53,8 +53,8 @@
 /// others.
 const ATTEMPT_CONCURRENCY: usize = 3;
 
-/// Number of contacts after which joining the own zone is complete. Their member tables and the links opened
-/// afterwards bring the remaining members.
+/// Number of contacts after which joining the own zone is complete. Their member tables and the links
+/// opened afterwards bring the remaining members.
 const JOIN_PEER_COUNT: usize = 2;
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -31,8 +31,8 @@
 use crate::plane::DataPlane;
 use crate::run_watch::{
     CallGuard,
-    DoubtCause, //
-    RunEndEvidence,
+    DoubtCause,
+    RunEndEvidence, //
 };
 use crate::worker::Worker;
 
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -45,9 +45,9 @@
 use crate::peer_targets::PeerTargets;
 use crate::retry::RetryState;
 use crate::run_watch::{
-    DoubtCause, //
+    DoubtCause,
     RunEndEvidence,
-    RunWatch,
+    RunWatch, //
 };
 use crate::running_calls::RunningCalls;
 use crate::target_state::TargetState;
