--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -24,6 +24,9 @@
 };
 use serde_json::Value;
 
+/// Number of log lines that the error shows for a process that ended before it was ready.
+const LAST_LINE_COUNT: usize = 5;
+
 /// Signal that the test bed sends to a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
@@ -89,8 +92,9 @@
             child.kill().ok();
             child.wait().ok();
             bail!(
-                "{} {args:?} closed its stdout before it was ready",
-                program.display()
+                "{} {args:?} closed its stdout before it was ready: {}",
+                program.display(),
+                last_lines(log_path)
             );
         };
         drain_output(output, log_path.map(Path::to_owned));
@@ -190,6 +194,14 @@
     });
 }
 
+/// Returns the last lines of the log file, where the process wrote why it ended.
+fn last_lines(log_path: Option<&Path>) -> String {
+    let text = log_path.and_then(|path| std::fs::read_to_string(path).ok());
+    let text = text.unwrap_or_default();
+    let lines: Vec<&str> = text.lines().collect();
+    lines[lines.len().saturating_sub(LAST_LINE_COUNT)..].join("\n")
+}
+
 fn append_line(log_path: Option<&Path>, line: &[u8]) -> std::io::Result<()> {
     let Some(path) = log_path else {
         return Ok(());
