Testbed: reserve a port without a listener of its own

Earlier a node of departures.rs had ended with "address already in use". Cause: a port was probed by a listener. A process that another test thread starts at that moment holds a copy of the listener until it runs its program, and the node can't listen on its port meanwhile. Now a port is free if a connection to it is refused: no listener, nothing to copy.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod load_clients;
 pub mod log_server;
 pub mod mesh_farm;
+pub mod ports;
 pub mod process;
 pub mod relay;
 pub mod site;
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::ports::ReservedPorts;
 use crate::process::{
     Process,
     Programs, //
@@ -163,36 +164,6 @@
     }
 }
 
-/// Ports that nodes listen on. The range is below the ephemeral ports: an outgoing connection could
-/// otherwise occupy the port of a node while the node is down.
-const PORT_RANGE: std::ops::Range<u64> = 15_000..30_000;
-
-/// Reserved TCP ports of one host. A UDP socket stays bound to each port number, so that another
-/// site does not use the port while the node is down.
-#[derive(Default)]
-struct ReservedPorts {
-    reservations: Vec<std::net::UdpSocket>,
-}
-
-impl ReservedPorts {
-    /// Reserves a random free port and returns it.
-    fn reserve(&mut self) -> anyhow::Result<u16> {
-        loop {
-            let index = figway_types::entropy() % (PORT_RANGE.end - PORT_RANGE.start);
-            let port = (PORT_RANGE.start + index) as u16;
-            // The UDP socket comes first: a probe of a TCP port that another site has reserved could
-            // meet its node while that binds the port.
-            let Ok(udp) = std::net::UdpSocket::bind(("127.0.0.1", port)) else {
-                continue;
-            };
-            if std::net::TcpListener::bind(("127.0.0.1", port)).is_ok() {
-                self.reservations.push(udp);
-                return Ok(port);
-            }
-        }
-    }
-}
-
 async fn start_host(folder: &std::path::Path, store: &Store, index: usize) -> anyhow::Result<Host> {
     let service = if index.is_multiple_of(2) {
         READS
@@ -203,9 +174,9 @@
     let store_link = Relay::start().await?;
     store_link.set_upstream(&store.address());
     let mut ports = ReservedPorts::default();
-    let (call, control) = (ports.reserve()?, ports.reserve()?);
-    let (callers, ready, announcements) = (ports.reserve()?, ports.reserve()?, ports.reserve()?);
-    let (metrics, target) = (ports.reserve()?, ports.reserve()?);
+    let (call, control) = (ports.reserve(), ports.reserve());
+    let (callers, ready, announcements) = (ports.reserve(), ports.reserve(), ports.reserve());
+    let (metrics, target) = (ports.reserve(), ports.reserve());
     let backend = Backend::start(service, zone, &format!("127.0.0.1:{announcements}")).await?;
     let wire = AnswerWire::start(&format!("127.0.0.1:{target}"), &backend.listen_address()).await?;
     backend.announce_at(&wire.address);
