Memory as a limit: bodies take their memory from one budget, and are held once

Cause: the server grew a body by doubling and then copied it whole; each attempt copied it again for the connection that sent it; an answer was copied when it was complete and again into the connection's buffer. Bodies of requests had no limit in their sum at all. Now: a budget (the limit less 20 MB) from which each body reserves its bytes before it is read; the reservation ends with the last user of the bytes. Large bodies leave small ones a sixteenth, wait 0.4 s, or are refused as not run; the rest of a refused body is read, so that its client sees the refusal. Answers wait until the deadline. Ruled out: streaming, see DESIGN. A first form woke itself for ever (a failed try released nothing, but told the waiters); the tests of the budget showed it. many_large_answers_at_once_are_bounded_in_their_sum now gets the sum from the budget, same figures.

--- a/crates/dataplane/src/builder.rs
+++ b/crates/dataplane/src/builder.rs
@@ -13,6 +13,7 @@
 };
 use figway_http::{
     BusyConnections,
+    MemoryBudget,
     ServerPhase, //
 };
 use figway_profile::Profile;
@@ -48,6 +49,7 @@
     default_profile: Profile,
     transit_prices: TransitPrices,
     grace: Option<Duration>,
+    memory: MemoryBudget,
 }
 
 impl DataPlaneBuilder {
@@ -67,6 +69,7 @@
             default_profile: Profile::default(),
             transit_prices: TransitPrices::default(),
             grace: None,
+            memory: MemoryBudget::unlimited(),
         }
     }
 
@@ -138,6 +141,12 @@
         self
     }
 
+    /// Sets the budget from which the bodies of requests and answers take their memory.
+    pub fn memory(mut self, memory: MemoryBudget) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Builds the data plane and registers its outcomes with the control plane.
     pub fn build(self) -> Arc<DataPlane> {
         let outcomes = Arc::new(KeyedOutcomes::new(self.remember_ms));
@@ -159,6 +168,7 @@
             phase: watch::Sender::new(ServerPhase::Open),
             running: RunningCalls::default(),
             busy_connections: BusyConnections::default(),
+            memory: self.memory,
             body_max_bytes: self.body_max_bytes,
             connection_max_count: self.connection_max_count,
             origin: Mutex::new(self.origin),
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -5,6 +5,7 @@
 
 use figway_http::{
     Answer,
+    Bytes,
     Headers, //
 };
 use figway_profile::{
@@ -16,7 +17,6 @@
     Fingerprint,
     NotRunReason, //
 };
-use ntex::util::Bytes;
 
 use crate::steps::Step;
 
--- a/crates/dataplane/src/front.rs
+++ b/crates/dataplane/src/front.rs
@@ -9,6 +9,7 @@
     Answer,
     BusyConnections,
     Handler,
+    MemoryBudget,
     Request,
     ServerLimits, //
 };
@@ -20,6 +21,7 @@
 use crate::operator;
 use crate::peers::{
     is_forwarded,
+    refuse_forwarded,
     serve_forwarded, //
 };
 use crate::plane::DataPlane;
@@ -63,6 +65,11 @@
         Box::pin(async move { serve_caller_request(&self.worker, &request).await })
     }
 
+    fn refuse_for_memory(&self, request: &Request) -> Answer {
+        record_memory_refusal(&self.worker.plane, request);
+        refuse_caller_request(&self.worker.plane, request)
+    }
+
     fn limits(&self) -> ServerLimits {
         let view = self.worker.plane.mesh.view();
         let limits = &view.routes.caller_limits;
@@ -74,6 +81,10 @@
         }
     }
 
+    fn memory(&self) -> MemoryBudget {
+        self.worker.plane.memory.clone()
+    }
+
     fn busy_connections(&self) -> Option<&BusyConnections> {
         Some(&self.worker.plane.busy_connections)
     }
@@ -112,6 +123,14 @@
         })
     }
 
+    fn refuse_for_memory(&self, request: &Request) -> Answer {
+        record_memory_refusal(&self.worker.plane, request);
+        if is_forwarded(request) {
+            return refuse_forwarded(&self.worker);
+        }
+        refuse_caller_request(&self.worker.plane, request)
+    }
+
     fn limits(&self) -> ServerLimits {
         // A peer applies the operator's body limit to its caller's request before it forwards it.
         let plane = &self.worker.plane;
@@ -124,6 +143,10 @@
         }
     }
 
+    fn memory(&self) -> MemoryBudget {
+        self.worker.plane.memory.clone()
+    }
+
     fn busy_connections(&self) -> Option<&BusyConnections> {
         Some(&self.worker.plane.busy_connections)
     }
@@ -209,6 +232,30 @@
     })
 }
 
+/// Counts and logs a request for whose body there is no memory.
+fn record_memory_refusal(plane: &DataPlane, request: &Request) {
+    plane.metrics.count("refused_for_memory");
+    if plane.log_budget.should_log(&request.path, true) {
+        log::info!(
+            "request refused path={} content_length={} held_body_bytes={} why=no-memory",
+            request.path,
+            request.headers.get("content-length").unwrap_or("unknown"),
+            plane.memory.held_bytes(),
+        );
+    }
+}
+
+/// Returns the answer to a caller whose request was not read to its end.
+fn refuse_caller_request(plane: &DataPlane, request: &Request) -> Answer {
+    let interface = plane.interface.as_ref();
+    let outcome = Outcome::NotRun(NotRunReason::Overloaded);
+    interface.encode_reply(Reply {
+        request_id: interface.request_id(request).unwrap_or(""),
+        retry_after: retry_after(&outcome),
+        outcome,
+    })
+}
+
 /// Returns the delay after which a refused caller may retry.
 fn retry_after(outcome: &Outcome) -> Option<Duration> {
     match outcome {
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -76,6 +76,12 @@
     answer
 }
 
+/// Refuses a forwarded call for whose body there is no memory. The peer may send it elsewhere.
+pub(crate) fn refuse_forwarded(worker: &Worker) -> Answer {
+    let report = worker.plane.gate.load_report(0);
+    encode_result(AttemptResult::not_sent(NotRunReason::Overloaded), report)
+}
+
 /// Returns the confirmation of this node's route table, if it can extend a peer's lease.
 fn useful_confirmation(plane: &DataPlane) -> Option<RouteConfirmation> {
     plane
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -22,6 +22,7 @@
 use figway_http::{
     Answer,
     BusyConnections,
+    MemoryBudget,
     Request,
     ServerPhase, //
 };
@@ -104,6 +105,8 @@
     pub(crate) phase: watch::Sender<ServerPhase>,
     pub(crate) running: RunningCalls,
     pub(crate) busy_connections: BusyConnections,
+    /// Budget of the bodies of requests and answers.
+    pub(crate) memory: MemoryBudget,
     pub(crate) body_max_bytes: usize,
     pub(crate) connection_max_count: usize,
     pub(crate) origin: Mutex<String>,
@@ -169,6 +172,8 @@
         let unknown_kind_count = view.routes.unknown_kinds.len() as u64;
         self.metrics
             .set_gauge("routes_unknown_kind", unknown_kind_count);
+        self.metrics
+            .set_gauge("held_body_bytes", self.memory.held_bytes() as u64);
         self.metrics.set_gauge("members", view.node_count as u64);
         self.metrics
             .set_gauge("ending_runs", self.mesh.ending_run_count() as u64);
--- a/crates/dataplane/src/worker.rs
+++ b/crates/dataplane/src/worker.rs
@@ -65,13 +65,14 @@
             body_max_bytes: plane.body_max_bytes,
             local_ip: plane.mesh.control_ip(),
         };
-        let peers = HttpClient::new(limits);
+        let peers = HttpClient::new(limits).with_memory(&plane.memory);
         let targets = HttpClient::new(ClientLimits {
             idle_max_ms: TARGET_IDLE_MAX_MS,
             non_idempotent_idle_max_ms: TARGET_UNSAFE_IDLE_MAX_MS,
             connect_max_ms: TARGET_CONNECT_MAX_MS,
             ..limits
-        });
+        })
+        .with_memory(&plane.memory);
         let picker = TwoChoices::new(plane.mesh.random());
         let route_picker = LeastLoss::new(plane.transit_prices, plane.mesh.random());
         let own_member = plane.mesh.members().own().clone();
--- a/crates/figway/src/cmd/node.rs
+++ b/crates/figway/src/cmd/node.rs
@@ -28,7 +28,8 @@
 };
 use figway_http::{
     serve,
-    Handler, //
+    Handler,
+    MemoryBudget, //
 };
 use figway_log_client::HttpLog;
 use figway_membership::LinkCounts;
@@ -67,6 +68,7 @@
 };
 use crate::flags::Node;
 use crate::logger;
+use crate::memory::body_memory_bytes;
 
 /// Environment variable that names the settings file if the command line does not.
 const SETTINGS_VARIABLE: &str = "FIGWAY_BOOT";
@@ -133,6 +135,7 @@
 
 async fn run_node(path: &std::path::Path, settings: &NodeSettings) -> anyhow::Result<()> {
     let started_at = Instant::now();
+    let memory = MemoryBudget::new(body_memory_bytes(settings.calls.memory_max_mb)?);
     let call_listener = listen(settings.call_address).await?;
     let call_address = call_listener.local_addr()?;
     let control_listener = listen(settings.control_address).await?;
@@ -140,7 +143,7 @@
 
     let own_member = build_own_member(settings, call_address.to_string()).await?;
     let control_plane = start_control_plane(settings, own_member, control_listener).await?;
-    let data_plane = start_data_plane(settings, &control_plane);
+    let data_plane = start_data_plane(settings, &control_plane, &memory);
     let worker = Worker::new(Arc::clone(&data_plane));
     let node_front = NodeFront::new(Rc::clone(&worker), settings.platform.is_none());
     let spawn_server = |listener: TcpListener, handler: Rc<dyn Handler>| {
@@ -308,11 +311,16 @@
     store_retention_ms.unwrap_or(settings.log.retention_ms)
 }
 
-fn start_data_plane(settings: &NodeSettings, control_plane: &ControlPlane) -> Arc<DataPlane> {
+fn start_data_plane(
+    settings: &NodeSettings,
+    control_plane: &ControlPlane,
+    memory: &MemoryBudget,
+) -> Arc<DataPlane> {
     let mut builder =
         DataPlaneBuilder::new(Arc::clone(&control_plane.mesh), control_plane.agent.clone())
             .body_max_bytes(settings.calls.body_max_bytes)
             .connection_max_count(settings.calls.connection_max_count)
+            .memory(memory.clone())
             .remember_ms(settings.claims.remember_ms)
             .transit_prices(transit_prices(settings));
     if let Some(platform) = &settings.platform {
--- a/crates/figway/src/main.rs
+++ b/crates/figway/src/main.rs
@@ -5,6 +5,7 @@
 mod flags;
 mod line_queue;
 mod logger;
+mod memory;
 mod node_client;
 mod report;
 
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,9 +1,6 @@
 //! Pooled HTTP/1.1 client. Each connection carries one request at a time, without pipelining.
 
-use std::cell::{
-    Cell,
-    RefCell, //
-};
+use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::IpAddr;
 use std::time::{
@@ -18,6 +15,7 @@
     Full, //
 };
 use hyper::body::{
+    Body as _,
     Bytes,
     Incoming, //
 };
@@ -35,6 +33,11 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::body::{
+    BodyBuffer,
+    BodyError, //
+};
+use crate::memory::MemoryBudget;
 use crate::message::{
     Answer,
     Headers,
@@ -52,12 +55,6 @@
 /// a process that is ending may still accept connections.
 const ACCEPT_SETTLE: Duration = Duration::from_millis(50);
 
-/// Number of answers of the largest size whose bytes may be buffered at once.
-const LARGEST_ANSWER_COUNT: usize = 2;
-
-/// Size up to which an answer is read even if others fill the buffer, in bytes.
-const SMALL_ANSWER_BYTES: usize = 64 * 1_024;
-
 /// Limits of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientLimits {
@@ -70,7 +67,7 @@
     pub non_idempotent_idle_max_ms: u64,
     /// Connect timeout, in milliseconds.
     pub connect_max_ms: u64,
-    /// Largest answer body, in bytes. Twice as much is buffered for all answers together.
+    /// Largest answer body, in bytes.
     pub body_max_bytes: usize,
     /// Local address that connections are bound to; the system chooses it if absent.
     pub local_ip: Option<IpAddr>,
@@ -99,67 +96,29 @@
     last_echo: Option<String>,
 }
 
-/// Bytes of one answer's body, which count as buffered until they are dropped.
-struct BufferedBody<'a> {
-    total_bytes: &'a Cell<usize>,
-    counted_bytes: usize,
-    bytes: Vec<u8>,
-}
-
-impl<'a> BufferedBody<'a> {
-    fn new(total_bytes: &'a Cell<usize>) -> Self {
-        Self {
-            total_bytes,
-            counted_bytes: 0,
-            bytes: Vec::new(),
-        }
-    }
-
-    fn extend(&mut self, data: &[u8]) {
-        self.bytes.extend_from_slice(data);
-        self.counted_bytes += data.len();
-        self.total_bytes.set(self.total_bytes.get() + data.len());
-    }
-
-    fn into_bytes(mut self) -> ntex::util::Bytes {
-        std::mem::take(&mut self.bytes).into()
-    }
-
-    /// Returns whether the body is too large by itself, or together with the others.
-    fn is_too_large(&self, body_max_bytes: usize) -> bool {
-        if self.counted_bytes > body_max_bytes {
-            return true;
-        }
-        let total_max_bytes = body_max_bytes.saturating_mul(LARGEST_ANSWER_COUNT);
-        self.total_bytes.get() > total_max_bytes && self.counted_bytes > SMALL_ANSWER_BYTES
-    }
-}
-
-impl Drop for BufferedBody<'_> {
-    fn drop(&mut self) {
-        self.total_bytes
-            .set(self.total_bytes.get() - self.counted_bytes);
-    }
-}
-
 /// HTTP client with a pool of idle connections for each address.
 pub struct HttpClient {
     pool: RefCell<FastMap<String, Vec<IdleConnection>>>,
     limits: ClientLimits,
-    /// Bytes of the bodies that are being read.
-    buffered_bytes: Cell<usize>,
+    memory: MemoryBudget,
 }
 
 impl HttpClient {
-    /// Returns a client with an empty pool.
+    /// Returns a client with an empty pool and no limit for the memory of all answers together.
     pub fn new(limits: ClientLimits) -> Self {
         Self {
             pool: RefCell::default(),
             limits,
-            buffered_bytes: Cell::new(0),
+            memory: MemoryBudget::unlimited(),
         }
     }
 
+    /// Sets the budget from which answers take their memory.
+    pub fn with_memory(mut self, memory: &MemoryBudget) -> Self {
+        self.memory = memory.clone();
+        self
+    }
+
     fn take_idle(&self, outbound: &OutboundRequest<'_>) -> Option<Connection> {
         let now = Instant::now();
         let mut pool = self.pool.borrow_mut();
@@ -311,20 +270,28 @@
         })
     }
 
-    async fn read_body(&self, mut body: Incoming) -> Result<ntex::util::Bytes, SendFailure> {
-        let mut buffered = BufferedBody::new(&self.buffered_bytes);
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, SendFailure> {
+        let mut buffer = self.body_buffer(&body).await?;
         while let Some(frame) = body.frame().await {
             let frame = frame
                 .map_err(|error| SendFailure::Broken(format!("the answer broke off: {error}")))?;
             let Some(data) = frame.data_ref() else {
                 continue;
             };
-            buffered.extend(data);
-            if buffered.is_too_large(self.limits.body_max_bytes) {
-                return Err(SendFailure::TooLarge);
-            }
+            buffer.push(data).map_err(too_large)?;
         }
-        Ok(buffered.into_bytes())
+        Ok(buffer.into_bytes())
+    }
+
+    /// Returns a buffer for the body. If its length is known, this waits for the memory.
+    async fn body_buffer(&self, body: &Incoming) -> Result<BodyBuffer, SendFailure> {
+        let max_len = self.limits.body_max_bytes;
+        let buffer = match body.size_hint().exact() {
+            None => BodyBuffer::of_unknown_length(&self.memory, max_len),
+            Some(len) if len > max_len as u64 => Err(BodyError::TooLarge),
+            Some(len) => BodyBuffer::of_length(&self.memory, len as usize).await,
+        };
+        buffer.map_err(too_large)
     }
 }
 
@@ -378,11 +345,10 @@
 fn build_request(
     outbound: &OutboundRequest<'_>,
 ) -> Result<hyper::Request<Full<Bytes>>, SendFailure> {
-    let body = Full::new(Bytes::copy_from_slice(outbound.body));
     let mut request = hyper::Request::builder()
         .method(outbound.method)
         .uri(outbound.path)
-        .body(body)
+        .body(Full::new(outbound.body.clone()))
         .map_err(|error| SendFailure::Refused(error.to_string()))?;
     let headers = request.headers_mut();
     for (name, value) in outbound.headers.iter() {
@@ -400,6 +366,11 @@
     Ok(request)
 }
 
+/// An answer for which there is no memory counts as too large.
+fn too_large(_: BodyError) -> SendFailure {
+    SendFailure::TooLarge
+}
+
 fn has_connection_close(headers: &Headers) -> bool {
     headers
         .get("connection")
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,11 +1,15 @@
 //! HTTP/1.1 server with one task for each connection, and pooled HTTP/1.1 client.
 //!
 //! Code that answers requests implements [`Handler`], and code that sends requests does so through
-//! [`Transport`]. Bodies aren't streamed: each is read to its end before the message is passed on.
+//! [`Transport`]. Bodies aren't streamed: each is read to its end before the message is passed on. The
+//! memory for them comes out of a [`MemoryBudget`].
 
+mod body;
 mod busy;
 mod client;
+mod memory;
 mod message;
+mod receive;
 mod server;
 mod socket;
 
@@ -14,6 +18,8 @@
     ClientLimits,
     HttpClient, //
 };
+pub use hyper::body::Bytes;
+pub use memory::MemoryBudget;
 pub use message::{
     Answer,
     Headers,
--- /dev/null
+++ b/crates/http/src/memory.rs
@@ -0,0 +1,148 @@
+//! Budget of the memory in which a process holds bodies for others.
+
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard, //
+};
+
+use tokio::sync::Notify;
+
+/// Size up to which a body is small, in bytes.
+const SMALL_BODY_BYTES: usize = 64 * 1_024;
+
+/// The share of the budget that only small bodies can take is one part in this many.
+const SMALL_SHARE_DIVISOR: usize = 16;
+
+/// Budget of the bytes that a process holds. Clones share the same budget.
+#[derive(Clone, Debug)]
+pub struct MemoryBudget(Arc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    max_bytes: usize,
+    /// Largest number of bytes that large bodies can take together.
+    large_max_bytes: usize,
+    held: Mutex<HeldBytes>,
+    freed: Notify,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct HeldBytes {
+    small_bytes: usize,
+    large_bytes: usize,
+}
+
+impl HeldBytes {
+    /// Returns the count that a body of `len` bytes belongs to.
+    fn of_size(&mut self, len: usize) -> &mut usize {
+        if len <= SMALL_BODY_BYTES {
+            &mut self.small_bytes
+        } else {
+            &mut self.large_bytes
+        }
+    }
+
+    fn total_bytes(&self) -> usize {
+        self.small_bytes + self.large_bytes
+    }
+}
+
+impl MemoryBudget {
+    /// Returns a budget of `max_bytes` bytes.
+    pub fn new(max_bytes: usize) -> Self {
+        Self(Arc::new(Shared {
+            max_bytes,
+            large_max_bytes: max_bytes - max_bytes / SMALL_SHARE_DIVISOR,
+            held: Mutex::default(),
+            freed: Notify::new(),
+        }))
+    }
+
+    /// Returns a budget without a limit.
+    pub fn unlimited() -> Self {
+        Self::new(usize::MAX)
+    }
+
+    /// Returns the number of bytes that are held now.
+    pub fn held_bytes(&self) -> usize {
+        self.lock().total_bytes()
+    }
+
+    /// Returns whether a body of `len` bytes fits while nothing else is held.
+    pub(crate) fn can_hold(&self, len: usize) -> bool {
+        self.fits(HeldBytes::default(), len)
+    }
+
+    /// Reserves `len` bytes, if they are free now.
+    pub(crate) fn try_reserve(&self, len: usize) -> Option<Reservation> {
+        let mut reservation = Reservation {
+            budget: self.clone(),
+            len: 0,
+        };
+        reservation.try_reserve_up_to(len).then_some(reservation)
+    }
+
+    /// Reserves `len` bytes as soon as they are free; `None` if they never can be.
+    pub(crate) async fn reserve(&self, len: usize) -> Option<Reservation> {
+        if !self.can_hold(len) {
+            return None;
+        }
+        loop {
+            let mut freed = std::pin::pin!(self.0.freed.notified());
+            freed.as_mut().enable();
+            if let Some(reservation) = self.try_reserve(len) {
+                return Some(reservation);
+            }
+            freed.await;
+        }
+    }
+
+    fn fits(&self, mut held: HeldBytes, len: usize) -> bool {
+        let Some(total_bytes) = held.total_bytes().checked_add(len) else {
+            return false;
+        };
+        *held.of_size(len) += len;
+        total_bytes <= self.0.max_bytes && held.large_bytes <= self.0.large_max_bytes
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HeldBytes> {
+        self.0.held.lock().expect("no holder panics")
+    }
+}
+
+/// Bytes of a budget that are taken until the reservation is dropped.
+#[derive(Debug)]
+pub(crate) struct Reservation {
+    budget: MemoryBudget,
+    len: usize,
+}
+
+impl Reservation {
+    /// Grows to `len` bytes if they are free, and returns whether at least so many are reserved.
+    pub(crate) fn try_reserve_up_to(&mut self, len: usize) -> bool {
+        if len <= self.len {
+            return true;
+        }
+        let mut held = self.budget.lock();
+        let mut others = *held;
+        *others.of_size(self.len) -= self.len;
+        if !self.budget.fits(others, len) {
+            return false;
+        }
+        *others.of_size(len) += len;
+        *held = others;
+        self.len = len;
+        true
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if self.len == 0 {
+            return;
+        }
+        *self.budget.lock().of_size(self.len) -= self.len;
+        self.budget.0.freed.notify_waiters();
+    }
+}
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use futures::future::LocalBoxFuture;
-use ntex::util::Bytes;
+use hyper::body::Bytes;
 
 /// Headers that apply to one connection and are never forwarded.
 const HOP_BY_HOP_NAMES: [&str; 9] = [
@@ -175,7 +175,7 @@
     Refused(String),
     /// The connection ended before the answer was complete, or the answer is for another request.
     Broken(String),
-    /// The answer body exceeds the limit; the connection is closed.
+    /// The answer body exceeds the limit, or there is no memory for it; the connection is closed.
     TooLarge,
     /// The deadline passed; the connection is closed.
     Late,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -12,10 +12,7 @@
 use ntex::http::body::BodySize;
 use ntex::http::h1::{
     Codec,
-    Message,
-    PayloadDecoder,
-    PayloadItem,
-    PayloadType, //
+    Message, //
 };
 use ntex::http::header::{
     HeaderName,
@@ -29,11 +26,7 @@
     StatusCode, //
 };
 use ntex::io::Io;
-use ntex::util::{
-    Bytes,
-    BytesMut,
-    Either, //
-};
+use ntex::util::Bytes;
 use ntex::SharedCfg;
 use tokio::net::{
     TcpListener,
@@ -42,25 +35,33 @@
 use tokio::sync::watch;
 use tokio::time::{
     sleep_until,
-    timeout,
-    timeout_at, //
+    timeout, //
 };
 
 use crate::busy::{
     BusyConnections,
     BusyGuard, //
 };
+use crate::memory::MemoryBudget;
 use crate::message::{
     Answer,
-    Headers,
     Request, //
 };
+use crate::receive::{
+    receive,
+    Received,
+    UnreadBody, //
+};
 use crate::socket;
 
 /// Delay after a failed accept, during which file descriptors can become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Timeout for sending the rest of the last answer of a connection.
+/// Size of the parts in which the body of an answer is sent, in bytes. The next part is copied to the
+/// connection's buffer when most of the last one has been sent.
+const SEND_PART_BYTES: usize = 128 * 1_024;
+
+/// Timeout for sending a part of an answer, or the rest of the last answer of a connection.
 const SEND_TIMEOUT: Duration = Duration::from_millis(10_000);
 
 /// Timeout for closing a connection.
@@ -99,6 +100,17 @@
     /// Returns the current limits.
     fn limits(&self) -> ServerLimits;
 
+    /// Returns the answer to a request for whose body there is no memory. `request` lacks the body.
+    fn refuse_for_memory(&self, request: &Request) -> Answer {
+        let _ = request;
+        Answer::of_status(503)
+    }
+
+    /// Returns the budget from which the bodies of requests take their memory.
+    fn memory(&self) -> MemoryBudget {
+        MemoryBudget::unlimited()
+    }
+
     /// Returns the count of busy connections that those of this handler belong to, if they are counted.
     fn busy_connections(&self) -> Option<&BusyConnections> {
         None
@@ -140,15 +152,6 @@
     }
 }
 
-/// Result of reading one request.
-enum ReadOutcome {
-    Request(Request),
-    /// The request must be refused with this status and the connection closed.
-    Refused(u16),
-    /// The connection ended or must be closed without an answer.
-    Ended,
-}
-
 struct Connection {
     handler: Rc<dyn Handler>,
     phase: watch::Receiver<ServerPhase>,
@@ -196,13 +199,17 @@
                 return;
             }
             let _busy = self.begin_busy();
-            let request = match self.read_request(io, &codec).await {
-                ReadOutcome::Request(request) => request,
-                ReadOutcome::Refused(status) => {
-                    write_answer(io, &codec, Answer::of_status(status), true);
-                    return;
+            let limits = self.handler.limits();
+            let request = match receive(io, &codec, limits, &self.handler.memory()).await {
+                Received::Request(request) => request,
+                Received::NoMemory { request, rest } => {
+                    let answer = self.handler.refuse_for_memory(&request);
+                    return refuse(io, &codec, answer, Some(rest)).await;
+                }
+                Received::Refused { status, rest } => {
+                    return refuse(io, &codec, Answer::of_status(status), rest).await;
                 }
-                ReadOutcome::Ended => return,
+                Received::Ended => return,
             };
             let wants_close = !codec.keepalive();
             let answer = tokio::select! {
@@ -211,71 +218,12 @@
             };
             let closing = *self.phase.borrow() != ServerPhase::Open;
             let close = wants_close || closing || answer_closes(&answer);
-            if !write_answer(io, &codec, answer, close) || close {
-                return;
-            }
-            if io.flush(false).await.is_err() {
+            if !write_answer(io, &codec, answer, close).await || close {
                 return;
             }
         }
     }
 
-    async fn read_request(&mut self, io: &Io, codec: &Codec) -> ReadOutcome {
-        let arrived_at = Instant::now();
-        let limits = self.handler.limits();
-        let deadline = deadline_after_ms(arrived_at, limits.request_max_ms);
-        let read = async {
-            let (head, payload) = match io.recv(codec).await {
-                Ok(Some(item)) => item,
-                Ok(None) => return ReadOutcome::Ended,
-                Err(Either::Left(error)) => {
-                    log::info!("request refused why={error}");
-                    return ReadOutcome::Refused(400);
-                }
-                Err(Either::Right(error)) => {
-                    log::debug!("connection lost while reading a request: {error}");
-                    return ReadOutcome::Ended;
-                }
-            };
-            let expects_continue =
-                head.headers().contains_key("expect") && matches!(payload, PayloadType::Payload(_));
-            if expects_continue && io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n").is_err() {
-                return ReadOutcome::Ended;
-            }
-            let body = match payload {
-                PayloadType::None => Bytes::new(),
-                PayloadType::Payload(decoder) | PayloadType::Stream(decoder) => {
-                    match read_body(io, &decoder, limits.body_max_bytes).await {
-                        Ok(body) => body,
-                        Err(ended) => return ended,
-                    }
-                }
-            };
-            let mut headers = Headers::default();
-            for (name, value) in head.headers().iter() {
-                let Ok(value) = value.to_str() else {
-                    continue;
-                };
-                headers.push(name.as_str(), value);
-            }
-            let path = match head.uri().path_and_query() {
-                Some(path) => path.as_str().to_owned(),
-                None => head.path().to_owned(),
-            };
-            ReadOutcome::Request(Request {
-                method: head.method().as_str().to_owned(),
-                path,
-                headers,
-                body,
-                arrived_at,
-            })
-        };
-        match timeout_at(deadline.into(), read).await {
-            Ok(read) => read,
-            Err(_) => ReadOutcome::Refused(408),
-        }
-    }
-
     /// Waits for the first bytes of a request. Returns false if the connection ended, was idle for
     /// too long or must be closed.
     async fn wait_for_bytes(&mut self, io: &Io) -> bool {
@@ -304,55 +252,59 @@
     }
 }
 
-async fn read_body(
-    io: &Io,
-    decoder: &PayloadDecoder,
-    max_bytes: usize,
-) -> Result<Bytes, ReadOutcome> {
-    let mut first: Option<Bytes> = None;
-    let mut rest = BytesMut::new();
-    loop {
-        let chunk = match io.recv(decoder).await {
-            Ok(Some(PayloadItem::Chunk(chunk))) => chunk,
-            Ok(Some(PayloadItem::Eof)) => break,
-            Ok(None) => return Err(ReadOutcome::Ended),
-            Err(Either::Left(error)) => {
-                log::info!("request refused why={error}");
-                return Err(ReadOutcome::Refused(400));
-            }
-            Err(Either::Right(error)) => {
-                log::debug!("connection lost while reading a body: {error}");
-                return Err(ReadOutcome::Ended);
-            }
-        };
-        let length = first.as_ref().map_or(0, Bytes::len) + rest.len() + chunk.len();
-        if length > max_bytes {
-            return Err(ReadOutcome::Refused(413));
+/// Answers a request that is not served. The connection is closed afterwards.
+async fn refuse(io: &Io, codec: &Codec, answer: Answer, rest: Option<UnreadBody>) {
+    if !write_answer(io, codec, answer, true).await {
+        return;
+    }
+    if let Some(rest) = rest {
+        rest.discard(io).await;
+    }
+}
+
+/// Writes an answer, and waits while much of it is unsent. Returns whether this succeeded.
+async fn write_answer(io: &Io, codec: &Codec, answer: Answer, close: bool) -> bool {
+    let Some(response) = encode_head(&answer, close) else {
+        return false;
+    };
+    let size = BodySize::Sized(answer.body.len() as u64);
+    if let Err(error) = io.encode(Message::Item((response, size)), codec) {
+        log::debug!("could not write an answer: {error}");
+        return false;
+    }
+    if answer.body.is_empty() {
+        return flush_part(io).await;
+    }
+    for part in answer.body.chunks(SEND_PART_BYTES) {
+        let part = Bytes::copy_from_slice(part);
+        if let Err(error) = io.encode(Message::Chunk(Some(part)), codec) {
+            log::debug!("could not write an answer: {error}");
+            return false;
         }
-        match &first {
-            None => first = Some(chunk),
-            Some(_) => rest.extend_from_slice(&chunk),
+        if !flush_part(io).await {
+            return false;
         }
     }
-    let Some(first) = first else {
-        return Ok(Bytes::new());
-    };
-    if rest.is_empty() {
-        return Ok(first);
+    true
+}
+
+/// Waits until most of what was written is sent. Returns whether this succeeded.
+async fn flush_part(io: &Io) -> bool {
+    match timeout(SEND_TIMEOUT, io.flush(false)).await {
+        Ok(flushed) => flushed.is_ok(),
+        Err(_) => {
+            log::info!("could not send an answer in time");
+            false
+        }
     }
-    let mut whole = BytesMut::with_capacity(first.len() + rest.len());
-    whole.extend_from_slice(&first);
-    whole.extend_from_slice(&rest);
-    Ok(whole.freeze())
 }
 
-/// Writes an answer to the connection's buffer. Returns whether this succeeded.
-fn write_answer(io: &Io, codec: &Codec, answer: Answer, close: bool) -> bool {
+fn encode_head(answer: &Answer, close: bool) -> Option<Response<()>> {
     let status = match StatusCode::from_u16(answer.status) {
         Ok(status) => status,
         Err(error) => {
             log::error!("could not write status {}: {error}", answer.status);
-            return false;
+            return None;
         }
     };
     let mut response: Response<()> = Response::with_body(status, ());
@@ -373,21 +325,7 @@
             .head_mut()
             .set_connection_type(ConnectionType::Close);
     }
-    let size = BodySize::Sized(answer.body.len() as u64);
-    if let Err(error) = io.encode(Message::Item((response, size)), codec) {
-        log::debug!("could not write an answer: {error}");
-        return false;
-    }
-    if answer.body.is_empty() {
-        return true;
-    }
-    match io.encode(Message::Chunk(Some(answer.body)), codec) {
-        Ok(()) => true,
-        Err(error) => {
-            log::debug!("could not write an answer: {error}");
-            false
-        }
-    }
+    Some(response)
 }
 
 /// Returns whether a part of an answer is still to be sent.
--- a/crates/http/tests/connections.rs
+++ b/crates/http/tests/connections.rs
@@ -11,10 +11,12 @@
 use figway_http::{
     serve,
     Answer,
+    Bytes,
     ClientLimits,
     Handler,
     Headers,
     HttpClient,
+    MemoryBudget,
     OutboundRequest,
     Reachability,
     Request,
@@ -24,7 +26,6 @@
     Transport, //
 };
 use futures::future::LocalBoxFuture;
-use ntex::util::Bytes;
 use tokio::io::{
     AsyncReadExt as _,
     AsyncWriteExt as _, //
@@ -526,7 +527,8 @@
     let client = HttpClient::new(ClientLimits {
         body_max_bytes: 1_024 * 1_024,
         ..client_limits()
-    });
+    })
+    .with_memory(&MemoryBudget::new(2 * 1_024 * 1_024));
     let calls = addresses
         .iter()
         .map(|address| send(&client, address, "one"));
@@ -535,7 +537,7 @@
     for result in &results {
         cut_count += usize::from(*result == Err(SendFailure::TooLarge));
     }
-    // Two answers of the largest size may be buffered at once.
+    // Two answers of the largest size fit into the memory.
     assert!(cut_count >= 5, "{results:?}");
     // The bytes of those that were cut do not count any more.
     let (address, _) = start_raw(vec![vec![
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,7 +4,10 @@
 
 use std::net::SocketAddr;
 
-pub use read::parse_settings;
+pub use read::{
+    parse_settings,
+    MEMORY_RANGE_MB, //
+};
 
 /// Settings of a node.
 #[derive(Clone, Debug, PartialEq)]
@@ -116,6 +119,8 @@
 pub struct CallSettings {
     /// Largest accepted body of a request or response, in bytes.
     pub body_max_bytes: usize,
+    /// Memory that the process may take, in megabytes, if it is set.
+    pub memory_max_mb: Option<usize>,
     /// Largest number of idle connections kept to each peer or target.
     pub connection_max_count: usize,
 }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -22,6 +22,9 @@
 const DAY_MS: u64 = 24 * 3_600 * 1_000;
 const MEBIBYTE: u64 = 1_024 * 1_024;
 
+/// Allowed values of the memory that a node may take, in megabytes.
+pub const MEMORY_RANGE_MB: std::ops::RangeInclusive<u64> = 32..=1_000_000;
+
 /// Largest price of a kilobyte, as a fraction of one call's worth.
 const PRICE_MAX: f64 = 100.0;
 
@@ -177,6 +180,9 @@
         body_max_bytes: reader
             .integer("body_max_bytes", 1_024..=256 * MEBIBYTE)
             .unwrap_or(MEBIBYTE) as usize,
+        memory_max_mb: reader
+            .integer("memory_max_mb", MEMORY_RANGE_MB)
+            .map(|mb| mb as usize),
         connection_max_count: reader
             .integer("connection_max_count", 1..=100_000)
             .unwrap_or(4_096) as usize,
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -222,6 +222,8 @@
     pub wake_count: u64,
     /// Resident set size, in bytes.
     pub resident_bytes: u64,
+    /// Largest resident set size since the start of the process, in bytes.
+    pub peak_resident_bytes: u64,
 }
 
 impl Usage {
@@ -243,6 +245,7 @@
         }
         let status = std::fs::read_to_string(format!("{folder}/status"))?;
         usage.resident_bytes = status_value(&status, "VmRSS:") * 1_024;
+        usage.peak_resident_bytes = status_value(&status, "VmHWM:") * 1_024;
         Ok(usage)
     }
 }
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -76,6 +76,8 @@
     pub fails: Cell<bool>,
     /// Whether each request is refused, so that it does not run.
     pub refuses: Cell<bool>,
+    /// Number of bytes of a request's body that its answer repeats at most.
+    pub echo_max_bytes: Cell<usize>,
     /// Size of a filler that is added to the body of each answer, in bytes.
     pub filler_bytes: Cell<usize>,
     /// Whether periodic heartbeats are paused; explicit calls still announce the back end.
@@ -117,6 +119,7 @@
             drop_answer_one_in: Cell::new(0),
             fails: Cell::new(false),
             refuses: Cell::new(false),
+            echo_max_bytes: Cell::new(usize::MAX),
             filler_bytes: Cell::new(0),
             heartbeat_paused: Cell::new(false),
             rate_limit: RefCell::default(),
@@ -346,7 +349,8 @@
             answer.headers.push("server-leaving", "1");
         }
         let filler = "f".repeat(self.filler_bytes.get());
-        let request_body = String::from_utf8_lossy(&request.body);
+        let echo_len = request.body.len().min(self.echo_max_bytes.get());
+        let request_body = String::from_utf8_lossy(&request.body[..echo_len]);
         answer.body = format!("{id} {request_body}{filler}").into();
         let seal = format!("seal-{id}-{}", answer.body.len());
         answer.headers.push("x-figway-response-seal", seal);
@@ -379,7 +383,7 @@
     fn limits(&self) -> ServerLimits {
         ServerLimits {
             head_max_bytes: 16 * 1_024,
-            body_max_bytes: 16 * 1_024 * 1_024,
+            body_max_bytes: 64 * 1_024 * 1_024,
             request_max_ms: 5_000,
             idle_max_ms: 4_000,
         }
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -41,6 +41,9 @@
 /// Service of the hosts with an odd index. Its requests must not run twice.
 pub const ORDERS: &str = "orders";
 
+/// Memory that each node may take, in megabytes.
+pub const MEMORY_MAX_MB: u64 = 110;
+
 /// Serves `handler` on a free loopback port. Returns the address, and a sender that controls the
 /// phase of the server.
 ///
@@ -189,7 +192,7 @@
          announcements: 127.0.0.1:{announcements}\n  store: {store}\n  service: {service}\n  \
          target: {target}\n  announce_every: 500ms\n  keep: 300s\n  grace: 6s\n  \
          retry_ratio: 0.2\n  retry_burst_count: 20\n\
-         calls:\n  body_max_bytes: 16777216\nmetrics:\n  address: 127.0.0.1:{metrics}\n",
+         calls:\n  body_max_bytes: 16777216\n  memory_max_mb: {MEMORY_MAX_MB}\nmetrics:\n  address: 127.0.0.1:{metrics}\n",
         store = store_link.address,
         target = wire.address,
     );
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -10,6 +10,7 @@
 };
 
 use figway_http::{
+    Bytes,
     ClientLimits,
     Headers,
     HttpClient,
@@ -164,7 +165,7 @@
         method: "GET",
         path,
         headers: &Headers::default(),
-        body: &ntex::util::Bytes::new(),
+        body: &Bytes::new(),
         deadline: Instant::now() + Duration::from_secs(2),
         echo_header: None,
         idempotent: true,
