--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod crash;
+
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{
--- a/crates/testbed/tests/crashed_runs.rs
+++ b/crates/testbed/tests/crashed_runs.rs
@@ -23,83 +23,19 @@
     ORDERS, //
 };
 
-use crate::common::{
-    assert_served,
-    wait_site_joined,
-    wait_site_ready, //
+use crate::common::assert_served;
+use crate::common::crash::{
+    assert_few_crashes,
+    prompt_crash,
+    send_crashing,
+    start_site,
+    Arrivals,
+    ARRIVAL_COUNT,
+    CRASHING,
+    HOST_COUNT,
+    PROMPT_ARRIVALS, //
 };
 
-/// Hosts of a site. Those with an even index run reads, those with an odd one call them.
-const HOST_COUNT: usize = 8;
-
-/// Path of the request that crashes back ends.
-const CRASHING: &str = "/reads/crashing";
-
-/// Arrivals of the crashing request, in turn at the hosts that call reads.
-const ARRIVAL_COUNT: usize = 9;
-
-/// Back ends that one request may crash.
-const CRASH_MAX_COUNT: usize = 3;
-
-/// How a caller sends the crashing request.
-#[derive(Clone, Copy, Debug)]
-struct Arrivals {
-    /// Deadline of each request.
-    budget: Duration,
-    /// Time after which the caller leaves, if it does not wait.
-    leaves_after: Option<Duration>,
-    /// Pause between two arrivals.
-    pause: Duration,
-}
-
-const PROMPT_ARRIVALS: Arrivals = Arrivals {
-    budget: Duration::from_millis(800),
-    leaves_after: None,
-    pause: Duration::from_millis(1_200),
-};
-
-/// Returns the rule by which a back end ends at once, and is back after a while.
-fn prompt_crash() -> CrashRule {
-    CrashRule {
-        path_prefix: CRASHING.to_owned(),
-        origin: None,
-        after: Duration::ZERO,
-        ends_as: WireState::Closed,
-        down_for: Duration::from_millis(700),
-    }
-}
-
-/// Starts a site whose nodes know each other and serve.
-async fn start_site(name: &str, host_count: usize) -> Site {
-    let site = Site::start(name, host_count).await.unwrap();
-    wait_site_ready(&site).await;
-    wait_site_joined(&site).await;
-    site
-}
-
-/// Lets the crashing request arrive at one host after the other.
-async fn send_crashing(site: &Site, arrivals: Arrivals) {
-    for number in 0..ARRIVAL_COUNT {
-        let caller = site.caller((2 * number + 1) % HOST_COUNT);
-        let call = caller.call_alike("GET", CRASHING, arrivals.budget);
-        match arrivals.leaves_after {
-            // The request is cancelled, which closes its connection.
-            Some(leaves_after) => drop(tokio::time::timeout(leaves_after, call).await),
-            None => drop(call.await),
-        }
-        tokio::time::sleep(arrivals.pause).await;
-    }
-}
-
-fn assert_few_crashes(crashes: &Crashes) {
-    let crash_count = crashes.times().len();
-    assert!(crash_count > 0, "nothing crashed");
-    assert!(
-        crash_count <= CRASH_MAX_COUNT,
-        "{crash_count} back ends crashed in {ARRIVAL_COUNT} arrivals"
-    );
-}
-
 /// Plays the arrivals on a new site and checks how many back ends crash.
 async fn assert_quarantined(name: &str, rule: CrashRule, arrivals: Arrivals) {
     let site = start_site(name, HOST_COUNT).await;
