--- a/crates/figway/src/main.rs
+++ b/crates/figway/src/main.rs
@@ -2,6 +2,8 @@
 
 mod change_log;
 mod cmd;
+mod control_plane;
+mod data_plane;
 mod flags;
 mod line_queue;
 mod logger;
