Headers of callers and back ends can't be taken for those between nodes

What callers saw (review, the id of an attempt replaced): with a header X-Figway-Request-Id or another name that nodes use between themselves, a call over two nodes was refused with 503, or ran under another id, service or deadline; X-Figway- headers were dropped over two nodes and passed over one. A back end whose answer carries X-Figway-Outcome: not-run had its order reported as not run, although it had run. Cause: a node added its headers after those from outside, and its peer read the first of a name. Now such headers are renamed on the way between nodes and get their names back. Older nodes drop the renamed ones of a call, as they dropped them before.

--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -185,6 +185,7 @@
 fn admission_headers(call: &Call<'_>, left: Duration, attempt_kind: AttemptKind) -> Headers {
     let rule = &call.rule;
     let mut onward = call.headers.clone();
+    headers::escape_call(&mut onward);
     if let Some(host) = call.headers.get("host") {
         onward.retain(|name| name != "host");
         onward.push(headers::ADMIT_HOST, host);
@@ -255,9 +256,7 @@
     let sent = answer.header(headers::SENT) != Some("false");
     let outcome = match answer.header(headers::OUTCOME) {
         Some("answered") => {
-            answer
-                .headers
-                .retain(|name| !headers::PEER_HEADERS.contains(&name));
+            headers::unescape_answer(&mut answer.headers);
             Outcome::Answered(answer)
         }
         Some("not-run") => Outcome::NotRun(not_run_reason(&answer)),
--- a/crates/dataplane/src/headers.rs
+++ b/crates/dataplane/src/headers.rs
@@ -1,4 +1,9 @@
 //! Names of the headers that nodes read and write.
+//!
+//! Headers of callers and targets whose names could be taken for those that nodes write to each other
+//! are renamed between nodes, and get their own names back at the next node.
+
+use figway_http::Headers;
 
 /// Service that the caller requests. Without it the `Host` header names the service.
 pub(crate) const SERVICE: &str = "x-figway-service";
@@ -52,7 +57,7 @@
 pub(crate) const SENT: &str = "x-figway-sent";
 
 /// Headers that a node adds to the target's answer when it answers a peer.
-pub(crate) const PEER_HEADERS: [&str; 12] = [
+const PEER_HEADERS: [&str; 12] = [
     OUTCOME,
     REASON,
     REQUEST_ID,
@@ -97,3 +102,38 @@
 /// Version of the answering node's route table and its confirmed age in milliseconds, separated by a
 /// comma. Absent if the age is of no use to the receiver.
 pub(crate) const ROUTES: &str = "x-figway-routes";
+
+/// Prefix of a header of a caller or target that is renamed between nodes.
+const END_TO_END_PREFIX: &str = "x-figway-e2e-";
+
+/// Renames the headers of a caller for the way to a peer.
+pub(crate) fn escape_call(headers: &mut Headers) {
+    headers.rename(|name| {
+        name.starts_with(PREFIX)
+            .then(|| format!("{END_TO_END_PREFIX}{name}"))
+    });
+}
+
+/// Keeps the headers that a peer forwards for a caller, under their own names.
+pub(crate) fn unescape_call(headers: &mut Headers) {
+    headers.retain(|name| !name.starts_with(PREFIX) || name.starts_with(END_TO_END_PREFIX));
+    unescape(headers);
+}
+
+/// Renames the headers of a target's answer for the way to a peer.
+pub(crate) fn escape_answer(headers: &mut Headers) {
+    headers.rename(|name| {
+        let is_ours = PEER_HEADERS.contains(&name) || name.starts_with(END_TO_END_PREFIX);
+        is_ours.then(|| format!("{END_TO_END_PREFIX}{name}"))
+    });
+}
+
+/// Keeps the headers of a target's answer that a peer forwards, under their own names.
+pub(crate) fn unescape_answer(headers: &mut Headers) {
+    headers.retain(|name| !PEER_HEADERS.contains(&name));
+    unescape(headers);
+}
+
+fn unescape(headers: &mut Headers) {
+    headers.rename(|name| name.strip_prefix(END_TO_END_PREFIX).map(str::to_owned));
+}
--- a/crates/dataplane/src/native.rs
+++ b/crates/dataplane/src/native.rs
@@ -93,7 +93,12 @@
             Answer::of_json(status, body.to_string())
         };
         let mut answer = match reply.outcome {
-            Outcome::Answered(answer) => answer,
+            Outcome::Answered(mut answer) => {
+                answer
+                    .headers
+                    .retain(|name| !name.starts_with(headers::PREFIX));
+                answer
+            }
             Outcome::NotRun(_) => refusal(503),
             Outcome::Unknown(_) => refusal(504),
         };
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -125,7 +125,8 @@
 /// Returns the caller's headers that are forwarded to the target.
 fn forwarded_headers(request: &Request) -> Headers {
     let mut forwarded = request.headers.end_to_end();
-    forwarded.retain(|name| name != "host" && !name.starts_with(headers::PREFIX));
+    forwarded.retain(|name| name != "host");
+    headers::unescape_call(&mut forwarded);
     if let Some(host) = request.headers.get(headers::ADMIT_HOST) {
         forwarded.push("host", host);
     }
@@ -136,7 +137,10 @@
     let outcome = result.outcome.name();
     let reason = result.outcome.reason();
     let mut answer = match result.outcome {
-        Outcome::Answered(answer) => answer,
+        Outcome::Answered(mut answer) => {
+            headers::escape_answer(&mut answer.headers);
+            answer
+        }
         Outcome::NotRun(_) => Answer::of_status(503),
         Outcome::Unknown(_) => Answer::of_status(504),
     };
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -45,6 +45,15 @@
         self.list.retain(|(name, _)| keep(name));
     }
 
+    /// Renames each header for whose name `rename` returns a new one, which must be in lower case.
+    pub fn rename(&mut self, rename: impl Fn(&str) -> Option<String>) {
+        for (name, _) in &mut self.list {
+            if let Some(new_name) = rename(name) {
+                *name = new_name;
+            }
+        }
+    }
+
     /// Returns an iterator over names and values, in order.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
         self.list
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -51,6 +51,8 @@
     pub generation: u64,
     /// Method and path, separated by a space.
     pub request_line: String,
+    /// Headers of the request.
+    pub headers: Headers,
     /// Time at which the request started to run.
     pub started_at: Instant,
 }
@@ -76,6 +78,8 @@
     pub fails: Cell<bool>,
     /// Whether each request is refused, so that it does not run.
     pub refuses: Cell<bool>,
+    /// Headers that are added to each answer.
+    pub extra_headers: RefCell<Headers>,
     /// Number of bytes of a request's body that its answer repeats at most.
     pub echo_max_bytes: Cell<usize>,
     /// Size of a filler that is added to the body of each answer, in bytes.
@@ -119,6 +123,7 @@
             drop_answer_one_in: Cell::new(0),
             fails: Cell::new(false),
             refuses: Cell::new(false),
+            extra_headers: RefCell::default(),
             echo_max_bytes: Cell::new(usize::MAX),
             filler_bytes: Cell::new(0),
             heartbeat_paused: Cell::new(false),
@@ -324,6 +329,7 @@
             origin: header("x-figway-caller-service"),
             generation,
             request_line: format!("{} {}", request.method, request.path),
+            headers: request.headers.clone(),
             started_at: Instant::now(),
         });
         let mut running = RunningRequest {
@@ -354,6 +360,9 @@
         answer.body = format!("{id} {request_body}{filler}").into();
         let seal = format!("seal-{id}-{}", answer.body.len());
         answer.headers.push("x-figway-response-seal", seal);
+        for (name, value) in self.extra_headers.borrow().iter() {
+            answer.headers.push(name, value);
+        }
         answer
     }
 }
