Keep the connection of a client that stops reading for some seconds

What callers saw (review): a client that stops reading for 2.3 s in the midst of a large answer has its connection reset. Cause: TCP_USER_TIMEOUT of 2 s ends a connection whose peer has a closed window, too; it is there for peers that vanish. Now the listeners say how long a client may stop reading: callers 10 s, nodes 2 s as before (a node always reads).

--- a/crates/dataplane/src/front.rs
+++ b/crates/dataplane/src/front.rs
@@ -38,6 +38,9 @@
 /// Time limit for reading a peer's request, in milliseconds.
 const PEER_REQUEST_MAX_MS: u64 = 30_000;
 
+/// Longest time for which a caller may stop reading.
+const CALLER_STALL_MAX: Duration = Duration::from_secs(10);
+
 /// Size limit of the head of a peer's request: the caller's head and the headers that a node adds.
 const PEER_HEAD_MAX_BYTES: usize = 128 * 1_024;
 
@@ -85,6 +88,10 @@
         self.worker.plane.memory.clone()
     }
 
+    fn stall_timeout(&self) -> Duration {
+        CALLER_STALL_MAX
+    }
+
     fn busy_connections(&self) -> Option<&BusyConnections> {
         Some(&self.worker.plane.busy_connections)
     }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -111,6 +111,11 @@
         MemoryBudget::unlimited()
     }
 
+    /// Returns the longest time for which a client may stop reading while its connection is kept.
+    fn stall_timeout(&self) -> Duration {
+        socket::USER_TIMEOUT
+    }
+
     /// Returns the count of busy connections that those of this handler belong to, if they are counted.
     fn busy_connections(&self) -> Option<&BusyConnections> {
         None
@@ -161,6 +166,7 @@
 impl Connection {
     async fn run(mut self, stream: TcpStream) {
         socket::set_socket_options(&stream);
+        socket::set_user_timeout(&stream, self.handler.stall_timeout());
         let stream = match stream.into_std() {
             Ok(stream) => stream,
             Err(error) => {
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -15,8 +15,8 @@
     TcpStream, //
 };
 
-/// Time after which unacknowledged bytes or unanswered keep-alive probes end a connection.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time after which bytes that the peer doesn't take, or unanswered keep-alive probes, end a connection.
+pub(crate) const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Idle time before the first keep-alive probe, and interval between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -27,10 +27,8 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("could not set TCP_NODELAY: {error}");
     }
+    set_user_timeout(stream, USER_TIMEOUT);
     let socket = SockRef::from(stream);
-    if let Err(error) = socket.set_tcp_user_timeout(Some(USER_TIMEOUT)) {
-        log::debug!("could not set TCP_USER_TIMEOUT: {error}");
-    }
     let probes = TcpKeepalive::new()
         .with_time(PROBE_INTERVAL)
         .with_interval(PROBE_INTERVAL)
@@ -40,6 +38,13 @@
     }
 }
 
+/// Sets the time after which bytes that the peer doesn't take end the connection.
+pub(crate) fn set_user_timeout(stream: &TcpStream, timeout: Duration) {
+    if let Err(error) = SockRef::from(stream).set_tcp_user_timeout(Some(timeout)) {
+        log::debug!("could not set TCP_USER_TIMEOUT: {error}");
+    }
+}
+
 /// Connects to `address`, which is `IP:PORT`. The socket is bound to `local_ip` if one is given and
 /// has the same IP version.
 ///
