Answer requests that offer an upgrade or ask for a tunnel at once

What callers saw (review): a request with Connection: Upgrade and no length, and CONNECT, got no answer until their timeout. Cause: the decoder gives such a request a body that ends with the connection, and the server read it to its end. Now an offered upgrade is not taken: without a length the request has no body; with one whose bytes the decoder would leave in the connection (an offer of a websocket after the length) it gets 400 and the connection closes, as these would be read as the next request. CONNECT gets 501.

--- a/crates/http/src/receive.rs
+++ b/crates/http/src/receive.rs
@@ -91,8 +91,15 @@
             Err(error) => return read_failure(error, "a request"),
         };
         let mut request = build_request(&head, arrived_at);
-        let (PayloadType::Payload(decoder) | PayloadType::Stream(decoder)) = payload else {
-            return Received::Request(request);
+        if request.method == "CONNECT" {
+            return Received::refused(501);
+        }
+        let decoder = match payload {
+            PayloadType::Payload(decoder) => decoder,
+            // The decoder leaves the body of a request that offers an upgrade in the connection.
+            PayloadType::Stream(_) if has_body(&request.headers) => return Received::refused(400),
+            // An offered upgrade is not taken.
+            PayloadType::Stream(_) | PayloadType::None => return Received::Request(request),
         };
         let rest = UnreadBody { decoder, deadline };
         let buffer = match reserve_body(&request, limits.body_max_bytes, memory).await {
@@ -168,6 +175,11 @@
     headers.get("content-length")?.parse().ok()
 }
 
+fn has_body(headers: &Headers) -> bool {
+    let length = headers.get("content-length").unwrap_or("0");
+    headers.get("transfer-encoding").is_some() || length != "0"
+}
+
 fn refuse_body(error: BodyError, request: Request, rest: UnreadBody) -> Received {
     match error {
         BodyError::TooLarge => Received::Refused {
