Many headers of a caller or back end pass two nodes as they pass one

What callers saw (review): a request with 87 to 96 headers in all is served over one node and gets 502 over two; so do answers with more than about 90. Cause: the node's own headers come on top of them, and a message with more than 96 (of a call) or 100 (of an answer) is refused by the decoders. Now those beyond 64 travel in one header between nodes.

--- a/crates/dataplane/src/headers.rs
+++ b/crates/dataplane/src/headers.rs
@@ -1,7 +1,8 @@
 //! Names of the headers that nodes read and write.
 //!
 //! Headers of callers and targets whose names could be taken for those that nodes write to each other
-//! are renamed between nodes, and get their own names back at the next node.
+//! are renamed between nodes, and get their own names back at the next node. Many headers travel packed
+//! in one, as a message with all of them and those of the node would have too many.
 
 use figway_http::Headers;
 
@@ -57,7 +58,8 @@
 pub(crate) const SENT: &str = "x-figway-sent";
 
 /// Headers that a node adds to the target's answer when it answers a peer.
-const PEER_HEADERS: [&str; 12] = [
+const PEER_HEADERS: [&str; 13] = [
+    PACKED,
     OUTCOME,
     REASON,
     REQUEST_ID,
@@ -106,30 +108,40 @@
 /// Prefix of a header of a caller or target that is renamed between nodes.
 const END_TO_END_PREFIX: &str = "x-figway-e2e-";
 
-/// Renames the headers of a caller for the way to a peer.
+/// Headers of a caller or target that travel packed, as a JSON list of names and values.
+const PACKED: &str = "x-figway-packed";
+
+/// Number of headers of a caller or target that travel one by one.
+const UNPACKED_MAX_COUNT: usize = 64;
+
+/// Prepares the headers of a caller for the way to a peer.
 pub(crate) fn escape_call(headers: &mut Headers) {
     headers.rename(|name| {
         name.starts_with(PREFIX)
             .then(|| format!("{END_TO_END_PREFIX}{name}"))
     });
+    pack(headers);
 }
 
 /// Keeps the headers that a peer forwards for a caller, under their own names.
 pub(crate) fn unescape_call(headers: &mut Headers) {
+    unpack(headers);
     headers.retain(|name| !name.starts_with(PREFIX) || name.starts_with(END_TO_END_PREFIX));
     unescape(headers);
 }
 
-/// Renames the headers of a target's answer for the way to a peer.
+/// Prepares the headers of a target's answer for the way to a peer.
 pub(crate) fn escape_answer(headers: &mut Headers) {
     headers.rename(|name| {
         let is_ours = PEER_HEADERS.contains(&name) || name.starts_with(END_TO_END_PREFIX);
         is_ours.then(|| format!("{END_TO_END_PREFIX}{name}"))
     });
+    pack(headers);
 }
 
 /// Keeps the headers of a target's answer that a peer forwards, under their own names.
 pub(crate) fn unescape_answer(headers: &mut Headers) {
+    unpack(headers);
     headers.retain(|name| !PEER_HEADERS.contains(&name));
     unescape(headers);
 }
@@ -137,3 +149,26 @@
 fn unescape(headers: &mut Headers) {
     headers.rename(|name| name.strip_prefix(END_TO_END_PREFIX).map(str::to_owned));
 }
+
+fn pack(headers: &mut Headers) {
+    if headers.len() <= UNPACKED_MAX_COUNT {
+        return;
+    }
+    let rest = headers.split_off(UNPACKED_MAX_COUNT);
+    let list: Vec<(&str, &str)> = rest.iter().collect();
+    headers.push(PACKED, serde_json::json!(list).to_string());
+}
+
+fn unpack(headers: &mut Headers) {
+    let Some(packed) = headers.get(PACKED) else {
+        return;
+    };
+    match serde_json::from_str::<Vec<(String, String)>>(packed) {
+        Ok(list) => {
+            for (name, value) in list {
+                headers.push(&name, value);
+            }
+        }
+        Err(error) => log::warn!("could not unpack the headers that a peer forwards: {error}"),
+    }
+}
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -45,6 +45,22 @@
         self.list.retain(|(name, _)| keep(name));
     }
 
+    /// Returns the number of headers.
+    pub fn len(&self) -> usize {
+        self.list.len()
+    }
+
+    /// Returns whether there are no headers.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// Removes the headers from the position `at` on and returns them.
+    pub fn split_off(&mut self, at: usize) -> Headers {
+        let list = self.list.split_off(at);
+        Headers { list }
+    }
+
     /// Renames each header for whose name `rename` returns a new one, which must be in lower case.
     pub fn rename(&mut self, rename: impl Fn(&str) -> Option<String>) {
         for (name, _) in &mut self.list {
