--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -5,9 +5,10 @@
 //! reserved for short kinds. If the target states a rate limit, calls start no faster than that, and
 //! a call whose turn would come after its deadline is refused. A refused call has not run.
 
+mod limits;
+mod order;
 mod turns;
 
-use std::cmp::Ordering;
 use std::time::{
     Duration,
     Instant, //
@@ -15,6 +16,8 @@
 
 use figway_types::NotRunReason;
 
+pub use self::limits::AdmissionLimits;
+use self::order::Order;
 use crate::estimate::ServiceTimes;
 use crate::pacer::Pacer;
 
@@ -22,28 +25,6 @@
 /// their deadline passes.
 const LATE_PER_SLOT_RATIO: f64 = 1.0;
 
-/// Limits of one target.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct AdmissionLimits {
-    /// Number of calls that run concurrently.
-    pub slot_count: u32,
-    /// Calls that may wait, per slot.
-    pub queue_per_slot_ratio: f64,
-    /// Fraction of the slots that long kinds can't take.
-    pub short_share_ratio: f64,
-}
-
-impl AdmissionLimits {
-    fn queue_max_count(&self) -> usize {
-        (f64::from(self.slot_count) * self.queue_per_slot_ratio).ceil() as usize
-    }
-
-    fn long_max_count(&self) -> u32 {
-        let long_slots = f64::from(self.slot_count) * (1.0 - self.short_share_ratio);
-        (long_slots.floor() as u32).max(1)
-    }
-}
-
 /// Properties of a call that admission uses.
 #[derive(Clone, Copy, Debug)]
 pub struct CallView<'a> {
@@ -107,27 +88,6 @@
     started_at: Instant,
 }
 
-/// Place of a waiting call in the queue. Equal calls start in the order of their arrival.
-#[derive(Clone, Copy, Debug)]
-struct Order {
-    rank: u32,
-    late: bool,
-    /// Worth per slot-second.
-    density: f64,
-}
-
-impl Order {
-    fn compare(self, other: Self) -> Ordering {
-        (self.rank, self.late)
-            .cmp(&(other.rank, other.late))
-            .then(other.density.total_cmp(&self.density))
-    }
-
-    fn is_before(self, other: Self) -> bool {
-        self.compare(other) == Ordering::Less
-    }
-}
-
 /// Slots and queue of one target.
 #[derive(Clone, Debug)]
 pub struct Admission {
