--- a/crates/http/src/memory.rs
+++ b/crates/http/src/memory.rs
@@ -140,6 +140,7 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         if self.len == 0 {
+            // A failed try must not wake those that wait, itself among them.
             return;
         }
         *self.budget.lock().of_size(self.len) -= self.len;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -100,9 +100,8 @@
     /// Returns the current limits.
     fn limits(&self) -> ServerLimits;
 
-    /// Returns the answer to a request for whose body there is no memory. `request` lacks the body.
-    fn refuse_for_memory(&self, request: &Request) -> Answer {
-        let _ = request;
+    /// Returns the answer to a request for whose body there is no memory. The request lacks the body.
+    fn refuse_for_memory(&self, _: &Request) -> Answer {
         Answer::of_status(503)
     }
 
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -236,7 +236,7 @@
         },
         "services": { READS: service, ORDERS: service },
         "limits": {
-            "maxHeaderBytes": 16384, "maxBodyBytes": 1048576,
+            "maxHeaderBytes": 16384, "maxBodyBytes": 67_108_864,
             "headerTimeout": "3000ms", "idleTimeout": "15000ms",
         },
     })
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -6,6 +6,7 @@
 mod crashing;
 mod departures;
 mod fault;
+mod large_bodies;
 mod notices;
 
 use std::cell::{
@@ -247,6 +248,7 @@
                 backend.set_draining(false).await;
             }
             Fault::CrashingRequest => self.send_crashing_request(seed).await,
+            Fault::LargeBodies => self.send_large_bodies(index, seed).await,
             Fault::DepartBackend => self.depart(index, &backend, duration, false).await,
             Fault::DepartBackendAndKillNode => self.depart(index, &backend, duration, true).await,
             Fault::RestoreStore => {
--- a/crates/testbed/src/soak/checks.rs
+++ b/crates/testbed/src/soak/checks.rs
@@ -21,6 +21,7 @@
         self.check_drains();
         self.check_notices();
         self.check_crashing_requests();
+        self.check_memory();
         self.check_configuration().await;
     }
 
--- a/crates/testbed/src/soak/fault.rs
+++ b/crates/testbed/src/soak/fault.rs
@@ -26,10 +26,11 @@
     DepartBackend,
     DepartBackendAndKillNode,
     CrashingRequest,
+    LargeBodies,
 }
 
 /// All faults.
-pub(super) const FAULTS: [Fault; 23] = [
+pub(super) const FAULTS: [Fault; 24] = [
     Fault::KillNode,
     Fault::StopNode,
     Fault::PauseNode,
@@ -53,4 +54,5 @@
     Fault::DepartBackend,
     Fault::DepartBackendAndKillNode,
     Fault::CrashingRequest,
+    Fault::LargeBodies,
 ];
