From reading the change once more: one client for single requests in tests, a reservation that begins empty

- Five tests built the same client for a single request: common::single_use_client.
Two tests of control planes counted live members alike: common::live_count.
- Waiting for memory made a new reservation at each try, and the drop of a failed one needed a special case not to wake its own waiter.
Now one empty reservation grows, and the case is gone; a buffer of unknown length can't fail to begin.
- The budget is taken once a connection, not once a request.
- answers.rs without a nested if; the import marker of run_probe.rs at its place.

--- a/crates/admission/src/answers.rs
+++ b/crates/admission/src/answers.rs
@@ -38,14 +38,8 @@
     /// Counts an answer, and returns the number of answers by the same run so far.
     pub(crate) fn record(&mut self, fingerprint: Fingerprint, run_id: u64, now: Instant) -> u32 {
         self.age(now);
-        let known = self.get(fingerprint);
-        let earlier_count = known.map_or(0, |known| {
-            if known.run_id == run_id {
-                known.count
-            } else {
-                0
-            }
-        });
+        let known = self.get(fingerprint).filter(|known| known.run_id == run_id);
+        let earlier_count = known.map_or(0, |known| known.count);
         let count = earlier_count.saturating_add(1);
         self.new.insert(fingerprint, AnswerCount { run_id, count });
         count
--- a/crates/control/tests/blind_log_readers.rs
+++ b/crates/control/tests/blind_log_readers.rs
@@ -21,14 +21,12 @@
     CHANGE_STREAM, //
 };
 use figway_test_support::live_member;
-use figway_types::{
-    rendezvous_weight,
-    MemberState, //
-};
+use figway_types::rendezvous_weight;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
 use crate::common::{
+    live_count,
     GatedLog,
     MemoryLog, //
 };
@@ -71,15 +69,6 @@
     }
 }
 
-/// Returns how many nodes the node sees as live.
-fn live_count(node: &ControlPlane) -> usize {
-    let members = node.mesh.members();
-    let live = members
-        .members()
-        .filter(|member| member.state == MemberState::Live);
-    live.count()
-}
-
 /// Waits until each node sees all nodes as live.
 async fn wait_joined(nodes: &[ControlPlane]) {
     let deadline = Instant::now() + IN_FORCE_MAX;
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! Log in memory, shared by the tests of readers of the log.
+//! Log in memory and a view of the members, shared by the tests of control planes.
 
 #![allow(dead_code)]
 
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use figway_control::ControlPlane;
 use figway_log_client::{
     AppendError,
     Appended,
@@ -20,10 +21,20 @@
 use figway_types::{
     LogEra,
     LogRecord,
+    MemberState,
     Offset, //
 };
 use futures::future::LocalBoxFuture;
 
+/// Returns how many nodes the node sees as live.
+pub(crate) fn live_count(node: &ControlPlane) -> usize {
+    let members = node.mesh.members();
+    let live = members
+        .members()
+        .filter(|member| member.state == MemberState::Live);
+    live.count()
+}
+
 pub(crate) type Streams = BTreeMap<String, Vec<(LogEra, String)>>;
 
 #[derive(Default)]
--- a/crates/control/tests/joining.rs
+++ b/crates/control/tests/joining.rs
@@ -16,11 +16,13 @@
     ControlPlane, //
 };
 use figway_test_support::live_member;
-use figway_types::MemberState;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
-use crate::common::MemoryLog;
+use crate::common::{
+    live_count,
+    MemoryLog, //
+};
 
 const ZONES: [&str; 3] = ["muscat-a", "muscat-b", "muscat-c"];
 
@@ -39,14 +41,6 @@
         .unwrap()
 }
 
-fn live_count(node: &ControlPlane) -> usize {
-    let members = node.mesh.members();
-    let live = members
-        .members()
-        .filter(|member| member.state == MemberState::Live);
-    live.count()
-}
-
 #[tokio::test(flavor = "current_thread")]
 async fn zones_whose_nodes_all_start_at_once_know_each_other_soon() {
     for seed in 0..10 {
--- a/crates/dataplane/src/run_probe.rs
+++ b/crates/dataplane/src/run_probe.rs
@@ -10,8 +10,8 @@
 
 use crate::run_watch::{
     Doubt,
-    DoubtCause, //
-    RunEndEvidence,
+    DoubtCause,
+    RunEndEvidence, //
 };
 use crate::worker::Worker;
 
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -92,16 +92,12 @@
     }
 
     /// Returns a buffer for a body of unknown length, for which memory is reserved as it grows.
-    pub(crate) fn of_unknown_length(
-        memory: &MemoryBudget,
-        max_len: usize,
-    ) -> Result<Self, BodyError> {
-        let reservation = memory.try_reserve(0).ok_or(BodyError::NoMemory)?;
-        Ok(Self {
+    pub(crate) fn of_unknown_length(memory: &MemoryBudget, max_len: usize) -> Self {
+        Self {
             storage: Storage::Heap(Vec::new()),
-            reservation,
+            reservation: memory.begin(),
             max_len,
-        })
+        }
     }
 
     /// Appends the next bytes of the body.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -287,7 +287,7 @@
     async fn body_buffer(&self, body: &Incoming) -> Result<BodyBuffer, SendFailure> {
         let max_len = self.limits.body_max_bytes;
         let buffer = match body.size_hint().exact() {
-            None => BodyBuffer::of_unknown_length(&self.memory, max_len),
+            None => Ok(BodyBuffer::of_unknown_length(&self.memory, max_len)),
             Some(len) if len > max_len as u64 => Err(BodyError::TooLarge),
             Some(len) => BodyBuffer::of_length(&self.memory, len as usize).await,
         };
--- a/crates/http/src/memory.rs
+++ b/crates/http/src/memory.rs
@@ -70,17 +70,16 @@
     }
 
     /// Returns whether a body of `len` bytes fits while nothing else is held.
-    pub(crate) fn can_hold(&self, len: usize) -> bool {
+    fn can_hold(&self, len: usize) -> bool {
         self.fits(HeldBytes::default(), len)
     }
 
-    /// Reserves `len` bytes, if they are free now.
-    pub(crate) fn try_reserve(&self, len: usize) -> Option<Reservation> {
-        let mut reservation = Reservation {
+    /// Returns a reservation of no bytes, which can grow.
+    pub(crate) fn begin(&self) -> Reservation {
+        Reservation {
             budget: self.clone(),
             len: 0,
-        };
-        reservation.try_reserve_up_to(len).then_some(reservation)
+        }
     }
 
     /// Reserves `len` bytes as soon as they are free; `None` if they never can be.
@@ -88,10 +87,11 @@
         if !self.can_hold(len) {
             return None;
         }
+        let mut reservation = self.begin();
         loop {
             let mut freed = std::pin::pin!(self.0.freed.notified());
             freed.as_mut().enable();
-            if let Some(reservation) = self.try_reserve(len) {
+            if reservation.try_reserve_up_to(len) {
                 return Some(reservation);
             }
             freed.await;
@@ -139,10 +139,6 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        if self.len == 0 {
-            // A failed try must not wake those that wait, itself among them.
-            return;
-        }
         *self.budget.lock().of_size(self.len) -= self.len;
         self.budget.0.freed.notify_waiters();
     }
--- a/crates/http/src/receive.rs
+++ b/crates/http/src/receive.rs
@@ -155,7 +155,7 @@
     memory: &MemoryBudget,
 ) -> Result<BodyBuffer, BodyError> {
     let Some(len) = declared_length(&request.headers) else {
-        return BodyBuffer::of_unknown_length(memory, max_len);
+        return Ok(BodyBuffer::of_unknown_length(memory, max_len));
     };
     if len > max_len {
         return Err(BodyError::TooLarge);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -199,13 +199,14 @@
 
     async fn serve_requests(&mut self, io: &Io) {
         let codec = Codec::new(0, self.config.get());
+        let memory = self.handler.memory();
         loop {
             if !self.wait_for_bytes(io).await {
                 return;
             }
             let _busy = self.begin_busy();
             let limits = self.handler.limits();
-            let request = match receive(io, &codec, limits, &self.handler.memory()).await {
+            let request = match receive(io, &codec, limits, &memory).await {
                 Received::Request(request) => request,
                 Received::NoMemory { request, rest } => {
                     let answer = self.handler.refuse_for_memory(&request);
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -152,16 +152,21 @@
     }
 }
 
-/// Returns the body of `path` at `address` as text.
-pub(crate) async fn get_text(address: &str, path: &str) -> String {
-    let client = HttpClient::new(ClientLimits {
-        idle_max_count: 1,
-        idle_max_ms: 1_000,
-        non_idempotent_idle_max_ms: 1_000,
+/// Returns a client for a single request, whose answer has at most `body_max_bytes` bytes.
+pub(crate) fn single_use_client(body_max_bytes: usize) -> HttpClient {
+    HttpClient::new(ClientLimits {
+        idle_max_count: 0,
+        idle_max_ms: 100,
+        non_idempotent_idle_max_ms: 100,
         connect_max_ms: 500,
-        body_max_bytes: 1_024 * 1_024,
+        body_max_bytes,
         local_ip: None,
-    });
+    })
+}
+
+/// Returns the body of `path` at `address` as text.
+pub(crate) async fn get_text(address: &str, path: &str) -> String {
+    let client = single_use_client(1_024 * 1_024);
     let outbound = OutboundRequest {
         address,
         method: "GET",
--- a/crates/testbed/tests/foreign_headers.rs
+++ b/crates/testbed/tests/foreign_headers.rs
@@ -11,9 +11,7 @@
 use figway_http::{
     Answer,
     Bytes,
-    ClientLimits,
     Headers,
-    HttpClient,
     OutboundRequest,
     Transport as _, //
 };
@@ -23,7 +21,10 @@
     HOST_HEADER, //
 };
 
-use crate::common::wait_site_ready;
+use crate::common::{
+    single_use_client,
+    wait_site_ready, //
+};
 
 /// Headers that nodes write to each other with a call.
 const CALL_HEADERS: [(&str, &str); 13] = [
@@ -67,14 +68,7 @@
 
 /// Sends an order at the host at `index` with `headers`. Returns its id and the answer.
 async fn send_order(site: &Site, index: usize, headers: &Headers) -> (String, Answer) {
-    let client = HttpClient::new(ClientLimits {
-        idle_max_count: 1,
-        idle_max_ms: 1_000,
-        non_idempotent_idle_max_ms: 1_000,
-        connect_max_ms: 500,
-        body_max_bytes: 64 * 1_024,
-        local_ip: None,
-    });
+    let client = single_use_client(64 * 1_024);
     let id = format!("{:016x}", figway_types::entropy());
     let mut headers = headers.clone();
     headers.push("host", HOST_HEADER);
--- a/crates/testbed/tests/memory.rs
+++ b/crates/testbed/tests/memory.rs
@@ -14,9 +14,7 @@
 
 use figway_http::{
     Bytes,
-    ClientLimits,
     Headers,
-    HttpClient,
     OutboundRequest,
     Transport as _, //
 };
@@ -30,7 +28,10 @@
 };
 use tokio::task::JoinHandle;
 
-use crate::common::wait_site_ready;
+use crate::common::{
+    single_use_client,
+    wait_site_ready, //
+};
 
 /// Size limit of bodies in the configuration, in bytes.
 const BODY_MAX_BYTES: usize = 64 * 1_024 * 1_024;
@@ -73,14 +74,7 @@
 /// Sends a request with a body of `len` bytes to the node at `index`, and returns the status of its
 /// answer, or 0 if there is none.
 async fn send_large(site: &Site, index: usize, path: &str, len: usize) -> u16 {
-    let client = HttpClient::new(ClientLimits {
-        idle_max_count: 1,
-        idle_max_ms: 1_000,
-        non_idempotent_idle_max_ms: 1_000,
-        connect_max_ms: 500,
-        body_max_bytes: BODY_MAX_BYTES,
-        local_ip: None,
-    });
+    let client = single_use_client(BODY_MAX_BYTES);
     let mut headers = Headers::default();
     headers.push("host", HOST_HEADER);
     let id = format!("{:016x}", figway_types::entropy());
--- a/crates/testbed/tests/odd_entries.rs
+++ b/crates/testbed/tests/odd_entries.rs
@@ -11,9 +11,7 @@
 };
 
 use figway_http::{
-    ClientLimits,
     Headers,
-    HttpClient,
     OutboundRequest,
     Transport as _, //
 };
@@ -26,6 +24,7 @@
 
 use crate::common::{
     assert_served,
+    single_use_client,
     wait_site_ready, //
 };
 
@@ -41,14 +40,7 @@
 }
 
 async fn post(address: &str, path: &str, body: String) -> u16 {
-    let client = HttpClient::new(ClientLimits {
-        idle_max_count: 1,
-        idle_max_ms: 1_000,
-        non_idempotent_idle_max_ms: 1_000,
-        connect_max_ms: 500,
-        body_max_bytes: 64 * 1_024,
-        local_ip: None,
-    });
+    let client = single_use_client(64 * 1_024);
     let outbound = OutboundRequest {
         address,
         method: "POST",
--- a/crates/testbed/tests/restored_store.rs
+++ b/crates/testbed/tests/restored_store.rs
@@ -9,9 +9,7 @@
 };
 
 use figway_http::{
-    ClientLimits,
     Headers,
-    HttpClient,
     OutboundRequest,
     Transport as _, //
 };
@@ -34,6 +32,7 @@
 
 use crate::common::{
     assert_served,
+    single_use_client,
     wait_site_ready, //
 };
 
@@ -86,14 +85,7 @@
 
 /// Returns the name of the profile in force for `service` on the node of the host at `index`.
 async fn profile_in_force(site: &Site, index: usize, service: &str) -> Option<String> {
-    let client = HttpClient::new(ClientLimits {
-        idle_max_count: 0,
-        idle_max_ms: 100,
-        non_idempotent_idle_max_ms: 100,
-        connect_max_ms: 500,
-        body_max_bytes: 1_024 * 1_024,
-        local_ip: None,
-    });
+    let client = single_use_client(1_024 * 1_024);
     let status = OutboundRequest {
         address: &site.hosts[index].call_address,
         method: "GET",
