Customers: keys in the route table, and whose request it is

A configuration may hold customers with API keys. Tables hold digests of keys only. The node that takes a request identifies the customer by its key, or by the call during which its target makes the request, removes the credentials and names the customer to the target.

--- /dev/null
+++ b/crates/customers/src/customer.rs
@@ -0,0 +1,30 @@
+//! Customer as the operator configures it.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::key::KeyDigest;
+
+/// Customer, whose callers name it by one of its API keys.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Customer {
+    /// Digests of its API keys.
+    pub key_digests: Vec<KeyDigest>,
+    /// Priority of its requests, which goes before that of the route; 0 is served first.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<u32>,
+    /// Limit of its requests over all nodes, if there is one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<CustomerLimit>,
+}
+
+/// Limit of the requests of a customer over all nodes together.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CustomerLimit {
+    /// Requests per second.
+    pub rate_per_s: f64,
+    /// Requests that may come at once beyond the rate.
+    pub burst_count: f64,
+}
--- /dev/null
+++ b/crates/customers/src/lib.rs
@@ -0,0 +1,20 @@
+//! Customers whose callers share the targets: their API keys, priorities and rate limits, and the
+//! decision whose request it is.
+
+mod customer;
+mod identify;
+mod index;
+mod key;
+
+pub use customer::{
+    Customer,
+    CustomerLimit, //
+};
+pub use identify::{
+    identify,
+    Credentials,
+    Identity,
+    Parent, //
+};
+pub use index::CustomerIndex;
+pub use key::KeyDigest;
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -248,6 +248,7 @@
         request_id: call.request_id,
         remaining: remaining_time(call),
         origin: call.origin,
+        customer: call.customer,
         instance: &target.instance,
     };
     plane.interface.add_target_headers(&mut headers, &context);
@@ -261,7 +262,9 @@
         echo_header: plane.interface.echo_header(),
         idempotent: call.idempotent,
     };
-    let running = plane.running.begin(call.request_id, call.attempt_kind);
+    let running = plane
+        .running
+        .begin(call.request_id, call.attempt_kind, call.customer);
     plane
         .local_target
         .record_sent(call.attempt_kind, Instant::now());
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -55,6 +55,8 @@
     let result = if plane.refuses_as_quarantined(call.fingerprint) {
         // The call may have waited for a target since it was last checked.
         AttemptResult::not_sent(NotRunReason::Quarantined)
+    } else if !is_authorized(plane, call) {
+        AttemptResult::not_sent(NotRunReason::Unauthorized)
     } else if entry.distance == Distance::Host {
         admit(worker, &AdmissionRequest::new(call, attempt_kind)).await
     } else {
@@ -75,6 +77,12 @@
     result
 }
 
+/// Returns whether the caller is still let in, if the routes changed since the call was routed.
+fn is_authorized(plane: &DataPlane, call: &Call<'_>) -> bool {
+    let view = plane.mesh.view();
+    view.routes.version == call.rule.version || call.caller.is_authorized(&view.routes)
+}
+
 /// Updates load and latency estimates and the retry state with the outcome of an attempt.
 fn record_result(
     plane: &DataPlane,
@@ -216,6 +224,9 @@
         format!("{:016x}", call.fingerprint.0),
     );
     onward.push(headers::ADMIT_ORIGIN, call.origin);
+    if let Some(customer) = call.caller.customer {
+        onward.push(headers::ADMIT_CUSTOMER, customer);
+    }
     onward.push(headers::REQUEST_ID, call.request_id);
     onward.push(headers::BUDGET_MS, left.as_millis().to_string());
     onward
--- a/crates/dataplane/src/builder.rs
+++ b/crates/dataplane/src/builder.rs
@@ -5,7 +5,10 @@
     Arc,
     Mutex, //
 };
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use figway_control::{
     ClaimAgent,
@@ -176,6 +179,7 @@
             default_profile: self.default_profile,
             transit_prices: self.transit_prices,
             grace: self.grace,
+            started_at: Instant::now(),
             mesh: self.mesh,
         })
     }
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -3,6 +3,10 @@
 use std::cell::RefCell;
 use std::time::Instant;
 
+use figway_customers::{
+    Credentials,
+    KeyDigest, //
+};
 use figway_http::{
     Answer,
     Bytes,
@@ -11,7 +15,8 @@
 use figway_profile::{
     Profile,
     RequestKind,
-    Route, //
+    Route,
+    RouteIndex, //
 };
 use figway_types::{
     Fingerprint,
@@ -88,23 +93,26 @@
         }
     }
 
-    /// Returns the rule of a route for calls to `service`, the service of one of its parts.
+    /// Returns the rule of a route for calls to `service`, the service of one of its parts. The
+    /// priority of a customer goes before that of the route.
     pub(crate) fn from_route(
         name: &'a str,
         route: &'a Route,
+        customer_priority: Option<u32>,
         service: &'a str,
         profile: &'a Profile,
         profile_name: &'a str,
         version: u64,
     ) -> Self {
+        let priority = customer_priority.unwrap_or(route.priority);
         Self {
             name,
             service,
             subset: "all",
             idempotent: route.may_repeat(),
-            worth: ROUTE_WORTH * 0.5_f64.powi(route.priority.min(60) as i32),
+            worth: ROUTE_WORTH * 0.5_f64.powi(priority.min(60) as i32),
             long: false,
-            rank: ROUTE_BASE_RANK.saturating_add(route.priority),
+            rank: ROUTE_BASE_RANK.saturating_add(priority),
             prompt_ms: Some(route.prompt_ms),
             attempt_max_count: route.attempt_max_count.max(1) as usize,
             profile,
@@ -114,6 +122,44 @@
     }
 }
 
+/// Whose call it is, and the credentials that tell so.
+#[derive(Clone, Copy)]
+pub(crate) struct Caller<'a> {
+    /// Customer to whom the call belongs, if any.
+    pub(crate) customer: Option<&'a str>,
+    pub(crate) credentials: Credentials<'a>,
+}
+
+impl std::fmt::Debug for Caller<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        // Credentials must not get into logs.
+        f.debug_struct("Caller")
+            .field("customer", &self.customer)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Caller<'_> {
+    /// Caller of a call that belongs to no customer.
+    pub(crate) const ANONYMOUS: Caller<'static> = Caller {
+        customer: None,
+        credentials: Credentials::Absent,
+    };
+
+    /// Returns whether `routes` still let the caller in. Its key may have been removed since.
+    pub(crate) fn is_authorized(&self, routes: &RouteIndex) -> bool {
+        let (Some(customer), Credentials::Key(key)) = (self.customer, self.credentials) else {
+            return true;
+        };
+        let Some(index) = &routes.customers else {
+            return true;
+        };
+        KeyDigest::of_key(key)
+            .and_then(|digest| index.holder(&digest))
+            .is_some_and(|holder| **holder == *customer)
+    }
+}
+
 /// A routed call at the caller's node.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Call<'a> {
@@ -130,6 +176,8 @@
     pub(crate) body: &'a Bytes,
     /// Service on whose host the call began.
     pub(crate) origin: &'a str,
+    /// Whose call it is.
+    pub(crate) caller: Caller<'a>,
     /// Time after which an answer loses part of its worth.
     pub(crate) prompt_by: Option<Instant>,
     pub(crate) deadline: Instant,
@@ -188,6 +236,8 @@
     pub(crate) headers: &'a Headers,
     pub(crate) body: &'a Bytes,
     pub(crate) origin: &'a str,
+    /// Customer to whom the call belongs, if any.
+    pub(crate) customer: Option<&'a str>,
     pub(crate) deadline: Instant,
     pub(crate) attempt_kind: AttemptKind,
 }
@@ -210,6 +260,7 @@
             headers: call.headers,
             body: call.body,
             origin: call.origin,
+            customer: call.caller.customer,
             deadline: call.deadline,
             attempt_kind: call.reported_attempt_kind(attempt_kind),
         }
--- a/crates/dataplane/src/front.rs
+++ b/crates/dataplane/src/front.rs
@@ -214,13 +214,11 @@
         }
     };
     let budget = interface.budget(request);
-    let headers = interface.forwarded_headers(request);
     let origin = plane.origin();
     let incoming = Incoming {
         request_id,
         addressing: interface.addressing(request),
         request,
-        headers: &headers,
         origin: &origin,
         deadline: budget.and_then(|budget| request.arrived_at.checked_add(budget)),
     };
--- a/crates/dataplane/src/headers.rs
+++ b/crates/dataplane/src/headers.rs
@@ -51,6 +51,9 @@
 /// Service of the host at which a forwarded call originated.
 pub(crate) const ADMIT_ORIGIN: &str = "x-figway-admit-origin";
 
+/// Customer to whom a forwarded call belongs, absent if it belongs to none.
+pub(crate) const ADMIT_CUSTOMER: &str = "x-figway-admit-customer";
+
 /// Original `Host` header of a forwarded call.
 pub(crate) const ADMIT_HOST: &str = "x-figway-admit-host";
 
--- a/crates/dataplane/src/interface.rs
+++ b/crates/dataplane/src/interface.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use figway_customers::Credentials;
 use figway_http::{
     Answer,
     Headers,
@@ -52,6 +53,8 @@
     pub remaining: Duration,
     /// Service of the host at which the call originated.
     pub origin: &'a str,
+    /// Customer to whom the call belongs, if any.
+    pub customer: Option<&'a str>,
     /// Instance id of the target that should run the call, empty if the target has none.
     pub instance: &'a str,
 }
@@ -102,6 +105,12 @@
     /// request carries it.
     fn parent_id<'a>(&self, request: &'a Request) -> Option<&'a str>;
 
+    /// Returns the credentials of the request.
+    fn credentials<'a>(&self, request: &'a Request) -> Credentials<'a>;
+
+    /// Removes the headers that carry credentials or name a customer.
+    fn remove_credentials(&self, headers: &mut Headers);
+
     /// Returns whether a request without an id is refused. Otherwise the node generates an id.
     fn requires_id(&self) -> bool;
 
--- a/crates/dataplane/src/native.rs
+++ b/crates/dataplane/src/native.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use figway_customers::Credentials;
 use figway_http::{
     Answer,
     Headers,
@@ -42,6 +43,12 @@
         None
     }
 
+    fn credentials<'a>(&self, _: &'a Request) -> Credentials<'a> {
+        Credentials::Absent
+    }
+
+    fn remove_credentials(&self, _: &mut Headers) {}
+
     fn requires_id(&self) -> bool {
         false
     }
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -116,6 +116,7 @@
         headers: &request.headers,
         body: &request.body,
         origin: header(headers::ADMIT_ORIGIN)?,
+        customer: header(headers::ADMIT_CUSTOMER),
         deadline: deadline_after_ms(request.arrived_at, budget_ms),
         attempt_kind: header(headers::ADMIT_ATTEMPT_KIND)
             .map_or(AttemptKind::First, AttemptKind::from_name),
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -37,7 +37,6 @@
 };
 use tokio::sync::watch;
 
-use crate::call::AttemptKind;
 use crate::gate::TargetGate;
 use crate::interface::Interface;
 use crate::keyed_outcomes::KeyedOutcomes;
@@ -50,7 +49,10 @@
     RunEndEvidence,
     RunWatch, //
 };
-use crate::running_calls::RunningCalls;
+use crate::running_calls::{
+    RunningCall,
+    RunningCalls, //
+};
 use crate::target_state::TargetState;
 use crate::target_watch::{
     AnnounceOutcome,
@@ -83,6 +85,9 @@
 /// 1 s.
 const REPLICATION_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Longest time for which a call may run that its target began before the node started.
+const LOST_CALL_MAX: Duration = Duration::from_secs(10);
+
 /// Period at which a drain checks for calls in flight.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -114,6 +119,7 @@
     pub(crate) default_profile: Profile,
     pub(crate) transit_prices: TransitPrices,
     pub(crate) grace: Option<Duration>,
+    pub(crate) started_at: Instant,
 }
 
 impl DataPlane {
@@ -134,11 +140,16 @@
         !self.is_draining() && (view.routes.version > 0 || !view.services.is_empty())
     }
 
-    /// Returns the kind of the attempt that the local target was running when it made the request,
-    /// or `None` if the request does not name a running call.
-    pub(crate) fn parent_attempt_kind(&self, request: &Request) -> Option<AttemptKind> {
+    /// Returns the call that the local target was running when it made the request, or `None` if the
+    /// request does not name a running call.
+    pub(crate) fn parent_call(&self, request: &Request) -> Option<RunningCall> {
         let parent_id = self.interface.parent_id(request)?;
-        self.running.kind_of(parent_id, Instant::now())
+        self.running.get(parent_id, Instant::now())
+    }
+
+    /// Returns whether the target may still run calls that it began before this node started.
+    pub(crate) fn may_have_lost_calls(&self) -> bool {
+        self.started_at.elapsed() < LOST_CALL_MAX
     }
 
     /// Returns the service of this host, which is recorded as the origin of its callers' calls.
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -8,6 +8,11 @@
 };
 
 use figway_control::View;
+use figway_customers::{
+    identify,
+    Identity,
+    Parent, //
+};
 use figway_http::{
     Headers,
     Request, //
@@ -22,6 +27,7 @@
 use crate::call::{
     AttemptKind,
     Call,
+    Caller,
     Outcome,
     Rule,
     DEADLINE_EXCEEDED,
@@ -30,6 +36,8 @@
 use crate::interface::Addressing;
 use crate::keyed::run_keyed;
 use crate::pick::shortest_wait;
+use crate::plane::DataPlane;
+use crate::running_calls::RunningCall;
 use crate::steps::{
     format_steps,
     Step, //
@@ -52,8 +60,6 @@
     pub(crate) request_id: &'a str,
     pub(crate) addressing: Addressing<'a>,
     pub(crate) request: &'a Request,
-    /// Headers that are forwarded to the target.
-    pub(crate) headers: &'a Headers,
     /// Service on whose host the call began.
     pub(crate) origin: &'a str,
     /// When the caller stops waiting, if it set a deadline.
@@ -88,7 +94,11 @@
         Addressing::Host(host) => serve_by_host(worker, &view, incoming, host).await,
     };
     if let Outcome::NotRun(
-        reason @ (NotRunReason::NoConfiguration | NotRunReason::NoService | NotRunReason::NoRoute),
+        reason @ (NotRunReason::NoConfiguration
+        | NotRunReason::NoService
+        | NotRunReason::NoRoute
+        | NotRunReason::Unauthorized
+        | NotRunReason::UnknownParent),
     ) = served.outcome
     {
         record_unrouted(worker, incoming, reason, view.routes.version);
@@ -155,7 +165,7 @@
     let Some(kind) = in_force.profile.kind_of(&request.method, &request.path) else {
         return unrouted_outcome(incoming, NotRunReason::NoRoute).into();
     };
-    let key = incoming
+    let key = request
         .headers
         .get(&kind.key_header.to_ascii_lowercase())
         .filter(|_| !kind.idempotent);
@@ -170,8 +180,10 @@
         budget_ms: kind.budget_ms,
         key,
         parent_is_repeat: false,
+        caller: Caller::ANONYMOUS,
     };
-    run_call(worker, incoming, rule, properties).await
+    let headers = worker.plane.interface.forwarded_headers(request);
+    run_call(worker, incoming, &headers, rule, properties).await
 }
 
 /// Serves a call addressed to a host, by the route table.
@@ -188,6 +200,21 @@
         return Outcome::NotRun(NotRunReason::NoRoute).into();
     };
     let route = &named.route;
+    let plane = &worker.plane;
+    let parent_call = plane.parent_call(incoming.request);
+    let credentials = plane.interface.credentials(incoming.request);
+    let customers = view.routes.customers.as_deref();
+    let parent = parent_of(plane, incoming.request, parent_call.as_ref());
+    let customer = match identify(customers, credentials, route.anonymous, parent) {
+        Identity::Anonymous => None,
+        Identity::Customer(name) => Some(name),
+        Identity::Unauthorized => return Outcome::NotRun(NotRunReason::Unauthorized).into(),
+        Identity::Orphaned => return Outcome::NotRun(NotRunReason::UnknownParent).into(),
+    };
+    let mut headers = plane.interface.forwarded_headers(incoming.request);
+    if customers.is_some() {
+        plane.interface.remove_credentials(&mut headers);
+    }
     if route.unknown_kind.is_some() {
         worker.plane.metrics.count("unknown_kind_calls");
     }
@@ -202,27 +229,46 @@
         return Outcome::NotRun(NotRunReason::NoTarget).into();
     };
     let (profile, profile_name) = worker.plane.profile_of(view, &part.service);
+    let customer_priority = customer
+        .as_deref()
+        .and_then(|name| customers?.get(name)?.priority);
     let mut rule = Rule::from_route(
         &named.name,
         route,
+        customer_priority,
         &part.service,
         profile,
         profile_name,
         view.routes.version,
     );
-    let parent_attempt_kind = worker.plane.parent_attempt_kind(incoming.request);
-    if parent_attempt_kind.is_some() {
+    if parent_call.is_some() {
         // The parent's run waits for the answer, so the route's own prompt time does not apply.
         rule.rank = NESTED_RANK;
         rule.prompt_ms = Some(route.budget_ms);
     }
-    let parent_is_repeat = parent_attempt_kind.is_some_and(|kind| kind != AttemptKind::First);
+    let parent_is_repeat =
+        parent_call.is_some_and(|parent| parent.attempt_kind != AttemptKind::First);
     let properties = CallProperties {
         budget_ms: route.budget_ms,
         key: None,
         parent_is_repeat,
+        caller: Caller {
+            customer: customer.as_deref(),
+            credentials,
+        },
     };
-    run_call(worker, incoming, rule, properties).await
+    run_call(worker, incoming, &headers, rule, properties).await
+}
+
+/// Returns the call during which the local target made the request, as far as the request names one.
+fn parent_of(plane: &DataPlane, request: &Request, running: Option<&RunningCall>) -> Parent {
+    match running {
+        Some(running) => Parent::Running(running.customer.clone()),
+        None if plane.interface.parent_id(request).is_none() => Parent::None,
+        None => Parent::Unknown {
+            restarted: plane.may_have_lost_calls(),
+        },
+    }
 }
 
 /// Properties of a call that its rule does not hold.
@@ -233,12 +279,14 @@
     key: Option<&'a str>,
     /// Whether the call is nested in a run that was a retry or a hedge.
     parent_is_repeat: bool,
+    caller: Caller<'a>,
 }
 
 /// Runs a routed call until its outcome or deadline, then records its metrics and log line.
 async fn run_call(
     worker: &Worker,
     incoming: &Incoming<'_>,
+    headers: &Headers,
     rule: Rule<'_>,
     properties: CallProperties<'_>,
 ) -> ServedCall {
@@ -246,6 +294,7 @@
         budget_ms,
         key,
         parent_is_repeat,
+        caller,
     } = properties;
     let request = incoming.request;
     let fingerprint = RequestView {
@@ -269,9 +318,10 @@
         rule,
         method: &request.method,
         path: &request.path,
-        headers: incoming.headers,
+        headers,
         body: &request.body,
         origin: incoming.origin,
+        caller,
         arrived_at: request.arrived_at,
         prompt_by: rule
             .prompt_ms
@@ -364,7 +414,7 @@
 /// Returns the outcome of a call that has no route on this node. A call with an idempotency key
 /// gets `Unknown`, not `NotRun`, since its key may have run through another node before.
 fn unrouted_outcome(incoming: &Incoming<'_>, reason: NotRunReason) -> Outcome {
-    if incoming.headers.get("idempotency-key").is_some() {
+    if incoming.request.headers.get("idempotency-key").is_some() {
         return Outcome::Unknown(reason.name());
     }
     Outcome::NotRun(reason)
--- a/crates/dataplane/src/running_calls.rs
+++ b/crates/dataplane/src/running_calls.rs
@@ -1,6 +1,7 @@
 //! Calls that the local target is running, which may make nested calls.
 
 use std::sync::{
+    Arc,
     Mutex,
     MutexGuard, //
 };
@@ -14,9 +15,13 @@
 /// Largest number of calls that are kept after they were given up.
 const GIVEN_UP_MAX_COUNT: usize = 1_024;
 
-#[derive(Clone, Copy, Debug)]
-struct RunningCall {
-    attempt_kind: AttemptKind,
+/// Call that the local target is running.
+#[derive(Clone, Debug)]
+pub(crate) struct RunningCall {
+    /// Kind of the attempt that made the target run the call.
+    pub(crate) attempt_kind: AttemptKind,
+    /// Customer to whom the call belongs, if any.
+    pub(crate) customer: Option<Arc<str>>,
     /// Time until which a call that was given up counts as running.
     given_up_until: Option<Instant>,
 }
@@ -33,9 +38,15 @@
     }
 
     /// Registers a call as running. Until its end is seen it counts as given up when the guard drops.
-    pub(crate) fn begin(&self, request_id: &str, attempt_kind: AttemptKind) -> RunningGuard<'_> {
+    pub(crate) fn begin(
+        &self,
+        request_id: &str,
+        attempt_kind: AttemptKind,
+        customer: Option<&str>,
+    ) -> RunningGuard<'_> {
         let call = RunningCall {
             attempt_kind,
+            customer: customer.map(Arc::from),
             given_up_until: None,
         };
         self.lock().insert(request_id.to_owned(), call);
@@ -46,13 +57,12 @@
         }
     }
 
-    /// Returns the kind of the attempt that made the target run the call, or `None` if it does not run
-    /// it.
-    pub(crate) fn kind_of(&self, request_id: &str, now: Instant) -> Option<AttemptKind> {
+    /// Returns the call with the id, or `None` if the target does not run it.
+    pub(crate) fn get(&self, request_id: &str, now: Instant) -> Option<RunningCall> {
         let calls = self.lock();
         let call = calls.get(request_id)?;
         let is_over = call.given_up_until.is_some_and(|until| until <= now);
-        (!is_over).then_some(call.attempt_kind)
+        (!is_over).then(|| call.clone())
     }
 
     fn end(&self, request_id: &str, ended: bool, now: Instant) {
--- a/crates/profile/src/lib.rs
+++ b/crates/profile/src/lib.rs
@@ -39,6 +39,7 @@
 };
 pub use routes::{
     CallerLimits,
+    CustomersChange,
     NamedRoute,
     Route,
     RouteChange,
--- a/crates/profile/src/routes.rs
+++ b/crates/profile/src/routes.rs
@@ -7,6 +7,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use figway_customers::{
+    Customer,
+    CustomerIndex, //
+};
 use figway_types::{
     FastMap,
     Offset, //
@@ -28,6 +32,12 @@
     /// Kind that the operator states, if this build does not know it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub unknown_kind: Option<String>,
+    /// Whether its requests have large bodies.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub large_bodies: bool,
+    /// Whether its requests need no API key.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub anonymous: bool,
     /// Time budget of a request, in milliseconds; converted to a deadline when the request arrives.
     pub budget_ms: u64,
     /// Time within which an answer has its full worth, in milliseconds; also converted to a
@@ -49,6 +59,10 @@
     }
 }
 
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 /// Service that receives a part of a route's requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightedService {
@@ -90,7 +104,7 @@
 }
 
 /// Complete route table of one version.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RouteTable {
     /// Version; 0 before the first table. Increases in steps of any size.
     pub version: u64,
@@ -102,10 +116,13 @@
     pub services: BTreeMap<String, TargetLimits>,
     /// Limits on callers' connections.
     pub caller_limits: CallerLimits,
+    /// Customers by name. Requests need an API key if the table holds customers, however many.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customers: Option<BTreeMap<String, Arc<Customer>>>,
 }
 
 /// Difference between two versions of the route table.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RouteChange {
     /// Version that the change applies to.
     pub base_version: u64,
@@ -125,6 +142,67 @@
     /// Limits on callers' connections, if they changed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub caller_limits: Option<CallerLimits>,
+    /// Change of the customers, if they changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customers: Option<CustomersChange>,
+}
+
+/// Change of the customers between two versions of the route table.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum CustomersChange {
+    /// The later version has no customers, and its requests need no API key.
+    Dropped,
+    /// Some customers were added, changed or removed.
+    Updated {
+        /// Customers that were added or changed, by name.
+        changed: BTreeMap<String, Arc<Customer>>,
+        /// Names of the customers that were removed.
+        removed: Vec<String>,
+    },
+}
+
+impl CustomersChange {
+    fn between(
+        earlier: Option<&BTreeMap<String, Arc<Customer>>>,
+        later: Option<&BTreeMap<String, Arc<Customer>>>,
+    ) -> Option<Self> {
+        if earlier == later {
+            return None;
+        }
+        let Some(later) = later else {
+            return Some(CustomersChange::Dropped);
+        };
+        let none = BTreeMap::new();
+        let earlier = earlier.unwrap_or(&none);
+        let mut changed = BTreeMap::new();
+        for (name, customer) in later {
+            if earlier.get(name) != Some(customer) {
+                changed.insert(name.clone(), Arc::clone(customer));
+            }
+        }
+        let mut removed = Vec::new();
+        for name in earlier.keys() {
+            if !later.contains_key(name) {
+                removed.push(name.clone());
+            }
+        }
+        Some(CustomersChange::Updated { changed, removed })
+    }
+
+    fn apply(&self, customers: &mut Option<BTreeMap<String, Arc<Customer>>>) {
+        match self {
+            CustomersChange::Dropped => *customers = None,
+            CustomersChange::Updated { changed, removed } => {
+                let customers = customers.get_or_insert_default();
+                for name in removed {
+                    customers.remove(name);
+                }
+                for (name, customer) in changed {
+                    customers.insert(name.clone(), Arc::clone(customer));
+                }
+            }
+        }
+    }
 }
 
 impl RouteTable {
@@ -159,6 +237,10 @@
             removed,
             services,
             caller_limits: limits_changed.then_some(self.caller_limits),
+            customers: CustomersChange::between(
+                earlier.customers.as_ref(),
+                self.customers.as_ref(),
+            ),
         }
     }
 
@@ -183,6 +265,9 @@
         if let Some(caller_limits) = change.caller_limits {
             next.caller_limits = caller_limits;
         }
+        if let Some(customers) = &change.customers {
+            customers.apply(&mut next.customers);
+        }
         Some(next)
     }
 }
@@ -213,6 +298,11 @@
     pub caller_limits: CallerLimits,
     /// Kinds that this build does not know, by the name of their route.
     pub unknown_kinds: BTreeMap<String, String>,
+    /// Customers, if requests need an API key.
+    pub customers: Option<Arc<CustomerIndex>>,
+    /// Whether the table calls for overload control: it holds customers, who compete for the targets, or
+    /// routes with large bodies, which compete with small requests.
+    pub overload_control: bool,
     hosts: FastMap<String, HostRoutes>,
 }
 
@@ -240,10 +330,17 @@
             host.prefix_lens.sort_unstable_by(|a, b| b.cmp(a));
             host.prefix_lens.dedup();
         }
+        let customers = table
+            .customers
+            .as_ref()
+            .map(|customers| Arc::new(CustomerIndex::new(customers)));
+        let has_large_bodies = table.routes.values().any(|route| route.large_bodies);
         Self {
             version: table.version,
             caller_limits: table.caller_limits,
             unknown_kinds,
+            overload_control: customers.is_some() || has_large_bodies,
+            customers,
             hosts,
         }
     }
--- a/crates/profile/tests/route_table.rs
+++ b/crates/profile/tests/route_table.rs
@@ -20,6 +20,8 @@
         path_prefix: prefix.to_owned(),
         idempotent: true,
         unknown_kind: None,
+        large_bodies: false,
+        anonymous: false,
         budget_ms: 600,
         prompt_ms: 250,
         priority: 1,
--- a/crates/testbed/tests/route_spread.rs
+++ b/crates/testbed/tests/route_spread.rs
@@ -47,6 +47,8 @@
             path_prefix: format!("/{mixed:08x}/"),
             idempotent: mixed.is_multiple_of(2),
             unknown_kind: None,
+            large_bodies: false,
+            anonymous: false,
             budget_ms: 1_000 + mixed % 7 * 100,
             prompt_ms: 500,
             priority: (mixed % 3) as u32,
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -13,6 +13,12 @@
     NoConfiguration,
     /// No profile is in force on the node for a service with that name.
     NoService,
+    /// No customer holds the API key of the request.
+    Unauthorized,
+    /// The request names a running call that this node does not know.
+    UnknownParent,
+    /// The customer is over its rate limit.
+    CustomerLimited,
     /// No request kind of the profile, or no route of the route table, matches.
     NoRoute,
     /// The subset has no target that accepts calls.
@@ -35,9 +41,12 @@
 
 impl NotRunReason {
     /// All reasons.
-    pub const ALL: [NotRunReason; 11] = [
+    pub const ALL: [NotRunReason; 14] = [
         NotRunReason::NoConfiguration,
         NotRunReason::NoService,
+        NotRunReason::Unauthorized,
+        NotRunReason::UnknownParent,
+        NotRunReason::CustomerLimited,
         NotRunReason::NoRoute,
         NotRunReason::NoTarget,
         NotRunReason::Overloaded,
@@ -54,6 +63,9 @@
         match self {
             NotRunReason::NoConfiguration => "no-configuration",
             NotRunReason::NoService => "no-service",
+            NotRunReason::Unauthorized => "unauthorized",
+            NotRunReason::UnknownParent => "unknown-parent",
+            NotRunReason::CustomerLimited => "customer-limited",
             NotRunReason::NoRoute => "no-route",
             NotRunReason::NoTarget => "no-target",
             NotRunReason::Overloaded => "overloaded",
