Safe requests that a caller pipelines run at the same time

Requests of one connection ran one after the other, so that a pipelined read waited for the answers to all before it, however many targets were idle. Others run alone, as before.

--- a/crates/dataplane/src/front.rs
+++ b/crates/dataplane/src/front.rs
@@ -68,6 +68,10 @@
         Box::pin(async move { serve_caller_request(&self.worker, &request).await })
     }
 
+    fn may_overlap(&self, request: &Request) -> bool {
+        has_safe_method(request) && self.worker.plane.may_repeat(request)
+    }
+
     fn refuse_for_memory(&self, request: &Request) -> Answer {
         record_memory_refusal(&self.worker.plane, request);
         refuse_caller_request(&self.worker.plane, request)
@@ -237,6 +241,11 @@
     })
 }
 
+/// Returns whether the method is one by which a caller asks for no change.
+fn has_safe_method(request: &Request) -> bool {
+    matches!(request.method.as_str(), "GET" | "HEAD" | "OPTIONS")
+}
+
 /// Counts and logs a request for whose body there is no memory.
 fn record_memory_refusal(plane: &DataPlane, request: &Request) {
     plane.metrics.count("refused_for_memory");
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -38,7 +38,10 @@
 use tokio::sync::watch;
 
 use crate::gate::TargetGate;
-use crate::interface::Interface;
+use crate::interface::{
+    Addressing,
+    Interface, //
+};
 use crate::keyed_outcomes::KeyedOutcomes;
 use crate::local_target::LocalTarget;
 use crate::metrics::Metrics;
@@ -147,6 +150,16 @@
         self.running.get(parent_id, Instant::now())
     }
 
+    /// Returns whether the route of the request states that it may run more than once.
+    pub(crate) fn may_repeat(&self, request: &Request) -> bool {
+        let Addressing::Host(host) = self.interface.addressing(request) else {
+            return false;
+        };
+        let view = self.mesh.view();
+        let named = view.routes.find(host, &request.path);
+        named.is_some_and(|named| named.route.may_repeat())
+    }
+
     /// Returns whether the target may still run calls that it began before this node started.
     pub(crate) fn may_have_lost_calls(&self) -> bool {
         self.started_at.elapsed() < LOST_CALL_MAX
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,6 +1,7 @@
-//! HTTP/1.1 server with one task for each connection. The requests of a connection run one after
-//! the other.
+//! HTTP/1.1 server with one task for each connection. The requests of a connection run one after the
+//! other, but for those that may overlap. The answers leave in the order of the requests.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{
     Duration,
@@ -47,6 +48,10 @@
     Answer,
     Request, //
 };
+use crate::pipeline::{
+    Finished,
+    Pipeline, //
+};
 use crate::receive::{
     receive,
     Received,
@@ -97,6 +102,12 @@
     /// connection.
     fn handle(&self, request: Request) -> LocalBoxFuture<'_, Answer>;
 
+    /// Returns whether the request may run at the same time as others of its connection. It must be
+    /// safe and idempotent, since the client sends it again if the connection ends before its answer.
+    fn may_overlap(&self, _: &Request) -> bool {
+        false
+    }
+
     /// Returns the current limits.
     fn limits(&self) -> ServerLimits;
 
@@ -199,37 +210,98 @@
 
     async fn serve_requests(&mut self, io: &Io) {
         let codec = Codec::new(0, self.config.get());
-        let memory = self.handler.memory();
-        loop {
-            if !self.wait_for_bytes(io).await {
+        while self.wait_for_bytes(io).await {
+            let _busy = self.begin_busy();
+            if !self.serve_burst(io, &codec).await {
                 return;
             }
-            let _busy = self.begin_busy();
-            let limits = self.handler.limits();
-            let request = match receive(io, &codec, limits, &memory).await {
-                Received::Request(request) => request,
-                Received::NoMemory { request, rest } => {
-                    let answer = self.handler.refuse_for_memory(&request);
-                    return refuse(io, &codec, answer, Some(rest)).await;
+        }
+    }
+
+    /// Serves the requests that arrive until none is read or runs. Returns whether the connection stays
+    /// open.
+    async fn serve_burst(&self, io: &Io, codec: &Codec) -> bool {
+        let handler = self.handler.as_ref();
+        let memory = handler.memory();
+        let read_begun = Cell::new(true);
+        let read = |waits: bool| {
+            let (memory, read_begun) = (&memory, &read_begun);
+            async move {
+                if waits && !wait_for_more(io).await {
+                    return Received::Ended;
                 }
-                Received::Refused { status, rest } => {
-                    return refuse(io, &codec, Answer::of_status(status), rest).await;
+                read_begun.set(true);
+                receive(io, codec, handler.limits(), memory).await
+            }
+        };
+        let mut pipeline = Pipeline::new(handler);
+        let mut held: Option<Received> = None;
+        let reading = read(false);
+        let disconnected = io.on_disconnect();
+        tokio::pin!(reading, disconnected);
+        loop {
+            if pipeline.is_empty() && held.is_none() && !read_begun.get() {
+                return true;
+            }
+            let reads = held.is_none() && (read_begun.get() || self.reads_ahead(&pipeline));
+            tokio::select! {
+                received = &mut reading, if reads => held = Some(received),
+                finished = pipeline.next(), if !pipeline.is_empty() => {
+                    if !self.write_finished(io, finished, &pipeline).await {
+                        return false;
+                    }
                 }
-                Received::Ended => return,
-            };
-            let wants_close = !codec.keepalive();
-            let answer = tokio::select! {
-                answer = self.handler.handle(request) => answer,
-                () = io.on_disconnect() => return,
+                () = &mut disconnected => return false,
+            }
+            let Some(received) = held.take() else {
+                continue;
             };
-            let closing = *self.phase.borrow() != ServerPhase::Open;
-            let close = wants_close || closing || answer_closes(&answer);
-            if !write_answer(io, &codec, answer, close).await || close {
-                return;
+            match received {
+                Received::Request(request) if pipeline.may_start(&request) => {
+                    pipeline.start(request, codec);
+                    read_begun.set(false);
+                    reading.set(read(true));
+                }
+                received if !pipeline.is_empty() => held = Some(received),
+                received => {
+                    self.refuse_received(io, codec, received).await;
+                    return false;
+                }
             }
         }
     }
 
+    /// Returns whether the next request is read while those that run are not answered.
+    fn reads_ahead(&self, pipeline: &Pipeline<'_>) -> bool {
+        pipeline.accepts_more() && *self.phase.borrow() == ServerPhase::Open
+    }
+
+    /// Writes an answer. Returns whether the connection stays open. In a shutdown the connection closes
+    /// with the answer to the last request that runs.
+    async fn write_finished(&self, io: &Io, finished: Finished, pipeline: &Pipeline<'_>) -> bool {
+        let Finished {
+            answer,
+            codec,
+            wants_close,
+        } = finished;
+        let ends = pipeline.is_empty() && *self.phase.borrow() != ServerPhase::Open;
+        let close = wants_close || ends || answer_closes(&answer);
+        write_answer(io, &codec, answer, close).await && !close
+    }
+
+    async fn refuse_received(&self, io: &Io, codec: &Codec, received: Received) {
+        match received {
+            Received::NoMemory { request, rest } => {
+                let answer = self.handler.refuse_for_memory(&request);
+                refuse(io, codec, answer, Some(rest)).await;
+            }
+            Received::Refused { status, rest } => {
+                refuse(io, codec, Answer::of_status(status), rest).await;
+            }
+            Received::Request(_) | Received::Ended => {}
+        }
+    }
+
     /// Waits for the first bytes of a request. Returns false if the connection ended, was idle for
     /// too long or must be closed.
     async fn wait_for_bytes(&mut self, io: &Io) -> bool {
@@ -258,6 +330,16 @@
     }
 }
 
+/// Waits for the first bytes of another request. Returns false if the connection ended.
+async fn wait_for_more(io: &Io) -> bool {
+    while io.with_read_buf(|buf| buf.is_empty()) {
+        if !matches!(io.read_ready().await, Ok(Some(()))) {
+            return false;
+        }
+    }
+    true
+}
+
 /// Answers a request that is not served. The connection is closed afterwards.
 async fn refuse(io: &Io, codec: &Codec, answer: Answer, rest: Option<UnreadBody>) {
     if !write_answer(io, codec, answer, true).await {
