--- /dev/null
+++ b/crates/admission/src/body_pacer.rs
@@ -0,0 +1,49 @@
+//! Pace of large request bodies on the link of a host.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// Share of the link that large bodies may take. The rest carries small calls and answers, which wait
+/// behind a body on a link that is full.
+const LINK_RATIO: f64 = 0.6;
+
+/// Lets large bodies start one after the other, as fast as the link carries them.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyPacer {
+    bytes_per_s: f64,
+    /// When the link has carried the bodies that were let in.
+    free_at: Instant,
+}
+
+impl BodyPacer {
+    /// Creates a pacer of a link of `link_mbps` megabits per second, of which none is in use.
+    pub fn new(link_mbps: u32, now: Instant) -> Self {
+        Self {
+            bytes_per_s: f64::from(link_mbps) * LINK_RATIO * 1e6 / 8.0,
+            free_at: now,
+        }
+    }
+
+    /// Returns when a body of `len_bytes` may start, and reserves the link for it. Returns `None` if it
+    /// would not have arrived by `latest`.
+    pub fn reserve(&mut self, len_bytes: usize, latest: Instant, now: Instant) -> Option<Instant> {
+        if self.bytes_per_s <= 0.0 {
+            return Some(now);
+        }
+        let start_at = self.free_at.max(now);
+        let transfer = Duration::try_from_secs_f64(len_bytes as f64 / self.bytes_per_s).ok()?;
+        let end_at = start_at.checked_add(transfer)?;
+        if end_at > latest {
+            return None;
+        }
+        self.free_at = end_at;
+        Some(start_at)
+    }
+
+    /// Returns the time until the next body may start.
+    pub fn wait(&self, now: Instant) -> Duration {
+        self.free_at.saturating_duration_since(now)
+    }
+}
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod answers;
+mod body_pacer;
 mod crash_report;
 mod estimate;
 mod pacer;
@@ -10,6 +11,7 @@
 mod retry_budget;
 mod run_book;
 mod suspicion;
+mod throttle;
 
 pub use admission::{
     Admission,
@@ -19,6 +21,7 @@
     Dequeued,
     Ticket, //
 };
+pub use body_pacer::BodyPacer;
 pub use crash_report::{
     run_id,
     CrashReport,
@@ -33,3 +36,4 @@
     Suspect,
     GIVEN_UP_TTL, //
 };
+pub use throttle::Throttle;
--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -216,7 +216,7 @@
     }
 
     /// Returns a random number from 0 to 1.
-    pub(crate) fn random_ratio(&self) -> f64 {
+    pub fn random_ratio(&self) -> f64 {
         self.random() as f64 / u64::MAX as f64
     }
 
--- a/crates/customers/src/customer.rs
+++ b/crates/customers/src/customer.rs
@@ -20,6 +20,18 @@
     pub limit: Option<CustomerLimit>,
 }
 
+/// Number of route priorities that are told apart among customers of one priority.
+const ROUTE_PRIORITY_COUNT: u32 = 16;
+
+/// Returns the priority of a call of a customer on a route; 0 is served first. The priority of the
+/// customer goes before that of the route, which stands in for a customer without one.
+pub fn call_priority(customer_priority: Option<u32>, route_priority: u32) -> u32 {
+    customer_priority
+        .unwrap_or(route_priority)
+        .saturating_mul(ROUTE_PRIORITY_COUNT)
+        .saturating_add(route_priority.min(ROUTE_PRIORITY_COUNT - 1))
+}
+
 /// Limit of the requests of a customer over all nodes together.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CustomerLimit {
--- a/crates/customers/src/lib.rs
+++ b/crates/customers/src/lib.rs
@@ -7,6 +7,7 @@
 mod key;
 
 pub use customer::{
+    call_priority,
     Customer,
     CustomerLimit, //
 };
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -25,7 +25,8 @@
     AdmissionRequest,
     AttemptKind,
     Outcome,
-    DEADLINE_EXCEEDED, //
+    DEADLINE_EXCEEDED,
+    FAILED_STATUS_MIN, //
 };
 use crate::interface::ForwardContext;
 use crate::plane::DataPlane;
@@ -116,6 +117,11 @@
         deadline: call.deadline,
         may_wait: call.attempt_kind != AttemptKind::Hedge,
     };
+    let overload_control = plane.overload_control();
+    if overload_control && !plane.overload.may_run(call.kind, plane.mesh.random_ratio()) {
+        plane.metrics.count("refused_for_nested_calls");
+        return AttemptResult::not_sent(NotRunReason::Overloaded);
+    }
     let limits = admission_limits(plane, &target);
     let entered_at = Instant::now();
     let mut slot = match plane.gate.enter(&view, limits).await {
@@ -274,7 +280,11 @@
         .begin_call(call.fingerprint, call.request_id);
     match worker.targets.send(&outbound).await {
         Ok(answer) => {
-            running.finish();
+            let nested_refused = running.finish();
+            if plane.overload_control() {
+                let served = !nested_refused || answer.status < FAILED_STATUS_MIN;
+                plane.overload.record_run(call.kind, served);
+            }
             plane.record_notice(target, &answer);
             take_answer(plane, call, target, at_work, answer)
         }
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -36,6 +36,7 @@
 };
 use crate::candidates::TargetEntry;
 use crate::headers;
+use crate::offers::offer_body;
 use crate::plane::DataPlane;
 use crate::steps::Step;
 use crate::target_state::TargetState;
@@ -64,6 +65,10 @@
     };
     let took = in_flight.finish();
     record_result(plane, call, entry, &result, took);
+    if plane.overload_control() {
+        let busy_ratio = plane.loads().reported_busy_ratio(node_id);
+        plane.overload.record_busy(call.rule.service, busy_ratio);
+    }
     call.steps.borrow_mut().push(Step::Ended {
         outcome: result.outcome.name(),
         reason: result.outcome.reason(),
@@ -145,8 +150,11 @@
     entry: &TargetEntry,
     attempt_kind: AttemptKind,
 ) -> AttemptResult {
-    let left = call.deadline.saturating_duration_since(Instant::now());
+    if let Some(refused) = offer_body(worker, call, entry).await {
+        return refused;
+    }
     // The budget is sent in whole milliseconds, rounded down, so that the peer times out first.
+    let left = call.deadline.saturating_duration_since(Instant::now());
     if left.as_millis() == 0 {
         return AttemptResult::not_sent(NotRunReason::Expired);
     }
@@ -232,7 +240,12 @@
     onward
 }
 
-fn parse_peer_answer(plane: &DataPlane, node_id: &NodeId, mut answer: Answer) -> AttemptResult {
+/// Returns the result of an attempt that a peer answered, and records the load that it reports.
+pub(crate) fn parse_peer_answer(
+    plane: &DataPlane,
+    node_id: &NodeId,
+    mut answer: Answer,
+) -> AttemptResult {
     let parse_number = |name| answer.header(name).and_then(|value| value.parse().ok());
     if let (Some(busy_ratio), Some(wait_ms)) = (
         parse_number(headers::BUSY_RATIO),
--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -36,6 +36,14 @@
 /// Maximum number of targets tried for one call, including those that refused it unsent.
 const TARGET_TRY_MAX_COUNT: usize = 6;
 
+/// Maximum number of targets tried for one call while they refuse it, if the route table calls for
+/// overload control. Two targets that refuse a call tell that most do.
+const REFUSAL_MAX_COUNT: usize = 2;
+
+/// Mean calls per slot of a service above which its calls are not hedged, if the route table calls for
+/// overload control. A hedge takes a slot from another call there.
+const HEDGE_SERVICE_BUSY_MAX_RATIO: f64 = 0.55;
+
 /// Maximum number of targets tried for one hedge. A target without a free slot refuses it.
 const HEDGE_TRY_MAX_COUNT: usize = 2;
 
@@ -52,8 +60,10 @@
     if call.parent_is_repeat {
         retries.charge(rule.service);
     }
+    let overload_control = worker.plane.overload_control();
     let mut tried: Vec<NodeId> = Vec::new();
     let mut sent_count = 0;
+    let mut refused_count = 0;
     while sent_count < rule.attempt_max_count && tried.len() < TARGET_TRY_MAX_COUNT {
         if call.deadline <= Instant::now() {
             return Outcome::NotRun(NotRunReason::Expired)
@@ -76,7 +86,9 @@
                 AttemptKind::First
             },
         };
-        let may_hedge = rule.idempotent && sent_count + 1 < rule.attempt_max_count;
+        let may_hedge = rule.idempotent
+            && sent_count + 1 < rule.attempt_max_count
+            && !(overload_control && is_busy(worker, rule.service));
         let (result, hedge_sent) = if may_hedge {
             run_hedged(worker, call, first, &mut tried).await
         } else {
@@ -87,9 +99,13 @@
             retries.refund(rule.service);
         }
         sent_count += usize::from(result.sent) + usize::from(hedge_sent);
+        refused_count += usize::from(is_overload_refusal(&result.outcome));
         let is_retryable = may_retry(call, &result.outcome);
         let merged = result.outcome.merge_earlier(call.earlier_outcome.take());
         call.earlier_outcome.replace(merged);
+        if overload_control && refused_count >= REFUSAL_MAX_COUNT {
+            break;
+        }
         if !is_retryable || worker.plane.refuses_as_quarantined(call.fingerprint) {
             break;
         }
@@ -98,6 +114,21 @@
     call.earlier_outcome.take()
 }
 
+/// Returns whether the targets of the service have little room for hedges.
+fn is_busy(worker: &Worker, service: &str) -> bool {
+    worker.plane.overload.busy_ratio(service) > HEDGE_SERVICE_BUSY_MAX_RATIO
+}
+
+/// Returns whether the target's node refused the call since it has no room.
+pub(crate) fn is_overload_refusal(outcome: &Outcome) -> bool {
+    matches!(
+        outcome,
+        Outcome::NotRun(
+            NotRunReason::Overloaded | NotRunReason::RateLimited | NotRunReason::Expired
+        )
+    )
+}
+
 /// An attempt that may be hedged.
 #[derive(Clone, Copy)]
 struct PrimaryAttempt<'a> {
@@ -189,6 +220,9 @@
 ) -> Hedge {
     let service = call.rule.service;
     let retries = &worker.plane.retries;
+    if worker.plane.overload_control() && is_busy(worker, service) {
+        return Hedge::NotMade;
+    }
     for _ in 0..HEDGE_TRY_MAX_COUNT {
         let Some(picked_target) = pick(worker, call, tried) else {
             return Hedge::NotMade;
--- a/crates/dataplane/src/builder.rs
+++ b/crates/dataplane/src/builder.rs
@@ -29,6 +29,8 @@
 use crate::local_target::LocalTarget;
 use crate::metrics::Metrics;
 use crate::native::NativeInterface;
+use crate::offers::BodyOffers;
+use crate::overload::OverloadState;
 use crate::peer_targets::PeerTargets;
 use crate::plane::DataPlane;
 use crate::retry::RetryState;
@@ -154,11 +156,14 @@
     pub fn build(self) -> Arc<DataPlane> {
         let outcomes = Arc::new(KeyedOutcomes::new(self.remember_ms));
         self.mesh.set_outcome_source(outcomes.clone());
+        let link_mbps = self.mesh.members().own().link_mbps;
         Arc::new(DataPlane {
             agent: self.agent,
             interface: self.interface,
             gate: TargetGate::default(),
             loads: Mutex::default(),
+            overload: OverloadState::default(),
+            offers: BodyOffers::new(link_mbps),
             retries: RetryState::new(self.shared_retry_burst_count),
             run_watch: RunWatch::default(),
             target_watch: TargetWatch::new(self.announce_every),
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -93,24 +93,22 @@
         }
     }
 
-    /// Returns the rule of a route for calls to `service`, the service of one of its parts. The
-    /// priority of a customer goes before that of the route.
+    /// Returns the rule of a route for calls of `priority` to `service`, the service of one of its parts.
     pub(crate) fn from_route(
         name: &'a str,
         route: &'a Route,
-        customer_priority: Option<u32>,
+        priority: u32,
         service: &'a str,
         profile: &'a Profile,
         profile_name: &'a str,
         version: u64,
     ) -> Self {
-        let priority = customer_priority.unwrap_or(route.priority);
         Self {
             name,
             service,
             subset: "all",
             idempotent: route.may_repeat(),
-            worth: ROUTE_WORTH * 0.5_f64.powi(priority.min(60) as i32),
+            worth: ROUTE_WORTH * 0.5_f64.powi(route.priority.min(60) as i32),
             long: false,
             rank: ROUTE_BASE_RANK.saturating_add(priority),
             prompt_ms: Some(route.prompt_ms),
--- a/crates/dataplane/src/front.rs
+++ b/crates/dataplane/src/front.rs
@@ -18,6 +18,10 @@
 
 use crate::call::Outcome;
 use crate::interface::Reply;
+use crate::offers::{
+    is_offer,
+    serve_offer, //
+};
 use crate::operator;
 use crate::peers::{
     is_forwarded,
@@ -124,6 +128,9 @@
             if is_forwarded(&request) {
                 return serve_forwarded(&self.worker, &request).await;
             }
+            if is_offer(&request) {
+                return serve_offer(&self.worker, &request).await;
+            }
             if let Some(answer) = operator::answer(&self.worker, &request).await {
                 return answer;
             }
--- a/crates/dataplane/src/headers.rs
+++ b/crates/dataplane/src/headers.rs
@@ -92,6 +92,9 @@
 /// Mean run time of calls of the kind at the answering target, in milliseconds.
 pub(crate) const MEAN_RAN_MS: &str = "x-figway-usual-ms";
 
+/// Size of a body that a peer offers, in bytes. Its presence marks an offer.
+pub(crate) const OFFER_BYTES: &str = "x-figway-offer-bytes";
+
 /// Rank of a forwarded call.
 pub(crate) const ADMIT_RANK: &str = "x-figway-admit-rank";
 
--- /dev/null
+++ b/crates/dataplane/src/offers.rs
@@ -0,0 +1,165 @@
+//! Offers of large request bodies between nodes. The node beside the target says when a body may come,
+//! or refuses the call before its body has used the link.
+
+use std::sync::Mutex;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_admission::BodyPacer;
+use figway_http::{
+    Answer,
+    Bytes,
+    Headers,
+    OutboundRequest,
+    Request, //
+};
+use figway_types::{
+    deadline_after_ms,
+    NotRunReason, //
+};
+
+use crate::admit::AttemptResult;
+use crate::attempt::parse_peer_answer;
+use crate::call::Call;
+use crate::candidates::TargetEntry;
+use crate::headers;
+use crate::peers::encode_result;
+use crate::worker::Worker;
+
+/// Size from which on a body is offered before it is sent, in bytes. The offer costs a round trip.
+const OFFERED_MIN_BYTES: usize = 16 * 1_024;
+
+/// Path of an offer. Nodes of earlier builds answer it with 404.
+const OFFER_PATH: &str = "/offer";
+
+/// Outcome of an offer that was accepted.
+const ACCEPTED: &str = "accepted";
+
+/// Fraction of the time to a prompt answer that may pass until a body has arrived.
+const ARRIVAL_RATIO: f64 = 0.6;
+
+/// Pace of the large bodies that peers send to this node.
+pub(crate) struct BodyOffers {
+    pacer: Mutex<BodyPacer>,
+}
+
+impl BodyOffers {
+    /// Creates the pace for a host whose link carries `link_mbps` megabits per second, 0 if unknown.
+    pub(crate) fn new(link_mbps: u32) -> Self {
+        Self {
+            pacer: Mutex::new(BodyPacer::new(link_mbps, Instant::now())),
+        }
+    }
+
+    fn reserve(&self, len_bytes: usize, latest: Instant) -> Result<Instant, Duration> {
+        let now = Instant::now();
+        let mut pacer = self.pacer.lock().expect("no holder panics");
+        pacer
+            .reserve(len_bytes, latest, now)
+            .ok_or_else(|| pacer.wait(now))
+    }
+}
+
+/// Offers the body of the call to the target's node, if it is large. Returns the result of the attempt
+/// if the node refuses the call.
+pub(crate) async fn offer_body(
+    worker: &Worker,
+    call: &Call<'_>,
+    entry: &TargetEntry,
+) -> Option<AttemptResult> {
+    if call.body.len() < OFFERED_MIN_BYTES || !worker.plane.overload_control() {
+        return None;
+    }
+    let left_ms = |until: Instant| until.saturating_duration_since(Instant::now()).as_millis();
+    let mut offer = Headers::default();
+    offer.push(headers::OFFER_BYTES, call.body.len().to_string());
+    offer.push(headers::ADMIT_SERVICE, call.rule.service);
+    offer.push(headers::ADMIT_RANK, call.rule.rank.to_string());
+    offer.push(headers::BUDGET_MS, left_ms(call.deadline).to_string());
+    let prompt_by = call.prompt_by.unwrap_or(call.deadline);
+    offer.push(headers::ADMIT_PROMPT_MS, left_ms(prompt_by).to_string());
+    let outbound = OutboundRequest {
+        address: &entry.member.call_address,
+        method: "POST",
+        path: OFFER_PATH,
+        headers: &offer,
+        body: &Bytes::new(),
+        deadline: call.deadline,
+        echo_header: None,
+        idempotent: true,
+    };
+    // A node that does not answer the offer is found out by the call itself.
+    let answer = worker.peers.send(&outbound).await.ok()?;
+    match answer.header(headers::OUTCOME) {
+        Some(ACCEPTED) | None => None,
+        Some(_) => Some(parse_peer_answer(
+            &worker.plane,
+            &entry.member.node_id,
+            answer,
+        )),
+    }
+}
+
+/// Returns whether the request offers a body.
+pub(crate) fn is_offer(request: &Request) -> bool {
+    request.headers.get(headers::OFFER_BYTES).is_some()
+}
+
+/// Answers an offer when its body may come, or refuses the call at once.
+pub(crate) async fn serve_offer(worker: &Worker, request: &Request) -> Answer {
+    let plane = &worker.plane;
+    let Some(offer) = Offer::parse(request) else {
+        return Answer::of_status(400);
+    };
+    let report = plane.gate.load_report(offer.rank);
+    let wait = Duration::try_from_secs_f64(report.wait_ms / 1_000.0).unwrap_or_default();
+    let now = Instant::now();
+    let prompt_left = offer.prompt_by.saturating_duration_since(now);
+    let latest = now + prompt_left.mul_f64(ARRIVAL_RATIO);
+    let serves = !plane.is_draining() && plane.runs_service(offer.service);
+    let reserved = if serves && now + wait < latest {
+        plane.offers.reserve(offer.len_bytes, latest)
+    } else {
+        Err(wait)
+    };
+    match reserved {
+        Ok(start_at) => {
+            tokio::time::sleep_until(start_at.into()).await;
+            let mut answer = Answer::of_status(200);
+            answer.headers.push(headers::OUTCOME, ACCEPTED);
+            answer
+        }
+        Err(_) => {
+            plane.metrics.count("offers_refused");
+            let reason = if serves {
+                NotRunReason::Overloaded
+            } else {
+                NotRunReason::Draining
+            };
+            encode_result(AttemptResult::not_sent(reason), report)
+        }
+    }
+}
+
+/// Body that a peer offers.
+struct Offer<'a> {
+    len_bytes: usize,
+    service: &'a str,
+    rank: u32,
+    prompt_by: Instant,
+}
+
+impl<'a> Offer<'a> {
+    fn parse(request: &'a Request) -> Option<Self> {
+        let header = |name| request.headers.get(name);
+        let prompt_ms = header(headers::ADMIT_PROMPT_MS)?.parse().ok()?;
+        Some(Self {
+            len_bytes: header(headers::OFFER_BYTES)?.parse().ok()?,
+            service: header(headers::ADMIT_SERVICE)?,
+            rank: header(headers::ADMIT_RANK)?.parse().ok()?,
+            prompt_by: deadline_after_ms(request.arrived_at, prompt_ms),
+        })
+    }
+}
--- /dev/null
+++ b/crates/dataplane/src/overload.rs
@@ -0,0 +1,160 @@
+//! State by which a node refuses calls to overloaded services, for route tables that call for it.
+
+use std::sync::{
+    Mutex,
+    MutexGuard, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_admission::Throttle;
+use figway_types::FastMap;
+
+/// Calls that are let through to a service for each one that its targets accepted.
+const SERVICE_HEADROOM_RATIO: f64 = 1.25;
+
+/// Calls that are let through to the local target for each one whose nested calls were served.
+const NESTED_HEADROOM_RATIO: f64 = 1.1;
+
+/// Weight of a new report in the mean load of a service.
+const BUSY_WEIGHT: f64 = 0.1;
+
+/// Load of a service that is assumed until a target reports one.
+const UNKNOWN_BUSY_RATIO: f64 = 0.0;
+
+/// Outcomes of calls to one service.
+#[derive(Default)]
+struct ServiceState {
+    /// Throttles by rank.
+    throttles: FastMap<u32, Throttle>,
+    /// Moving average of the calls per slot that targets report.
+    busy_ratio: Option<f64>,
+}
+
+#[derive(Default)]
+struct Inner {
+    services: FastMap<String, ServiceState>,
+    /// Throttles of the local target, by kind.
+    nested: FastMap<String, Throttle>,
+}
+
+/// Throttles of the calls of this node, and of the calls that the local target runs.
+#[derive(Default)]
+pub(crate) struct OverloadState {
+    inner: Mutex<Inner>,
+}
+
+impl OverloadState {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder panics")
+    }
+
+    /// Decides whether a call to `service` is let through, with a random number from 0 to 1.
+    ///
+    /// # Errors
+    ///
+    /// When a refused caller should come back.
+    pub(crate) fn try_call(
+        &self,
+        service: &str,
+        rank: u32,
+        random_ratio: f64,
+    ) -> Result<(), Duration> {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let Some(throttle) = inner.throttle(service, rank) else {
+            return Ok(());
+        };
+        if random_ratio >= throttle.refused_ratio(now) {
+            return Ok(());
+        }
+        throttle.record(false, now);
+        Err(throttle.retry_after(random_ratio, now))
+    }
+
+    /// Records whether targets of `service` accepted a call that was let through.
+    pub(crate) fn record_call(&self, service: &str, rank: u32, accepted: bool) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        if !inner.services.contains_key(service) {
+            inner
+                .services
+                .insert(service.to_owned(), ServiceState::default());
+        }
+        let state = inner.services.get_mut(service).expect("was just inserted");
+        state
+            .throttles
+            .entry(rank)
+            .or_insert_with(|| Throttle::new(SERVICE_HEADROOM_RATIO, now))
+            .record(accepted, now);
+    }
+
+    /// Returns when a caller should come back whose call targets of `service` refused.
+    pub(crate) fn retry_after(
+        &self,
+        service: &str,
+        rank: u32,
+        random_ratio: f64,
+    ) -> Option<Duration> {
+        let mut inner = self.lock();
+        let throttle = inner.throttle(service, rank)?;
+        Some(throttle.retry_after(random_ratio, Instant::now()))
+    }
+
+    /// Records the calls per slot that a target of `service` reports.
+    pub(crate) fn record_busy(&self, service: &str, busy_ratio: f64) {
+        let mut inner = self.lock();
+        let Some(state) = inner.services.get_mut(service) else {
+            return;
+        };
+        let mean = state.busy_ratio.get_or_insert(busy_ratio);
+        *mean += BUSY_WEIGHT * (busy_ratio - *mean);
+    }
+
+    /// Returns the mean of the calls per slot that targets of `service` reported.
+    pub(crate) fn busy_ratio(&self, service: &str) -> f64 {
+        let inner = self.lock();
+        let state = inner.services.get(service);
+        state
+            .and_then(|state| state.busy_ratio)
+            .unwrap_or(UNKNOWN_BUSY_RATIO)
+    }
+
+    /// Decides whether the local target may run a call of `kind`, by whether the nested calls of
+    /// earlier ones were served.
+    pub(crate) fn may_run(&self, kind: &str, random_ratio: f64) -> bool {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let Some(throttle) = inner.nested.get_mut(kind) else {
+            return true;
+        };
+        if random_ratio >= throttle.refused_ratio(now) {
+            return true;
+        }
+        throttle.record(false, now);
+        false
+    }
+
+    /// Records whether the nested calls of a call that the local target ran were served.
+    pub(crate) fn record_run(&self, kind: &str, nested_served: bool) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        match inner.nested.get_mut(kind) {
+            Some(throttle) => throttle.record(nested_served, now),
+            None if nested_served => {}
+            None => {
+                let mut throttle = Throttle::new(NESTED_HEADROOM_RATIO, now);
+                throttle.record(false, now);
+                inner.nested.insert(kind.to_owned(), throttle);
+            }
+        }
+    }
+}
+
+impl Inner {
+    fn throttle(&mut self, service: &str, rank: u32) -> Option<&mut Throttle> {
+        self.services.get_mut(service)?.throttles.get_mut(&rank)
+    }
+}
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -134,7 +134,7 @@
     forwarded
 }
 
-fn encode_result(result: AttemptResult, report: LoadReport) -> Answer {
+pub(crate) fn encode_result(result: AttemptResult, report: LoadReport) -> Answer {
     let outcome = result.outcome.name();
     let reason = result.outcome.reason();
     let mut answer = match result.outcome {
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -45,6 +45,8 @@
 use crate::keyed_outcomes::KeyedOutcomes;
 use crate::local_target::LocalTarget;
 use crate::metrics::Metrics;
+use crate::offers::BodyOffers;
+use crate::overload::OverloadState;
 use crate::peer_targets::PeerTargets;
 use crate::retry::RetryState;
 use crate::run_watch::{
@@ -102,6 +104,8 @@
     pub(crate) gate: TargetGate,
     pub(crate) loads: Mutex<LoadTracker>,
     pub(crate) retries: RetryState,
+    pub(crate) overload: OverloadState,
+    pub(crate) offers: BodyOffers,
     pub(crate) run_watch: RunWatch,
     pub(crate) target_watch: TargetWatch,
     pub(crate) local_target: LocalTarget,
@@ -131,6 +135,18 @@
         self.loads.lock().expect("no holder panics")
     }
 
+    /// Returns whether the route table calls for overload control.
+    pub(crate) fn overload_control(&self) -> bool {
+        self.mesh.view().routes.overload_control
+    }
+
+    /// Returns whether the local target runs `service` and takes new calls.
+    pub(crate) fn runs_service(&self, service: &str) -> bool {
+        let members = self.mesh.members();
+        let target = members.own().target.as_ref();
+        target.is_some_and(|target| target.service == service && !target.draining)
+    }
+
     /// Returns whether the node is draining and refuses new calls for its target.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -9,6 +9,7 @@
 
 use figway_control::View;
 use figway_customers::{
+    call_priority,
     identify,
     Identity,
     Parent, //
@@ -23,7 +24,10 @@
     RequestView, //
 };
 
-use crate::attempts::run_attempts;
+use crate::attempts::{
+    is_overload_refusal,
+    run_attempts, //
+};
 use crate::call::{
     AttemptKind,
     Call,
@@ -229,13 +233,20 @@
         return Outcome::NotRun(NotRunReason::NoTarget).into();
     };
     let (profile, profile_name) = worker.plane.profile_of(view, &part.service);
-    let customer_priority = customer
-        .as_deref()
-        .and_then(|name| customers?.get(name)?.priority);
+    let priority = match customers {
+        Some(customers) => {
+            let customer = customer.as_deref().and_then(|name| customers.get(name));
+            call_priority(
+                customer.and_then(|customer| customer.priority),
+                route.priority,
+            )
+        }
+        None => route.priority,
+    };
     let mut rule = Rule::from_route(
         &named.name,
         route,
-        customer_priority,
+        priority,
         &part.service,
         profile,
         profile_name,
@@ -257,7 +268,13 @@
             credentials,
         },
     };
-    run_call(worker, incoming, &headers, rule, properties).await
+    let served = run_call(worker, incoming, &headers, rule, properties).await;
+    if is_overload_refusal(&served.outcome) {
+        if let Some(parent_id) = plane.interface.parent_id(incoming.request) {
+            plane.running.record_nested_refusal(parent_id);
+        }
+    }
+    served
 }
 
 /// Returns the call during which the local target made the request, as far as the request names one.
@@ -351,6 +368,13 @@
     record.write(&outcome);
     let expected_wait = match outcome {
         Outcome::NotRun(NotRunReason::RateLimited) => shortest_wait(worker, &rule),
+        Outcome::NotRun(NotRunReason::Overloaded | NotRunReason::Expired)
+            if worker.plane.overload_control() =>
+        {
+            let random_ratio = worker.plane.mesh.random_ratio();
+            let overload = &worker.plane.overload;
+            overload.retry_after(rule.service, rule.rank, random_ratio)
+        }
         _ => None,
     };
     ServedCall {
@@ -424,5 +448,19 @@
     if worker.plane.refuses_as_quarantined(call.fingerprint) {
         return Outcome::NotRun(NotRunReason::Quarantined);
     }
-    run_attempts(worker, call).await
+    if !worker.plane.overload_control() {
+        return run_attempts(worker, call).await;
+    }
+    let (service, rank) = (call.rule.service, call.rule.rank);
+    let overload = &worker.plane.overload;
+    if let Err(retry_after) = overload.try_call(service, rank, worker.plane.mesh.random_ratio()) {
+        worker.plane.metrics.count("throttled");
+        call.steps
+            .borrow_mut()
+            .push(Step::Throttled { retry_after });
+        return Outcome::NotRun(NotRunReason::Overloaded);
+    }
+    let outcome = run_attempts(worker, call).await;
+    overload.record_call(service, rank, !is_overload_refusal(&outcome));
+    outcome
 }
--- a/crates/dataplane/src/running_calls.rs
+++ b/crates/dataplane/src/running_calls.rs
@@ -22,6 +22,8 @@
     pub(crate) attempt_kind: AttemptKind,
     /// Customer to whom the call belongs, if any.
     pub(crate) customer: Option<Arc<str>>,
+    /// Whether a nested call of it was refused for overload.
+    nested_refused: bool,
     /// Time until which a call that was given up counts as running.
     given_up_until: Option<Instant>,
 }
@@ -47,6 +49,7 @@
         let call = RunningCall {
             attempt_kind,
             customer: customer.map(Arc::from),
+            nested_refused: false,
             given_up_until: None,
         };
         self.lock().insert(request_id.to_owned(), call);
@@ -65,6 +68,20 @@
         (!is_over).then(|| call.clone())
     }
 
+    /// Records that a nested call of the call was refused for overload.
+    pub(crate) fn record_nested_refusal(&self, request_id: &str) {
+        if let Some(call) = self.lock().get_mut(request_id) {
+            call.nested_refused = true;
+        }
+    }
+
+    fn nested_was_refused(&self, request_id: &str) -> bool {
+        let calls = self.lock();
+        calls
+            .get(request_id)
+            .is_some_and(|call| call.nested_refused)
+    }
+
     fn end(&self, request_id: &str, ended: bool, now: Instant) {
         let mut calls = self.lock();
         if ended {
@@ -91,9 +108,11 @@
 }
 
 impl RunningGuard<'_> {
-    /// Records that the target has ended the call.
-    pub(crate) fn finish(mut self) {
+    /// Records that the target has ended the call. Returns whether a nested call of it was refused for
+    /// overload.
+    pub(crate) fn finish(mut self) -> bool {
         self.ended = true;
+        self.calls.nested_was_refused(&self.request_id)
     }
 }
 
--- a/crates/dataplane/src/steps.rs
+++ b/crates/dataplane/src/steps.rs
@@ -1,6 +1,7 @@
 //! Steps of a call, for the `tries` value of its log line.
 
 use std::fmt::Write as _;
+use std::time::Duration;
 
 use figway_types::NodeId;
 
@@ -25,6 +26,8 @@
     },
     /// No target was left to pick.
     NoTarget { known_count: usize },
+    /// The call was refused here, since the targets refuse most calls of its rank.
+    Throttled { retry_after: Duration },
     /// The retry budget did not allow another attempt.
     RetryBudgetExhausted,
 }
@@ -53,6 +56,13 @@
             Step::NoTarget { known_count } => {
                 write!(text, "; no target left of {known_count}")
             }
+            Step::Throttled { retry_after } => {
+                write!(
+                    text,
+                    "; throttled, retry after {} ms",
+                    retry_after.as_millis()
+                )
+            }
             Step::RetryBudgetExhausted => write!(text, "; retry budget used up"),
         };
         written.expect("writing to a String never fails");
