--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -21,10 +21,6 @@
 use crate::estimate::ServiceTimes;
 use crate::pacer::Pacer;
 
-/// Late calls that may wait, per slot. Further ones are refused, since they would only wait until
-/// their deadline passes.
-const LATE_PER_SLOT_RATIO: f64 = 1.0;
-
 /// Properties of a call that admission uses.
 #[derive(Clone, Copy, Debug)]
 pub struct CallView<'a> {
@@ -340,7 +336,7 @@
     }
 
     fn late_max_count(&self) -> usize {
-        (self.concurrency() * LATE_PER_SLOT_RATIO).ceil() as usize
+        (self.concurrency() * self.limits.late_per_slot_ratio).ceil() as usize
     }
 
     /// Returns the index of the waiting call to shed for a new call of `rank` and `density`, if any
--- a/crates/admission/src/admission/limits.rs
+++ b/crates/admission/src/admission/limits.rs
@@ -9,6 +9,9 @@
     pub queue_per_slot_ratio: f64,
     /// Fraction of the slots that long kinds can't take.
     pub short_share_ratio: f64,
+    /// Late calls that may wait, per slot. Further ones are refused, since they would only wait until
+    /// their deadline passes.
+    pub late_per_slot_ratio: f64,
 }
 
 impl AdmissionLimits {
--- a/crates/admission/src/body_pacer.rs
+++ b/crates/admission/src/body_pacer.rs
@@ -9,7 +9,7 @@
 /// behind a body on a link that is full.
 const LINK_RATIO: f64 = 0.6;
 
-/// Lets large bodies start one after the other, as fast as the link carries them.
+/// Lets large bodies start one after the other, at the pace of their share of the link.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyPacer {
     bytes_per_s: f64,
@@ -42,6 +42,11 @@
         Some(start_at)
     }
 
+    /// Returns the pace of bodies on the link; 0 if the link is unknown.
+    pub fn bytes_per_s(&self) -> f64 {
+        self.bytes_per_s
+    }
+
     /// Returns the time until the next body may start.
     pub fn wait(&self, now: Instant) -> Duration {
         self.free_at.saturating_duration_since(now)
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -40,6 +40,13 @@
 /// Shortest remaining time with which a call is still worth sending to the target.
 const TARGET_TIME_MIN: Duration = Duration::from_millis(2);
 
+/// Late calls that may wait for the target, per slot.
+const LATE_PER_SLOT_RATIO: f64 = 1.0;
+
+/// The same for a route table that calls for overload control. Callers that are refused early come
+/// back in time, or find room elsewhere.
+const OVERLOADED_LATE_PER_SLOT_RATIO: f64 = 0.25;
+
 /// Result of one attempt.
 pub(crate) struct AttemptResult {
     pub(crate) outcome: Outcome,
@@ -264,6 +271,7 @@
         path: call.path,
         headers: &headers,
         body: call.body,
+        body_bytes_per_s: None,
         deadline: call.deadline,
         echo_header: plane.interface.echo_header(),
         idempotent: call.idempotent,
@@ -374,5 +382,10 @@
         slot_count: target.slot_count,
         queue_per_slot_ratio: limits.queue_per_slot_ratio,
         short_share_ratio: limits.short_share_ratio,
+        late_per_slot_ratio: if view.routes.overload_control {
+            OVERLOADED_LATE_PER_SLOT_RATIO
+        } else {
+            LATE_PER_SLOT_RATIO
+        },
     }
 }
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -36,7 +36,10 @@
 };
 use crate::candidates::TargetEntry;
 use crate::headers;
-use crate::offers::offer_body;
+use crate::offers::{
+    offer_body,
+    Offered, //
+};
 use crate::plane::DataPlane;
 use crate::steps::Step;
 use crate::target_state::TargetState;
@@ -150,9 +153,10 @@
     entry: &TargetEntry,
     attempt_kind: AttemptKind,
 ) -> AttemptResult {
-    if let Some(refused) = offer_body(worker, call, entry).await {
-        return refused;
-    }
+    let body_bytes_per_s = match offer_body(worker, call, entry).await {
+        Offered::Accepted(bytes_per_s) => bytes_per_s,
+        Offered::Refused(result) => return result,
+    };
     // The budget is sent in whole milliseconds, rounded down, so that the peer times out first.
     let left = call.deadline.saturating_duration_since(Instant::now());
     if left.as_millis() == 0 {
@@ -169,6 +173,7 @@
         path: call.path,
         headers: &headers,
         body: call.body,
+        body_bytes_per_s,
         deadline: call.deadline,
         echo_header: None,
         idempotent: call.rule.idempotent,
--- a/crates/dataplane/src/headers.rs
+++ b/crates/dataplane/src/headers.rs
@@ -95,6 +95,9 @@
 /// Size of a body that a peer offers, in bytes. Its presence marks an offer.
 pub(crate) const OFFER_BYTES: &str = "x-figway-offer-bytes";
 
+/// Pace at which an offered body may be sent, in bytes per second.
+pub(crate) const OFFER_PACE: &str = "x-figway-offer-pace";
+
 /// Rank of a forwarded call.
 pub(crate) const ADMIT_RANK: &str = "x-figway-admit-rank";
 
--- a/crates/dataplane/src/offers.rs
+++ b/crates/dataplane/src/offers.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    fn bytes_per_s(&self) -> Option<f64> {
+        let pacer = self.pacer.lock().expect("no holder panics");
+        Some(pacer.bytes_per_s()).filter(|bytes_per_s| *bytes_per_s > 0.0)
+    }
+
     fn reserve(&self, len_bytes: usize, latest: Instant) -> Result<Instant, Duration> {
         let now = Instant::now();
         let mut pacer = self.pacer.lock().expect("no holder panics");
@@ -62,15 +67,18 @@
     }
 }
 
-/// Offers the body of the call to the target's node, if it is large. Returns the result of the attempt
-/// if the node refuses the call.
-pub(crate) async fn offer_body(
-    worker: &Worker,
-    call: &Call<'_>,
-    entry: &TargetEntry,
-) -> Option<AttemptResult> {
+/// Outcome of an offer.
+pub(crate) enum Offered {
+    /// The body may be sent, at this pace in bytes per second if one is given.
+    Accepted(Option<f64>),
+    /// The node refused the call.
+    Refused(AttemptResult),
+}
+
+/// Offers the body of the call to the target's node, if it is large.
+pub(crate) async fn offer_body(worker: &Worker, call: &Call<'_>, entry: &TargetEntry) -> Offered {
     if call.body.len() < OFFERED_MIN_BYTES || !worker.plane.overload_control() {
-        return None;
+        return Offered::Accepted(None);
     }
     let left_ms = |until: Instant| until.saturating_duration_since(Instant::now()).as_millis();
     let mut offer = Headers::default();
@@ -86,19 +94,24 @@
         path: OFFER_PATH,
         headers: &offer,
         body: &Bytes::new(),
+        body_bytes_per_s: None,
         deadline: call.deadline,
         echo_header: None,
         idempotent: true,
     };
     // A node that does not answer the offer is found out by the call itself.
-    let answer = worker.peers.send(&outbound).await.ok()?;
+    let Ok(answer) = worker.peers.send(&outbound).await else {
+        return Offered::Accepted(None);
+    };
     match answer.header(headers::OUTCOME) {
-        Some(ACCEPTED) | None => None,
-        Some(_) => Some(parse_peer_answer(
-            &worker.plane,
-            &entry.member.node_id,
-            answer,
-        )),
+        Some(ACCEPTED) | None => {
+            let pace = answer.header(headers::OFFER_PACE);
+            Offered::Accepted(pace.and_then(|bytes_per_s| bytes_per_s.parse().ok()))
+        }
+        Some(_) => {
+            let node_id = &entry.member.node_id;
+            Offered::Refused(parse_peer_answer(&worker.plane, node_id, answer))
+        }
     }
 }
 
@@ -129,6 +142,10 @@
             tokio::time::sleep_until(start_at.into()).await;
             let mut answer = Answer::of_status(200);
             answer.headers.push(headers::OUTCOME, ACCEPTED);
+            if let Some(bytes_per_s) = plane.offers.bytes_per_s() {
+                let pace = format!("{bytes_per_s:.0}");
+                answer.headers.push(headers::OFFER_PACE, pace);
+            }
             answer
         }
         Err(_) => {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,10 +10,7 @@
 
 use figway_types::FastMap;
 use futures::future::LocalBoxFuture;
-use http_body_util::{
-    BodyExt as _,
-    Full, //
-};
+use http_body_util::BodyExt as _;
 use hyper::body::{
     Body as _,
     Bytes,
@@ -46,6 +43,7 @@
     SendFailure,
     Transport, //
 };
+use crate::paced_body::PacedBody;
 use crate::socket;
 
 /// Fraction of a server's announced keep-alive timeout during which its connection is reused.
@@ -83,7 +81,7 @@
 }
 
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<PacedBody>,
     _driver: DriverTask,
 }
 
@@ -342,13 +340,14 @@
     )
 }
 
-fn build_request(
-    outbound: &OutboundRequest<'_>,
-) -> Result<hyper::Request<Full<Bytes>>, SendFailure> {
+fn build_request(outbound: &OutboundRequest<'_>) -> Result<hyper::Request<PacedBody>, SendFailure> {
     let mut request = hyper::Request::builder()
         .method(outbound.method)
         .uri(outbound.path)
-        .body(Full::new(outbound.body.clone()))
+        .body(PacedBody::new(
+            outbound.body.clone(),
+            outbound.body_bytes_per_s,
+        ))
         .map_err(|error| SendFailure::Refused(error.to_string()))?;
     let headers = request.headers_mut();
     for (name, value) in outbound.headers.iter() {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod client;
 mod memory;
 mod message;
+mod paced_body;
 mod pipeline;
 mod receive;
 mod server;
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -175,6 +175,8 @@
     pub headers: &'a Headers,
     /// Complete body.
     pub body: &'a Bytes,
+    /// Pace at which the body is sent, in bytes per second; at once if absent.
+    pub body_bytes_per_s: Option<f64>,
     /// Time at which sending ends with [`SendFailure::Late`].
     pub deadline: Instant,
     /// Header that the server copies from the request to its answer, if any. An answer whose value
--- a/crates/http/tests/connections.rs
+++ b/crates/http/tests/connections.rs
@@ -334,6 +334,7 @@
             path: "/",
             headers: &headers,
             body: &Bytes::new(),
+            body_bytes_per_s: None,
             deadline: Instant::now() + Duration::from_millis(600),
             echo_header: Some("x-id"),
             idempotent: true,
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -302,6 +302,7 @@
             path: &format!("/instances/{}/{action}", self.instance_name()),
             headers: &Headers::default(),
             body: &body.to_string().into(),
+            body_bytes_per_s: None,
             deadline: Instant::now() + Duration::from_secs(1),
             echo_header: None,
             idempotent: true,
--- a/crates/testbed/src/site/caller.rs
+++ b/crates/testbed/src/site/caller.rs
@@ -123,6 +123,7 @@
             path,
             headers: &headers,
             body: &body.to_owned().into(),
+            body_bytes_per_s: None,
             deadline: sent_at + budget,
             echo_header: None,
             idempotent: false,
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -173,6 +173,7 @@
         path,
         headers: &Headers::default(),
         body: &Bytes::new(),
+        body_bytes_per_s: None,
         deadline: Instant::now() + Duration::from_secs(2),
         echo_header: None,
         idempotent: true,
--- a/crates/testbed/tests/foreign_headers.rs
+++ b/crates/testbed/tests/foreign_headers.rs
@@ -80,6 +80,7 @@
         path: "/orders/1",
         headers: &headers,
         body: &Bytes::new(),
+        body_bytes_per_s: None,
         deadline: Instant::now() + Duration::from_secs(1),
         echo_header: None,
         idempotent: false,
--- a/crates/testbed/tests/memory.rs
+++ b/crates/testbed/tests/memory.rs
@@ -86,6 +86,7 @@
         path,
         headers: &headers,
         body: &Bytes::from(vec![b'x'; len]),
+        body_bytes_per_s: None,
         deadline: Instant::now() + Duration::from_millis(TIMEOUT_MS),
         echo_header: None,
         idempotent: false,
--- a/crates/testbed/tests/odd_entries.rs
+++ b/crates/testbed/tests/odd_entries.rs
@@ -47,6 +47,7 @@
         path,
         headers: &Headers::default(),
         body: &body.into(),
+        body_bytes_per_s: None,
         deadline: Instant::now() + Duration::from_secs(2),
         echo_header: None,
         idempotent: true,
--- a/crates/testbed/tests/restored_store.rs
+++ b/crates/testbed/tests/restored_store.rs
@@ -92,6 +92,7 @@
         path: "/figway/status",
         headers: &Headers::default(),
         body: &Default::default(),
+        body_bytes_per_s: None,
         deadline: Instant::now() + Duration::from_secs(1),
         echo_header: None,
         idempotent: true,
