--- /dev/null
+++ b/crates/rate-limit/src/coordinator.rs
@@ -0,0 +1,228 @@
+//! Coordinator: sums what the nodes admit and decides which customers are above their limit.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_customers::CustomerLimit;
+use figway_types::FastMap;
+
+use crate::bounds::{
+    clamp_limit,
+    LimitBounds, //
+};
+use crate::message::{
+    LimitedCustomer,
+    UsageAnswer,
+    UsageReport, //
+};
+
+/// Time over which the demand of a customer is averaged.
+const DEMAND_TIME: Duration = Duration::from_millis(500);
+
+/// Time within which a balance is spent or a debt repaid. It must be longer than the delay from a
+/// request to the answer that takes it into account, or the ratio oscillates.
+const BALANCE_TIME: Duration = Duration::from_millis(600);
+
+/// Time for which a coordinator receives reports before it decides.
+const WARM_UP: Duration = Duration::from_millis(1_500);
+
+/// Time without any report after which a coordinator begins anew.
+const IDLE_MAX: Duration = Duration::from_secs(2);
+
+/// Number of its periods after which a node that did not report is not granted its share any more.
+const MISSED_PERIOD_COUNT: u32 = 3;
+
+/// Longest period that a report may state, in milliseconds.
+const PERIOD_MAX_MS: u64 = 10_000;
+
+/// Interval at which the nodes that report are counted.
+const RECOUNT_EVERY: Duration = Duration::from_millis(50);
+
+/// Shortest time after which a refused request may come back: by then an answer that takes the lower
+/// demand into account has reached all nodes.
+const RETURN_MIN: Duration = Duration::from_millis(700);
+
+/// Longest time after which a refused request may come back.
+const RETURN_MAX: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Copy, Debug)]
+struct Reporter {
+    epoch: u64,
+    sequence: u64,
+    expected_until: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    limit: CustomerLimit,
+    capacity: f64,
+    /// Tokens; negative while nodes have admitted more than the limit allows.
+    balance: f64,
+    demand_per_s: f64,
+    advanced_at: Instant,
+}
+
+impl Bucket {
+    fn advance(&mut self, share: f64, now: Instant) {
+        let elapsed_s = now
+            .saturating_duration_since(self.advanced_at)
+            .as_secs_f64();
+        let refilled = self.balance + self.limit.rate_per_s * share * elapsed_s;
+        self.balance = refilled.min(self.capacity);
+        self.demand_per_s *= (-elapsed_s / DEMAND_TIME.as_secs_f64()).exp();
+        self.advanced_at = now;
+    }
+
+    fn verdict(&self, code: u64, share: f64) -> Option<LimitedCustomer> {
+        let rate_per_s = self.limit.rate_per_s;
+        let granted_per_s = rate_per_s * share + self.balance / BALANCE_TIME.as_secs_f64();
+        if self.demand_per_s <= granted_per_s {
+            return None;
+        }
+        let ratio = (granted_per_s / self.demand_per_s).clamp(0.0, 1.0);
+        let debt_s = (-self.balance / rate_per_s).max(0.0);
+        // What is refused now arrives again, so that it is spread over as long as it takes to serve.
+        let backlog_s = (self.demand_per_s / rate_per_s - 1.0).max(0.0) / 2.0;
+        let wait_s = RETURN_MIN.as_secs_f64() + debt_s + backlog_s;
+        let wait_ms = wait_s.min(RETURN_MAX.as_secs_f64()) * 1_000.0;
+        Some(LimitedCustomer(
+            code,
+            (ratio * 1_000.0) as u32,
+            wait_ms as u32,
+        ))
+    }
+}
+
+/// Accounts of all customers with a limit at one coordinator.
+#[derive(Clone, Debug)]
+pub struct LimitCoordinator {
+    bounds: LimitBounds,
+    buckets: FastMap<u64, Bucket>,
+    reporters: FastMap<String, Reporter>,
+    member_count: usize,
+    share: f64,
+    recounted_at: Option<Instant>,
+    first_report_at: Option<Instant>,
+    last_report_at: Option<Instant>,
+}
+
+impl LimitCoordinator {
+    /// Creates a coordinator without customers.
+    pub fn new(bounds: LimitBounds) -> Self {
+        Self {
+            bounds,
+            buckets: FastMap::default(),
+            reporters: FastMap::default(),
+            member_count: 1,
+            share: 0.0,
+            recounted_at: None,
+            first_report_at: None,
+            last_report_at: None,
+        }
+    }
+
+    /// Sets the limits by customer code. Others are forgotten. A customer that is new begins without
+    /// tokens.
+    pub fn set_limits(
+        &mut self,
+        limits: impl Iterator<Item = (u64, CustomerLimit)>,
+        now: Instant,
+    ) {
+        let mut buckets = FastMap::default();
+        for (code, limit) in limits {
+            let limit = clamp_limit(&limit);
+            let capacity = self.bounds.capacity(&limit);
+            let known = self.buckets.get(&code);
+            let bucket = Bucket {
+                limit,
+                capacity,
+                balance: known.map_or(0.0, |known| known.balance.clamp(-capacity, capacity)),
+                demand_per_s: known.map_or(0.0, |known| known.demand_per_s),
+                advanced_at: known.map_or(now, |known| known.advanced_at),
+            };
+            buckets.insert(code, bucket);
+        }
+        self.buckets = buckets;
+    }
+
+    /// Sets the number of nodes among which the limits are shared.
+    pub fn set_member_count(&mut self, member_count: usize) {
+        self.member_count = member_count.max(1);
+    }
+
+    /// Merges a report, unless it was merged before.
+    pub fn merge(&mut self, report: &UsageReport, now: Instant) {
+        let is_idle = self
+            .last_report_at
+            .is_none_or(|last| now.saturating_duration_since(last) > IDLE_MAX);
+        if is_idle {
+            self.begin(now);
+        }
+        self.last_report_at = Some(now);
+        let period = Duration::from_millis(report.period_ms.min(PERIOD_MAX_MS));
+        let next = Reporter {
+            epoch: report.epoch,
+            sequence: report.sequence,
+            expected_until: now + period * MISSED_PERIOD_COUNT,
+        };
+        let known = self.reporters.get(&report.node);
+        let is_repeated = known.is_some_and(|known| {
+            known.epoch == report.epoch && known.sequence >= report.sequence
+        });
+        self.recount(now);
+        self.reporters.insert(report.node.clone(), next);
+        if is_repeated {
+            return;
+        }
+        for count in &report.counts {
+            let Some(bucket) = self.buckets.get_mut(&count.0) else {
+                continue;
+            };
+            bucket.advance(self.share, now);
+            bucket.demand_per_s += f64::from(count.1) / DEMAND_TIME.as_secs_f64();
+            let debt_max = bucket.limit.rate_per_s * self.bounds.window.as_secs_f64();
+            let balance = bucket.balance - f64::from(count.2);
+            bucket.balance = balance.clamp(-debt_max, bucket.capacity);
+        }
+    }
+
+    /// Returns the answer to a report.
+    pub fn answer(&mut self, now: Instant) -> UsageAnswer {
+        self.recount(now);
+        let ready = self
+            .first_report_at
+            .is_some_and(|first| now.saturating_duration_since(first) >= WARM_UP);
+        let mut limited = Vec::new();
+        for (code, bucket) in &mut self.buckets {
+            bucket.advance(self.share, now);
+            limited.extend(bucket.verdict(*code, self.share));
+        }
+        UsageAnswer { ready, limited }
+    }
+
+    fn begin(&mut self, now: Instant) {
+        self.first_report_at = Some(now);
+        self.reporters.clear();
+        self.recounted_at = None;
+        for bucket in self.buckets.values_mut() {
+            bucket.balance = 0.0;
+            bucket.demand_per_s = 0.0;
+            bucket.advanced_at = now;
+        }
+    }
+
+    fn recount(&mut self, now: Instant) {
+        let is_recent = self
+            .recounted_at
+            .is_some_and(|at| now.saturating_duration_since(at) < RECOUNT_EVERY);
+        if is_recent {
+            return;
+        }
+        self.reporters
+            .retain(|_, reporter| reporter.expected_until > now);
+        self.recounted_at = Some(now);
+        self.share = (self.reporters.len() as f64 / self.member_count as f64).min(1.0);
+    }
+}
--- /dev/null
+++ b/crates/rate-limit/src/local_bucket.rs
@@ -0,0 +1,81 @@
+//! Bucket by which a node admits the requests of a customer without a coordinator: an equal share of
+//! the customer's rate and burst.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// Longest time for which a node repays what it admitted beyond its share.
+const DEBT_MAX: Duration = Duration::from_secs(3);
+
+/// Share of one node.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Share {
+    pub(crate) rate_per_s: f64,
+    pub(crate) capacity: f64,
+    /// Time after which a node that could not admit a request by its part of a token draws again.
+    pub(crate) redraw_after: Duration,
+}
+
+/// Bucket of one customer at one node. Requests that a coordinator admits draw from it too, so that no
+/// second burst is admitted when the coordinator is lost.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LocalBucket {
+    balance: f64,
+    refilled_at: Instant,
+    /// Part of a token with which a request is admitted, drawn at random, so that shares below one
+    /// token add up over the nodes.
+    threshold: f64,
+    redraw_at: Instant,
+}
+
+impl LocalBucket {
+    pub(crate) fn new(balance: f64, threshold: f64, now: Instant) -> Self {
+        Self {
+            balance,
+            refilled_at: now,
+            threshold,
+            redraw_at: now,
+        }
+    }
+
+    /// Adds what the time since the last call yields. `random_ratio` is between 0 and 1.
+    pub(crate) fn refill(&mut self, share: &Share, random_ratio: f64, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        let added = elapsed.as_secs_f64() * share.rate_per_s;
+        self.balance = (self.balance + added).min(share.capacity);
+        self.refilled_at = now;
+        if self.redraw_at <= now {
+            self.redraw(share, random_ratio, now);
+        }
+    }
+
+    fn redraw(&mut self, share: &Share, random_ratio: f64, now: Instant) {
+        self.threshold = random_ratio;
+        self.redraw_at = now + share.redraw_after;
+    }
+
+    /// Returns whether the share allows a request.
+    pub(crate) fn has_token(&self) -> bool {
+        self.balance > 0.0 && self.balance >= self.threshold
+    }
+
+    /// Takes a token for an admitted request.
+    pub(crate) fn draw(&mut self, share: &Share, random_ratio: f64, now: Instant) {
+        let debt_max = (share.rate_per_s * DEBT_MAX.as_secs_f64()).max(1.0);
+        self.balance = (self.balance - 1.0).max(-debt_max);
+        self.redraw(share, random_ratio, now);
+    }
+
+    /// Returns a token.
+    pub(crate) fn give_back(&mut self) {
+        self.balance += 1.0;
+    }
+
+    /// Returns the time until the share allows a request.
+    pub(crate) fn wait(&self, share: &Share) -> Duration {
+        let missing = (self.threshold - self.balance).max(0.0);
+        Duration::try_from_secs_f64(missing / share.rate_per_s).unwrap_or(Duration::MAX)
+    }
+}
--- /dev/null
+++ b/crates/rate-limit/src/roster.rs
@@ -0,0 +1,82 @@
+//! Number of nodes among which a limit is shared.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_types::{
+    FastMap,
+    Member,
+    MemberState, //
+};
+
+/// Time for which a member that was lost still counts. It may be cut off and admit requests.
+const LOST_RETENTION: Duration = Duration::from_secs(60);
+
+/// Number of members that a node assumes before it has met the others.
+const ASSUMED_COUNT: usize = 128;
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    counts_until: Option<Instant>,
+    was_draining: bool,
+}
+
+/// Members that count, among them those that were lost a short time ago. Members that left as planned
+/// do not count.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    seen: FastMap<String, Seen>,
+    /// Whether other nodes are known to exist that this one has not met since its start.
+    expects_others: bool,
+}
+
+impl Roster {
+    /// Creates an empty roster. `expects_others` tells that the mesh has other nodes, even if none is
+    /// known yet.
+    pub fn new(expects_others: bool) -> Self {
+        Self {
+            seen: FastMap::default(),
+            expects_others,
+        }
+    }
+
+    /// Takes the members over as they are known at `now`.
+    pub fn update<'a>(&mut self, members: impl Iterator<Item = &'a Member>, now: Instant) {
+        for member in members {
+            let known = self.seen.get_mut(member.node_id.0.as_str());
+            if member.state == MemberState::Left {
+                if let Some(known) = known {
+                    let counts_until = now + LOST_RETENTION;
+                    known.counts_until.get_or_insert(match known.was_draining {
+                        true => now,
+                        false => counts_until,
+                    });
+                }
+                continue;
+            }
+            let seen = Seen {
+                counts_until: None,
+                was_draining: member.state == MemberState::Draining,
+            };
+            match known {
+                Some(known) => *known = seen,
+                None => {
+                    self.seen.insert(member.node_id.0.clone(), seen);
+                }
+            }
+        }
+        self.seen
+            .retain(|_, seen| seen.counts_until.is_none_or(|until| until > now));
+    }
+
+    /// Returns the number of members that count, at least 1.
+    pub fn count(&self) -> usize {
+        let count = self.seen.len();
+        match self.expects_others && count <= 1 {
+            true => ASSUMED_COUNT,
+            false => count.max(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rate-limit/src/usage_meter.rs
@@ -0,0 +1,299 @@
+//! Node side: counts the requests of this node's callers and decides which are admitted.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_customers::CustomerLimit;
+use figway_types::{
+    mix,
+    FastMap, //
+};
+
+use crate::bounds::{
+    clamp_limit,
+    LimitBounds, //
+};
+use crate::local_bucket::{
+    LocalBucket,
+    Share, //
+};
+use crate::message::{
+    customer_code,
+    UsageAnswer,
+    UsageReport, //
+};
+use crate::report_feed::{
+    ReportFeed,
+    Totals, //
+};
+
+/// Number of coordinators that a node reports to.
+pub const COORDINATOR_COUNT: usize = 2;
+
+/// Period of the reports to the coordinator whose answers a node uses.
+const LEAD_PERIOD: Duration = Duration::from_millis(250);
+
+/// Period of the reports to the other coordinator.
+const STANDBY_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Time after a report for which its answer is valid, in periods.
+const VALID_PERIOD_RATIO: f64 = 2.4;
+
+/// Largest number of nodes that report this often. With more, the periods grow in proportion.
+const FREQUENT_MEMBER_MAX_COUNT: usize = 128;
+
+/// Longest period of reports, as a multiple of the shortest.
+const PERIOD_FACTOR_MAX: f64 = 8.0;
+
+/// Time without any report after which the progress of a coordinator is dropped.
+const FEED_RETENTION: Duration = Duration::from_secs(10);
+
+/// Shortest and longest time to come back that a node states by its own share.
+const LOCAL_RETURN_MS: (u64, u64) = (700, 5_000);
+
+/// Who limits a customer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LimitSource {
+    /// A coordinator, which had this ratio of the requests admitted.
+    Coordinator(f64),
+    /// The node itself by its share, since it has no valid answer of a coordinator.
+    OwnShare,
+}
+
+/// Decision on one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Admission {
+    /// The request may run.
+    Admitted,
+    /// The customer is above its limit.
+    Limited {
+        /// Time after which the request may come back.
+        retry_after: Duration,
+        /// Who limits the customer.
+        source: LimitSource,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Verdict {
+    ratio: f64,
+    wait: Duration,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Answer {
+    valid_until: Option<Instant>,
+    limited: FastMap<u64, Verdict>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Usage {
+    code: u64,
+    totals: Totals,
+    /// Part of a request that the ratio has yielded so far.
+    credit: f64,
+    bucket: LocalBucket,
+}
+
+/// Usage of this node's callers by customer.
+#[derive(Clone, Debug)]
+pub struct UsageMeter {
+    bounds: LimitBounds,
+    node: String,
+    epoch: u64,
+    random_state: u64,
+    member_count: usize,
+    /// Whether a coordinator has answered since the start.
+    was_answered: bool,
+    customers: FastMap<String, Usage>,
+    answers: [Answer; COORDINATOR_COUNT],
+    feeds: FastMap<String, ReportFeed>,
+}
+
+impl UsageMeter {
+    /// Creates the meter of a node that has just started. `seed` is a random number of its process.
+    pub fn new(node: &str, bounds: LimitBounds, seed: u64) -> Self {
+        Self {
+            bounds,
+            node: node.to_owned(),
+            // Below 2^53, so that the number is exact in every decoder.
+            epoch: mix(seed) >> 11,
+            random_state: seed,
+            member_count: 1,
+            was_answered: false,
+            customers: FastMap::default(),
+            answers: Default::default(),
+            feeds: FastMap::default(),
+        }
+    }
+
+    /// Sets the number of nodes among which the limits are shared.
+    pub fn set_member_count(&mut self, member_count: usize) {
+        self.member_count = member_count.max(1);
+    }
+
+    /// Drops the usage of customers that have no limit any more.
+    pub fn retain(&mut self, has_limit: impl Fn(&str) -> bool) {
+        self.customers.retain(|customer, _| has_limit(customer));
+    }
+
+    /// Counts a request of a customer and decides whether it may run.
+    pub fn try_admit(&mut self, customer: &str, limit: &CustomerLimit, now: Instant) -> Admission {
+        let share = self.share_of(limit);
+        let draws = [self.random_ratio(), self.random_ratio()];
+        let lead = self.lead(now);
+        let initial = if self.was_answered { share.capacity } else { 0.0 };
+        let usage = match self.customers.get_mut(customer) {
+            Some(usage) => usage,
+            None => {
+                let usage = Usage {
+                    code: customer_code(customer),
+                    totals: Totals::default(),
+                    credit: draws[1],
+                    bucket: LocalBucket::new(initial, draws[0], now),
+                };
+                self.customers.entry(customer.to_owned()).or_insert(usage)
+            }
+        };
+        usage.totals.arrival_count += 1;
+        usage.bucket.refill(&share, draws[0], now);
+        let verdict = lead.and_then(|lead| self.answers[lead].limited.get(&usage.code));
+        let refused = match (lead, verdict) {
+            (Some(_), None) => None,
+            (Some(_), Some(verdict)) => {
+                usage.credit += verdict.ratio;
+                match usage.credit >= 1.0 {
+                    true => {
+                        usage.credit -= 1.0;
+                        None
+                    }
+                    false => Some((verdict.wait, LimitSource::Coordinator(verdict.ratio))),
+                }
+            }
+            (None, _) if usage.bucket.has_token() => None,
+            (None, _) => {
+                let (min_ms, max_ms) = LOCAL_RETURN_MS;
+                let wait = usage.bucket.wait(&share).clamp(
+                    Duration::from_millis(min_ms),
+                    Duration::from_millis(max_ms),
+                );
+                Some((wait, LimitSource::OwnShare))
+            }
+        };
+        if let Some((wait, source)) = refused {
+            return Admission::Limited {
+                retry_after: wait.mul_f64(1.0 + draws[1]),
+                source,
+            };
+        }
+        usage.totals.admitted_count += 1;
+        usage.bucket.draw(&share, draws[1], now);
+        Admission::Admitted
+    }
+
+    /// Returns the token of an admitted request that has not run.
+    pub fn refund(&mut self, customer: &str) {
+        let Some(usage) = self.customers.get_mut(customer) else {
+            return;
+        };
+        usage.totals.admitted_count -= 1;
+        usage.bucket.give_back();
+    }
+
+    /// Returns the period of the reports to the coordinator of rank `slot`.
+    pub fn report_period(&self, slot: usize, now: Instant) -> Duration {
+        let lead = self.lead(now).unwrap_or(slot);
+        let period = if slot == lead { LEAD_PERIOD } else { STANDBY_PERIOD };
+        let factor = self.member_count as f64 / FREQUENT_MEMBER_MAX_COUNT as f64;
+        period.mul_f64(factor.clamp(1.0, PERIOD_FACTOR_MAX))
+    }
+
+    /// Returns the next report to `coordinator`, which is of rank `slot`.
+    pub fn report(&mut self, slot: usize, coordinator: &str, now: Instant) -> UsageReport {
+        let mut report = UsageReport {
+            node: self.node.clone(),
+            epoch: self.epoch,
+            period_ms: self.report_period(slot, now).as_millis() as u64,
+            ..UsageReport::default()
+        };
+        self.feeds.retain(|_, feed| {
+            now.saturating_duration_since(feed.acknowledged_at()) < FEED_RETENTION
+        });
+        let totals = self.customers.values().map(|usage| (usage.code, usage.totals));
+        self.feeds
+            .entry(coordinator.to_owned())
+            .or_insert_with(|| ReportFeed::new(totals.clone(), now))
+            .fill(&mut report, totals, now);
+        report
+    }
+
+    /// Applies the answer to a report that was sent at `sent_at`.
+    pub fn apply(
+        &mut self,
+        slot: usize,
+        coordinator: &str,
+        report: &UsageReport,
+        answer: &UsageAnswer,
+        sent_at: Instant,
+        now: Instant,
+    ) {
+        if let Some(feed) = self.feeds.get_mut(coordinator) {
+            feed.acknowledge(report.sequence, now);
+        }
+        let Some(slot) = self.answers.get_mut(slot) else {
+            return;
+        };
+        if !answer.ready {
+            slot.valid_until = None;
+            return;
+        }
+        self.was_answered = true;
+        let valid_for = Duration::from_millis(report.period_ms).mul_f64(VALID_PERIOD_RATIO);
+        slot.valid_until = Some(sent_at + valid_for);
+        slot.limited.clear();
+        for limited in &answer.limited {
+            let verdict = Verdict {
+                ratio: f64::from(limited.1.min(1_000)) / 1_000.0,
+                wait: Duration::from_millis(u64::from(limited.2.min(60_000))),
+            };
+            slot.limited.insert(limited.0, verdict);
+        }
+    }
+
+    /// Records that the coordinator of rank `slot` did not answer.
+    pub fn record_failure(&mut self, slot: usize) {
+        if let Some(slot) = self.answers.get_mut(slot) {
+            slot.valid_until = None;
+        }
+    }
+
+    /// Returns the rank of the coordinator whose answers are used, if any are valid.
+    pub fn lead(&self, now: Instant) -> Option<usize> {
+        self.answers
+            .iter()
+            .position(|answer| answer.valid_until.is_some_and(|until| until > now))
+    }
+
+    /// Returns the number of customers that the used answer limits.
+    pub fn limited_count(&self, now: Instant) -> usize {
+        self.lead(now)
+            .map_or(0, |lead| self.answers[lead].limited.len())
+    }
+
+    fn share_of(&self, limit: &CustomerLimit) -> Share {
+        let limit = clamp_limit(limit);
+        let member_count = self.member_count as f64;
+        Share {
+            rate_per_s: limit.rate_per_s / member_count,
+            capacity: self.bounds.capacity(&limit) / member_count,
+            redraw_after: self.bounds.window,
+        }
+    }
+
+    fn random_ratio(&mut self) -> f64 {
+        self.random_state = self.random_state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.random_state) as f64 / u64::MAX as f64
+    }
+}
--- /dev/null
+++ b/crates/rate-limit/tests/common/mod.rs
@@ -0,0 +1,386 @@
+//! Simulation of many nodes and their coordinators in virtual time, with delayed and lost messages.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_customers::CustomerLimit;
+use figway_rate_limit::{
+    customer_code,
+    Admission,
+    LimitBounds,
+    LimitCoordinator,
+    UsageAnswer,
+    UsageMeter,
+    UsageReport,
+    COORDINATOR_COUNT, //
+};
+use figway_types::mix;
+
+/// Interval at which a node looks whether a report is due.
+const TICK_MS: u64 = 50;
+
+/// Time after which a node gives up a report.
+const TIMEOUT_MS: u64 = 400;
+
+/// One in this many messages is lost.
+const LOSS_PERIOD: u64 = 50;
+
+/// Demand of a customer and what became of it.
+pub struct Customer {
+    pub name: String,
+    pub limit: Option<CustomerLimit>,
+    /// Requests per second by time in seconds.
+    pub demand: Box<dyn Fn(f64) -> f64>,
+    /// Times of admitted requests in milliseconds.
+    pub admitted_ms: Vec<u64>,
+    /// Times of refused requests in milliseconds, with the time to come back and whether the node
+    /// refused by its own share.
+    pub refused: Vec<(u64, Duration, usize)>,
+    pub arrived_ms: Vec<u64>,
+}
+
+impl Customer {
+    pub fn new(name: &str, rate_per_s: f64, demand: impl Fn(f64) -> f64 + 'static) -> Self {
+        Self {
+            name: name.to_owned(),
+            limit: Some(CustomerLimit {
+                rate_per_s,
+                burst_count: rate_per_s,
+            }),
+            demand: Box::new(demand),
+            admitted_ms: Vec::new(),
+            refused: Vec::new(),
+            arrived_ms: Vec::new(),
+        }
+    }
+
+    /// Returns how many requests arrived from one time to another.
+    pub fn arrived_count(&self, from_ms: u64, to_ms: u64) -> usize {
+        let times = &self.arrived_ms;
+        times.iter().filter(|at| (from_ms..to_ms).contains(*at)).count()
+    }
+
+    /// Returns how many requests were refused from one time to another.
+    pub fn refused_count(&self, from_ms: u64, to_ms: u64) -> usize {
+        let times = &self.refused;
+        times.iter().filter(|(at, ..)| (from_ms..to_ms).contains(at)).count()
+    }
+
+    /// Returns the most requests admitted in any 5 s that begin at `from_ms` or later.
+    pub fn busiest_window_count(&self, from_ms: u64) -> usize {
+        let times: Vec<u64> = self.admitted_ms.iter().copied().filter(|at| *at >= from_ms).collect();
+        let mut first = 0;
+        let mut busiest = 0;
+        for (index, at) in times.iter().enumerate() {
+            while times[first] + 5_000 <= *at {
+                first += 1;
+            }
+            busiest = busiest.max(index + 1 - first);
+        }
+        busiest
+    }
+}
+
+struct Node {
+    is_up: bool,
+    started_ms: u64,
+    /// When the node has met others after its start.
+    joined_ms: u64,
+    group: u32,
+    /// Group as the failure detector of the mesh sees it.
+    seen_group: u32,
+    meter: UsageMeter,
+    coordinator: LimitCoordinator,
+    due_ms: [u64; COORDINATOR_COUNT],
+    in_flight: [bool; COORDINATOR_COUNT],
+}
+
+enum Event {
+    Tick(usize),
+    Report { from: usize, to: usize, slot: usize, report: UsageReport, sent_ms: u64 },
+    Answer { to: usize, from: usize, slot: usize, report: UsageReport, answer: UsageAnswer, sent_ms: u64 },
+    Failure { to: usize, slot: usize, epoch: u64 },
+    Detect { node: usize, group: u32 },
+}
+
+/// The simulated nodes.
+pub struct Sim {
+    base: Instant,
+    pub now_ms: u64,
+    random_state: u64,
+    nodes: Vec<Node>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: std::collections::HashMap<u64, Event>,
+    event_count: u64,
+    pub customers: Vec<Customer>,
+    pub report_count: u64,
+    pub report_bytes: u64,
+}
+
+impl Sim {
+    pub fn new(node_count: usize, seed: u64, customers: Vec<Customer>) -> Self {
+        let base = Instant::now();
+        let mut sim = Self {
+            base,
+            now_ms: 0,
+            random_state: seed,
+            nodes: Vec::new(),
+            queue: BinaryHeap::new(),
+            events: Default::default(),
+            event_count: 0,
+            customers,
+            report_count: 0,
+            report_bytes: 0,
+        };
+        for index in 0..node_count {
+            let seed = sim.random();
+            sim.nodes.push(new_node(index, seed, 0));
+            let at_ms = sim.random() % TICK_MS;
+            sim.push(at_ms, Event::Tick(index));
+        }
+        sim.apply_limits();
+        sim
+    }
+
+    pub fn random(&mut self) -> u64 {
+        self.random_state = self.random_state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.random_state)
+    }
+
+    fn ratio(&mut self) -> f64 {
+        self.random() as f64 / u64::MAX as f64
+    }
+
+    fn instant(&self) -> Instant {
+        self.base + Duration::from_millis(self.now_ms)
+    }
+
+    fn push(&mut self, at_ms: u64, event: Event) {
+        self.event_count += 1;
+        self.queue.push(Reverse((at_ms, self.event_count)));
+        self.events.insert(self.event_count, event);
+    }
+
+    /// Sets the limits of all coordinators to those of the customers.
+    pub fn apply_limits(&mut self) {
+        let now = self.instant();
+        let limits: Vec<_> = self
+            .customers
+            .iter()
+            .filter_map(|customer| Some((customer_code(&customer.name), customer.limit?)))
+            .collect();
+        for node in &mut self.nodes {
+            node.coordinator.set_limits(limits.iter().copied(), now);
+        }
+    }
+
+    /// Kills a node. Its peers notice at their next message.
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].is_up = false;
+    }
+
+    /// Starts a node that was killed, with an empty state.
+    pub fn restart(&mut self, index: usize) {
+        let seed = self.random();
+        let mut node = new_node(index, seed, self.now_ms);
+        node.joined_ms = self.now_ms + 200 + self.random() % 800;
+        node.group = self.nodes[index].group;
+        node.seen_group = node.group;
+        self.nodes[index] = node;
+        self.apply_limits();
+    }
+
+    /// Moves nodes to a group. Nodes of different groups can't reach each other, which the others
+    /// notice after a random delay.
+    pub fn move_to_group(&mut self, indices: impl Iterator<Item = usize>, group: u32) {
+        for index in indices {
+            self.nodes[index].group = group;
+            let delay_ms = 500 + self.random() % 2_000;
+            let at_ms = self.now_ms + delay_ms;
+            self.push(at_ms, Event::Detect { node: index, group });
+        }
+    }
+
+    /// Returns the first of the live members as the node sees them.
+    fn coordinators(&self, index: usize) -> Vec<usize> {
+        let own = &self.nodes[index];
+        if own.joined_ms > self.now_ms {
+            return vec![index];
+        }
+        (0..self.nodes.len())
+            .filter(|other| {
+                let other = &self.nodes[*other];
+                other.is_up && other.joined_ms <= self.now_ms && other.seen_group == own.seen_group
+            })
+            .take(COORDINATOR_COUNT)
+            .collect()
+    }
+
+    pub fn run_until(&mut self, end_ms: u64) {
+        while self.now_ms < end_ms {
+            while let Some(Reverse((at_ms, id))) = self.queue.peek().copied() {
+                if at_ms > self.now_ms {
+                    break;
+                }
+                self.queue.pop();
+                let event = self.events.remove(&id).expect("pushed");
+                self.handle(event);
+            }
+            self.arrivals();
+            self.now_ms += 1;
+        }
+    }
+
+    fn arrivals(&mut self) {
+        for index in 0..self.customers.len() {
+            let demand_per_s = (self.customers[index].demand)(self.now_ms as f64 / 1_000.0);
+            let mut left = demand_per_s / 1_000.0;
+            while left > 0.0 {
+                let arrives = self.ratio() < left.min(1.0);
+                left -= 1.0;
+                if !arrives {
+                    continue;
+                }
+                let node = (self.random() % self.nodes.len() as u64) as usize;
+                if self.nodes[node].is_up {
+                    self.arrive(index, node);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, customer: usize, node: usize) {
+        let now = self.instant();
+        let now_ms = self.now_ms;
+        let node_count = self.nodes.len();
+        let customer = &mut self.customers[customer];
+        customer.arrived_ms.push(now_ms);
+        let Some(limit) = customer.limit else {
+            customer.admitted_ms.push(now_ms);
+            return;
+        };
+        let joined = self.nodes[node].joined_ms <= now_ms;
+        let meter = &mut self.nodes[node].meter;
+        meter.set_member_count(if joined { node_count } else { 128 });
+        match meter.try_admit(&customer.name, &limit, now) {
+            Admission::Admitted => customer.admitted_ms.push(now_ms),
+            Admission::Limited { retry_after, .. } => {
+                customer.refused.push((now_ms, retry_after, node));
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick(index) => self.tick(index),
+            Event::Detect { node, group } => self.nodes[node].seen_group = group,
+            Event::Report { from, to, slot, report, sent_ms } => {
+                let now = self.instant();
+                let node_count = self.nodes.len();
+                let node = &mut self.nodes[to];
+                let joined = node.joined_ms <= self.now_ms;
+                node.coordinator
+                    .set_member_count(if joined { node_count } else { 128 });
+                node.coordinator.merge(&report, now);
+                let answer = node.coordinator.answer(now);
+                let answer_lost = from != to && self.random() % LOSS_PERIOD == 0;
+                if answer_lost || self.nodes[from].group != self.nodes[to].group {
+                    let at_ms = sent_ms + TIMEOUT_MS;
+                    self.push(at_ms, Event::Failure { to: from, slot, epoch: report.epoch });
+                    return;
+                }
+                let at_ms = self.now_ms + self.delay_ms(from, to);
+                self.push(at_ms, Event::Answer { to: from, from: to, slot, report, answer, sent_ms });
+            }
+            Event::Answer { to, from, slot, report, answer, sent_ms } => {
+                let now = self.instant();
+                let sent_at = self.base + Duration::from_millis(sent_ms);
+                let node = &mut self.nodes[to];
+                if node.started_ms > sent_ms {
+                    return;
+                }
+                node.in_flight[slot] = false;
+                let coordinator = format!("n{from}");
+                node.meter.apply(slot, &coordinator, &report, &answer, sent_at, now);
+            }
+            Event::Failure { to, slot, epoch: _ } => {
+                self.nodes[to].in_flight[slot] = false;
+                self.nodes[to].meter.record_failure(slot);
+            }
+        }
+    }
+
+    fn delay_ms(&mut self, from: usize, to: usize) -> u64 {
+        if from == to {
+            return 0;
+        }
+        2 + self.random() % 48
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.push(self.now_ms + TICK_MS, Event::Tick(index));
+        if !self.nodes[index].is_up {
+            return;
+        }
+        let now = self.instant();
+        for (slot, to) in self.coordinators(index).into_iter().enumerate() {
+            let node = &mut self.nodes[index];
+            let period_ms = node.meter.report_period(slot, now).as_millis() as u64;
+            if node.in_flight[slot] || node.due_ms[slot] + period_ms > self.now_ms {
+                continue;
+            }
+            node.due_ms[slot] = self.now_ms;
+            node.in_flight[slot] = true;
+            let report = node.meter.report(slot, &format!("n{to}"), now);
+            self.report_count += 1;
+            self.report_bytes += serde_json::to_vec(&report).expect("encodes").len() as u64;
+            let sent_ms = self.now_ms;
+            let is_lost = index != to && self.random() % LOSS_PERIOD == 0;
+            let reachable = self.nodes[to].is_up && self.nodes[to].group == self.nodes[index].group;
+            if is_lost || !reachable {
+                // A peer whose process has ended refuses the connection at once.
+                let wait_ms = if self.nodes[to].is_up { TIMEOUT_MS } else { 30 };
+                let epoch = report.epoch;
+                self.push(sent_ms + wait_ms, Event::Failure { to: index, slot, epoch });
+                continue;
+            }
+            let at_ms = sent_ms + self.delay_ms(index, to);
+            self.push(at_ms, Event::Report { from: index, to, slot, report, sent_ms });
+        }
+    }
+}
+
+fn new_node(index: usize, seed: u64, started_ms: u64) -> Node {
+    Node {
+        is_up: true,
+        started_ms,
+        joined_ms: 0,
+        group: 0,
+        seen_group: 0,
+        meter: UsageMeter::new(&format!("n{index}"), LimitBounds::default(), seed),
+        coordinator: LimitCoordinator::new(LimitBounds::default()),
+        due_ms: [0; COORDINATOR_COUNT],
+        in_flight: [false; COORDINATOR_COUNT],
+    }
+}
+
+/// Asserts that no window that begins at `from_ms` or later has more admitted requests than permitted.
+pub fn assert_within(customer: &Customer, limit: &CustomerLimit, from_ms: u64, what: &str) {
+    let permitted = LimitBounds::default().permitted_count(limit);
+    let busiest = customer.busiest_window_count(from_ms);
+    eprintln!(
+        "{what}: {} busiest window {busiest} of {permitted}, arrived {} refused {}",
+        customer.name,
+        customer.arrived_ms.len(),
+        customer.refused.len(),
+    );
+    assert!(
+        busiest as f64 <= permitted,
+        "{what}: {} had {busiest} requests in 5 s, {permitted} are permitted",
+        customer.name
+    );
+}
--- /dev/null
+++ b/crates/rate-limit/tests/limits_over_nodes.rs
@@ -0,0 +1,261 @@
+//! Guards against customers that run more requests over all nodes than their limit permits, and against
+//! refusals of customers below their limit, while nodes and coordinators fail.
+
+mod common;
+
+use figway_customers::CustomerLimit;
+
+use crate::common::{
+    assert_within,
+    Customer,
+    Sim, //
+};
+
+const NODE_COUNT: usize = 85;
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+/// When the customer in question begins to send more, in milliseconds.
+const SURGE_MS: u64 = 10_000;
+const END_MS: u64 = 32_000;
+
+/// Usual demand of a customer, which is 1.6 times below its limit.
+fn usual(rate_per_s: f64) -> f64 {
+    rate_per_s / 1.6
+}
+
+/// Customer that sends 7.5 times its usual load from [`SURGE_MS`] on.
+fn surging(name: &str, rate_per_s: f64) -> Customer {
+    let from_s = SURGE_MS as f64 / 1_000.0;
+    Customer::new(name, rate_per_s, move |at_s| {
+        usual(rate_per_s) * if at_s >= from_s { 7.5 } else { 1.0 }
+    })
+}
+
+fn steady(name: &str, rate_per_s: f64) -> Customer {
+    Customer::new(name, rate_per_s, move |_| usual(rate_per_s))
+}
+
+/// Two customers above their limit and two below, of small and large rates.
+fn mixed() -> Vec<Customer> {
+    vec![
+        surging("large-over", 560.0),
+        surging("small-over", 8.0),
+        steady("large", 560.0),
+        steady("small", 8.0),
+        surging("middle-over", 56.0),
+    ]
+}
+
+fn assert_all_within(sim: &Sim, what: &str) {
+    for customer in &sim.customers {
+        let limit = customer.limit.expect("has a limit");
+        assert_within(customer, &limit, 0, what);
+    }
+}
+
+/// Asserts that at most `ratio` of a customer's requests were refused.
+fn assert_served(customer: &Customer, from_ms: u64, to_ms: u64, ratio: f64, what: &str) {
+    let arrived = customer.arrived_count(from_ms, to_ms);
+    let refused = customer.refused_count(from_ms, to_ms);
+    eprintln!("{what}: {} refused {refused} of {arrived}", customer.name);
+    assert!(
+        refused as f64 <= arrived as f64 * ratio,
+        "{what}: {refused} of {arrived} requests of {} were refused below the limit",
+        customer.name
+    );
+}
+
+#[test]
+fn a_surge_is_limited_and_no_other_customer_is_refused() {
+    for seed in SEEDS {
+        let mut sim = Sim::new(NODE_COUNT, seed, mixed());
+        sim.run_until(END_MS);
+        assert_all_within(&sim, "surge");
+        for index in [2, 3] {
+            assert_served(&sim.customers[index], 3_000, END_MS, 0.0, "surge");
+        }
+        // Before the surge and while it lasts, what the limit allows is used.
+        assert_served(&sim.customers[0], 3_000, SURGE_MS, 0.0, "before the surge");
+        let during = &sim.customers[0].admitted_ms;
+        let count = during.iter().filter(|at| **at >= SURGE_MS).count() as f64;
+        let allowed = 560.0 * (END_MS - SURGE_MS) as f64 / 1_000.0;
+        assert!(count >= 0.95 * allowed, "{count} of {allowed} were admitted");
+    }
+}
+
+#[test]
+fn the_coordinator_dies_as_a_surge_begins() {
+    for seed in SEEDS {
+        let mut sim = Sim::new(NODE_COUNT, seed, mixed());
+        sim.run_until(SURGE_MS);
+        sim.kill(0);
+        sim.run_until(END_MS);
+        assert_all_within(&sim, "dead coordinator");
+        for index in [2, 3] {
+            assert_served(&sim.customers[index], 3_000, END_MS, 0.0, "dead coordinator");
+        }
+    }
+}
+
+#[test]
+fn the_coordinator_is_replaced_while_it_runs() {
+    for seed in SEEDS {
+        let mut sim = Sim::new(NODE_COUNT, seed, mixed());
+        // Node 0 is not seen first, then found again.
+        sim.move_to_group(std::iter::once(0), 1);
+        sim.run_until(SURGE_MS + 1_000);
+        sim.move_to_group(std::iter::once(0), 0);
+        sim.run_until(END_MS);
+        assert_all_within(&sim, "replaced coordinator");
+        for index in [2, 3] {
+            assert_served(&sim.customers[index], SURGE_MS, END_MS, 0.01, "replaced");
+        }
+    }
+}
+
+#[test]
+fn half_of_the_nodes_are_cut_off_as_a_surge_begins() {
+    for seed in SEEDS {
+        let mut sim = Sim::new(NODE_COUNT, seed, mixed());
+        sim.run_until(SURGE_MS);
+        sim.move_to_group(0..NODE_COUNT / 2, 1);
+        sim.run_until(SURGE_MS + 12_000);
+        sim.move_to_group(0..NODE_COUNT / 2, 0);
+        sim.run_until(END_MS);
+        assert_all_within(&sim, "cut in halves");
+        assert_served(&sim.customers[2], 3_000, END_MS, 0.02, "cut in halves");
+    }
+}
+
+#[test]
+fn nodes_are_cut_off_one_by_one() {
+    for seed in SEEDS {
+        let mut sim = Sim::new(NODE_COUNT, seed, mixed());
+        for step in 0..30_u64 {
+            sim.run_until(SURGE_MS + step * 100);
+            let index = (step as usize * 17 + 3) % NODE_COUNT;
+            sim.move_to_group(std::iter::once(index), 100 + step as u32);
+        }
+        sim.run_until(SURGE_MS + 12_000);
+        for step in 0..30_u64 {
+            sim.run_until(SURGE_MS + 12_000 + step * 100);
+            let index = (step as usize * 17 + 3) % NODE_COUNT;
+            sim.move_to_group(std::iter::once(index), 0);
+        }
+        sim.run_until(END_MS);
+        assert_all_within(&sim, "one by one");
+        assert_served(&sim.customers[2], 3_000, END_MS, 0.02, "one by one");
+    }
+}
+
+#[test]
+fn all_nodes_are_cut_off_from_each_other() {
+    for seed in SEEDS {
+        let mut sim = Sim::new(NODE_COUNT, seed, mixed());
+        sim.run_until(SURGE_MS);
+        for index in 0..NODE_COUNT {
+            sim.move_to_group(std::iter::once(index), 100 + index as u32);
+        }
+        sim.run_until(END_MS);
+        assert_all_within(&sim, "all alone");
+    }
+}
+
+#[test]
+fn half_of_the_nodes_restart_at_once() {
+    for seed in SEEDS {
+        let mut sim = Sim::new(NODE_COUNT, seed, mixed());
+        sim.run_until(SURGE_MS);
+        for index in 0..NODE_COUNT / 2 {
+            sim.kill(index);
+        }
+        sim.run_until(SURGE_MS + 300);
+        for index in 0..NODE_COUNT / 2 {
+            sim.restart(index);
+        }
+        sim.run_until(END_MS);
+        assert_all_within(&sim, "restart of half");
+        assert_served(&sim.customers[2], SURGE_MS, END_MS, 0.02, "restart of half");
+    }
+}
+
+/// A node is a hole if it admits without a limit until it has heard from a coordinator.
+#[test]
+fn a_surge_at_nodes_that_have_all_just_started_is_limited() {
+    for seed in SEEDS {
+        let over = Customer::new("over", 560.0, |_| 7.5 * usual(560.0));
+        let small = Customer::new("small-over", 8.0, |_| 7.5 * usual(8.0));
+        let mut sim = Sim::new(NODE_COUNT, seed, vec![over, small]);
+        sim.run_until(15_000);
+        assert_all_within(&sim, "start");
+    }
+}
+
+#[test]
+fn a_lowered_limit_binds_one_window_later_and_a_raised_or_removed_one_sets_free() {
+    for seed in SEEDS {
+        let customer = Customer::new("changed", 560.0, |_| 500.0);
+        let mut sim = Sim::new(NODE_COUNT, seed, vec![customer]);
+        sim.run_until(10_000);
+        assert_served(&sim.customers[0], 3_000, 10_000, 0.0, "before");
+        let lowered = CustomerLimit {
+            rate_per_s: 56.0,
+            burst_count: 56.0,
+        };
+        sim.customers[0].limit = Some(lowered);
+        sim.apply_limits();
+        sim.run_until(25_000);
+        assert_within(&sim.customers[0], &lowered, 15_000, "lowered");
+        sim.customers[0].limit = Some(CustomerLimit {
+            rate_per_s: 560.0,
+            burst_count: 560.0,
+        });
+        sim.apply_limits();
+        sim.run_until(33_000);
+        assert_served(&sim.customers[0], 27_000, 33_000, 0.0, "raised");
+        sim.customers[0].limit = None;
+        sim.apply_limits();
+        sim.run_until(36_000);
+        assert_served(&sim.customers[0], 33_000, 36_000, 0.0, "removed");
+    }
+}
+
+/// Who comes back at the stated time, with the customer within its limit by then, must be admitted.
+#[test]
+fn the_time_to_come_back_is_true_and_spread() {
+    for seed in SEEDS {
+        let customer = Customer::new("over", 560.0, |at_s| {
+            usual(560.0) * if (10.0..14.0).contains(&at_s) { 7.5 } else { 0.8 }
+        });
+        let mut sim = Sim::new(NODE_COUNT, seed, vec![customer]);
+        sim.run_until(14_000);
+        // Those refused in the last moment of the surge are the first that the lower demand helps.
+        let returns: Vec<u64> = sim.customers[0]
+            .refused
+            .iter()
+            .filter(|(at, ..)| *at >= 13_900)
+            .map(|(at, retry_after, _)| at + retry_after.as_millis() as u64)
+            .collect();
+        let first = *returns.iter().min().expect("requests were refused");
+        let last = *returns.iter().max().expect("requests were refused");
+        assert!(last - first >= 1_000, "returns within {} ms", last - first);
+        sim.run_until(last + 1_000);
+        let customer = &sim.customers[0];
+        assert_served(customer, first, last, 0.05, "after the surge");
+    }
+}
+
+#[test]
+fn a_customer_that_went_away_finds_its_burst_again() {
+    for seed in SEEDS {
+        let customer = Customer::new("back", 560.0, |at_s| match at_s {
+            at_s if at_s < 10.0 => usual(560.0) * 7.5,
+            at_s if at_s < 20.0 => 0.0,
+            _ => usual(560.0),
+        });
+        let mut sim = Sim::new(NODE_COUNT, seed, vec![customer]);
+        sim.run_until(25_000);
+        assert_all_within(&sim, "went away");
+        assert_served(&sim.customers[0], 20_000, 25_000, 0.0, "back");
+    }
+}
