--- a/crates/rate-limit/src/bounds.rs
+++ b/crates/rate-limit/src/bounds.rs
@@ -7,7 +7,11 @@
 /// Part of the permitted overrun that enlarges the buckets, so that customers at their limit are not
 /// refused for the delay of reports. The rest covers requests that nodes admit before they learn that
 /// a customer is above its limit.
-const RESERVE_RATIO: f64 = 0.4;
+const RESERVE_RATIO: f64 = 0.3;
+
+/// The same of the permitted slack, most of which covers small customers, whose requests are reported
+/// late.
+const RESERVE_SLACK_RATIO: f64 = 0.15;
 
 /// Largest rate and burst; higher ones count as this.
 const LIMIT_MAX: f64 = 1e9;
@@ -43,8 +47,8 @@
     /// Returns the capacity of a customer's bucket.
     pub(crate) fn capacity(&self, limit: &CustomerLimit) -> f64 {
         let limit_count = limit.rate_per_s * self.window.as_secs_f64() + limit.burst_count;
-        let overrun_count = self.permitted_count(limit) - limit_count;
-        limit.burst_count + overrun_count * RESERVE_RATIO
+        let reserve_count = limit_count * self.overrun_ratio * RESERVE_RATIO;
+        limit.burst_count + reserve_count + self.slack_count * RESERVE_SLACK_RATIO
     }
 }
 
--- a/crates/rate-limit/src/coordinator.rs
+++ b/crates/rate-limit/src/coordinator.rs
@@ -21,13 +21,21 @@
 /// Time over which the demand of a customer is averaged.
 const DEMAND_TIME: Duration = Duration::from_millis(500);
 
+/// Number of requests at the limit over which the demand is averaged in addition, so that a few requests
+/// that arrive together are not taken for a higher demand.
+const DEMAND_COUNT: f64 = 2.0;
+
 /// Time within which a balance is spent or a debt repaid. It must be longer than the delay from a
 /// request to the answer that takes it into account, or the ratio oscillates.
 const BALANCE_TIME: Duration = Duration::from_millis(600);
 
-/// Time for which a coordinator receives reports before it decides.
+/// Time after which the reports of a node are a base for decisions.
 const WARM_UP: Duration = Duration::from_millis(1_500);
 
+/// A coordinator decides once one in this many nodes that report has done so for [`WARM_UP`]. Otherwise
+/// most of the demand is still unknown to it, as after its start or the end of a cut.
+const WARM_DIVISOR: usize = 3;
+
 /// Time without any report after which a coordinator begins anew.
 const IDLE_MAX: Duration = Duration::from_secs(2);
 
@@ -37,6 +45,10 @@
 /// Longest period that a report may state, in milliseconds.
 const PERIOD_MAX_MS: u64 = 10_000;
 
+/// Share of the nodes below which a coordinator does not decide. In a small group the requests that are
+/// admitted before a report add up to more than the nodes' own shares let pass.
+const SHARE_MIN: f64 = 0.2;
+
 /// Interval at which the nodes that report are counted.
 const RECOUNT_EVERY: Duration = Duration::from_millis(50);
 
@@ -51,6 +63,7 @@
 struct Reporter {
     epoch: u64,
     sequence: u64,
+    warm_at: Instant,
     expected_until: Instant,
 }
 
@@ -70,11 +83,15 @@
             .saturating_duration_since(self.advanced_at)
             .as_secs_f64();
         let refilled = self.balance + self.limit.rate_per_s * share * elapsed_s;
-        self.balance = refilled.min(self.capacity);
-        self.demand_per_s *= (-elapsed_s / DEMAND_TIME.as_secs_f64()).exp();
+        self.balance = refilled.min(self.capacity * share);
+        self.demand_per_s *= (-elapsed_s / self.demand_time_s()).exp();
         self.advanced_at = now;
     }
 
+    fn demand_time_s(&self) -> f64 {
+        DEMAND_TIME.as_secs_f64() + (DEMAND_COUNT / self.limit.rate_per_s).min(1.0)
+    }
+
     fn verdict(&self, code: u64, share: f64) -> Option<LimitedCustomer> {
         let rate_per_s = self.limit.rate_per_s;
         let granted_per_s = rate_per_s * share + self.balance / BALANCE_TIME.as_secs_f64();
@@ -103,8 +120,8 @@
     reporters: FastMap<String, Reporter>,
     member_count: usize,
     share: f64,
+    is_warm: bool,
     recounted_at: Option<Instant>,
-    first_report_at: Option<Instant>,
     last_report_at: Option<Instant>,
 }
 
@@ -117,28 +134,28 @@
             reporters: FastMap::default(),
             member_count: 1,
             share: 0.0,
+            is_warm: false,
             recounted_at: None,
-            first_report_at: None,
             last_report_at: None,
         }
     }
 
     /// Sets the limits by customer code. Others are forgotten. A customer that is new begins without
     /// tokens.
-    pub fn set_limits(
-        &mut self,
-        limits: impl Iterator<Item = (u64, CustomerLimit)>,
-        now: Instant,
-    ) {
+    pub fn set_limits(&mut self, limits: impl Iterator<Item = (u64, CustomerLimit)>, now: Instant) {
         let mut buckets = FastMap::default();
         for (code, limit) in limits {
             let limit = clamp_limit(&limit);
             let capacity = self.bounds.capacity(&limit);
             let known = self.buckets.get(&code);
+            // A raised limit grants the additional burst at once.
+            let balance = known.map_or(0.0, |known| {
+                known.balance + (capacity - known.capacity).max(0.0)
+            });
             let bucket = Bucket {
                 limit,
                 capacity,
-                balance: known.map_or(0.0, |known| known.balance.clamp(-capacity, capacity)),
+                balance: balance.clamp(-capacity, capacity),
                 demand_per_s: known.map_or(0.0, |known| known.demand_per_s),
                 advanced_at: known.map_or(now, |known| known.advanced_at),
             };
@@ -162,16 +179,16 @@
         }
         self.last_report_at = Some(now);
         let period = Duration::from_millis(report.period_ms.min(PERIOD_MAX_MS));
+        self.recount(now);
+        let known = self.reporters.get(&report.node);
+        let known = known.filter(|known| known.epoch == report.epoch);
+        let is_repeated = known.is_some_and(|known| known.sequence >= report.sequence);
         let next = Reporter {
             epoch: report.epoch,
             sequence: report.sequence,
+            warm_at: known.map_or(now + WARM_UP, |known| known.warm_at),
             expected_until: now + period * MISSED_PERIOD_COUNT,
         };
-        let known = self.reporters.get(&report.node);
-        let is_repeated = known.is_some_and(|known| {
-            known.epoch == report.epoch && known.sequence >= report.sequence
-        });
-        self.recount(now);
         self.reporters.insert(report.node.clone(), next);
         if is_repeated {
             return;
@@ -181,7 +198,7 @@
                 continue;
             };
             bucket.advance(self.share, now);
-            bucket.demand_per_s += f64::from(count.1) / DEMAND_TIME.as_secs_f64();
+            bucket.demand_per_s += f64::from(count.1) / bucket.demand_time_s();
             let debt_max = bucket.limit.rate_per_s * self.bounds.window.as_secs_f64();
             let balance = bucket.balance - f64::from(count.2);
             bucket.balance = balance.clamp(-debt_max, bucket.capacity);
@@ -191,9 +208,7 @@
     /// Returns the answer to a report.
     pub fn answer(&mut self, now: Instant) -> UsageAnswer {
         self.recount(now);
-        let ready = self
-            .first_report_at
-            .is_some_and(|first| now.saturating_duration_since(first) >= WARM_UP);
+        let ready = self.is_warm;
         let mut limited = Vec::new();
         for (code, bucket) in &mut self.buckets {
             bucket.advance(self.share, now);
@@ -203,8 +218,8 @@
     }
 
     fn begin(&mut self, now: Instant) {
-        self.first_report_at = Some(now);
         self.reporters.clear();
+        self.share = 0.0;
         self.recounted_at = None;
         for bucket in self.buckets.values_mut() {
             bucket.balance = 0.0;
@@ -223,6 +238,24 @@
         self.reporters
             .retain(|_, reporter| reporter.expected_until > now);
         self.recounted_at = Some(now);
-        self.share = (self.reporters.len() as f64 / self.member_count as f64).min(1.0);
+        let warm_count = self
+            .reporters
+            .values()
+            .filter(|reporter| reporter.warm_at <= now)
+            .count();
+        let share = (self.reporters.len() as f64 / self.member_count as f64).min(1.0);
+        let lost_share = (self.share - share).max(0.0);
+        let gained_share = (share - self.share).max(0.0);
+        for bucket in self.buckets.values_mut() {
+            bucket.advance(self.share, now);
+            // The nodes that were lost admit requests by their own shares of the burst.
+            bucket.balance -= bucket.capacity * lost_share;
+            // Nodes that are new have no tokens but those of the reserve.
+            bucket.balance += (bucket.capacity - bucket.limit.burst_count) * gained_share;
+        }
+        self.share = share;
+        let is_large = share >= SHARE_MIN;
+        self.is_warm =
+            is_large && warm_count > 0 && warm_count * WARM_DIVISOR >= self.reporters.len();
     }
 }
--- a/crates/rate-limit/src/local_bucket.rs
+++ b/crates/rate-limit/src/local_bucket.rs
@@ -7,7 +7,7 @@
 };
 
 /// Longest time for which a node repays what it admitted beyond its share.
-const DEBT_MAX: Duration = Duration::from_secs(3);
+const DEBT_MAX: Duration = Duration::from_secs(5);
 
 /// Share of one node.
 #[derive(Clone, Copy, Debug)]
@@ -63,7 +63,7 @@
 
     /// Takes a token for an admitted request.
     pub(crate) fn draw(&mut self, share: &Share, random_ratio: f64, now: Instant) {
-        let debt_max = (share.rate_per_s * DEBT_MAX.as_secs_f64()).max(1.0);
+        let debt_max = (share.rate_per_s * DEBT_MAX.as_secs_f64()).max(2.0);
         self.balance = (self.balance - 1.0).max(-debt_max);
         self.redraw(share, random_ratio, now);
     }
@@ -73,6 +73,12 @@
         self.balance += 1.0;
     }
 
+    /// Returns the requests admitted beyond the share. One request is not counted, since a share may be
+    /// less than one.
+    pub(crate) fn debt_count(&self) -> u32 {
+        (-self.balance - 1.0).max(0.0) as u32
+    }
+
     /// Returns the time until the share allows a request.
     pub(crate) fn wait(&self, share: &Share) -> Duration {
         let missing = (self.threshold - self.balance).max(0.0);
--- a/crates/rate-limit/src/report_feed.rs
+++ b/crates/rate-limit/src/report_feed.rs
@@ -18,7 +18,7 @@
 const STALE_AFTER: Duration = Duration::from_secs(2);
 
 /// Longest time for which a single request of a customer waits to be reported together with others.
-const SINGLE_MAX_AGE: Duration = Duration::from_millis(450);
+const SINGLE_MAX_AGE: Duration = Duration::from_millis(200);
 
 /// Requests of one customer since the start of the process.
 #[derive(Clone, Copy, Debug, Default)]
@@ -27,6 +27,17 @@
     pub(crate) admitted_count: i64,
 }
 
+/// Usage of one customer at the time of a report.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Counted {
+    pub(crate) code: u64,
+    pub(crate) totals: Totals,
+    /// Whether the coordinator limits the customer. Each of its requests is then reported at once.
+    pub(crate) is_limited: bool,
+    /// Requests that the node has admitted beyond its own share and not made up for.
+    pub(crate) debt_count: u32,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Reported {
     totals: Totals,
@@ -44,8 +55,8 @@
 }
 
 impl ReportFeed {
-    /// Creates a feed to a new coordinator. What was counted before is not reported.
-    pub(crate) fn new(totals: impl Iterator<Item = (u64, Totals)>, now: Instant) -> Self {
+    /// Creates a feed to a new coordinator. Of what was counted before, only the debt is reported.
+    pub(crate) fn new(totals: impl Iterator<Item = Counted>, now: Instant) -> Self {
         let mut feed = Self {
             sequence: 0,
             reported: FastMap::default(),
@@ -56,14 +67,16 @@
         feed
     }
 
-    fn skip_to(&mut self, totals: impl Iterator<Item = (u64, Totals)>) {
+    fn skip_to(&mut self, totals: impl Iterator<Item = Counted>) {
         self.reported.clear();
-        for (code, totals) in totals {
+        for counted in totals {
+            let mut totals = counted.totals;
+            totals.admitted_count -= i64::from(counted.debt_count);
             let reported = Reported {
                 totals,
                 pending_since: None,
             };
-            self.reported.insert(code, reported);
+            self.reported.insert(counted.code, reported);
         }
     }
 
@@ -76,7 +89,7 @@
     pub(crate) fn fill(
         &mut self,
         report: &mut UsageReport,
-        totals: impl Iterator<Item = (u64, Totals)> + Clone,
+        totals: impl Iterator<Item = Counted> + Clone,
         now: Instant,
     ) {
         if now.saturating_duration_since(self.acknowledged_at) > STALE_AFTER {
@@ -94,11 +107,12 @@
 
     fn due_counts(
         &mut self,
-        totals: impl Iterator<Item = (u64, Totals)>,
+        totals: impl Iterator<Item = Counted>,
         now: Instant,
     ) -> Vec<UsageCount> {
         let mut counts = Vec::new();
-        for (code, totals) in totals {
+        for counted in totals {
+            let Counted { code, totals, .. } = counted;
             let reported = self.reported.entry(code).or_default();
             let before = reported.totals;
             let arrivals = totals.arrival_count.saturating_sub(before.arrival_count);
@@ -107,7 +121,8 @@
                 continue;
             }
             let since = *reported.pending_since.get_or_insert(now);
-            if arrivals <= 1 && now.saturating_duration_since(since) < SINGLE_MAX_AGE {
+            let is_urgent = arrivals > 1 || counted.is_limited && admitted != 0;
+            if !is_urgent && now.saturating_duration_since(since) < SINGLE_MAX_AGE {
                 continue;
             }
             *reported = Reported {
--- a/crates/rate-limit/src/usage_meter.rs
+++ b/crates/rate-limit/src/usage_meter.rs
@@ -25,6 +25,7 @@
     UsageReport, //
 };
 use crate::report_feed::{
+    Counted,
     ReportFeed,
     Totals, //
 };
@@ -36,10 +37,11 @@
 const LEAD_PERIOD: Duration = Duration::from_millis(250);
 
 /// Period of the reports to the other coordinator.
-const STANDBY_PERIOD: Duration = Duration::from_millis(1_000);
+const STANDBY_PERIOD: Duration = Duration::from_millis(500);
 
-/// Time after a report for which its answer is valid, in periods.
-const VALID_PERIOD_RATIO: f64 = 2.4;
+/// Time after a report for which its answer is valid. A customer that suddenly sends several times its
+/// limit is not held back for as long as that if all coordinators are lost in the same moment.
+const VALID_FOR: Duration = Duration::from_millis(750);
 
 /// Largest number of nodes that report this often. With more, the periods grow in proportion.
 const FREQUENT_MEMBER_MAX_COUNT: usize = 128;
@@ -85,6 +87,8 @@
 #[derive(Clone, Debug, Default)]
 struct Answer {
     valid_until: Option<Instant>,
+    /// Whether the coordinator has failed to answer since.
+    is_stale: bool,
     limited: FastMap<u64, Verdict>,
 }
 
@@ -144,7 +148,11 @@
         let share = self.share_of(limit);
         let draws = [self.random_ratio(), self.random_ratio()];
         let lead = self.lead(now);
-        let initial = if self.was_answered { share.capacity } else { 0.0 };
+        let initial = if self.was_answered {
+            share.capacity
+        } else {
+            0.0
+        };
         let usage = match self.customers.get_mut(customer) {
             Some(usage) => usage,
             None => {
@@ -175,10 +183,10 @@
             (None, _) if usage.bucket.has_token() => None,
             (None, _) => {
                 let (min_ms, max_ms) = LOCAL_RETURN_MS;
-                let wait = usage.bucket.wait(&share).clamp(
-                    Duration::from_millis(min_ms),
-                    Duration::from_millis(max_ms),
-                );
+                let wait = usage
+                    .bucket
+                    .wait(&share)
+                    .clamp(Duration::from_millis(min_ms), Duration::from_millis(max_ms));
                 Some((wait, LimitSource::OwnShare))
             }
         };
@@ -205,9 +213,17 @@
     /// Returns the period of the reports to the coordinator of rank `slot`.
     pub fn report_period(&self, slot: usize, now: Instant) -> Duration {
         let lead = self.lead(now).unwrap_or(slot);
-        let period = if slot == lead { LEAD_PERIOD } else { STANDBY_PERIOD };
+        let period = if slot == lead {
+            LEAD_PERIOD
+        } else {
+            STANDBY_PERIOD
+        };
+        period.mul_f64(self.period_factor())
+    }
+
+    fn period_factor(&self) -> f64 {
         let factor = self.member_count as f64 / FREQUENT_MEMBER_MAX_COUNT as f64;
-        period.mul_f64(factor.clamp(1.0, PERIOD_FACTOR_MAX))
+        factor.clamp(1.0, PERIOD_FACTOR_MAX)
     }
 
     /// Returns the next report to `coordinator`, which is of rank `slot`.
@@ -221,7 +237,13 @@
         self.feeds.retain(|_, feed| {
             now.saturating_duration_since(feed.acknowledged_at()) < FEED_RETENTION
         });
-        let totals = self.customers.values().map(|usage| (usage.code, usage.totals));
+        let limited = self.lead(now).map(|lead| &self.answers[lead].limited);
+        let totals = self.customers.values().map(|usage| Counted {
+            code: usage.code,
+            totals: usage.totals,
+            is_limited: limited.is_some_and(|limited| limited.contains_key(&usage.code)),
+            debt_count: usage.bucket.debt_count(),
+        });
         self.feeds
             .entry(coordinator.to_owned())
             .or_insert_with(|| ReportFeed::new(totals.clone(), now))
@@ -242,6 +264,7 @@
         if let Some(feed) = self.feeds.get_mut(coordinator) {
             feed.acknowledge(report.sequence, now);
         }
+        let period_factor = self.period_factor();
         let Some(slot) = self.answers.get_mut(slot) else {
             return;
         };
@@ -250,8 +273,8 @@
             return;
         }
         self.was_answered = true;
-        let valid_for = Duration::from_millis(report.period_ms).mul_f64(VALID_PERIOD_RATIO);
-        slot.valid_until = Some(sent_at + valid_for);
+        slot.valid_until = Some(sent_at + VALID_FOR.mul_f64(period_factor));
+        slot.is_stale = false;
         slot.limited.clear();
         for limited in &answer.limited {
             let verdict = Verdict {
@@ -265,15 +288,17 @@
     /// Records that the coordinator of rank `slot` did not answer.
     pub fn record_failure(&mut self, slot: usize) {
         if let Some(slot) = self.answers.get_mut(slot) {
-            slot.valid_until = None;
+            slot.is_stale = true;
         }
     }
 
     /// Returns the rank of the coordinator whose answers are used, if any are valid.
     pub fn lead(&self, now: Instant) -> Option<usize> {
+        let is_valid = |answer: &Answer| answer.valid_until.is_some_and(|until| until > now);
         self.answers
             .iter()
-            .position(|answer| answer.valid_until.is_some_and(|until| until > now))
+            .position(|answer| is_valid(answer) && !answer.is_stale)
+            .or_else(|| self.answers.iter().position(is_valid))
     }
 
     /// Returns the number of customers that the used answer limits.
