Rate limits of customers in the control and data plane

Two tasks report to the coordinators of the two first ranks. A request with a key draws one token where it enters; one that ends as not run returns it. Settings: quota_window, quota_overrun, quota_slack.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 mod contact;
 mod dial;
 mod lease_hub;
+mod limit_reports;
 mod link;
 mod lost_changes;
 mod mesh;
--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod ending_runs;
 mod feed;
+mod limits;
 mod lost;
 mod news;
 mod own_target;
@@ -46,6 +47,7 @@
 
 use self::ending_runs::RunFeed;
 use self::feed::FeedProgress;
+use self::limits::LimitState;
 use self::own_target::OwnTargetNews;
 use self::report::{
     log_installed,
@@ -120,6 +122,7 @@
     /// Changes that the log lost when it went back to an older copy.
     lost: Mutex<LostChanges>,
     lost_signal: watch::Sender<u64>,
+    limits: LimitState,
 }
 
 impl Mesh {
@@ -127,7 +130,9 @@
     /// reproducible. Control connections use `control_ip` as their source address, if it is set.
     pub fn new(cluster: &str, own: Member, control_ip: Option<IpAddr>, seed: u64) -> Arc<Self> {
         let now = Instant::now();
+        let limits = LimitState::new(&own.node_id.0, mix(seed ^ own.generation_ms));
         Arc::new(Self {
+            limits,
             cluster: cluster.to_owned(),
             control_ip,
             fold: Mutex::default(),
--- a/crates/control/src/mesh/routes.rs
+++ b/crates/control/src/mesh/routes.rs
@@ -228,7 +228,7 @@
 }
 
 /// Returns the key that orders members for reading the log.
-fn log_order(member: &Member) -> (u64, Reverse<u32>, Reverse<u64>) {
+pub(super) fn log_order(member: &Member) -> (u64, Reverse<u32>, Reverse<u64>) {
     let distance = member.log_round_trip_ms / LOG_DISTANCE_STEP_MS;
     let weight = rendezvous_weight("routes", &member.node_id.0);
     (distance, Reverse(member.link_mbps), Reverse(weight))
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -13,6 +13,10 @@
     RouteSource, //
 };
 use figway_membership::LinkCounts;
+use figway_rate_limit::{
+    LimitBounds,
+    COORDINATOR_COUNT, //
+};
 use figway_types::{
     Member,
     MemberState, //
@@ -33,6 +37,7 @@
     peer_timeout_context, //
 };
 use crate::lease_hub::follow_hub;
+use crate::limit_reports::report_usage;
 use crate::link::{
     maintain_links,
     LinkPlan, //
@@ -71,6 +76,7 @@
     remember_ms: u64,
     seed: u64,
     start_spread: Duration,
+    limit_bounds: LimitBounds,
 }
 
 impl ControlBuilder {
@@ -97,6 +103,7 @@
             partition_count: 4,
             remember_ms: 600_000,
             start_spread: Duration::ZERO,
+            limit_bounds: LimitBounds::default(),
         }
     }
 
@@ -146,6 +153,12 @@
         self
     }
 
+    /// Sets the bounds within which the limits of customers have to hold.
+    pub fn limit_bounds(mut self, limit_bounds: LimitBounds) -> Self {
+        self.limit_bounds = limit_bounds;
+        self
+    }
+
     /// Sets the seed of the random choices.
     pub fn seed(mut self, seed: u64) -> Self {
         self.seed = seed;
@@ -165,8 +178,13 @@
         if self.own.control_address.is_empty() {
             self.own.control_address = address.to_string();
         }
+        let has_peers = self
+            .peers
+            .iter()
+            .any(|peer| *peer != self.own.control_address);
         let control_ip = Some(address.ip()).filter(|ip| !ip.is_unspecified());
         let mesh = Mesh::new(&self.cluster, self.own, control_ip, self.seed);
+        mesh.set_limit_bounds(self.limit_bounds, has_peers);
         let start_at = Instant::now() + mesh.jitter(self.start_spread);
         let batchers = Rc::new(ClaimBatchers::start(
             &mesh,
@@ -205,6 +223,9 @@
         if let Some(routes) = self.routes {
             spawn_local(follow_routes(Arc::clone(&mesh), routes, start_at));
             spawn_local(follow_hub(Arc::clone(&mesh)));
+            for rank in 0..COORDINATOR_COUNT {
+                spawn_local(report_usage(Arc::clone(&mesh), rank));
+            }
         }
         Ok(ControlPlane { mesh, agent })
     }
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -11,6 +11,10 @@
     RouteChange,
     RouteTable, //
 };
+use figway_rate_limit::{
+    UsageAnswer,
+    UsageReport, //
+};
 use figway_types::{
     EndingRun,
     LogRecord,
@@ -318,4 +322,7 @@
     async fn claim(claim: Claim, left_ms: u64) -> ClaimVerdict;
     /// Returns the outcome of an attempt that the receiver owns.
     async fn outcome(attempt_id: u64) -> KeyOutcome;
+    /// Reports requests of customers with a limit; returns the customers above it. Peers of an earlier
+    /// build close the connection.
+    async fn report_usage(report: UsageReport) -> UsageAnswer;
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -8,6 +8,10 @@
     Instant, //
 };
 
+use figway_rate_limit::{
+    UsageAnswer,
+    UsageReport, //
+};
 use figway_types::{
     deadline_after_ms,
     Member,
@@ -196,4 +200,8 @@
     async fn outcome(self, _: Context, attempt_id: u64) -> KeyOutcome {
         self.mesh.outcome(attempt_id)
     }
+
+    async fn report_usage(self, _: Context, report: UsageReport) -> UsageAnswer {
+        self.mesh.merge_usage(&report)
+    }
 }
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -17,6 +17,7 @@
 mod interface;
 mod keyed;
 mod keyed_outcomes;
+mod limits;
 mod local_target;
 mod metrics;
 mod native;
--- a/crates/dataplane/src/metrics.rs
+++ b/crates/dataplane/src/metrics.rs
@@ -60,6 +60,14 @@
             .send();
     }
 
+    /// Counts a request that was refused because its customer is above its limit.
+    pub(crate) fn count_limited(&self, customer: &str) {
+        self.client
+            .count_with_tags("customer_limited", 1)
+            .with_tag("customer", customer)
+            .send();
+    }
+
     /// Increments a counter.
     pub(crate) fn count(&self, name: &str) {
         self.client.count_with_tags(name, 1).send();
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -188,6 +188,11 @@
         self.metrics.set_gauge("members", view.node_count as u64);
         self.metrics
             .set_gauge("ending_runs", self.mesh.ending_run_count() as u64);
+        let (limit_coordinator, limited_count) = self.mesh.limit_status();
+        self.metrics
+            .set_gauge("limited_customers", limited_count as u64);
+        self.metrics
+            .set_gauge("limit_coordinated", u64::from(limit_coordinator.is_some()));
         self.metrics
             .set_gauge("control_region_bytes", self.mesh.meter().region_bytes());
         self.metrics
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -35,6 +35,10 @@
 };
 use crate::interface::Addressing;
 use crate::keyed::run_keyed;
+use crate::limits::{
+    draw_token,
+    Drawn, //
+};
 use crate::pick::shortest_wait;
 use crate::plane::DataPlane;
 use crate::running_calls::RunningCall;
@@ -211,6 +215,16 @@
         Identity::Unauthorized => return Outcome::NotRun(NotRunReason::Unauthorized).into(),
         Identity::Orphaned => return Outcome::NotRun(NotRunReason::UnknownParent).into(),
     };
+    let token = match draw_token(
+        worker,
+        incoming,
+        customers,
+        customer.as_deref(),
+        credentials,
+    ) {
+        Drawn::Token(token) => token,
+        Drawn::Limited(served) => return served,
+    };
     let mut headers = plane.interface.forwarded_headers(incoming.request);
     if customers.is_some() {
         plane.interface.remove_credentials(&mut headers);
@@ -226,6 +240,7 @@
     let seed = worker.plane.mesh.random();
     let part_index = worker.splits.borrow_mut().next(&named.name, &weights, seed);
     let Some(part) = route.weighted_services.get(part_index) else {
+        token.give_back();
         return Outcome::NotRun(NotRunReason::NoTarget).into();
     };
     let (profile, profile_name) = worker.plane.profile_of(view, &part.service);
@@ -257,7 +272,11 @@
             credentials,
         },
     };
-    run_call(worker, incoming, &headers, rule, properties).await
+    let served = run_call(worker, incoming, &headers, rule, properties).await;
+    if let Outcome::NotRun(_) = served.outcome {
+        token.give_back();
+    }
+    served
 }
 
 /// Returns the call during which the local target made the request, as far as the request names one.
--- a/crates/figway/src/control_plane.rs
+++ b/crates/figway/src/control_plane.rs
@@ -22,7 +22,11 @@
     peer_control_address,
     StoreLog, //
 };
-use figway_settings::NodeSettings;
+use figway_rate_limit::LimitBounds;
+use figway_settings::{
+    NodeSettings,
+    PlatformSettings, //
+};
 use figway_types::{
     Member,
     MemberState,
@@ -138,6 +142,7 @@
             };
             ControlBuilder::new(&settings.cluster, own_member, log)
                 .routes(store)
+                .limit_bounds(limit_bounds(platform))
                 .start_spread(start_spread)
         }
     };
@@ -151,6 +156,18 @@
         .start(listener)
 }
 
+fn limit_bounds(platform: &PlatformSettings) -> LimitBounds {
+    let default = LimitBounds::default();
+    let window_ms = platform.quota_window.as_deref().and_then(parse_duration_ms);
+    LimitBounds {
+        window: window_ms
+            .filter(|window_ms| *window_ms > 0)
+            .map_or(default.window, Duration::from_millis),
+        overrun_ratio: platform.quota_overrun.unwrap_or(default.overrun_ratio),
+        slack_count: platform.quota_slack.unwrap_or(default.slack_count),
+    }
+}
+
 fn retention_ms(settings: &NodeSettings) -> u64 {
     let store_retention_ms = settings
         .platform
--- a/crates/rate-limit/src/bounds.rs
+++ b/crates/rate-limit/src/bounds.rs
@@ -61,6 +61,8 @@
 }
 
 fn clamp(value: f64) -> f64 {
-    // `max` turns a value that is not a number into 0.
-    value.max(0.0).min(LIMIT_MAX)
+    if value.is_nan() {
+        return 0.0;
+    }
+    value.clamp(0.0, LIMIT_MAX)
 }
--- a/crates/rate-limit/src/coordinator.rs
+++ b/crates/rate-limit/src/coordinator.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Sets the bounds within which limits have to hold, for the limits that are set next.
+    pub fn set_bounds(&mut self, bounds: LimitBounds) {
+        self.bounds = bounds;
+    }
+
     /// Sets the limits by customer code. Others are forgotten. A customer that is new begins without
     /// tokens.
     pub fn set_limits(&mut self, limits: impl Iterator<Item = (u64, CustomerLimit)>, now: Instant) {
--- a/crates/rate-limit/src/roster.rs
+++ b/crates/rate-limit/src/roster.rs
@@ -28,17 +28,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     seen: FastMap<String, Seen>,
-    /// Whether other nodes are known to exist that this one has not met since its start.
-    expects_others: bool,
+    /// Until when a node that has met no other one assumes that there are others.
+    expects_others_until: Option<Instant>,
 }
 
 impl Roster {
-    /// Creates an empty roster. `expects_others` tells that the mesh has other nodes, even if none is
-    /// known yet.
-    pub fn new(expects_others: bool) -> Self {
+    /// Creates the roster of a node that has just started and was told of others, which it may not have
+    /// met yet.
+    pub fn expecting_others(now: Instant) -> Self {
         Self {
             seen: FastMap::default(),
-            expects_others,
+            expects_others_until: Some(now + LOST_RETENTION),
         }
     }
 
@@ -72,11 +72,12 @@
     }
 
     /// Returns the number of members that count, at least 1.
-    pub fn count(&self) -> usize {
-        let count = self.seen.len();
-        match self.expects_others && count <= 1 {
+    pub fn count(&self, now: Instant) -> usize {
+        let count = self.seen.len().max(1);
+        let expects_others = self.expects_others_until.is_some_and(|until| until > now);
+        match expects_others && count == 1 {
             true => ASSUMED_COUNT,
-            false => count.max(1),
+            false => count,
         }
     }
 }
--- a/crates/rate-limit/src/usage_meter.rs
+++ b/crates/rate-limit/src/usage_meter.rs
@@ -133,6 +133,11 @@
         }
     }
 
+    /// Sets the bounds within which limits have to hold.
+    pub fn set_bounds(&mut self, bounds: LimitBounds) {
+        self.bounds = bounds;
+    }
+
     /// Sets the number of nodes among which the limits are shared.
     pub fn set_member_count(&mut self, member_count: usize) {
         self.member_count = member_count.max(1);
--- a/crates/rate-limit/tests/common/mod.rs
+++ b/crates/rate-limit/tests/common/mod.rs
@@ -263,7 +263,7 @@
                     .set_member_count(if joined { node_count } else { 128 });
                 node.coordinator.merge(&report, now);
                 let answer = node.coordinator.answer(now);
-                let answer_lost = from != to && self.random() % LOSS_PERIOD == 0;
+                let answer_lost = from != to && self.random().is_multiple_of(LOSS_PERIOD);
                 if answer_lost || self.nodes[from].group != self.nodes[to].group {
                     let at_ms = sent_ms + TIMEOUT_MS;
                     self.push(at_ms, Event::Failure { to: from, slot });
@@ -333,7 +333,7 @@
             self.report_count += 1;
             self.report_bytes += serde_json::to_vec(&report).expect("encodes").len() as u64;
             let sent_ms = self.now_ms;
-            let is_lost = index != to && self.random() % LOSS_PERIOD == 0;
+            let is_lost = index != to && self.random().is_multiple_of(LOSS_PERIOD);
             let reachable = self.nodes[to].is_up && self.nodes[to].group == self.nodes[index].group;
             if is_lost || !reachable {
                 // A peer whose process has ended refuses the connection at once.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -79,6 +79,12 @@
     pub retry_ratio: Option<f64>,
     /// Retries allowed beyond that ratio in any window, for all nodes together.
     pub retry_burst_count: Option<f64>,
+    /// Window in which the requests of a customer are summed against its limit, such as `5s`.
+    pub quota_window: Option<String>,
+    /// Requests allowed above the limit of a customer in a window, as a ratio of it.
+    pub quota_overrun: Option<f64>,
+    /// Requests allowed beyond that ratio in any window.
+    pub quota_slack: Option<f64>,
 }
 
 /// Connection to the platform's log.
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -157,6 +157,9 @@
             .map_or(0, |mbps| mbps as u32),
         retry_ratio: reader.number("retry_ratio", 0.0..=10.0),
         retry_burst_count: reader.number("retry_burst_count", 0.0..=1e6),
+        quota_window: reader.text("quota_window").map(str::to_owned),
+        quota_overrun: reader.number("quota_overrun", 0.0..=10.0),
+        quota_slack: reader.number("quota_slack", 0.0..=1e6),
     })
 }
 
