--- a/crates/control/src/mesh/limits.rs
+++ b/crates/control/src/mesh/limits.rs
@@ -33,6 +33,12 @@
 /// Longest time between two updates of the number of nodes.
 const ROSTER_EVERY: Duration = Duration::from_secs(1);
 
+/// Time after its start from which on a node without known peers counts as the only one.
+const ALONE_AFTER: Duration = Duration::from_secs(3);
+
+/// The same for a node that was told of peers.
+const ALONE_AFTER_WITH_PEERS: Duration = Duration::from_secs(60);
+
 /// Shortest time between two lines about one customer.
 const LINE_EVERY: Duration = Duration::from_secs(5);
 
@@ -98,9 +104,12 @@
         self.limits.meter().set_bounds(bounds);
         let mut accounts = self.limits.accounts();
         accounts.coordinator.set_bounds(bounds);
-        if has_peers {
-            accounts.roster = Roster::expecting_others(now);
-        }
+        let alone_after = if has_peers {
+            ALONE_AFTER_WITH_PEERS
+        } else {
+            ALONE_AFTER
+        };
+        accounts.roster = Roster::of_started_node(now + alone_after);
         drop(accounts);
         self.refresh_limits(now);
     }
--- a/crates/rate-limit/src/roster.rs
+++ b/crates/rate-limit/src/roster.rs
@@ -14,9 +14,12 @@
 /// Time for which a member that was lost still counts. It may be cut off and admit requests.
 const LOST_RETENTION: Duration = Duration::from_secs(60);
 
-/// Number of members that a node assumes before it has met the others.
+/// Smallest number of members that a node assumes before it has met the others.
 const ASSUMED_COUNT: usize = 128;
 
+/// Time from the first meeting within which a node learns of all members.
+const MEETING_TIME: Duration = Duration::from_secs(1);
+
 #[derive(Clone, Copy, Debug)]
 struct Seen {
     counts_until: Option<Instant>,
@@ -28,17 +31,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     seen: FastMap<String, Seen>,
-    /// Until when a node that has met no other one assumes that there are others.
-    expects_others_until: Option<Instant>,
+    /// Until when the node assumes that it does not know all members.
+    incomplete_until: Option<Instant>,
+    has_met_others: bool,
 }
 
 impl Roster {
-    /// Creates the roster of a node that has just started and was told of others, which it may not have
-    /// met yet.
-    pub fn expecting_others(now: Instant) -> Self {
+    /// Creates the roster of a node that has just started. If it meets no other node until `alone_at`, it
+    /// is taken to be alone.
+    pub fn of_started_node(alone_at: Instant) -> Self {
         Self {
             seen: FastMap::default(),
-            expects_others_until: Some(now + LOST_RETENTION),
+            incomplete_until: Some(alone_at),
+            has_met_others: false,
         }
     }
 
@@ -69,14 +74,17 @@
         }
         self.seen
             .retain(|_, seen| seen.counts_until.is_none_or(|until| until > now));
+        if !self.has_met_others && self.seen.len() > 1 {
+            self.has_met_others = true;
+            self.incomplete_until = self.incomplete_until.map(|_| now + MEETING_TIME);
+        }
     }
 
     /// Returns the number of members that count, at least 1.
     pub fn count(&self, now: Instant) -> usize {
         let count = self.seen.len().max(1);
-        let expects_others = self.expects_others_until.is_some_and(|until| until > now);
-        match expects_others && count == 1 {
-            true => ASSUMED_COUNT,
+        match self.incomplete_until.is_some_and(|until| until > now) {
+            true => count.max(ASSUMED_COUNT),
             false => count,
         }
     }
--- a/crates/testbed/src/site/caller.rs
+++ b/crates/testbed/src/site/caller.rs
@@ -47,6 +47,7 @@
     client: HttpClient,
     sent_count: Cell<u64>,
     seed: u64,
+    api_key: Option<String>,
 }
 
 impl Caller {
@@ -64,9 +65,16 @@
             }),
             sent_count: Cell::new(0),
             seed: figway_types::entropy(),
+            api_key: None,
         }
     }
 
+    /// Sets the API key that the caller sends.
+    pub fn with_key(mut self, api_key: &str) -> Self {
+        self.api_key = Some(api_key.to_owned());
+        self
+    }
+
     /// Sends one request whose body is its ID.
     pub async fn call(&self, method: &str, path: &str) -> CallResult {
         self.call_with_padding(method, path, 0).await
@@ -116,6 +124,9 @@
         headers.push("x-figway-attempt-id", id);
         headers.push("x-figway-deadline-ms", budget.as_millis().to_string());
         headers.push("x-figway-caller-service", "forged");
+        if let Some(api_key) = &self.api_key {
+            headers.push("authorization", format!("Token {api_key}"));
+        }
         let sent_at = Instant::now();
         let outbound = OutboundRequest {
             address: &self.address,
