--- a/crates/control/src/mesh/limits.rs
+++ b/crates/control/src/mesh/limits.rs
@@ -57,9 +57,9 @@
     coordinators: Vec<Member>,
     /// Route table whose limits the coordinator applies.
     routes_version: Option<u64>,
-    names: FastMap<u64, String>,
+    names: FastMap<u32, String>,
     has_limits: bool,
-    logged: FastMap<u64, LoggedState>,
+    logged: FastMap<u32, LoggedState>,
     logged_lead: Option<String>,
 }
 
--- a/crates/rate-limit/src/coordinator.rs
+++ b/crates/rate-limit/src/coordinator.rs
@@ -92,7 +92,7 @@
         DEMAND_TIME.as_secs_f64() + (DEMAND_COUNT / self.limit.rate_per_s).min(1.0)
     }
 
-    fn verdict(&self, code: u64, share: f64) -> Option<LimitedCustomer> {
+    fn verdict(&self, code: u32, share: f64) -> Option<LimitedCustomer> {
         let rate_per_s = self.limit.rate_per_s;
         let granted_per_s = rate_per_s * share + self.balance / BALANCE_TIME.as_secs_f64();
         if self.demand_per_s <= granted_per_s {
@@ -116,7 +116,7 @@
 #[derive(Clone, Debug)]
 pub struct LimitCoordinator {
     bounds: LimitBounds,
-    buckets: FastMap<u64, Bucket>,
+    buckets: FastMap<u32, Bucket>,
     reporters: FastMap<String, Reporter>,
     member_count: usize,
     share: f64,
@@ -147,7 +147,7 @@
 
     /// Sets the limits by customer code. Others are forgotten. A customer that is new begins without
     /// tokens.
-    pub fn set_limits(&mut self, limits: impl Iterator<Item = (u64, CustomerLimit)>, now: Instant) {
+    pub fn set_limits(&mut self, limits: impl Iterator<Item = (u32, CustomerLimit)>, now: Instant) {
         let mut buckets = FastMap::default();
         for (code, limit) in limits {
             let limit = clamp_limit(&limit);
@@ -198,7 +198,7 @@
         if is_repeated {
             return;
         }
-        for count in &report.counts {
+        for count in report.all_counts() {
             let Some(bucket) = self.buckets.get_mut(&count.0) else {
                 continue;
             };
--- a/crates/rate-limit/src/message.rs
+++ b/crates/rate-limit/src/message.rs
@@ -5,13 +5,11 @@
     Serialize, //
 };
 
-/// Number of bits of a customer's code. Two of 1,000 customers have the same one with a probability of
-/// 5e-7.
-const CODE_BITS: u32 = 40;
-
 /// Returns the code by which messages name a customer.
-pub fn customer_code(customer: &str) -> u64 {
-    figway_types::stable_hash(customer) >> (u64::BITS - CODE_BITS)
+///
+/// Two of 100 customers have the same code with a probability of 1e-6. They would share their limits.
+pub fn customer_code(customer: &str) -> u32 {
+    (figway_types::stable_hash(customer) >> 32) as u32
 }
 
 /// Report of a node to a coordinator, which knows the node by the connection.
@@ -26,14 +24,37 @@
     /// Time within which the node reports again, in milliseconds.
     #[serde(rename = "p")]
     pub period_ms: u64,
-    /// Counts since the report before.
+    /// Customers with one request since the report before, which was admitted. Most are such.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub single: Vec<u32>,
+    /// Counts of the other customers since the report before.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub counts: Vec<UsageCount>,
 }
 
+impl UsageReport {
+    /// Sets the counts.
+    pub fn set_counts(&mut self, counts: &[UsageCount]) {
+        self.single.clear();
+        self.counts.clear();
+        for count in counts {
+            match *count {
+                UsageCount(code, 1, 1) => self.single.push(code),
+                other => self.counts.push(other),
+            }
+        }
+    }
+
+    /// Returns all counts.
+    pub fn all_counts(&self) -> impl Iterator<Item = UsageCount> + '_ {
+        let single = self.single.iter().map(|code| UsageCount(*code, 1, 1));
+        single.chain(self.counts.iter().copied())
+    }
+}
+
 /// Code of a customer, the requests that arrived, and those admitted less those given back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UsageCount(pub u64, pub u32, pub i32);
+pub struct UsageCount(pub u32, pub u32, pub i32);
 
 /// Answer of a coordinator.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -49,4 +70,4 @@
 /// Code of a customer above its limit, the ratio of its requests to admit in thousandths, and the
 /// shortest time to come back after in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LimitedCustomer(pub u64, pub u32, pub u32);
+pub struct LimitedCustomer(pub u32, pub u32, pub u32);
--- a/crates/rate-limit/src/report_feed.rs
+++ b/crates/rate-limit/src/report_feed.rs
@@ -30,7 +30,7 @@
 /// Usage of one customer at the time of a report.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Counted {
-    pub(crate) code: u64,
+    pub(crate) code: u32,
     pub(crate) totals: Totals,
     /// Whether the coordinator limits the customer. Each of its requests is then reported at once.
     pub(crate) is_limited: bool,
@@ -49,7 +49,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ReportFeed {
     sequence: u64,
-    reported: FastMap<u64, Reported>,
+    reported: FastMap<u32, Reported>,
     unacknowledged: Option<Vec<UsageCount>>,
     acknowledged_at: Instant,
 }
@@ -102,7 +102,7 @@
             self.unacknowledged = Some(self.due_counts(totals, now));
         }
         report.sequence = self.sequence;
-        report.counts = self.unacknowledged.clone().unwrap_or_default();
+        report.set_counts(self.unacknowledged.as_deref().unwrap_or_default());
     }
 
     fn due_counts(
--- a/crates/rate-limit/src/usage_meter.rs
+++ b/crates/rate-limit/src/usage_meter.rs
@@ -37,7 +37,7 @@
 const LEAD_PERIOD: Duration = Duration::from_millis(250);
 
 /// Period of the reports to the other coordinator.
-const STANDBY_PERIOD: Duration = Duration::from_millis(600);
+const STANDBY_PERIOD: Duration = Duration::from_millis(700);
 
 /// Period of the reports while no customer's requests arrive at the node.
 const QUIET_PERIOD: Duration = Duration::from_millis(600);
@@ -92,12 +92,12 @@
     valid_until: Option<Instant>,
     /// Whether the coordinator has failed to answer since.
     is_stale: bool,
-    limited: FastMap<u64, Verdict>,
+    limited: FastMap<u32, Verdict>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Usage {
-    code: u64,
+    code: u32,
     totals: Totals,
     /// Part of a request that the ratio has yielded so far.
     credit: f64,
--- a/crates/rate-limit/tests/odd_input.rs
+++ b/crates/rate-limit/tests/odd_input.rs
@@ -30,6 +30,7 @@
         sequence,
         period_ms: 250,
         counts,
+        ..UsageReport::default()
     }
 }
 
