--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod order;
 mod turns;
+mod work;
 
 use std::time::{
     Duration,
@@ -99,6 +100,9 @@
     pacer: Option<Pacer>,
     next_ticket: u64,
     draining: bool,
+    /// Whether the expected wait is computed from the remaining time of each running call instead of
+    /// half of the mean.
+    uses_remaining_time: bool,
 }
 
 impl Admission {
@@ -112,6 +116,7 @@
             pacer: None,
             next_ticket: 0,
             draining: false,
+            uses_remaining_time: false,
         }
     }
 
@@ -326,7 +331,7 @@
             }
         }
         for call in &self.running {
-            ahead += self.times.mean(&call.kind) / 2;
+            ahead += self.expected_remaining(call, now);
         }
         ahead / slot_count
     }
--- a/crates/admission/src/estimate.rs
+++ b/crates/admission/src/estimate.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use figway_cost::Spread;
 use figway_types::FastMap;
 
 /// Mean service time that is assumed for a kind without samples, in seconds.
@@ -14,10 +15,15 @@
 /// it follows newer samples.
 const MIN_RISE_RATIO: f64 = 0.02;
 
-#[derive(Clone, Copy, Debug)]
+/// Lower bound of the mean by which service times are divided, in seconds.
+const MEAN_MIN_S: f64 = 1e-6;
+
+#[derive(Clone, Debug)]
 struct KindTimes {
     mean_s: f64,
     min_s: f64,
+    /// Distribution of the service times relative to the mean.
+    spread: Spread,
 }
 
 /// Service times by kind.
@@ -37,10 +43,12 @@
             let times = KindTimes {
                 mean_s: sample_s,
                 min_s: sample_s,
+                spread: Spread::default(),
             };
             self.by_kind.insert(kind.to_owned(), times);
             return;
         };
+        times.spread.record(sample_s / times.mean_s.max(MEAN_MIN_S));
         times.mean_s += SAMPLE_WEIGHT * (sample_s - times.mean_s);
         if sample_s < times.min_s {
             times.min_s = sample_s;
@@ -73,4 +81,24 @@
         let times = self.by_kind.get(kind)?;
         Some(Duration::from_secs_f64(times.min_s))
     }
+
+    /// Returns the service time that the share `share` of the calls of the kind doesn't exceed.
+    pub(crate) fn quantile(&self, kind: &str, share: f64) -> Duration {
+        let Some(times) = self.by_kind.get(kind) else {
+            return Duration::from_secs_f64(UNKNOWN_S * Spread::default().quantile(share));
+        };
+        Duration::from_secs_f64(times.mean_s * times.spread.quantile(share))
+    }
+
+    /// Returns how long a call of the kind that has run for `elapsed` is expected to run yet. A call
+    /// that has run for much longer than others is likely a straggler, so that it has much left.
+    pub(crate) fn remaining(&self, kind: &str, elapsed: Duration) -> Duration {
+        let Some(times) = self.by_kind.get(kind) else {
+            let mean = Duration::from_secs_f64(UNKNOWN_S);
+            return mean.saturating_sub(elapsed).max(mean / 2);
+        };
+        let mean_s = times.mean_s.max(MEAN_MIN_S);
+        let ratio = times.spread.remaining(elapsed.as_secs_f64() / mean_s);
+        Duration::from_secs_f64(mean_s * ratio)
+    }
 }
