--- a/crates/cost/src/model.rs
+++ b/crates/cost/src/model.rs
@@ -139,6 +139,12 @@
         Some(self.refined(class)?.best_ms)
     }
 
+    /// Returns the mean cost of all requests of the kind, in milliseconds.
+    pub fn kind_mean_ms(&self, kind: &str) -> Option<f64> {
+        let kind_cost = self.kind(kind);
+        (kind_cost.sample_count > 0).then_some(kind_cost.mean_ms)
+    }
+
     /// Returns the run time that the share `share` of the requests of the class doesn't exceed.
     pub fn quantile(&self, class: &RequestClass<'_>, share: f64) -> Option<Duration> {
         let mean_ms = self.mean_ms(class)?;
--- a/crates/routing/src/least_loss.rs
+++ b/crates/routing/src/least_loss.rs
@@ -23,14 +23,14 @@
 };
 
 /// Fraction of a call's worth that is lost if its answer is late.
-const LATE_LOSS: f64 = 0.7;
+pub(crate) const LATE_LOSS: f64 = 0.7;
 
 /// Fraction of a call's worth that is lost, in addition to [`LATE_LOSS`], if it is not answered.
-const UNANSWERED_LOSS: f64 = 0.3;
+pub(crate) const UNANSWERED_LOSS: f64 = 0.3;
 
 /// Fraction of a call's worth that is lost if its target fails it. It is less than 1, since another
 /// attempt often saves some.
-const FAILED_LOSS: f64 = 0.8;
+pub(crate) const FAILED_LOSS: f64 = 0.8;
 
 /// Price up to which the bytes of a call count in full, as a fraction of its worth.
 const FULL_PRICE_MAX: f64 = 0.7;
@@ -45,13 +45,13 @@
 const UNKNOWN_RAN_MS: f64 = 40.0;
 
 /// Spread of run times around their mean, as a fraction of the mean.
-const RAN_SPREAD_RATIO: f64 = 0.35;
+pub(crate) const RAN_SPREAD_RATIO: f64 = 0.35;
 
 /// Spread of waits around their mean, as a fraction of the mean.
-const WAIT_SPREAD_RATIO: f64 = 0.5;
+pub(crate) const WAIT_SPREAD_RATIO: f64 = 0.5;
 
 /// Lower bound of the spread, in milliseconds.
-const SPREAD_MIN_MS: f64 = 4.0;
+pub(crate) const SPREAD_MIN_MS: f64 = 4.0;
 
 /// Upper bound of the random loss that is added to each candidate, so that nodes do not all pick
 /// the same of several equal targets.
@@ -70,7 +70,7 @@
 const RAN_MIN_MS: f64 = 0.1;
 
 /// Bytes that are assumed for the bodies of a kind without answers so far.
-const UNKNOWN_BODY_BYTES: f64 = 2_000.0;
+pub(crate) const UNKNOWN_BODY_BYTES: f64 = 2_000.0;
 
 /// Bytes of a request and its answer without their bodies: the heads, including what the two nodes
 /// add.
@@ -95,7 +95,7 @@
 }
 
 impl TransitPrices {
-    fn price(&self, distance: Distance, body_bytes: Option<f64>) -> f64 {
+    pub(crate) fn price(&self, distance: Distance, body_bytes: Option<f64>) -> f64 {
         let kilobytes = (HEAD_BYTES + body_bytes.unwrap_or(UNKNOWN_BODY_BYTES)) / 1_024.0;
         match distance {
             Distance::Host | Distance::Zone => 0.0,
@@ -267,7 +267,7 @@
     }
 }
 
-fn keep_least(best: &mut Option<(usize, f64)>, index: usize, loss: f64) {
+pub(crate) fn keep_least(best: &mut Option<(usize, f64)>, index: usize, loss: f64) {
     if best.is_none_or(|(_, best_loss)| loss < best_loss) {
         *best = Some((index, loss));
     }
@@ -275,7 +275,7 @@
 
 /// Returns the price that counts in a choice. It stays below the loss of a call that is not answered,
 /// so that a call which a near target can't serve goes to a far one however large its answer is.
-fn bounded_price(price: f64) -> f64 {
+pub(crate) fn bounded_price(price: f64) -> f64 {
     if price <= FULL_PRICE_MAX {
         return price;
     }
@@ -284,10 +284,10 @@
 
 /// Returns the probability that a time around `expected_ms` exceeds `limit_ms`, by the logistic
 /// distribution with the scale `spread_ms`.
-fn exceeds(expected_ms: f64, limit_ms: f64, spread_ms: f64) -> f64 {
+pub(crate) fn exceeds(expected_ms: f64, limit_ms: f64, spread_ms: f64) -> f64 {
     1.0 / (1.0 + ((limit_ms - expected_ms) / spread_ms).exp())
 }
 
-fn as_ms(time: Duration) -> f64 {
+pub(crate) fn as_ms(time: Duration) -> f64 {
     time.as_secs_f64() * 1_000.0
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod hedge;
 mod least_loss;
+mod least_work;
 mod load;
 mod nearest;
 mod picker;
@@ -20,10 +21,13 @@
     LeastLoss,
     TransitPrices, //
 };
+pub use least_work::LeastWork;
 pub use load::{
     CallTimings,
+    ExpectedCall,
     LoadReport,
-    LoadTracker, //
+    LoadTracker,
+    RunCost, //
 };
 pub use nearest::keep_nearest;
 pub use picker::{
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -1,16 +1,29 @@
 //! Load of each target as seen by one node: its own calls in flight, the load reports in answers,
 //! the latencies that it measures, and recent refusals by the target or on the path to it.
 
+mod kinds;
+mod work;
+
 use std::time::{
     Duration,
     Instant, //
 };
 
+use figway_cost::{
+    CostModel,
+    TargetFactor, //
+};
 use figway_types::{
     FastMap,
     NodeId, //
 };
 
+use self::kinds::KindStats;
+pub use self::work::{
+    ExpectedCall,
+    RunCost, //
+};
+
 /// Shortest time for which a load report counts; its weight falls linearly to 0.
 const REPORT_TTL_MIN: Duration = Duration::from_millis(500);
 
@@ -43,16 +56,13 @@
 /// Weight of a new report in the failure ratio of all targets.
 const FAILED_WEIGHT: f64 = 0.02;
 
+/// Weight of a new report in the calls per slot of all targets.
+const BUSY_WEIGHT: f64 = 0.05;
+
 /// Half-life of the failure ratio that a target reported, so that a target that failed calls is
 /// tried again.
 const FAILED_HALF_LIFE: Duration = Duration::from_millis(1_500);
 
-/// Weight of a new sample of a kind's wait.
-const WAIT_WEIGHT: f64 = 0.1;
-
-/// Shortest half-life, without samples, of the wait that is assumed at targets of unknown load.
-const WAIT_HALF_LIFE_MIN: Duration = Duration::from_millis(500);
-
 /// Wait that is assumed at a target that has just refused a call for overload, in milliseconds.
 const OVERLOADED_WAIT_MS: f64 = 400.0;
 
@@ -101,6 +111,7 @@
     overloaded_until: Instant,
     overhead_ms: f64,
     ran_ms: FastMap<String, f64>,
+    factor: TargetFactor,
 }
 
 /// Tracks the load of each target that a node calls.
@@ -110,31 +121,9 @@
     kinds: FastMap<String, KindStats>,
     /// Moving average of the failure ratios that all targets report.
     failed_ratio: f64,
-}
-
-/// Moving averages of a request kind over all targets.
-#[derive(Clone, Copy, Debug)]
-struct KindStats {
-    ran_ms: f64,
-    body_bytes: f64,
-    wait_ms: f64,
-    wait_sampled_at: Instant,
-}
-
-impl KindStats {
-    /// Returns the mean wait of recent calls at any target, in milliseconds.
-    fn decayed_wait_ms(&self, now: Instant) -> f64 {
-        let idle = now.saturating_duration_since(self.wait_sampled_at);
-        let half_life_s = WAIT_HALF_LIFE_MIN.as_secs_f64().max(self.ran_ms / 1_000.0);
-        let half_lives = idle.as_secs_f64() / half_life_s;
-        self.wait_ms * 0.5_f64.powf(half_lives)
-    }
-
-    fn record_wait(&mut self, wait_ms: f64, now: Instant) {
-        let current_ms = self.decayed_wait_ms(now);
-        self.wait_ms = current_ms + WAIT_WEIGHT * (wait_ms - current_ms);
-        self.wait_sampled_at = now;
-    }
+    /// Moving average of the calls per slot that all targets report.
+    reported_busy_ratio: f64,
+    costs: CostModel,
 }
 
 impl LoadTracker {
@@ -177,6 +166,7 @@
         load.report_expires_at = now + load.report_ttl;
         load.reported_at = now;
         self.failed_ratio += FAILED_WEIGHT * (report.failed_ratio - self.failed_ratio);
+        self.reported_busy_ratio += BUSY_WEIGHT * (report.busy_ratio - self.reported_busy_ratio);
     }
 
     /// Returns the expected fraction of calls that the target fails. The ratio that it last
@@ -185,10 +175,7 @@
         let Some(load) = self.loads.get(target) else {
             return self.failed_ratio;
         };
-        let age = now.saturating_duration_since(load.reported_at);
-        let half_lives = age.as_secs_f64() / FAILED_HALF_LIFE.as_secs_f64();
-        let report_weight = 0.5_f64.powf(half_lives);
-        load.report.failed_ratio * report_weight + self.failed_ratio * (1.0 - report_weight)
+        load.expected_failed_ratio(self.failed_ratio, now)
     }
 
     /// Records the timings of an answered call, and the bytes of its request and answer bodies.
@@ -254,10 +241,9 @@
     /// Returns the time on the path to the target beyond its round trip, in milliseconds. It decays
     /// without samples.
     pub fn overhead_ms(&self, target: &NodeId, now: Instant) -> f64 {
-        self.loads.get(target).map_or(0.0, |load| {
-            let idle_s = now.saturating_duration_since(load.sampled_at).as_secs_f64();
-            load.overhead_ms * DECAY_PER_SECOND_RATIO.powf(idle_s)
-        })
+        self.loads
+            .get(target)
+            .map_or(0.0, |load| load.decayed_overhead_ms(now))
     }
 
     /// Returns the expected wait, in milliseconds, of a call of `kind` that runs for `ran_ms` until
@@ -354,6 +340,7 @@
                 overloaded_until: now,
                 overhead_ms: 0.0,
                 ran_ms: FastMap::default(),
+                factor: TargetFactor::new(now),
             };
             self.loads.insert(target.clone(), load);
         }
@@ -369,6 +356,18 @@
         ttl_left.as_secs_f64() / self.report_ttl.as_secs_f64()
     }
 
+    fn expected_failed_ratio(&self, average_ratio: f64, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.reported_at);
+        let half_lives = age.as_secs_f64() / FAILED_HALF_LIFE.as_secs_f64();
+        let report_weight = 0.5_f64.powf(half_lives);
+        self.report.failed_ratio * report_weight + average_ratio * (1.0 - report_weight)
+    }
+
+    fn decayed_overhead_ms(&self, now: Instant) -> f64 {
+        let idle_s = now.saturating_duration_since(self.sampled_at).as_secs_f64();
+        self.overhead_ms * DECAY_PER_SECOND_RATIO.powf(idle_s)
+    }
+
     fn decayed_latency_us(&self, now: Instant) -> f64 {
         let idle_s = now.saturating_duration_since(self.sampled_at).as_secs_f64();
         self.latency_us * DECAY_PER_SECOND_RATIO.powf(idle_s)
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -5,6 +5,7 @@
     Instant, //
 };
 
+use figway_cost::RequestClass;
 use figway_types::{
     mix,
     NodeId,
@@ -117,6 +118,19 @@
         loads: &LoadTracker,
         now: Instant,
     ) -> Option<Picked>;
+
+    /// As [`pick`](Self::pick), for a picker that estimates the cost of a call by its class.
+    fn pick_for_class(
+        &mut self,
+        call: &CallContext<'_>,
+        _class: &RequestClass<'_>,
+        candidates: &[Candidate<'_>],
+        excluded: &[&NodeId],
+        loads: &LoadTracker,
+        now: Instant,
+    ) -> Option<Picked> {
+        self.pick(call, candidates, excluded, loads, now)
+    }
 }
 
 /// Picks the cheaper of two random candidates at the nearest distance. If that one is loaded or
--- /dev/null
+++ b/crates/routing/tests/placing/target.rs
@@ -0,0 +1,102 @@
+//! A target and the admission beside it.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use figway_admission::{
+    Admission,
+    AdmitOutcome,
+    CallView,
+    Dequeued,
+    Ticket, //
+};
+use figway_routing::LoadReport;
+use figway_types::mix;
+
+use super::{
+    admission,
+    Call,
+    Picking,
+    Random,
+    Scenario, //
+};
+
+/// Period of the disturbances, in milliseconds.
+const DISTURBANCE_PERIOD_MS: f64 = 600.0;
+
+/// Part of each period in which a target is slow.
+const DISTURBED_RATIO: f64 = 0.15;
+
+/// Multiple of the run time of a call that starts during a disturbance.
+const DISTURBED_RAN_RATIO: f64 = 2.5;
+
+pub(super) struct Target {
+    pub(super) speed: f64,
+    pub(super) admission: Admission,
+    pub(super) waiting: HashMap<Ticket, Call>,
+    pub(super) arrival_count: usize,
+    disturbed_from_ms: f64,
+}
+
+impl Target {
+    pub(super) fn new(scenario: &Scenario, picking: Picking, index: usize, speed: f64) -> Self {
+        let offset = mix(index as u64) % DISTURBANCE_PERIOD_MS as u64;
+        Self {
+            speed,
+            admission: admission(scenario, picking),
+            waiting: HashMap::new(),
+            arrival_count: 0,
+            disturbed_from_ms: offset as f64,
+        }
+    }
+
+    pub(super) fn admit(
+        &mut self,
+        kind: &str,
+        prompt_by: Instant,
+        deadline: Instant,
+        now: Instant,
+    ) -> (AdmitOutcome, Dequeued) {
+        let call = CallView {
+            kind,
+            worth: 1.0,
+            long: false,
+            rank: 0,
+            prompt_by: Some(prompt_by),
+            deadline,
+            may_wait: true,
+        };
+        self.admission.admit(&call, now)
+    }
+
+    pub(super) fn report(&self, now: Instant) -> LoadReport {
+        LoadReport {
+            busy_ratio: self.admission.busy_ratio(now),
+            wait_ms: self.admission.expected_wait(0, now).as_secs_f64() * 1_000.0,
+            failed_ratio: 0.0,
+        }
+    }
+
+    /// Draws a run time: mostly 0.5 to 1.5 of the mean, 3 in 100 several times as long.
+    pub(super) fn draw_ran_ms(
+        &self,
+        scenario: &Scenario,
+        mean_ms: f64,
+        now_ms: f64,
+        random: &mut Random,
+    ) -> f64 {
+        let straggler_ratio = scenario.straggler_ratio;
+        let usual_ratio = (1.0 - 0.03 * straggler_ratio) / 0.97;
+        let tail = if random.below(100) < 3 {
+            straggler_ratio
+        } else {
+            usual_ratio
+        };
+        let ran_ms = mean_ms * (0.5 + random.ratio()) * tail / self.speed;
+        let phase_ms = (now_ms + self.disturbed_from_ms) % DISTURBANCE_PERIOD_MS;
+        if scenario.disturbed && phase_ms < DISTURBED_RATIO * DISTURBANCE_PERIOD_MS {
+            return ran_ms * DISTURBED_RAN_RATIO;
+        }
+        ran_ms
+    }
+}
