--- a/crates/cost/src/factor.rs
+++ b/crates/cost/src/factor.rs
@@ -9,7 +9,7 @@
 const LASTING_WEIGHT: f64 = 0.05;
 
 /// Weight of a sample that is a mean of many calls.
-const MEAN_WEIGHT: f64 = 0.4;
+const MEAN_WEIGHT: f64 = 0.08;
 
 /// Weight of a new sample in the passing factor.
 const PASSING_WEIGHT: f64 = 0.4;
@@ -73,7 +73,8 @@
             return;
         }
         self.decay(now);
-        self.learn(ratio.ln() - self.lasting_log, MEAN_WEIGHT);
+        let excess = (ratio.ln() - self.lasting_log).clamp(-SAMPLE_LOG_MAX, SAMPLE_LOG_MAX);
+        self.learn(excess, MEAN_WEIGHT);
     }
 
     /// Returns the lasting factor, by which calls are shared between targets.
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -117,6 +117,7 @@
         may_wait: call.attempt_kind != AttemptKind::Hedge,
     };
     let limits = admission_limits(plane, &target);
+    plane.gate.set_uses_remaining_time(plane.overload_control());
     let entered_at = Instant::now();
     let mut slot = match plane.gate.enter(&view, limits).await {
         Ok(slot) => slot,
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -103,10 +103,14 @@
                 mean_ran_ms: result.mean_ran_ms,
                 round_trip_ms: entry.round_trip_us / 1_000.0,
             };
+            let overload_control = plane.overload_control();
             let mut loads = plane.loads();
             loads.record_latency(node_id, took, now);
             let body_bytes = call.body.len() + answer.body.len();
             loads.record_timings(node_id, rule.name, timings, body_bytes, now);
+            if overload_control {
+                loads.record_run(node_id, &call.class(), &timings, now);
+            }
             drop(loads);
             let limits = &rule.profile.limits;
             plane
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::time::Instant;
 
+use figway_cost::RequestClass;
 use figway_customers::{
     Credentials,
     KeyDigest, //
@@ -188,6 +189,17 @@
     pub(crate) earlier_outcome: &'a RefCell<Outcome>,
 }
 
+impl Call<'_> {
+    /// Returns the class by which the cost of the call is estimated.
+    pub(crate) fn class(&self) -> RequestClass<'_> {
+        RequestClass {
+            kind: self.rule.name,
+            body_bytes: self.body.len(),
+            customer: self.caller.customer,
+        }
+    }
+}
+
 /// Why an attempt of a call is made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptKind {
--- a/crates/dataplane/src/pick.rs
+++ b/crates/dataplane/src/pick.rs
@@ -74,6 +74,7 @@
     // This node's gate knows the load of the target on this host exactly, whoever sent the calls.
     loads.record_report(&own_member.node_id, plane.gate.load_report(rule.rank), now);
     let mut picker = match call.prompt_by {
+        Some(_) if plane.overload_control() => worker.work_picker.borrow_mut(),
         Some(_) => worker.route_picker.borrow_mut(),
         None => worker.picker.borrow_mut(),
     };
@@ -85,7 +86,8 @@
             .saturating_duration_since(now),
         deadline_left: call.deadline.saturating_duration_since(now),
     };
-    let picked = picker.pick(&need, &candidates, &excluded, &loads, now);
+    let class = call.class();
+    let picked = picker.pick_for_class(&need, &class, &candidates, &excluded, &loads, now);
     let Some(picked) = picked else {
         call.steps.borrow_mut().push(Step::NoTarget {
             known_count: candidates.len(),
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -128,6 +128,11 @@
         self.loads.lock().expect("no holder panics")
     }
 
+    /// Returns whether the route table calls for overload control.
+    pub(crate) fn overload_control(&self) -> bool {
+        self.mesh.view().routes.overload_control
+    }
+
     /// Returns whether the node is draining and refuses new calls for its target.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
--- a/crates/dataplane/src/worker.rs
+++ b/crates/dataplane/src/worker.rs
@@ -11,6 +11,7 @@
 };
 use figway_routing::{
     LeastLoss,
+    LeastWork,
     TargetPicker,
     TwoChoices,
     WeightedRoundRobin, //
@@ -50,6 +51,8 @@
     /// Picks targets for calls of the route table. Each route states the time within which an
     /// answer has its full worth.
     pub(crate) route_picker: RefCell<Box<dyn TargetPicker>>,
+    /// Picks targets for calls of a route table that calls for overload control.
+    pub(crate) work_picker: RefCell<Box<dyn TargetPicker>>,
     pub(crate) splits: RefCell<WeightedRoundRobin>,
     pub(crate) candidates: RefCell<CandidateCache>,
 }
@@ -75,6 +78,7 @@
         .with_memory(&plane.memory);
         let picker = TwoChoices::new(plane.mesh.random());
         let route_picker = LeastLoss::new(plane.transit_prices, plane.mesh.random());
+        let work_picker = LeastWork::new(plane.transit_prices, plane.mesh.random());
         let own_member = plane.mesh.members().own().clone();
         Rc::new(Self {
             plane,
@@ -83,6 +87,7 @@
             targets: Box::new(targets),
             picker: RefCell::new(Box::new(picker)),
             route_picker: RefCell::new(Box::new(route_picker)),
+            work_picker: RefCell::new(Box::new(work_picker)),
             splits: RefCell::default(),
             candidates: RefCell::default(),
         })
--- a/crates/routing/src/least_work.rs
+++ b/crates/routing/src/least_work.rs
@@ -117,7 +117,7 @@
             + UNANSWERED_LOSS * unanswered
             + FAILED_LOSS * expected.failed_ratio
             + bounded_price(price)
-            + LATENCY_WEIGHT * (expected_ms / prompt_ms.max(1.0)).min(1.0)
+            + LATENCY_WEIGHT * ((expected_ms - expected.ran_ms) / prompt_ms.max(1.0)).min(1.0)
     }
 
     fn compare_tier(
--- a/crates/routing/tests/placing/mod.rs
+++ b/crates/routing/tests/placing/mod.rs
@@ -403,10 +403,13 @@
     fn send_answer(&mut self, call: Call, answered: bool, now_ms: f64) {
         let target = &self.targets[call.target];
         let report = target.report(self.at(now_ms));
-        let mean = target
-            .admission
-            .mean_time(self.scenario.kinds[call.kind].name);
-        let mean_ran_ms = mean.map(|mean| mean.as_secs_f64() * 1_000.0);
+        let kind = &self.scenario.kinds[call.kind];
+        let learned = target.admission.mean_time(kind.name);
+        let mean_ran_ms = if self.scenario.exact_means {
+            Some(kind.ran_ms / target.speed)
+        } else {
+            learned.map(|mean| mean.as_secs_f64() * 1_000.0)
+        };
         let back_ms = now_ms + (call.reached_ms - call.sent_ms);
         self.push(back_ms, Event::Answer(call, report, mean_ran_ms, answered));
     }
--- a/crates/routing/tests/uneven_placing.rs
+++ b/crates/routing/tests/uneven_placing.rs
@@ -68,7 +68,16 @@
 fn both(scenario: &Scenario, utilisation: f64, seed: u64) -> (Played, Played) {
     let before = play(scenario, Picking::LeastLoss, utilisation, seed);
     let now = play(scenario, Picking::LeastWork, utilisation, seed);
-    println!("{utilisation} before {before:?}\n{utilisation} now    {now:?}");
+    for (name, played) in [("before", &before), ("now   ", &now)] {
+        println!(
+            "{utilisation} {name} in time {:.4} mean {:.1} p95 {:.1} busiest {:.2} left {:.3}",
+            played.in_time_ratio,
+            played.latency_mean_ms,
+            played.latency_p95_ms,
+            played.busiest_ratio,
+            played.left_zone_ratio
+        );
+    }
     (before, now)
 }
 
