--- a/crates/dataplane/src/peer_targets.rs
+++ b/crates/dataplane/src/peer_targets.rs
@@ -58,6 +58,9 @@
 impl KnownStates<'_> {
     /// Returns what is known of the member's target, if anything is.
     pub(crate) fn state_of(&self, member: &Member) -> Option<&TargetState> {
+        if self.states.is_empty() {
+            return None;
+        }
         let target = member.target.as_ref()?;
         let state = self.states.get(&member.node_id)?;
         state.is_of_run(target).then_some(state)
--- a/crates/routing/src/least_work.rs
+++ b/crates/routing/src/least_work.rs
@@ -215,7 +215,11 @@
             let distance = candidates[start].distance;
             let rest = &candidates[start..];
             let end = start + rest.partition_point(|other| other.distance <= distance);
-            self.compare_tier(&costed, candidates, start..end, &mut best);
+            // No target of this distance can lose less than the price of the bytes.
+            let least_loss = bounded_price(self.prices.price(distance, costed.body_bytes));
+            if best.is_none_or(|(_, best_loss)| best_loss > least_loss) {
+                self.compare_tier(&costed, candidates, start..end, &mut best);
+            }
             start = end;
         }
         if best.is_none() {
--- a/crates/routing/tests/placing/mod.rs
+++ b/crates/routing/tests/placing/mod.rs
@@ -119,6 +119,23 @@
     pub(crate) latency_p95_ms: f64,
 }
 
+impl std::fmt::Display for Played {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "in time {:.4} mean {:.1} ms p95 {:.1} ms busiest {:.2} left zone {:.3} late waits {:.4} \
+             p99 of waits {:.1} ms",
+            self.in_time_ratio,
+            self.latency_mean_ms,
+            self.latency_p95_ms,
+            self.busiest_ratio,
+            self.left_zone_ratio,
+            self.late_ratio,
+            self.wait_p99_ms,
+        )
+    }
+}
+
 /// A call on its way to, at or back from a target.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Call {
--- a/crates/routing/tests/uneven_placing.rs
+++ b/crates/routing/tests/uneven_placing.rs
@@ -85,14 +85,8 @@
     let now = play(scenario, Picking::LeastWork, utilisation, seed);
     for (name, played) in [("least loss", &before), ("least work", &now)] {
         println!(
-            "{} callers {utilisation} {name}: in time {:.4} mean {:.1} p95 {:.1} busiest {:.2} \
-             left zone {:.3}",
-            scenario.caller_count,
-            played.in_time_ratio,
-            played.latency_mean_ms,
-            played.latency_p95_ms,
-            played.busiest_ratio,
-            played.left_zone_ratio,
+            "{} callers {utilisation} {name}: {played}",
+            scenario.caller_count
         );
     }
     (before, now)
