--- /dev/null
+++ b/crates/dataplane/src/explain.rs
@@ -0,0 +1,149 @@
+//! Explanation of where a request would go now. Nothing is sent, and no limit is drawn on.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_control::View;
+use figway_cost::RequestClass;
+use figway_customers::Customer;
+use figway_profile::{
+    NamedRoute,
+    WeightedService, //
+};
+use figway_routing::{
+    CallContext,
+    Candidate,
+    Weighed, //
+};
+use serde::Deserialize;
+use serde_json::{
+    json,
+    Value, //
+};
+
+use crate::call::Rule;
+use crate::pick::{
+    build_candidates,
+    entries,
+    route_picker, //
+};
+use crate::worker::Worker;
+
+/// A request that an operator asks about.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Described {
+    /// Host that the caller names.
+    host: String,
+    path: String,
+    /// Customer whose request it is. Keys are not needed.
+    customer: Option<String>,
+    /// Size of the request body.
+    #[serde(default)]
+    body_bytes: usize,
+}
+
+/// Returns where the request would go and why.
+pub(crate) fn explain_request(worker: &Worker, described: &Described) -> Value {
+    let view = worker.plane.mesh.view();
+    let version = view.routes.version;
+    let Some(named) = view.routes.find(&described.host, &described.path) else {
+        return json!({ "version": version, "why": "no-route" });
+    };
+    let customers = view.routes.customers.as_deref();
+    let mut customer = None;
+    if let (Some(index), Some(name)) = (customers, described.customer.as_deref()) {
+        customer = index.get(name);
+        if customer.is_none() {
+            return json!({ "version": version, "route": named.name, "why": "unknown-customer" });
+        }
+    }
+    if customers.is_some() && customer.is_none() && !named.route.anonymous {
+        return json!({ "version": version, "route": named.name, "why": "customer-required" });
+    }
+    let mut services = Vec::new();
+    for part in &named.route.weighted_services {
+        let customer = customer.map(|customer| &**customer);
+        services.push(explain_part(
+            worker, &view, named, part, described, customer,
+        ));
+    }
+    json!({
+        "version": version,
+        "route": named.name,
+        "overload_control": view.routes.overload_control,
+        "customer": customer.and(described.customer.as_deref()),
+        "priority": customer.and_then(|customer| customer.priority).unwrap_or(named.route.priority),
+        "limit": customer.and_then(|customer| customer.limit),
+        "services": services,
+    })
+}
+
+/// Returns the candidates of one service of the route, and the one that would be picked.
+fn explain_part(
+    worker: &Worker,
+    view: &View,
+    named: &NamedRoute,
+    part: &WeightedService,
+    described: &Described,
+    customer: Option<&Customer>,
+) -> Value {
+    let plane = &worker.plane;
+    let (profile, profile_name) = plane.profile_of(view, &part.service);
+    let rule = Rule::from_route(
+        &named.name,
+        &named.route,
+        customer.and_then(|customer| customer.priority),
+        &part.service,
+        profile,
+        profile_name,
+        view.routes.version,
+    );
+    let entries = entries(worker, &rule);
+    let candidates = build_candidates(plane, &entries);
+    let call = CallContext {
+        kind: rule.name,
+        prompt_left: Duration::from_millis(named.route.prompt_ms),
+        deadline_left: Duration::from_millis(named.route.budget_ms),
+    };
+    let class = RequestClass {
+        kind: rule.name,
+        body_bytes: described.body_bytes,
+        customer: customer.and(described.customer.as_deref()),
+    };
+    let now = Instant::now();
+    let mut loads = plane.loads();
+    let own_report = plane.gate.load_report(rule.rank);
+    loads.record_report(&worker.own_member.node_id, own_report, now);
+    let mut picker = route_picker(worker).borrow_mut();
+    let mut targets = Vec::new();
+    for candidate in &candidates {
+        let weighed = picker.weigh(&call, &class, candidate, &loads, now);
+        let refused = loads.has_recent_refusal(candidate.node_id, now);
+        targets.push(target_entry(candidate, weighed.as_ref(), refused));
+    }
+    let picked = picker.pick_for_class(&call, &class, &candidates, &[], &loads, now);
+    json!({
+        "service": part.service,
+        "weight": part.weight,
+        "picked": picked.map(|picked| &candidates[picked.index].node_id),
+        "why": picked.map_or("no-target", |picked| picked.reason),
+        "targets": targets,
+    })
+}
+
+fn target_entry(candidate: &Candidate<'_>, weighed: Option<&Weighed>, refused: bool) -> Value {
+    json!({
+        "node": candidate.node_id,
+        "distance": candidate.distance.name(),
+        "slots": candidate.slot_count,
+        "suspect": candidate.suspect,
+        "refused_recently": refused,
+        "run_ms": weighed.map(|weighed| weighed.ran_ms),
+        "wait_ms": weighed.map(|weighed| weighed.wait_ms),
+        "path_ms": weighed.map(|weighed| weighed.path_ms),
+        "price": weighed.map(|weighed| weighed.price),
+        "loss": weighed.map(|weighed| weighed.loss),
+    })
+}
--- a/crates/dataplane/src/operator.rs
+++ b/crates/dataplane/src/operator.rs
@@ -22,6 +22,10 @@
     Value, //
 };
 
+use crate::explain::{
+    explain_request,
+    Described, //
+};
 use crate::worker::Worker;
 
 /// Timeout of a survey of all members.
@@ -40,6 +44,7 @@
         ("POST", "/figway/announce") => announce(worker, &request.body).await,
         ("GET", "/figway/in-force") => in_force(worker, query).await,
         ("GET", "/figway/status") => json_answer(200, &node_status(worker)),
+        ("POST", "/figway/explain") => explain(worker, &request.body),
         ("GET", "/figway/members") => members(worker),
         _ => Answer::of_status(404),
     };
@@ -91,6 +96,14 @@
     )
 }
 
+/// `POST /figway/explain`: tells where a request would go now. Nothing is sent.
+fn explain(worker: &Worker, body: &[u8]) -> Answer {
+    match serde_json::from_slice::<Described>(body) {
+        Ok(described) => json_answer(200, &explain_request(worker, &described)),
+        Err(error) => bad_request(&error.to_string()),
+    }
+}
+
 /// `GET /figway/members`: returns all members as this node knows them.
 fn members(worker: &Worker) -> Answer {
     let members = worker.plane.mesh.members();
--- a/crates/dataplane/src/pick.rs
+++ b/crates/dataplane/src/pick.rs
@@ -1,5 +1,6 @@
 //! Choice of the target for an attempt, from the candidates of the call's service and subset.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{
     Duration,
@@ -9,7 +10,8 @@
 use figway_routing::{
     CallContext,
     Candidate,
-    Distance, //
+    Distance,
+    TargetPicker, //
 };
 use figway_types::NodeId;
 
@@ -74,8 +76,7 @@
     // This node's gate knows the load of the target on this host exactly, whoever sent the calls.
     loads.record_report(&own_member.node_id, plane.gate.load_report(rule.rank), now);
     let mut picker = match call.prompt_by {
-        Some(_) if plane.overload_control() => worker.work_picker.borrow_mut(),
-        Some(_) => worker.route_picker.borrow_mut(),
+        Some(_) => route_picker(worker).borrow_mut(),
         None => worker.picker.borrow_mut(),
     };
     let need = CallContext {
@@ -108,6 +109,14 @@
     })
 }
 
+/// Returns the picker for calls of the route table.
+pub(crate) fn route_picker(worker: &Worker) -> &RefCell<Box<dyn TargetPicker>> {
+    if worker.plane.overload_control() {
+        return &worker.work_picker;
+    }
+    &worker.route_picker
+}
+
 /// Returns the shortest time until any target is expected to start the call, if one is
 /// known.
 pub(crate) fn shortest_wait(worker: &Worker, rule: &Rule<'_>) -> Option<Duration> {
@@ -127,7 +136,7 @@
 }
 
 /// Returns the targets of the rule's service and subset.
-fn entries(worker: &Worker, rule: &Rule<'_>) -> Rc<[TargetEntry]> {
+pub(crate) fn entries(worker: &Worker, rule: &Rule<'_>) -> Rc<[TargetEntry]> {
     let view = worker.plane.mesh.view();
     let key = CandidateKey {
         service: rule.service,
@@ -142,7 +151,10 @@
 }
 
 /// Returns the targets in the form that pickers use, with the rate limits that this node knows.
-fn build_candidates<'a>(plane: &DataPlane, entries: &'a [TargetEntry]) -> Vec<Candidate<'a>> {
+pub(crate) fn build_candidates<'a>(
+    plane: &DataPlane,
+    entries: &'a [TargetEntry],
+) -> Vec<Candidate<'a>> {
     let known_states = plane.peer_targets.lock();
     let mut candidates = Vec::with_capacity(entries.len());
     for entry in entries {
--- a/crates/figway/src/cmd/explain.rs
+++ b/crates/figway/src/cmd/explain.rs
@@ -6,6 +6,7 @@
 use anyhow::Context as _;
 use serde_json::Value;
 
+use crate::cmd::explain_node::ask_node;
 use crate::cmd::{
     Run,
     EXIT_REFUSED, //
@@ -45,6 +46,9 @@
 
 impl Run for Explain {
     async fn run(&self) -> anyhow::Result<ExitCode> {
+        if let Some(host) = &self.host {
+            return ask_node(self, host).await;
+        }
         let mut lines = Vec::new();
         for path in &self.logs {
             read_log(path, &mut lines)?;
--- a/crates/figway/src/cmd/mod.rs
+++ b/crates/figway/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod explain;
+mod explain_node;
 mod node;
 mod publish;
 mod retreat;
--- a/crates/figway/src/flags.rs
+++ b/crates/figway/src/flags.rs
@@ -84,12 +84,23 @@
             /// Profile file, in YAML.
             repeated --profile path: PathBuf
         }
-        /// Shows what happened to one request, from the collected logs of the nodes.
+        /// Shows what happened to one request, from the collected logs of the nodes. With --host it asks
+        /// a node where a request of that path would go now, and sends nothing.
         cmd explain {
-            /// Id of the request.
+            /// Id of the request; with --host its path.
             required request: String
             /// Log file of a node, one JSON object per line.
             repeated logs: PathBuf
+            /// Host that the request names.
+            optional --host name: String
+            /// Customer whose request it is.
+            optional --customer name: String
+            /// Size of the request body, in bytes; 0 if absent.
+            optional --body-bytes count: u64
+            /// Call address of the node that is asked, IP:PORT; FIGWAY_NODE if absent.
+            optional --node address: String
+            /// Prints the answer of the node as JSON.
+            optional --json
         }
         /// Prints each change and its verdict as it is appended to the log.
         cmd watch {
--- a/crates/figway/src/node_client.rs
+++ b/crates/figway/src/node_client.rs
@@ -4,10 +4,15 @@
     anyhow,
     Context as _, //
 };
-use ntex::client::Client;
+use ntex::client::error::ClientError;
+use ntex::client::{
+    Client,
+    ClientResponse, //
+};
 use ntex::time::Millis;
 use ntex::SharedCfg;
 use serde::de::DeserializeOwned;
+use serde::Serialize;
 
 /// Longest wait for a node's response.
 const RESPONSE_TIMEOUT: Millis = Millis(5_000);
@@ -35,7 +40,24 @@
     /// Fetches `path` and parses the JSON of the response.
     pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> anyhow::Result<T> {
         let url = format!("http://{}{path}", self.address);
-        let response = self.client.get(url).send().await.map_err(|error| {
+        self.read(self.client.get(url).send().await).await
+    }
+
+    /// Posts `body` to `path` as JSON and parses the JSON of the response.
+    pub(crate) async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> anyhow::Result<T> {
+        let url = format!("http://{}{path}", self.address);
+        self.read(self.client.post(url).send_json(body).await).await
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        response: Result<ClientResponse, ClientError>,
+    ) -> anyhow::Result<T> {
+        let response = response.map_err(|error| {
             anyhow!(
                 "could not query node {}: {error}; try another node with --node",
                 self.address
--- a/crates/routing/src/least_loss.rs
+++ b/crates/routing/src/least_loss.rs
@@ -6,6 +6,7 @@
     Instant, //
 };
 
+use figway_cost::RequestClass;
 use figway_types::{
     mix,
     NodeId, //
@@ -13,13 +14,13 @@
 
 use crate::load::LoadTracker;
 use crate::picker::{
-    distance_name,
     usable,
     CallContext,
     Candidate,
     Distance,
     Picked,
-    TargetPicker, //
+    TargetPicker,
+    Weighed, //
 };
 
 /// Fraction of a call's worth that is lost if its answer is late.
@@ -262,7 +263,25 @@
             cost,
             price: self.price(call, &candidates[index], loads),
             expected: Some(Duration::from_secs_f64(expected_ms.max(0.0) / 1_000.0)),
-            reason: distance_name(candidates[index].distance),
+            reason: candidates[index].distance.name(),
+        })
+    }
+
+    fn weigh(
+        &self,
+        call: &CallContext<'_>,
+        _class: &RequestClass<'_>,
+        candidate: &Candidate<'_>,
+        loads: &LoadTracker,
+        now: Instant,
+    ) -> Option<Weighed> {
+        let time = ExpectedTime::estimate(call.kind, candidate, loads, now);
+        Some(Weighed {
+            ran_ms: time.ran_ms,
+            wait_ms: time.wait_ms,
+            path_ms: time.path_ms,
+            price: self.price(call, candidate, loads),
+            loss: self.loss(call, candidate, loads, now),
         })
     }
 }
--- a/crates/routing/src/least_work.rs
+++ b/crates/routing/src/least_work.rs
@@ -35,12 +35,12 @@
     RunCost, //
 };
 use crate::picker::{
-    distance_name,
     usable,
     CallContext,
     Candidate,
     Picked,
-    TargetPicker, //
+    TargetPicker,
+    Weighed, //
 };
 
 /// Weight of the expected latency, so that of several targets that all answer in time the one with the
@@ -78,7 +78,24 @@
     now: Instant,
 }
 
-impl Costed<'_> {
+impl<'a> Costed<'a> {
+    fn new(
+        call: &'a CallContext<'a>,
+        class: &RequestClass<'_>,
+        excluded: &'a [&'a NodeId],
+        loads: &'a LoadTracker,
+        now: Instant,
+    ) -> Self {
+        Self {
+            call,
+            cost: loads.run_cost(class, now),
+            body_bytes: known_bytes(loads.body_bytes(class.kind), class.body_bytes),
+            excluded,
+            loads,
+            now,
+        }
+    }
+
     fn is_usable(&self, candidate: &Candidate<'_>) -> bool {
         !candidate.suspect
             && !self.excluded.contains(&candidate.node_id)
@@ -201,14 +218,7 @@
         loads: &LoadTracker,
         now: Instant,
     ) -> Option<Picked> {
-        let costed = Costed {
-            call,
-            cost: loads.run_cost(class, now),
-            body_bytes: known_bytes(loads.body_bytes(class.kind), class.body_bytes),
-            excluded,
-            loads,
-            now,
-        };
+        let costed = Costed::new(call, class, excluded, loads, now);
         let mut best: Option<(usize, f64)> = None;
         let mut start = 0;
         while start < candidates.len() {
@@ -236,7 +246,26 @@
             cost,
             price: self.prices.price(candidate.distance, costed.body_bytes),
             expected: Duration::try_from_secs_f64(expected_ms / 1_000.0).ok(),
-            reason: distance_name(candidate.distance),
+            reason: candidate.distance.name(),
+        })
+    }
+
+    fn weigh(
+        &self,
+        call: &CallContext<'_>,
+        class: &RequestClass<'_>,
+        candidate: &Candidate<'_>,
+        loads: &LoadTracker,
+        now: Instant,
+    ) -> Option<Weighed> {
+        let costed = Costed::new(call, class, &[], loads, now);
+        let expected = loads.expect(&costed.cost, candidate, now);
+        Some(Weighed {
+            ran_ms: expected.ran_ms,
+            wait_ms: expected.wait_ms,
+            path_ms: candidate.round_trip_us / 1_000.0 + expected.overhead_ms,
+            price: self.prices.price(candidate.distance, costed.body_bytes),
+            loss: self.loss(&costed, candidate),
         })
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -36,7 +36,8 @@
     Distance,
     Picked,
     TargetPicker,
-    TwoChoices, //
+    TwoChoices,
+    Weighed, //
 };
 pub use quantile::LatencyQuantile;
 pub use round_robin::WeightedRoundRobin;
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -40,6 +40,16 @@
 }
 
 impl Distance {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Distance::Host => "host",
+            Distance::Zone => "zone",
+            Distance::Region => "region",
+            Distance::Far => "far",
+        }
+    }
+
     /// Returns the round trip that is assumed until one is measured, in microseconds.
     pub fn assumed_round_trip_us(self) -> f64 {
         match self {
@@ -106,6 +116,21 @@
     pub reason: &'static str,
 }
 
+/// What a call is expected to meet at a candidate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weighed {
+    /// Run time, in milliseconds.
+    pub ran_ms: f64,
+    /// Time until a slot is free, in milliseconds.
+    pub wait_ms: f64,
+    /// Time on the path there and back, in milliseconds.
+    pub path_ms: f64,
+    /// Price of the call's bytes, as a fraction of its worth.
+    pub price: f64,
+    /// Expected loss by which candidates are compared.
+    pub loss: f64,
+}
+
 /// Chooses among candidates, which are sorted by distance.
 pub trait TargetPicker: Send {
     /// Returns the pick, or `None` if every candidate is excluded. `excluded` contains the nodes
@@ -131,6 +156,18 @@
     ) -> Option<Picked> {
         self.pick(call, candidates, excluded, loads, now)
     }
+
+    /// Returns what the call is expected to meet at the candidate, if the picker estimates it.
+    fn weigh(
+        &self,
+        _call: &CallContext<'_>,
+        _class: &RequestClass<'_>,
+        _candidate: &Candidate<'_>,
+        _loads: &LoadTracker,
+        _now: Instant,
+    ) -> Option<Weighed> {
+        None
+    }
 }
 
 /// Picks the cheaper of two random candidates at the nearest distance. If that one is loaded or
@@ -239,17 +276,7 @@
         cost: cost_us(candidate, loads, now),
         price: 0.0,
         expected: None,
-        reason: distance_name(candidate.distance),
-    }
-}
-
-/// Returns the name of a distance in logs.
-pub(crate) fn distance_name(distance: Distance) -> &'static str {
-    match distance {
-        Distance::Host => "host",
-        Distance::Zone => "zone",
-        Distance::Region => "region",
-        Distance::Far => "far",
+        reason: candidate.distance.name(),
     }
 }
 
