--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod order;
 mod turns;
+mod work;
 
 use std::time::{
     Duration,
@@ -95,6 +96,9 @@
     pacer: Option<Pacer>,
     next_ticket: u64,
     draining: bool,
+    /// Whether the expected wait is computed from the remaining time of each running call instead of
+    /// half of the mean.
+    uses_remaining_time: bool,
 }
 
 impl Admission {
@@ -108,6 +112,7 @@
             pacer: None,
             next_ticket: 0,
             draining: false,
+            uses_remaining_time: false,
         }
     }
 
@@ -135,6 +140,9 @@
 
     /// Returns the mean service time of the kind, if any call of it was answered.
     pub fn mean_time(&self, kind: &str) -> Option<Duration> {
+        if self.uses_remaining_time {
+            return self.times.steady_mean(kind);
+        }
         self.times.min(kind).map(|_| self.times.mean(kind))
     }
 
@@ -322,7 +330,7 @@
             }
         }
         for call in &self.running {
-            ahead += self.times.mean(&call.kind) / 2;
+            ahead += self.expected_remaining(call, now);
         }
         ahead / slot_count
     }
