--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -5,7 +5,9 @@
 
 use figway_cost::RequestClass;
 use figway_customers::{
+    call_priority,
     Credentials,
+    Customer,
     KeyDigest, //
 };
 use figway_http::{
@@ -55,6 +57,16 @@
     pub(crate) version: u64,
 }
 
+/// Returns the priority of a call on `route`; 0 is served first. If `routes` hold customers, that of the
+/// customer goes before that of the route.
+pub(crate) fn priority_of(routes: &RouteIndex, customer: Option<&Customer>, route: &Route) -> u32 {
+    if routes.customers.is_none() {
+        return route.priority;
+    }
+    let customer_priority = customer.and_then(|customer| customer.priority);
+    call_priority(customer_priority, route.priority)
+}
+
 /// Maximum number of targets that one call of a request kind may be sent to.
 const KIND_ATTEMPT_MAX_COUNT: usize = 4;
 
--- a/crates/dataplane/src/explain.rs
+++ b/crates/dataplane/src/explain.rs
@@ -23,7 +23,10 @@
     Value, //
 };
 
-use crate::call::Rule;
+use crate::call::{
+    priority_of,
+    Rule, //
+};
 use crate::pick::{
     build_candidates,
     entries,
@@ -74,7 +77,7 @@
         "route": named.name,
         "overload_control": view.routes.overload_control,
         "customer": customer.and(described.customer.as_deref()),
-        "priority": customer.and_then(|customer| customer.priority).unwrap_or(named.route.priority),
+        "priority": priority_of(&view.routes, customer.map(|customer| &**customer), &named.route),
         "limit": customer.and_then(|customer| customer.limit),
         "services": services,
     })
@@ -94,7 +97,7 @@
     let rule = Rule::from_route(
         &named.name,
         &named.route,
-        customer.and_then(|customer| customer.priority),
+        priority_of(&view.routes, customer, &named.route),
         &part.service,
         profile,
         profile_name,
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -9,7 +9,6 @@
 
 use figway_control::View;
 use figway_customers::{
-    call_priority,
     identify,
     Identity,
     Parent, //
@@ -29,6 +28,7 @@
     run_attempts, //
 };
 use crate::call::{
+    priority_of,
     AttemptKind,
     Call,
     Caller,
@@ -248,20 +248,13 @@
         return Outcome::NotRun(NotRunReason::NoTarget).into();
     };
     let (profile, profile_name) = worker.plane.profile_of(view, &part.service);
-    let priority = match customers {
-        Some(customers) => {
-            let customer = customer.as_deref().and_then(|name| customers.get(name));
-            call_priority(
-                customer.and_then(|customer| customer.priority),
-                route.priority,
-            )
-        }
-        None => route.priority,
-    };
+    let known_customer = customer
+        .as_deref()
+        .and_then(|name| Some(customers?.get(name)?.as_ref()));
     let mut rule = Rule::from_route(
         &named.name,
         route,
-        priority,
+        priority_of(&view.routes, known_customer, route),
         &part.service,
         profile,
         profile_name,
