--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -19,6 +19,7 @@
 
 pub use self::limits::AdmissionLimits;
 use self::order::Order;
+use self::work::needed_time;
 use crate::estimate::ServiceTimes;
 use crate::pacer::Pacer;
 
@@ -96,9 +97,6 @@
     pacer: Option<Pacer>,
     next_ticket: u64,
     draining: bool,
-    /// Whether the expected wait is computed from the remaining time of each running call instead of
-    /// half of the mean.
-    uses_remaining_time: bool,
 }
 
 impl Admission {
@@ -112,7 +110,6 @@
             pacer: None,
             next_ticket: 0,
             draining: false,
-            uses_remaining_time: false,
         }
     }
 
@@ -140,7 +137,7 @@
 
     /// Returns the mean service time of the kind, if any call of it was answered.
     pub fn mean_time(&self, kind: &str) -> Option<Duration> {
-        if self.uses_remaining_time {
+        if self.limits.overload_control {
             return self.times.steady_mean(kind);
         }
         self.times.min(kind).map(|_| self.times.mean(kind))
@@ -238,8 +235,9 @@
 
     fn refuse_expired(&mut self, now: Instant, dequeued: &mut Dequeued) {
         let times = &self.times;
+        let limits = self.limits;
         self.waiting.retain(|call| {
-            let needed = times.min(&call.kind).unwrap_or(Duration::ZERO);
+            let needed = needed_time(times, &limits, &call.kind);
             if call.deadline > now + needed {
                 return true;
             }
@@ -300,7 +298,7 @@
         let Some(prompt_by) = call.prompt_by else {
             return false;
         };
-        now + self.times.mean(&call.kind) > prompt_by
+        now + self.prompt_time(&call.kind) > prompt_by
     }
 
     /// Returns whether a new call is expected to be late behind those that wait.
@@ -308,7 +306,7 @@
         let Some(prompt_by) = call.prompt_by else {
             return false;
         };
-        now + self.expected_wait(call.rank, now) + self.times.mean(call.kind) > prompt_by
+        now + self.expected_wait(call.rank, now) + self.prompt_time(call.kind) > prompt_by
     }
 
     /// Returns the expected wait of a new call of `rank` for a slot and for its turn under the rate
@@ -344,7 +342,7 @@
     }
 
     fn late_max_count(&self) -> usize {
-        (self.concurrency() * self.limits.late_per_slot_ratio).ceil() as usize
+        (self.concurrency() * self.limits.late_per_slot_ratio()).ceil() as usize
     }
 
     /// Returns the index of the waiting call to shed for a new call of `rank` and `density`, if any
--- a/crates/admission/src/admission/work.rs
+++ b/crates/admission/src/admission/work.rs
@@ -7,16 +7,28 @@
 
 use super::{
     Admission,
+    AdmissionLimits,
     Running, //
 };
+use crate::estimate::ServiceTimes;
 
-impl Admission {
-    /// Sets whether the expected wait is computed from the remaining time of each running call, by the
-    /// time that it has run, instead of half of the mean.
-    pub fn set_uses_remaining_time(&mut self, uses_remaining_time: bool) {
-        self.uses_remaining_time = uses_remaining_time;
+/// Share of the calls that are to be prompt of those that are admitted as such.
+const PROMPT_SHARE: f64 = 0.75;
+
+/// Fraction of its usual run time that a call must have left to be worth starting.
+const WORTHWHILE_RATIO: f64 = 0.8;
+
+/// Returns the time before its deadline at which a call of the kind must start at the latest.
+pub(super) fn needed_time(times: &ServiceTimes, limits: &AdmissionLimits, kind: &str) -> Duration {
+    let shortest = times.min(kind).unwrap_or(Duration::ZERO);
+    if !limits.overload_control {
+        return shortest;
     }
+    let usual = times.steady_mean(kind).unwrap_or(Duration::ZERO);
+    usual.mul_f64(WORTHWHILE_RATIO).max(shortest)
+}
 
+impl Admission {
     /// Returns the run time that the share `share` of the calls of the kind doesn't exceed at this
     /// target.
     pub fn time_quantile(&self, kind: &str, share: f64) -> Duration {
@@ -36,9 +48,17 @@
         work
     }
 
+    /// Returns the run time with which a call of the kind counts as prompt or late.
+    pub(super) fn prompt_time(&self, kind: &str) -> Duration {
+        if self.limits.overload_control {
+            return self.times.quantile(kind, PROMPT_SHARE);
+        }
+        self.times.mean(kind)
+    }
+
     /// Returns how long a running call is expected to hold its slot yet.
     pub(super) fn expected_remaining(&self, call: &Running, now: Instant) -> Duration {
-        if !self.uses_remaining_time {
+        if !self.limits.overload_control {
             return self.times.mean(&call.kind) / 2;
         }
         let elapsed = now.saturating_duration_since(call.started_at);
--- a/crates/admission/tests/naive_admission.rs
+++ b/crates/admission/tests/naive_admission.rs
@@ -24,7 +24,7 @@
     slot_count: 4,
     queue_per_slot_ratio: 1.0,
     short_share_ratio: 0.25,
-    late_per_slot_ratio: 1.0,
+    overload_control: false,
 };
 const LONG_MAX_COUNT: usize = 3;
 const QUEUE_MAX_COUNT: usize = 4;
--- a/crates/admission/tests/ranks.rs
+++ b/crates/admission/tests/ranks.rs
@@ -19,7 +19,7 @@
     slot_count: 2,
     queue_per_slot_ratio: 4.0,
     short_share_ratio: 0.0,
-    late_per_slot_ratio: 1.0,
+    overload_control: false,
 };
 
 fn call(kind: &str, rank: u32, prompt_ms: u64, now: Instant) -> CallView<'_> {
--- a/crates/admission/tests/rate_limit.rs
+++ b/crates/admission/tests/rate_limit.rs
@@ -24,7 +24,7 @@
     slot_count: 50,
     queue_per_slot_ratio: 2.0,
     short_share_ratio: 0.0,
-    late_per_slot_ratio: 1.0,
+    overload_control: false,
 };
 
 /// Span of time over which a target sums its calls.
--- a/crates/admission/tests/remaining_work.rs
+++ b/crates/admission/tests/remaining_work.rs
@@ -17,7 +17,7 @@
     slot_count: 2,
     queue_per_slot_ratio: 4.0,
     short_share_ratio: 0.0,
-    late_per_slot_ratio: 1.0,
+    overload_control: false,
 };
 
 fn ms(ms: u64) -> Duration {
@@ -64,7 +64,10 @@
     admit(&mut admission, now);
     admit(&mut admission, now);
     let half = admission.expected_wait(0, now);
-    admission.set_uses_remaining_time(true);
+    admission.set_limits(AdmissionLimits {
+        overload_control: true,
+        ..LIMITS
+    });
     let started = admission.expected_wait(0, now);
     let almost_done = admission.expected_wait(0, now + ms(75));
     let stragglers = admission.expected_wait(0, now + ms(250));
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -40,13 +40,6 @@
 /// Shortest remaining time with which a call is still worth sending to the target.
 const TARGET_TIME_MIN: Duration = Duration::from_millis(2);
 
-/// Late calls that may wait for the target, per slot.
-const LATE_PER_SLOT_RATIO: f64 = 1.0;
-
-/// The same for a route table that calls for overload control. Callers that are refused early come
-/// back in time, or find room elsewhere.
-const OVERLOADED_LATE_PER_SLOT_RATIO: f64 = 0.25;
-
 /// Result of one attempt.
 pub(crate) struct AttemptResult {
     pub(crate) outcome: Outcome,
@@ -130,7 +123,6 @@
         return AttemptResult::not_sent(NotRunReason::Overloaded);
     }
     let limits = admission_limits(plane, &target);
-    plane.gate.set_uses_remaining_time(plane.overload_control());
     let entered_at = Instant::now();
     let mut slot = match plane.gate.enter(&view, limits).await {
         Ok(slot) => slot,
@@ -383,10 +375,6 @@
         slot_count: target.slot_count,
         queue_per_slot_ratio: limits.queue_per_slot_ratio,
         short_share_ratio: limits.short_share_ratio,
-        late_per_slot_ratio: if view.routes.overload_control {
-            OVERLOADED_LATE_PER_SLOT_RATIO
-        } else {
-            LATE_PER_SLOT_RATIO
-        },
+        overload_control: view.routes.overload_control,
     }
 }
--- a/crates/dataplane/src/gate.rs
+++ b/crates/dataplane/src/gate.rs
@@ -36,8 +36,6 @@
     draining: bool,
     /// Moving average of the share of calls that the target failed.
     failed_ratio: f64,
-    /// Whether waits are estimated from the remaining time of running calls.
-    uses_remaining_time: bool,
 }
 
 /// Admission to the local target, shared by the calls that wait for a slot.
@@ -58,12 +56,6 @@
         }
     }
 
-    /// Sets whether waits are estimated from the remaining time of running calls, for calls from now on.
-    pub(crate) fn set_uses_remaining_time(&self, uses_remaining_time: bool) {
-        let mut gate = self.gate.lock().expect("no holder panics");
-        gate.uses_remaining_time = uses_remaining_time;
-    }
-
     /// Sets the rate limit that the target states, or removes it.
     pub(crate) fn set_rate_limit(&self, limit: Option<RateLimit>) {
         let now = Instant::now();
@@ -187,14 +179,12 @@
         }
         let now = Instant::now();
         let rate_limit = gate.rate_limit;
-        let uses_remaining_time = gate.uses_remaining_time;
         let admission = gate.admission.get_or_insert_with(|| {
             let mut admission = Admission::new(limits);
             admission.set_rate_limit(rate_limit, now);
             admission
         });
         admission.set_limits(limits);
-        admission.set_uses_remaining_time(uses_remaining_time);
         let (entered, dequeued) = admission.admit(call, now);
         let entered = match entered {
             AdmitOutcome::Running(ticket) => (self.slot(ticket, true), None),
--- a/crates/routing/tests/placing/mod.rs
+++ b/crates/routing/tests/placing/mod.rs
@@ -512,12 +512,10 @@
 
 /// Returns an admission whose reports are computed as `picking` expects them.
 fn admission(scenario: &Scenario, picking: Picking) -> Admission {
-    let mut admission = Admission::new(figway_admission::AdmissionLimits {
+    Admission::new(figway_admission::AdmissionLimits {
         slot_count: scenario.slot_count as u32,
         queue_per_slot_ratio: scenario.queue_per_slot_ratio,
         short_share_ratio: 0.0,
-        late_per_slot_ratio: 1.0,
-    });
-    admission.set_uses_remaining_time(picking == Picking::LeastWork);
-    admission
+        overload_control: picking == Picking::LeastWork,
+    })
 }
