--- a/crates/control/src/mesh/routes.rs
+++ b/crates/control/src/mesh/routes.rs
@@ -31,13 +31,16 @@
     RouteGossip, //
 };
 
-/// Largest number of changed routes in one gossip message. Larger changes are pulled over a single
+/// Largest number of changed routes and customers in one gossip message. Larger changes are pulled over a single
 /// link instead of being sent over each.
 const GOSSIP_ROUTE_MAX_COUNT: usize = 24;
 
 /// Largest number of lines about routes of unknown kinds for one version of the table.
 const UNKNOWN_KIND_LINE_MAX_COUNT: usize = 20;
 
+/// Largest number of customers that a line about shared keys names.
+const SHARED_KEY_NAME_MAX_COUNT: usize = 20;
+
 /// Width of a step of round-trip time to the log; nodes in the same step count as equally near.
 const LOG_DISTANCE_STEP_MS: u64 = 8;
 
@@ -154,7 +157,7 @@
         if version >= routes.table().version {
             return MissingRoutes::Nothing;
         }
-        match routes.changes_after(version, routes.table().routes.len()) {
+        match routes.changes_after(version, routes.table().entry_count()) {
             Some(changes) => MissingRoutes::Changes(clone_changes(&changes)),
             None => MissingRoutes::Table(Box::new(routes.table().as_ref().clone())),
         }
@@ -219,6 +222,7 @@
     fn put_routes_in_force(&self, table: &RouteTable) {
         log_unknown_kinds(&self.view().routes.unknown_kinds, table);
         let index = Arc::new(RouteIndex::new(table));
+        log_shared_keys(&index);
         let fold = self.fold();
         let current = self.view.load();
         let mut next = current.rebuilt(&fold, None);
@@ -245,6 +249,24 @@
     }
 }
 
+/// Logs which customers hold keys of each other, so that their requests are refused.
+fn log_shared_keys(index: &RouteIndex) {
+    let Some(customers) = &index.customers else {
+        return;
+    };
+    let sharing = customers.customers_with_shared_keys();
+    if sharing.is_empty() {
+        return;
+    }
+    let named = &sharing[..sharing.len().min(SHARED_KEY_NAME_MAX_COUNT)];
+    log::warn!(
+        "keys held by several customers version={} keys={} customers={}",
+        index.version,
+        customers.shared_key_count(),
+        named.join(","),
+    );
+}
+
 /// Logs the routes of `table` whose kind this build does not know, unless they are in `logged`.
 fn log_unknown_kinds(logged: &BTreeMap<String, String>, table: &RouteTable) {
     let mut new_count = 0;
--- a/crates/control/src/route_history.rs
+++ b/crates/control/src/route_history.rs
@@ -49,7 +49,7 @@
     }
 
     /// Returns the changes from `version` to the applied version, if they are still kept and
-    /// change at most `changed_max_count` routes together.
+    /// change at most `changed_max_count` routes and customers together.
     pub(crate) fn changes_after(
         &self,
         version: u64,
@@ -65,7 +65,7 @@
         let mut changes = Vec::new();
         let mut changed_count = 0;
         for change in self.changes.iter().skip(first) {
-            changed_count += change.changed.len() + change.removed.len();
+            changed_count += change.entry_count();
             if changed_count > changed_max_count {
                 return None;
             }
--- a/crates/customers/src/identify.rs
+++ b/crates/customers/src/identify.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use figway_types::KeyRefusal;
+
 use crate::index::CustomerIndex;
 use crate::key::KeyDigest;
 
@@ -36,9 +38,14 @@
     /// Requests need no key, or the request needs none and belongs to no customer.
     Anonymous,
     /// The request belongs to the customer.
-    Customer(Arc<str>),
-    /// The request must be refused, since no customer holds its key.
-    Unauthorized,
+    Customer {
+        /// Name of the customer.
+        name: Arc<str>,
+        /// Digest of the key that tells so; `None` if the customer is that of the parent.
+        key: Option<KeyDigest>,
+    },
+    /// The request must be refused.
+    Unauthorized(KeyRefusal),
     /// The request is made during a call that this node does not know, and may not run.
     Orphaned,
 }
@@ -53,23 +60,26 @@
     let Some(index) = index else {
         return Identity::Anonymous;
     };
-    let holder = match credentials {
-        Credentials::Key(key) => KeyDigest::of_key(key).and_then(|digest| index.holder(&digest)),
-        Credentials::Absent | Credentials::Invalid => None,
+    let refused = match credentials {
+        Credentials::Key(key) => match index.find(key) {
+            Ok((name, key)) => {
+                return Identity::Customer {
+                    name: Arc::clone(name),
+                    key: Some(key),
+                };
+            }
+            Err(why) => Identity::Unauthorized(why),
+        },
+        Credentials::Invalid => Identity::Unauthorized(KeyRefusal::Malformed),
+        Credentials::Absent => match parent {
+            Parent::Running(Some(name)) => return Identity::Customer { name, key: None },
+            Parent::Running(None) | Parent::Unknown { restarted: true } => Identity::Anonymous,
+            Parent::Unknown { restarted: false } => Identity::Orphaned,
+            Parent::None => Identity::Unauthorized(KeyRefusal::Missing),
+        },
     };
-    if let Some(name) = holder {
-        return Identity::Customer(Arc::clone(name));
-    }
     if route_is_anonymous {
         return Identity::Anonymous;
     }
-    if credentials != Credentials::Absent {
-        return Identity::Unauthorized;
-    }
-    match parent {
-        Parent::None => Identity::Unauthorized,
-        Parent::Running(Some(customer)) => Identity::Customer(customer),
-        Parent::Running(None) | Parent::Unknown { restarted: true } => Identity::Anonymous,
-        Parent::Unknown { restarted: false } => Identity::Orphaned,
-    }
+    refused
 }
--- a/crates/customers/src/index.rs
+++ b/crates/customers/src/index.rs
@@ -3,18 +3,24 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use figway_types::FastMap;
+use figway_types::{
+    FastMap,
+    KeyRefusal, //
+};
 
 use crate::customer::Customer;
-use crate::key::KeyDigest;
+use crate::key::{
+    KeyDigest,
+    KeyTag, //
+};
 
 /// Customers of one configuration.
 #[derive(Clone, Debug, Default)]
 pub struct CustomerIndex {
     customers: BTreeMap<String, Arc<Customer>>,
-    /// Name of the customer that holds each key. A key that several customers hold is left out, since
-    /// it does not tell whose request it is.
-    names_by_key: FastMap<KeyDigest, Arc<str>>,
+    /// Name of the customer that holds each key; `None` if several do, so that the key does not tell
+    /// whose request it is.
+    holders: FastMap<KeyDigest, Option<Arc<str>>>,
 }
 
 impl CustomerIndex {
@@ -34,21 +40,59 @@
                     .or_insert_with(|| Some(Arc::clone(&name)));
             }
         }
-        let mut names_by_key = FastMap::default();
-        for (digest, holder) in holders {
-            if let Some(name) = holder {
-                names_by_key.insert(digest, name);
-            }
-        }
         Self {
             customers: customers.clone(),
-            names_by_key,
+            holders,
+        }
+    }
+
+    /// Returns the name of the customer that holds the key, and the digest of the key.
+    ///
+    /// # Errors
+    ///
+    /// Why the key does not tell whose request it is.
+    pub fn find(&self, key: &str) -> Result<(&Arc<str>, KeyDigest), KeyRefusal> {
+        let digest = KeyDigest::of_key(key).ok_or(KeyRefusal::Unknown)?;
+        match self.holders.get(&digest) {
+            Some(Some(name)) => Ok((name, digest)),
+            Some(None) => Err(KeyRefusal::Shared),
+            None => Err(KeyRefusal::Unknown),
         }
     }
 
     /// Returns the name of the customer that holds the key.
     pub fn holder(&self, digest: &KeyDigest) -> Option<&Arc<str>> {
-        self.names_by_key.get(digest)
+        self.holders.get(digest)?.as_ref()
+    }
+
+    /// Returns whether the customer alone holds a key with the tag.
+    pub fn holds_tag(&self, name: &str, tag: KeyTag) -> bool {
+        let Some(customer) = self.customers.get(name) else {
+            return false;
+        };
+        for digest in &customer.key_digests {
+            if digest.tag() == tag && self.holder(digest).is_some() {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Returns the number of keys that several customers hold.
+    pub fn shared_key_count(&self) -> usize {
+        self.holders.values().filter(|name| name.is_none()).count()
+    }
+
+    /// Returns the names of the customers that hold a key which others hold too.
+    pub fn customers_with_shared_keys(&self) -> Vec<&str> {
+        let mut names = Vec::new();
+        for (name, customer) in &self.customers {
+            let digests = &customer.key_digests;
+            if digests.iter().any(|digest| self.holder(digest).is_none()) {
+                names.push(name.as_str());
+            }
+        }
+        names
     }
 
     /// Returns a customer by its name.
--- a/crates/customers/src/key.rs
+++ b/crates/customers/src/key.rs
@@ -25,6 +25,23 @@
         }
         Some(Self(Sha256::digest(key.as_bytes()).into()))
     }
+
+    /// Returns the beginning of the digest.
+    pub fn tag(&self) -> KeyTag {
+        let mut first = [0; 8];
+        first.copy_from_slice(&self.0[..8]);
+        KeyTag(u64::from_be_bytes(first))
+    }
+}
+
+/// Beginning of the digest of a key, by which a node that already knows the customer recognizes the key.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct KeyTag(pub u64);
+
+impl std::fmt::Debug for KeyTag {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("KeyTag(..)")
+    }
 }
 
 impl std::fmt::Debug for KeyDigest {
--- a/crates/customers/src/lib.rs
+++ b/crates/customers/src/lib.rs
@@ -17,4 +17,7 @@
     Parent, //
 };
 pub use index::CustomerIndex;
-pub use key::KeyDigest;
+pub use key::{
+    KeyDigest,
+    KeyTag, //
+};
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -17,6 +17,7 @@
     SendFailure, //
 };
 use figway_types::{
+    KeyRefusal,
     NotRunReason,
     Target, //
 };
@@ -148,6 +149,10 @@
     if plane.refuses_as_quarantined(call.fingerprint) {
         return AttemptResult::not_sent(NotRunReason::Quarantined);
     }
+    // The operator may have removed its key.
+    if plane.refuses_key(call) {
+        return refuse_removed_key(plane, call, entered_at);
+    }
     let target = match local_target(plane, call) {
         Ok(target) => target,
         Err(reason) => return AttemptResult::not_sent(reason),
@@ -183,6 +188,30 @@
     }
 }
 
+fn refuse_removed_key(
+    plane: &DataPlane,
+    call: &AdmissionRequest<'_>,
+    entered_at: Instant,
+) -> AttemptResult {
+    let reason = NotRunReason::Unauthorized(KeyRefusal::Removed);
+    let waited = entered_at.elapsed();
+    plane
+        .metrics
+        .record_admission("not-run", reason.name(), waited);
+    if plane.log_budget.should_log(call.request_id, true) {
+        log::info!(
+            "call refused request={} kind={} customer={} why={} routes_version={} waited_ms={}",
+            call.request_id,
+            call.kind,
+            call.customer.unwrap_or(""),
+            reason.name(),
+            plane.mesh.view().routes.version,
+            waited.as_millis(),
+        );
+    }
+    AttemptResult::not_sent(reason)
+}
+
 /// Log line of a run at the local target. If the run is cancelled before it ends, the line is
 /// written on drop.
 struct RunLog<'a> {
@@ -262,9 +291,7 @@
         echo_header: plane.interface.echo_header(),
         idempotent: call.idempotent,
     };
-    let running = plane
-        .running
-        .begin(call.request_id, call.attempt_kind, call.customer);
+    let running = plane.running.begin(call);
     plane
         .local_target
         .record_sent(call.attempt_kind, Instant::now());
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -19,6 +19,7 @@
 };
 use figway_types::{
     BootInstant,
+    KeyRefusal,
     NodeId,
     NotRunReason, //
 };
@@ -55,8 +56,9 @@
     let result = if plane.refuses_as_quarantined(call.fingerprint) {
         // The call may have waited for a target since it was last checked.
         AttemptResult::not_sent(NotRunReason::Quarantined)
-    } else if !is_authorized(plane, call) {
-        AttemptResult::not_sent(NotRunReason::Unauthorized)
+    } else if !call.caller.is_authorized(&plane.mesh.view().routes) {
+        // The operator may have removed its key meanwhile.
+        AttemptResult::not_sent(NotRunReason::Unauthorized(KeyRefusal::Removed))
     } else if entry.distance == Distance::Host {
         admit(worker, &AdmissionRequest::new(call, attempt_kind)).await
     } else {
@@ -77,12 +79,6 @@
     result
 }
 
-/// Returns whether the caller is still let in, if the routes changed since the call was routed.
-fn is_authorized(plane: &DataPlane, call: &Call<'_>) -> bool {
-    let view = plane.mesh.view();
-    view.routes.version == call.rule.version || call.caller.is_authorized(&view.routes)
-}
-
 /// Updates load and latency estimates and the retry state with the outcome of an attempt.
 fn record_result(
     plane: &DataPlane,
@@ -227,6 +223,9 @@
     if let Some(customer) = call.caller.customer {
         onward.push(headers::ADMIT_CUSTOMER, customer);
     }
+    if let Some(key) = call.caller.stated_key() {
+        onward.push(headers::ADMIT_KEY, key.encode());
+    }
     onward.push(headers::REQUEST_ID, call.request_id);
     onward.push(headers::BUDGET_MS, left.as_millis().to_string());
     onward
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -3,10 +3,6 @@
 use std::cell::RefCell;
 use std::time::Instant;
 
-use figway_customers::{
-    Credentials,
-    KeyDigest, //
-};
 use figway_http::{
     Answer,
     Bytes,
@@ -15,14 +11,17 @@
 use figway_profile::{
     Profile,
     RequestKind,
-    Route,
-    RouteIndex, //
+    Route, //
 };
 use figway_types::{
     Fingerprint,
     NotRunReason, //
 };
 
+use crate::caller::{
+    Caller,
+    StatedKey, //
+};
 use crate::steps::Step;
 
 /// How calls of one request kind of a profile, or of one route of the route table, are handled.
@@ -122,44 +121,6 @@
     }
 }
 
-/// Whose call it is, and the credentials that tell so.
-#[derive(Clone, Copy)]
-pub(crate) struct Caller<'a> {
-    /// Customer to whom the call belongs, if any.
-    pub(crate) customer: Option<&'a str>,
-    pub(crate) credentials: Credentials<'a>,
-}
-
-impl std::fmt::Debug for Caller<'_> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        // Credentials must not get into logs.
-        f.debug_struct("Caller")
-            .field("customer", &self.customer)
-            .finish_non_exhaustive()
-    }
-}
-
-impl Caller<'_> {
-    /// Caller of a call that belongs to no customer.
-    pub(crate) const ANONYMOUS: Caller<'static> = Caller {
-        customer: None,
-        credentials: Credentials::Absent,
-    };
-
-    /// Returns whether `routes` still let the caller in. Its key may have been removed since.
-    pub(crate) fn is_authorized(&self, routes: &RouteIndex) -> bool {
-        let (Some(customer), Credentials::Key(key)) = (self.customer, self.credentials) else {
-            return true;
-        };
-        let Some(index) = &routes.customers else {
-            return true;
-        };
-        KeyDigest::of_key(key)
-            .and_then(|digest| index.holder(&digest))
-            .is_some_and(|holder| **holder == *customer)
-    }
-}
-
 /// A routed call at the caller's node.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Call<'a> {
@@ -238,6 +199,8 @@
     pub(crate) origin: &'a str,
     /// Customer to whom the call belongs, if any.
     pub(crate) customer: Option<&'a str>,
+    /// Key that tells the customer, if one does.
+    pub(crate) key: Option<StatedKey>,
     pub(crate) deadline: Instant,
     pub(crate) attempt_kind: AttemptKind,
 }
@@ -261,6 +224,7 @@
             body: call.body,
             origin: call.origin,
             customer: call.caller.customer,
+            key: call.caller.stated_key(),
             deadline: call.deadline,
             attempt_kind: call.reported_attempt_kind(attempt_kind),
         }
--- /dev/null
+++ b/crates/dataplane/src/caller.rs
@@ -0,0 +1,174 @@
+//! Whose call it is: identification at the caller's node, and the checks that follow when the routes
+//! change while a call waits.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use figway_control::View;
+use figway_customers::{
+    identify,
+    Identity,
+    KeyDigest,
+    KeyTag,
+    Parent, //
+};
+use figway_profile::{
+    Route,
+    RouteIndex, //
+};
+use figway_types::NotRunReason;
+
+use crate::call::AdmissionRequest;
+use crate::plane::DataPlane;
+use crate::proxy::Incoming;
+use crate::running_calls::RunningCall;
+
+/// Caller of a request that is let in.
+pub(crate) struct IdentifiedCaller {
+    /// Customer to whom the call belongs, if any.
+    pub(crate) customer: Option<Arc<str>>,
+    /// Digest of the key that tells the customer.
+    pub(crate) key: Option<KeyDigest>,
+    /// Call of the local target in which the request is nested.
+    pub(crate) parent_call: Option<RunningCall>,
+}
+
+/// Decides whose request it is, or why it is refused.
+pub(crate) fn identify_caller(
+    plane: &DataPlane,
+    view: &View,
+    incoming: &Incoming<'_>,
+    route: &Route,
+) -> Result<IdentifiedCaller, NotRunReason> {
+    let parent_call = plane.parent_call(incoming.request_id);
+    let parent = parent_of(plane, incoming.request_id, parent_call.as_ref());
+    let credentials = plane.interface.credentials(incoming.request);
+    let customers = view.routes.customers.as_deref();
+    let (customer, key) = match identify(customers, credentials, route.anonymous, parent) {
+        Identity::Anonymous => (None, None),
+        Identity::Customer { name, key } => (Some(name), key),
+        Identity::Unauthorized(why) => return Err(NotRunReason::Unauthorized(why)),
+        Identity::Orphaned => return Err(NotRunReason::UnknownParent),
+    };
+    Ok(IdentifiedCaller {
+        customer,
+        key,
+        parent_call,
+    })
+}
+
+/// Returns the call during which the local target made the request, as far as the request names one.
+fn parent_of(plane: &DataPlane, request_id: &str, running: Option<&RunningCall>) -> Parent {
+    match running {
+        Some(running) => Parent::Running(running.customer.clone()),
+        None if plane.interface.parent_id(request_id).is_none() => Parent::None,
+        None => Parent::Unknown {
+            restarted: plane.may_have_lost_calls(),
+        },
+    }
+}
+
+/// Whose call it is, and what tells so.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Caller<'a> {
+    /// Customer to whom the call belongs, if any.
+    pub(crate) customer: Option<&'a str>,
+    /// Digest of the key that tells the customer. Absent for nested calls, which belong to the customer
+    /// of their parent.
+    pub(crate) key: Option<KeyDigest>,
+    /// Version of the routes by which the caller was identified; `None` if the call has no route.
+    pub(crate) routes_version: Option<u64>,
+    /// Whether those routes have customers, so that the credentials were read.
+    pub(crate) has_customers: bool,
+}
+
+impl Caller<'_> {
+    /// Caller of a call that is not routed by the route table.
+    pub(crate) const UNROUTED: Caller<'static> = Caller {
+        customer: None,
+        key: None,
+        routes_version: None,
+        has_customers: false,
+    };
+
+    /// Returns whether `routes` still let the caller in. Its key may have been removed since it was
+    /// identified, or requests may need keys only since.
+    pub(crate) fn is_authorized(&self, routes: &RouteIndex) -> bool {
+        if self
+            .routes_version
+            .is_none_or(|version| version >= routes.version)
+        {
+            return true;
+        }
+        let Some(index) = &routes.customers else {
+            return true;
+        };
+        match (self.customer, &self.key) {
+            (Some(customer), Some(key)) => index
+                .holder(key)
+                .is_some_and(|holder| **holder == *customer),
+            _ => self.has_customers,
+        }
+    }
+
+    /// Returns the key as the node beside the target checks it.
+    pub(crate) fn stated_key(&self) -> Option<StatedKey> {
+        Some(StatedKey {
+            tag: self.key?.tag(),
+            routes_version: self.routes_version?,
+        })
+    }
+}
+
+/// Key of a call as its caller's node states it to the node beside the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StatedKey {
+    pub(crate) tag: KeyTag,
+    /// Version of the routes by which the key was accepted.
+    pub(crate) routes_version: u64,
+}
+
+impl StatedKey {
+    /// Encodes the key as `VERSION,TAG`, with the tag in hexadecimal digits.
+    pub(crate) fn encode(&self) -> String {
+        format!("{},{:016x}", self.routes_version, self.tag.0)
+    }
+
+    /// Decodes what [`StatedKey::encode`] returns.
+    pub(crate) fn decode(text: &str) -> Option<Self> {
+        let (routes_version, tag) = text.split_once(',')?;
+        Some(Self {
+            tag: KeyTag(u64::from_str_radix(tag, 16).ok()?),
+            routes_version: routes_version.parse().ok()?,
+        })
+    }
+}
+
+impl DataPlane {
+    /// Returns the call that the local target was running when it made the request, or `None` if the
+    /// request does not name a running call. Of several such calls it is the innermost.
+    pub(crate) fn parent_call(&self, request_id: &str) -> Option<RunningCall> {
+        let now = Instant::now();
+        let mut id = request_id;
+        while let Some(parent_id) = self.interface.parent_id(id) {
+            if let Some(parent) = self.running.get(parent_id, now) {
+                return Some(parent);
+            }
+            id = parent_id;
+        }
+        None
+    }
+
+    /// Returns whether the routes in force tell that the key of a call was removed since the node of
+    /// the caller identified it. A node with older routes than that one can't tell.
+    pub(crate) fn refuses_key(&self, call: &AdmissionRequest<'_>) -> bool {
+        let (Some(customer), Some(key)) = (call.customer, call.key) else {
+            return false;
+        };
+        let view = self.mesh.view();
+        let Some(customers) = &view.routes.customers else {
+            return false;
+        };
+        view.routes.version > key.routes_version && !customers.holds_tag(customer, key.tag)
+    }
+}
--- a/crates/dataplane/src/interface.rs
+++ b/crates/dataplane/src/interface.rs
@@ -101,14 +101,14 @@
     /// Returns the request id that the caller set.
     fn request_id<'a>(&self, request: &'a Request) -> Option<&'a str>;
 
-    /// Returns the id of the call that a target was running when it made this request, if the
-    /// request carries it.
-    fn parent_id<'a>(&self, request: &'a Request) -> Option<&'a str>;
+    /// Returns the id of the call that a target was running when it made a request with this id, if the
+    /// id tells one.
+    fn parent_id<'a>(&self, request_id: &'a str) -> Option<&'a str>;
 
     /// Returns the credentials of the request.
     fn credentials<'a>(&self, request: &'a Request) -> Credentials<'a>;
 
-    /// Removes the headers that carry credentials or name a customer.
+    /// Removes the headers that carry credentials.
     fn remove_credentials(&self, headers: &mut Headers);
 
     /// Returns whether a request without an id is refused. Otherwise the node generates an id.
--- a/crates/dataplane/src/native.rs
+++ b/crates/dataplane/src/native.rs
@@ -39,7 +39,7 @@
         Some(id)
     }
 
-    fn parent_id<'a>(&self, _: &'a Request) -> Option<&'a str> {
+    fn parent_id<'a>(&self, _: &'a str) -> Option<&'a str> {
         None
     }
 
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -24,6 +24,7 @@
     AttemptKind,
     Outcome, //
 };
+use crate::caller::StatedKey;
 use crate::headers;
 use crate::plane::DataPlane;
 use crate::target_state::TargetState;
@@ -117,6 +118,7 @@
         body: &request.body,
         origin: header(headers::ADMIT_ORIGIN)?,
         customer: header(headers::ADMIT_CUSTOMER),
+        key: header(headers::ADMIT_KEY).and_then(StatedKey::decode),
         deadline: deadline_after_ms(request.arrived_at, budget_ms),
         attempt_kind: header(headers::ADMIT_ATTEMPT_KIND)
             .map_or(AttemptKind::First, AttemptKind::from_name),
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -23,7 +23,6 @@
     Answer,
     BusyConnections,
     MemoryBudget,
-    Request,
     ServerPhase, //
 };
 use figway_profile::Profile;
@@ -49,10 +48,7 @@
     RunEndEvidence,
     RunWatch, //
 };
-use crate::running_calls::{
-    RunningCall,
-    RunningCalls, //
-};
+use crate::running_calls::RunningCalls;
 use crate::target_state::TargetState;
 use crate::target_watch::{
     AnnounceOutcome,
@@ -140,13 +136,6 @@
         !self.is_draining() && (view.routes.version > 0 || !view.services.is_empty())
     }
 
-    /// Returns the call that the local target was running when it made the request, or `None` if the
-    /// request does not name a running call.
-    pub(crate) fn parent_call(&self, request: &Request) -> Option<RunningCall> {
-        let parent_id = self.interface.parent_id(request)?;
-        self.running.get(parent_id, Instant::now())
-    }
-
     /// Returns whether the target may still run calls that it began before this node started.
     pub(crate) fn may_have_lost_calls(&self) -> bool {
         self.started_at.elapsed() < LOST_CALL_MAX
@@ -180,6 +169,12 @@
         );
         self.metrics
             .set_gauge("given_up_calls_dropped", self.run_watch.dropped_count());
+        if let Some(customers) = &view.routes.customers {
+            self.metrics
+                .set_gauge("customers", customers.customers().len() as u64);
+            self.metrics
+                .set_gauge("shared_keys", customers.shared_key_count() as u64);
+        }
         let unknown_kind_count = view.routes.unknown_kinds.len() as u64;
         self.metrics
             .set_gauge("routes_unknown_kind", unknown_kind_count);
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -8,17 +8,13 @@
 };
 
 use figway_control::View;
-use figway_customers::{
-    identify,
-    Identity,
-    Parent, //
-};
 use figway_http::{
     Headers,
     Request, //
 };
 use figway_types::{
     deadline_after_ms,
+    KeyRefusal,
     NotRunReason,
     RequestView, //
 };
@@ -27,21 +23,24 @@
 use crate::call::{
     AttemptKind,
     Call,
-    Caller,
     Outcome,
     Rule,
     DEADLINE_EXCEEDED,
     NESTED_RANK, //
 };
+use crate::caller::{
+    identify_caller,
+    Caller,
+    IdentifiedCaller, //
+};
 use crate::interface::Addressing;
 use crate::keyed::run_keyed;
 use crate::pick::shortest_wait;
-use crate::plane::DataPlane;
-use crate::running_calls::RunningCall;
-use crate::steps::{
-    format_steps,
-    Step, //
+use crate::record::{
+    record_unrouted,
+    CallRecord, //
 };
+use crate::steps::Step;
 use crate::worker::Worker;
 
 /// Longest time that a call is held while the node has no routes or no target for it.
@@ -51,9 +50,6 @@
 /// has time to retry.
 pub(crate) const HOLD_BUDGET_RATIO: f64 = 0.3;
 
-/// Reason of an unknown outcome: the caller left before the call ended.
-const CALLER_LEFT: &str = "caller-left";
-
 /// A request of a caller, before routing.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Incoming<'a> {
@@ -88,24 +84,41 @@
     if let Addressing::Host(_) = incoming.addressing {
         wait_for_routes(worker, incoming).await;
     }
-    let view = worker.plane.mesh.view();
-    let served = match incoming.addressing {
-        Addressing::Service(service) => serve_by_service(worker, &view, incoming, service).await,
-        Addressing::Host(host) => serve_by_host(worker, &view, incoming, host).await,
-    };
+    let mut view = worker.plane.mesh.view();
+    let mut served = serve_by_view(worker, &view, incoming).await;
+    let newest = worker.plane.mesh.view();
+    if is_key_removed(&served.outcome) && newest.routes.version > view.routes.version {
+        // The routes changed while the call waited, so that the new ones decide whose it is.
+        view = newest;
+        served = serve_by_view(worker, &view, incoming).await;
+    }
     if let Outcome::NotRun(
         reason @ (NotRunReason::NoConfiguration
         | NotRunReason::NoService
         | NotRunReason::NoRoute
-        | NotRunReason::Unauthorized
+        | NotRunReason::Unauthorized(_)
         | NotRunReason::UnknownParent),
     ) = served.outcome
     {
-        record_unrouted(worker, incoming, reason, view.routes.version);
+        // The call of a removed key was routed, and is recorded where it ended.
+        if !is_key_removed(&served.outcome) {
+            record_unrouted(worker, incoming, reason, view.routes.version);
+        }
     }
     served
 }
 
+async fn serve_by_view(worker: &Worker, view: &View, incoming: &Incoming<'_>) -> ServedCall {
+    match incoming.addressing {
+        Addressing::Service(service) => serve_by_service(worker, view, incoming, service).await,
+        Addressing::Host(host) => serve_by_host(worker, view, incoming, host).await,
+    }
+}
+
+fn is_key_removed(outcome: &Outcome) -> bool {
+    *outcome == Outcome::NotRun(NotRunReason::Unauthorized(KeyRefusal::Removed))
+}
+
 /// Waits until the node has routes, at most for the time that a call may be held. A node has none
 /// just after its start.
 async fn wait_for_routes(worker: &Worker, incoming: &Incoming<'_>) {
@@ -127,30 +140,6 @@
     }
 }
 
-fn record_unrouted(
-    worker: &Worker,
-    incoming: &Incoming<'_>,
-    reason: NotRunReason,
-    routes_version: u64,
-) {
-    let plane = &worker.plane;
-    let request = incoming.request;
-    plane
-        .metrics
-        .record_call("", "not-run", reason.name(), request.arrived_at.elapsed());
-    if plane.log_budget.should_log(incoming.request_id, true) {
-        log::info!(
-            "call not routed request={} to={} method={} path={} routes_version={routes_version} \
-             why={}",
-            incoming.request_id,
-            incoming.addressing,
-            request.method,
-            request.path,
-            reason.name(),
-        );
-    }
-}
-
 /// Serves a call addressed to a service, by the request kinds of the service's profile.
 async fn serve_by_service(
     worker: &Worker,
@@ -180,7 +169,7 @@
         budget_ms: kind.budget_ms,
         key,
         parent_is_repeat: false,
-        caller: Caller::ANONYMOUS,
+        caller: Caller::UNROUTED,
     };
     let headers = worker.plane.interface.forwarded_headers(request);
     run_call(worker, incoming, &headers, rule, properties).await
@@ -201,15 +190,14 @@
     };
     let route = &named.route;
     let plane = &worker.plane;
-    let parent_call = plane.parent_call(incoming.request);
-    let credentials = plane.interface.credentials(incoming.request);
     let customers = view.routes.customers.as_deref();
-    let parent = parent_of(plane, incoming.request, parent_call.as_ref());
-    let customer = match identify(customers, credentials, route.anonymous, parent) {
-        Identity::Anonymous => None,
-        Identity::Customer(name) => Some(name),
-        Identity::Unauthorized => return Outcome::NotRun(NotRunReason::Unauthorized).into(),
-        Identity::Orphaned => return Outcome::NotRun(NotRunReason::UnknownParent).into(),
+    let IdentifiedCaller {
+        customer,
+        key,
+        parent_call,
+    } = match identify_caller(plane, view, incoming, route) {
+        Ok(identified) => identified,
+        Err(reason) => return Outcome::NotRun(reason).into(),
     };
     let mut headers = plane.interface.forwarded_headers(incoming.request);
     if customers.is_some() {
@@ -241,6 +229,11 @@
         profile_name,
         view.routes.version,
     );
+    let mut incoming = *incoming;
+    if let Some(parent) = parent_call.as_ref().filter(|_| customers.is_some()) {
+        let deadline = incoming.deadline.unwrap_or(parent.deadline);
+        incoming.deadline = Some(deadline.min(parent.deadline));
+    }
     if parent_call.is_some() {
         // The parent's run waits for the answer, so the route's own prompt time does not apply.
         rule.rank = NESTED_RANK;
@@ -254,21 +247,12 @@
         parent_is_repeat,
         caller: Caller {
             customer: customer.as_deref(),
-            credentials,
+            key,
+            routes_version: Some(view.routes.version),
+            has_customers: customers.is_some(),
         },
     };
-    run_call(worker, incoming, &headers, rule, properties).await
-}
-
-/// Returns the call during which the local target made the request, as far as the request names one.
-fn parent_of(plane: &DataPlane, request: &Request, running: Option<&RunningCall>) -> Parent {
-    match running {
-        Some(running) => Parent::Running(running.customer.clone()),
-        None if plane.interface.parent_id(request).is_none() => Parent::None,
-        None => Parent::Unknown {
-            restarted: plane.may_have_lost_calls(),
-        },
-    }
+    run_call(worker, &incoming, &headers, rule, properties).await
 }
 
 /// Properties of a call that its rule does not hold.
@@ -337,11 +321,7 @@
             None => run_unkeyed(worker, &call).await,
         }
     };
-    let mut record = CallRecord {
-        worker,
-        call: &call,
-        written: false,
-    };
+    let mut record = CallRecord::new(worker, &call);
     let outcome = match tokio::time::timeout_at(deadline.into(), serving).await {
         Ok(outcome) => outcome,
         // An attempt was in flight. A failed answer of an earlier attempt is preferred to no
@@ -359,58 +339,6 @@
     }
 }
 
-/// Metrics and log line of a call. If its caller leaves before it ends, they are written on drop.
-struct CallRecord<'a> {
-    worker: &'a Worker,
-    call: &'a Call<'a>,
-    written: bool,
-}
-
-impl CallRecord<'_> {
-    fn write(&mut self, outcome: &Outcome) {
-        self.written = true;
-        let (call, rule) = (self.call, &self.call.rule);
-        let plane = &self.worker.plane;
-        let took = call.arrived_at.elapsed();
-        plane
-            .metrics
-            .record_call(rule.name, outcome.name(), outcome.reason(), took);
-        let steps = call.steps.take();
-        // A call that succeeds at its first target has two steps.
-        let notable = !outcome.is_success() || steps.len() > 2;
-        if !plane.log_budget.should_log(call.request_id, notable) {
-            return;
-        }
-        log::info!(
-            "call ended request={} service={} kind={} fingerprint={:016x} version={} origin={} \
-             rank={} outcome={} why={} status={} took_ms={} budget_ms={} tries={}",
-            call.request_id,
-            rule.service,
-            rule.name,
-            call.fingerprint.0,
-            rule.version,
-            call.origin,
-            rule.rank,
-            outcome.name(),
-            outcome.reason(),
-            outcome.status(),
-            took.as_millis(),
-            call.deadline
-                .saturating_duration_since(call.arrived_at)
-                .as_millis(),
-            format_steps(&steps, rule.profile_name),
-        );
-    }
-}
-
-impl Drop for CallRecord<'_> {
-    fn drop(&mut self) {
-        if !self.written {
-            self.write(&Outcome::Unknown(CALLER_LEFT));
-        }
-    }
-}
-
 /// Returns the outcome of a call that has no route on this node. A call with an idempotency key
 /// gets `Unknown`, not `NotRun`, since its key may have run through another node before.
 fn unrouted_outcome(incoming: &Incoming<'_>, reason: NotRunReason) -> Outcome {
--- a/crates/dataplane/src/running_calls.rs
+++ b/crates/dataplane/src/running_calls.rs
@@ -10,7 +10,10 @@
 use figway_admission::GIVEN_UP_TTL;
 use figway_types::FastMap;
 
-use crate::call::AttemptKind;
+use crate::call::{
+    AdmissionRequest,
+    AttemptKind, //
+};
 
 /// Largest number of calls that are kept after they were given up.
 const GIVEN_UP_MAX_COUNT: usize = 1_024;
@@ -22,6 +25,8 @@
     pub(crate) attempt_kind: AttemptKind,
     /// Customer to whom the call belongs, if any.
     pub(crate) customer: Option<Arc<str>>,
+    /// Deadline of the call, at which calls that are nested in it expire too.
+    pub(crate) deadline: Instant,
     /// Time until which a call that was given up counts as running.
     given_up_until: Option<Instant>,
 }
@@ -38,21 +43,17 @@
     }
 
     /// Registers a call as running. Until its end is seen it counts as given up when the guard drops.
-    pub(crate) fn begin(
-        &self,
-        request_id: &str,
-        attempt_kind: AttemptKind,
-        customer: Option<&str>,
-    ) -> RunningGuard<'_> {
-        let call = RunningCall {
-            attempt_kind,
-            customer: customer.map(Arc::from),
+    pub(crate) fn begin(&self, call: &AdmissionRequest<'_>) -> RunningGuard<'_> {
+        let running = RunningCall {
+            attempt_kind: call.attempt_kind,
+            customer: call.customer.map(Arc::from),
+            deadline: call.deadline,
             given_up_until: None,
         };
-        self.lock().insert(request_id.to_owned(), call);
+        self.lock().insert(call.request_id.to_owned(), running);
         RunningGuard {
             calls: self,
-            request_id: request_id.to_owned(),
+            request_id: call.request_id.to_owned(),
             ended: false,
         }
     }
--- a/crates/figway/src/cmd/explain.rs
+++ b/crates/figway/src/cmd/explain.rs
@@ -20,7 +20,7 @@
 const CONTEXT_MS: u64 = 1_000;
 
 /// Events that affect a node as a whole, and so may explain what happened to a request there.
-const CONTEXT_EVENTS: [&str; 14] = [
+const CONTEXT_EVENTS: [&str; 16] = [
     "node started",
     "node stopped",
     "stop requested by SIGTERM",
@@ -28,6 +28,8 @@
     "drain ended",
     "settings taken over",
     "routes in force",
+    "keys held by several customers",
+    "customer skipped",
     "could not read the route table",
     "target announced",
     "target lost",
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -22,6 +22,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Headers {
     list: Vec<(String, String)>,
+    /// Names of received headers that were dropped, since their values are not ASCII text.
+    dropped_names: Vec<String>,
 }
 
 impl Headers {
@@ -40,6 +42,16 @@
         self.list.push((name.to_owned(), value.into()));
     }
 
+    /// Records that a header was received whose value is not ASCII text, and which is dropped.
+    pub(crate) fn record_dropped(&mut self, name: &str) {
+        self.dropped_names.push(name.to_owned());
+    }
+
+    /// Returns whether a header `name` was received and dropped, since its value is not ASCII text.
+    pub fn has_dropped(&self, name: &str) -> bool {
+        self.dropped_names.iter().any(|dropped| dropped == name)
+    }
+
     /// Keeps only the headers for whose name `keep` returns true.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.list.retain(|(name, _)| keep(name));
@@ -58,7 +70,10 @@
     /// Removes the headers from the position `at` on and returns them.
     pub fn split_off(&mut self, at: usize) -> Headers {
         let list = self.list.split_off(at);
-        Headers { list }
+        Headers {
+            list,
+            dropped_names: Vec::new(),
+        }
     }
 
     /// Renames each header for whose name `rename` returns a new one, which must be in lower case.
--- a/crates/http/src/receive.rs
+++ b/crates/http/src/receive.rs
@@ -127,6 +127,7 @@
     let mut headers = Headers::default();
     for (name, value) in head.headers().iter() {
         let Ok(value) = value.to_str() else {
+            headers.record_dropped(name.as_str());
             continue;
         };
         headers.push(name.as_str(), value);
--- a/crates/profile/src/routes.rs
+++ b/crates/profile/src/routes.rs
@@ -162,6 +162,13 @@
 }
 
 impl CustomersChange {
+    fn entry_count(&self) -> usize {
+        match self {
+            CustomersChange::Dropped => 1,
+            CustomersChange::Updated { changed, removed } => changed.len() + removed.len(),
+        }
+    }
+
     fn between(
         earlier: Option<&BTreeMap<String, Arc<Customer>>>,
         later: Option<&BTreeMap<String, Arc<Customer>>>,
@@ -205,7 +212,23 @@
     }
 }
 
+impl RouteChange {
+    /// Returns the number of routes and customers that the change names.
+    pub fn entry_count(&self) -> usize {
+        let customer_count = self
+            .customers
+            .as_ref()
+            .map_or(0, CustomersChange::entry_count);
+        self.changed.len() + self.removed.len() + customer_count
+    }
+}
+
 impl RouteTable {
+    /// Returns the number of routes and customers.
+    pub fn entry_count(&self) -> usize {
+        self.routes.len() + self.customers.as_ref().map_or(0, BTreeMap::len)
+    }
+
     /// Returns name and kind of each route whose kind this build does not know.
     pub fn unknown_kinds(&self) -> impl Iterator<Item = (&str, &str)> {
         self.routes
--- a/crates/testbed/src/cmd/slopes.rs
+++ b/crates/testbed/src/cmd/slopes.rs
@@ -2,9 +2,20 @@
 //! with the number of services and of members, in one process.
 
 use std::collections::BTreeMap;
+use std::hint::black_box;
+use std::sync::Arc;
 use std::time::Instant;
 
+use anyhow::Context as _;
 use figway_control::Mesh;
+use figway_customers::{
+    identify,
+    Credentials,
+    Customer,
+    CustomerIndex,
+    KeyDigest,
+    Parent, //
+};
 use figway_profile::{
     Change,
     ChangeRecord,
@@ -32,6 +43,12 @@
 /// Numbers of members that are measured.
 const MEMBER_COUNTS: [usize; 5] = [10, 100, 1_000, 6_700, 10_000];
 
+/// Numbers of customers that are measured.
+const CUSTOMER_COUNTS: [usize; 3] = [1, 85, 1_000];
+
+/// Number of identifications that are timed together.
+const IDENTIFY_COUNT: u32 = 200_000;
+
 /// Number of profiles that services pick from.
 const PROFILE_COUNT: usize = 3;
 
@@ -51,6 +68,10 @@
         for member_count in MEMBER_COUNTS {
             measure_members(member_count)?;
         }
+        println!("customers identify_known_us identify_unknown_us identify_nested_us");
+        for customer_count in CUSTOMER_COUNTS {
+            measure_identification(customer_count)?;
+        }
         Ok(())
     }
 }
@@ -183,6 +204,44 @@
     Ok(())
 }
 
+/// Measures the processor time of the decision whose request it is.
+fn measure_identification(customer_count: usize) -> anyhow::Result<()> {
+    let mut customers = BTreeMap::new();
+    for number in 0..customer_count {
+        let key = KeyDigest::of_key(&format!("{number:020}")).context("the key is valid")?;
+        let customer = Customer {
+            key_digests: vec![key],
+            ..Customer::default()
+        };
+        customers.insert(format!("c{number}"), Arc::new(customer));
+    }
+    let index = CustomerIndex::new(&customers);
+    let known = format!("{:020}", customer_count / 2);
+    let parent = Parent::Running(Some(Arc::from("c0")));
+    let mut spent_us = Vec::new();
+    for (credentials, parent) in [
+        (Credentials::Key(&known), Parent::None),
+        (Credentials::Key("unknown-key-of-a-call"), Parent::None),
+        (Credentials::Absent, parent),
+    ] {
+        let started = Instant::now();
+        for _ in 0..IDENTIFY_COUNT {
+            black_box(identify(
+                Some(&index),
+                black_box(credentials),
+                false,
+                parent.clone(),
+            ));
+        }
+        spent_us.push(started.elapsed().as_secs_f64() * 1e6 / f64::from(IDENTIFY_COUNT));
+    }
+    println!(
+        "{customer_count} {:.3} {:.3} {:.3}",
+        spent_us[0], spent_us[1], spent_us[2]
+    );
+    Ok(())
+}
+
 fn pick_offset(mesh: &Mesh) -> Offset {
     let fold = mesh.fold();
     fold.state()
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -29,6 +29,7 @@
 use serde_json::json;
 use tokio::sync::watch;
 
+pub use super::run::Run;
 use super::serve_on_free_port;
 
 /// Pause between two heartbeats.
@@ -40,23 +41,6 @@
 /// Beginning of the paths of requests that run until the back end ends, and are never answered.
 pub const HANGING_PREFIX: &str = "/reads/hanging";
 
-/// Request that the back end started to run.
-#[derive(Clone, Debug)]
-pub struct Run {
-    /// ID of the request, from `x-figway-attempt-id`.
-    pub id: String,
-    /// Service of the host where the request entered the mesh, from `x-figway-caller-service`.
-    pub origin: String,
-    /// Generation of the back end that ran the request.
-    pub generation: u64,
-    /// Method and path, separated by a space.
-    pub request_line: String,
-    /// Headers of the request.
-    pub headers: Headers,
-    /// Time at which the request started to run.
-    pub started_at: Instant,
-}
-
 /// Back end that answers as the users' platform expects and can inject faults.
 pub struct Backend {
     service: String,
@@ -78,6 +62,10 @@
     pub fails: Cell<bool>,
     /// Whether each request is refused, so that it does not run.
     pub refuses: Cell<bool>,
+    /// Whether each request is refused after the delay of `slow_ms`, so that it does not run.
+    pub refuses_late: Cell<bool>,
+    /// Number of requests that were refused late.
+    pub late_refusal_count: Cell<usize>,
     /// Headers that are added to each answer.
     pub extra_headers: RefCell<Headers>,
     /// Number of bytes of a request's body that its answer repeats at most.
@@ -123,6 +111,8 @@
             drop_answer_one_in: Cell::new(0),
             fails: Cell::new(false),
             refuses: Cell::new(false),
+            refuses_late: Cell::new(false),
+            late_refusal_count: Cell::new(0),
             extra_headers: RefCell::default(),
             echo_max_bytes: Cell::new(usize::MAX),
             filler_bytes: Cell::new(0),
@@ -318,7 +308,13 @@
         if expected != self.instance_name() {
             return refusal;
         }
-        if self.refuses.get() {
+        let refuses_late = self.refuses_late.get();
+        if refuses_late {
+            self.late_refusal_count
+                .set(self.late_refusal_count.get() + 1);
+            tokio::time::sleep(Duration::from_millis(self.slow_ms.get())).await;
+        }
+        if refuses_late || self.refuses.get() {
             refusal.status = 503;
             refusal.headers.push("x-figway-not-executed", "full");
             return refusal;
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -4,6 +4,7 @@
 pub mod backend;
 pub mod caller;
 pub mod crash;
+mod run;
 pub mod store;
 pub mod wire;
 
@@ -241,3 +242,22 @@
         },
     })
 }
+
+/// Returns a configuration as [`config`] does, with customers and with a route below `/open/` whose
+/// requests need no key. Requests may take `timeout_ms`.
+pub fn config_with_customers(
+    version: u32,
+    tenants: &serde_json::Value,
+    timeout_ms: u64,
+) -> serde_json::Value {
+    let mut config = config(version, "/reads/");
+    let mut open = config["routes"]["r-orders"].clone();
+    open["pathPrefix"] = json!("/open/");
+    open["anonymous"] = json!(true);
+    config["routes"]["r-open"] = open;
+    for name in ["r-reads", "r-orders", "r-open"] {
+        config["routes"][name]["timeout"] = json!(format!("{timeout_ms}ms"));
+    }
+    config["tenants"] = tenants.clone();
+    config
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -37,7 +37,10 @@
     NodeId,
     Target, //
 };
-pub use outcome::NotRunReason;
+pub use outcome::{
+    KeyRefusal,
+    NotRunReason, //
+};
 pub use rate::{
     RateLimit,
     RateLimitError, //
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -13,8 +13,8 @@
     NoConfiguration,
     /// No profile is in force on the node for a service with that name.
     NoService,
-    /// No customer holds the API key of the request.
-    Unauthorized,
+    /// The credentials of the request do not tell whose it is.
+    Unauthorized(KeyRefusal),
     /// The request names a running call that this node does not know.
     UnknownParent,
     /// The customer is over its rate limit.
@@ -39,12 +39,45 @@
     Misdirected,
 }
 
+/// Why the credentials of a request do not tell whose it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum KeyRefusal {
+    /// The request carries no key.
+    Missing,
+    /// The request carries several credentials, or others than an API key.
+    Malformed,
+    /// No customer holds the key.
+    Unknown,
+    /// Several customers hold the key.
+    Shared,
+    /// The customer no longer holds the key with which the request was let in.
+    Removed,
+}
+
+impl KeyRefusal {
+    /// Returns the name on the wire and in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            KeyRefusal::Missing => "no-key",
+            KeyRefusal::Malformed => "malformed-key",
+            KeyRefusal::Unknown => "unknown-key",
+            KeyRefusal::Shared => "shared-key",
+            KeyRefusal::Removed => "removed-key",
+        }
+    }
+}
+
 impl NotRunReason {
     /// All reasons.
-    pub const ALL: [NotRunReason; 14] = [
+    pub const ALL: [NotRunReason; 18] = [
         NotRunReason::NoConfiguration,
         NotRunReason::NoService,
-        NotRunReason::Unauthorized,
+        NotRunReason::Unauthorized(KeyRefusal::Missing),
+        NotRunReason::Unauthorized(KeyRefusal::Malformed),
+        NotRunReason::Unauthorized(KeyRefusal::Unknown),
+        NotRunReason::Unauthorized(KeyRefusal::Shared),
+        NotRunReason::Unauthorized(KeyRefusal::Removed),
         NotRunReason::UnknownParent,
         NotRunReason::CustomerLimited,
         NotRunReason::NoRoute,
@@ -63,7 +96,7 @@
         match self {
             NotRunReason::NoConfiguration => "no-configuration",
             NotRunReason::NoService => "no-service",
-            NotRunReason::Unauthorized => "unauthorized",
+            NotRunReason::Unauthorized(why) => why.name(),
             NotRunReason::UnknownParent => "unknown-parent",
             NotRunReason::CustomerLimited => "customer-limited",
             NotRunReason::NoRoute => "no-route",
