Answers whose status is none are broken exchanges

An answer with status 101 that nobody offered, or with 600 to 999, reached the caller, over one node and over two. The client now takes 200 to 599 as final statuses; any other exchange counts as broken, so that the caller gets 502, the request is sent on only if it may run twice, and the connection is closed. 000, 099, two or four digits and words were refused before by the HTTP library. Interim answers without end ended at the deadline before too; a test holds that.

The same client reads what the store and other nodes answer. An append to the store, or to the log of the native interface, counted as refused for any status but 200; it may have taken effect unless the status is 4xx or 5xx.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::IpAddr;
+use std::ops::RangeInclusive;
 use std::time::{
     Duration,
     Instant, //
@@ -55,6 +56,10 @@
 /// a process that is ending may still accept connections.
 const ACCEPT_SETTLE: Duration = Duration::from_millis(50);
 
+/// Statuses of final answers. The library takes others of three digits too, among them 101, after which
+/// the connection carries no HTTP. No request here offers that.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Limits of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientLimits {
@@ -243,6 +248,12 @@
         response: hyper::Response<Incoming>,
     ) -> Result<Answer, SendFailure> {
         let (head, body) = response.into_parts();
+        let status = head.status.as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            return Err(SendFailure::Broken(format!(
+                "an answer can't have status {status}"
+            )));
+        }
         let mut headers = Headers::default();
         for (name, value) in &head.headers {
             let Ok(value) = value.to_str() else {
@@ -259,7 +270,7 @@
         }
         let body = self.read_body(body).await?;
         let answer = Answer {
-            status: head.status.as_u16(),
+            status,
             headers,
             body,
         };
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -213,7 +213,8 @@
     /// No connection could be opened, or the request could not be built or written; nothing was
     /// sent.
     Refused(String),
-    /// The connection ended before the answer was complete, or the answer is for another request.
+    /// The connection ended before the answer was complete, the answer is for another request, or its
+    /// status is none.
     Broken(String),
     /// The answer body exceeds the limit, or there is no memory for it; the connection is closed.
     TooLarge,
--- a/crates/log-client/src/http.rs
+++ b/crates/log-client/src/http.rs
@@ -79,11 +79,13 @@
         let url = format!("{}/streams/{stream}/records", self.url);
         let sent = self.client.post(url).send_body(body.to_owned()).await;
         let response = sent.map_err(append_error)?;
-        if response.status() != StatusCode::OK {
-            return Err(AppendError::Refused(format!(
-                "status {}",
-                response.status()
-            )));
+        let status = response.status();
+        if status.is_client_error() || status.is_server_error() {
+            return Err(AppendError::Refused(format!("status {status}")));
+        }
+        if status != StatusCode::OK {
+            // The record may have been appended.
+            return Err(AppendError::Unknown(format!("status {status}")));
         }
         let appended = response.json::<Appended>().await;
         appended.map_err(|error| AppendError::Unknown(error.to_string()))
--- a/crates/testbed/src/site/wire.rs
+++ b/crates/testbed/src/site/wire.rs
@@ -40,6 +40,10 @@
     RepeatAtOnce,
     /// The body of each answer goes out a byte at a time, with pauses.
     Dribble,
+    /// Each answer has this text for its status code and reason.
+    Status(&'static str),
+    /// In place of each answer, interim answers follow each other without end.
+    EndlessInterim,
 }
 
 /// What the address of a back end does with connections.
@@ -74,6 +78,9 @@
 /// Pause between two bytes of an answer that dribbles.
 const DRIBBLE_PAUSE: Duration = Duration::from_millis(20);
 
+/// Pause between two interim answers without end.
+const INTERIM_PAUSE: Duration = Duration::from_millis(1);
+
 /// Listener between a node and its back end.
 pub struct AnswerWire {
     /// Address on which the wire listens for the node.
@@ -188,6 +195,10 @@
                 return out.write_all(&answer.repeat(2)).await.is_ok();
             }
             WireFault::Dribble => return dribble(out, answer).await,
+            WireFault::Status(status) => {
+                return out.write_all(&with_status(answer, status)).await.is_ok();
+            }
+            WireFault::EndlessInterim => return write_interim(out).await,
             WireFault::None | WireFault::RepeatBefore => {
                 return out.write_all(answer).await.is_ok();
             }
@@ -218,6 +229,25 @@
     state.wait_for(|state| !is_same(*state)).await.ok();
 }
 
+/// Returns the answer with another status code and reason.
+fn with_status(answer: &[u8], status: &str) -> Vec<u8> {
+    let line_end = answer.iter().position(|byte| *byte == b'\r');
+    let rest = &answer[line_end.unwrap_or(answer.len())..];
+    [b"HTTP/1.1 ", status.as_bytes(), rest].concat()
+}
+
+/// Writes interim answers until the connection closes, and returns that it does not stay open.
+async fn write_interim(out: &mut WriteHalf<'_>) -> bool {
+    while out
+        .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+        .await
+        .is_ok()
+    {
+        tokio::time::sleep(INTERIM_PAUSE).await;
+    }
+    false
+}
+
 /// Writes the head of the answer at once and its body a byte at a time. Returns whether the connection
 /// stays open.
 async fn dribble(out: &mut WriteHalf<'_>, answer: &[u8]) -> bool {
--- a/crates/testbed/tests/faulty_answers.rs
+++ b/crates/testbed/tests/faulty_answers.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use figway_testbed::site::caller::CallResult;
 use figway_testbed::site::wire::WireFault;
 use figway_testbed::site::Site;
@@ -12,6 +14,32 @@
 /// Size of the answers that are cut in the middle of their body.
 const FILLER_BYTES: usize = 300_000;
 
+/// Time that the routes allow for a call.
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Time after its deadline within which the answer to a call reaches its caller.
+const DEADLINE_SLACK: Duration = Duration::from_millis(90);
+
+/// Statuses that are not three digits from 100 to 599, and a change of the protocol that no caller offered.
+const INVALID_STATUSES: [&str; 16] = [
+    "000 None",
+    "099 None",
+    "20 OK",
+    "2000 OK",
+    "OK",
+    "2x0 OK",
+    "-20 OK",
+    "+200 OK",
+    "2.0 OK",
+    "0200 OK",
+    "101 Switching Protocols",
+    "600 None",
+    "666",
+    "700 None",
+    "998 None",
+    "999 None",
+];
+
 /// Returns how often any back end ran the request.
 fn run_count(site: &Site, result: &CallResult) -> usize {
     let mut count = 0;
@@ -91,3 +119,47 @@
         }
     }
 }
+
+/// Guards against an answer with an invalid status that reaches the caller. 101 and 600 to 999 did.
+#[ntex::test]
+async fn an_answer_with_an_invalid_status_reaches_the_caller_as_502() {
+    let site = Site::start("status", 2).await.unwrap();
+    wait_site_ready(&site).await;
+    let mut passed = Vec::new();
+    for status in INVALID_STATUSES {
+        for host in &site.hosts {
+            host.wire.fault.set(WireFault::Status(status));
+        }
+        for index in 0..2 {
+            for (method, path) in [("GET", "/reads/1"), ("POST", "/orders/1")] {
+                let result = site.caller(index).call(method, path).await;
+                assert_true(&site, &result, method == "POST", WireFault::Status(status));
+                if result.status != 502 {
+                    passed.push((index, method, status, result.status));
+                }
+            }
+        }
+    }
+    assert!(passed.is_empty(), "{passed:?}");
+    for host in &site.hosts {
+        host.wire.fault.set(WireFault::None);
+    }
+    wait_site_ready(&site).await;
+}
+
+/// Guards against interim answers that hold a call beyond its deadline.
+#[ntex::test]
+async fn interim_answers_without_end_hold_no_call_beyond_its_deadline() {
+    let site = Site::start("interim", 2).await.unwrap();
+    wait_site_ready(&site).await;
+    for host in &site.hosts {
+        host.wire.fault.set(WireFault::EndlessInterim);
+    }
+    for index in 0..2 {
+        for (method, path) in [("GET", "/reads/1"), ("POST", "/orders/1")] {
+            let result = site.caller(index).call(method, path).await;
+            assert_eq!(result.status, 504, "host {index}: {result:?}");
+            assert!(result.took < ROUTE_TIMEOUT + DEADLINE_SLACK, "{result:?}");
+        }
+    }
+}
