--- a/crates/customers/src/index.rs
+++ b/crates/customers/src/index.rs
@@ -78,6 +78,14 @@
         false
     }
 
+    /// Returns the number of customers that hold no key. One that could not be decoded holds none.
+    pub fn count_without_keys(&self) -> usize {
+        let customers = self.customers.values();
+        customers
+            .filter(|customer| customer.key_digests.is_empty())
+            .count()
+    }
+
     /// Returns the number of keys that several customers hold.
     pub fn shared_key_count(&self) -> usize {
         self.holders.values().filter(|name| name.is_none()).count()
--- a/crates/customers/tests/identify.rs
+++ b/crates/customers/tests/identify.rs
@@ -159,6 +159,8 @@
     assert!(twice.find("key-a").is_ok());
     let shared = index(&[("ann", &["key-a"]), ("bob", &["key-a", "key-b"])]);
     assert_eq!(shared.shared_key_count(), 1);
+    assert_eq!(shared.count_without_keys(), 0);
+    assert_eq!(index(&[("ann", &[])]).count_without_keys(), 1);
     assert_eq!(shared.customers_with_shared_keys(), ["ann", "bob"]);
     assert!(twice.customers_with_shared_keys().is_empty());
     assert_eq!(shared.find("key-a").unwrap_err(), KeyRefusal::Shared);
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -172,6 +172,10 @@
         if let Some(customers) = &view.routes.customers {
             self.metrics
                 .set_gauge("customers", customers.customers().len() as u64);
+            self.metrics.set_gauge(
+                "customers_without_keys",
+                customers.count_without_keys() as u64,
+            );
             self.metrics
                 .set_gauge("shared_keys", customers.shared_key_count() as u64);
         }
--- a/crates/figway/tests/explain.rs
+++ b/crates/figway/tests/explain.rs
@@ -31,6 +31,18 @@
     "#]].assert_eq(&printed);
 }
 
+/// Guards against a 401 whose cause is not shown beside it.
+#[test]
+fn a_refused_key_is_shown_with_what_the_node_said_of_the_customers() {
+    let (code, printed) = explain("7a01");
+    assert_eq!(code, Some(0));
+    expect![[r#"
+        request 7a01:
+            (1790000020000 node-a keys held by several customers customers=ann,bob keys=1 version=13)
+          1790000020400 node-a call not routed method=GET path=/check/1 routes_version=13 to=host a.example why=shared-key
+    "#]].assert_eq(&printed);
+}
+
 #[test]
 fn unknown_request_is_reported() {
     let (code, printed) = explain("feed");
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod crash;
+pub(crate) mod customers;
 pub(crate) mod raw;
 
 use std::path::PathBuf;
--- /dev/null
+++ b/crates/testbed/tests/nested_calls.rs
@@ -0,0 +1,109 @@
+//! End-to-end tests of the calls that a target makes while it runs a call, where requests need keys. They
+//! carry none. Nodes run as real processes; store and back ends are emulated.
+
+mod common;
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use crate::common::customers::{
+    named_customers,
+    runs_of,
+    start_customer_site,
+    start_parent,
+    ANN_KEY,
+    BOB_KEY,
+    ROUTE_TIMEOUT_MS, //
+};
+use crate::common::raw::{
+    ask,
+    key_line,
+    new_id, //
+};
+use crate::common::restart_node;
+
+/// Time after its start during which a node lets calls of an unknown parent through.
+const LOST_CALL_MAX: Duration = Duration::from_secs(10);
+
+/// Longest time from sending a parent until its node takes it.
+const PARENT_START_MAX: Duration = Duration::from_millis(100);
+
+/// Time after its deadline within which the answer to a call reaches its caller.
+const DEADLINE_SLACK: Duration = Duration::from_millis(90);
+
+/// Guards against nested calls that are refused for want of a key, or belong to nobody.
+#[ntex::test]
+async fn a_nested_call_belongs_to_the_customer_of_its_parent() {
+    let started_at = Instant::now();
+    let site = start_customer_site("keys-nested").await;
+    for (lines, path, expected) in [
+        (key_line(ANN_KEY), "GET /reads/1", &["ann"][..]),
+        (key_line(BOB_KEY), "POST /orders/1", &["bob"][..]),
+        (key_line(BOB_KEY), "POST /open/1", &["bob"][..]),
+    ] {
+        let (parent_id, index) = start_parent(&site, &lines).await;
+        for suffix in ["1", "2", "2.1"] {
+            let id = format!("{parent_id}.{suffix}");
+            assert_eq!(ask(&site, index, path, &id, b"").await, 200, "{path}");
+            assert_eq!(named_customers(&site, &id), expected, "{path}");
+        }
+        // Its own key goes before that of the parent, and a wrong one is refused.
+        let id = format!("{parent_id}.3");
+        assert_eq!(
+            ask(&site, index, "GET /reads/1", &id, &key_line("unknown")).await,
+            401
+        );
+        // The parent runs beside another node than this one.
+        let id = format!("{parent_id}.4");
+        let is_young = started_at.elapsed() < LOST_CALL_MAX - Duration::from_secs(1);
+        let status = ask(&site, 1 - index, "GET /reads/1", &id, b"").await;
+        assert!(status == 503 || is_young, "{status}");
+    }
+}
+
+/// Guards against nested calls that are refused with 401 because their node was started again, and
+/// against unknown parents that open the routes for good.
+#[ntex::test]
+async fn a_call_of_an_unknown_parent_is_let_through_for_ten_seconds_and_gets_503_later() {
+    let mut site = start_customer_site("keys-orphans").await;
+    let started_at = Instant::now();
+    restart_node(&mut site, 1).await;
+    let id = format!("{}.1", new_id());
+    let mut status = 0;
+    while status != 200 && started_at.elapsed() < LOST_CALL_MAX / 2 {
+        status = ask(&site, 1, "GET /reads/1", &id, b"").await;
+        assert_ne!(status, 401);
+    }
+    assert_eq!(status, 200);
+    assert!(named_customers(&site, &id).is_empty());
+    tokio::time::sleep(LOST_CALL_MAX + Duration::from_secs(1) - started_at.elapsed()).await;
+    let id = format!("{}.1", new_id());
+    assert_eq!(ask(&site, 1, "GET /reads/1", &id, b"").await, 503);
+    assert!(runs_of(&site, &id).is_empty());
+    assert_eq!(ask(&site, 1, "GET /reads/1", &new_id(), b"").await, 401);
+    assert_eq!(ask(&site, 1, "POST /open/1", &id, b"").await, 200);
+}
+
+/// Guards against a nested call that runs on, or begins, when nobody waits for its parent any more.
+#[ntex::test]
+async fn a_nested_call_expires_at_the_deadline_of_its_parent() {
+    let site = start_customer_site("keys-expired").await;
+    let started_at = Instant::now();
+    let expires_at = started_at + Duration::from_millis(ROUTE_TIMEOUT_MS);
+    let (parent_id, index) = start_parent(&site, &key_line(ANN_KEY)).await;
+    for host in &site.hosts {
+        host.backend.slow_ms.set(2 * ROUTE_TIMEOUT_MS);
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let id = format!("{parent_id}.1");
+    assert_eq!(ask(&site, index, "GET /reads/1", &id, b"").await, 504);
+    let late = Instant::now().saturating_duration_since(expires_at);
+    assert!(late < DEADLINE_SLACK + PARENT_START_MAX, "{late:?}");
+    tokio::time::sleep_until((expires_at + PARENT_START_MAX).into()).await;
+    let id = format!("{parent_id}.2");
+    let status = ask(&site, index, "GET /reads/1", &id, b"").await;
+    assert_eq!(status, 503);
+    assert!(runs_of(&site, &id).is_empty());
+}
