--- a/crates/customers/src/lib.rs
+++ b/crates/customers/src/lib.rs
@@ -18,4 +18,7 @@
     Parent, //
 };
 pub use index::CustomerIndex;
-pub use key::KeyDigest;
+pub use key::{
+    KeyDigest,
+    KeyTag, //
+};
--- a/crates/dataplane/src/limits.rs
+++ b/crates/dataplane/src/limits.rs
@@ -4,10 +4,7 @@
 use std::time::Instant;
 
 use figway_control::Mesh;
-use figway_customers::{
-    Credentials,
-    CustomerIndex, //
-};
+use figway_customers::CustomerIndex;
 use figway_rate_limit::{
     Admission,
     LimitSource, //
@@ -46,18 +43,16 @@
     Limited(ServedCall),
 }
 
-/// Draws a token of the customer's limit, if it has one. Nested calls carry no credentials and draw none:
-/// their parent has drawn one.
+/// Draws a token of the limit of the customer whose key the request carries, if it has a limit. Nested
+/// calls carry no key and draw none: their parent has drawn one.
 pub(crate) fn draw_token<'a>(
     worker: &'a Worker,
     incoming: &Incoming<'_>,
     customers: Option<&CustomerIndex>,
     customer: Option<&'a str>,
-    credentials: Credentials<'_>,
 ) -> Drawn<'a> {
     let plane = &worker.plane;
     let mesh: &Mesh = &plane.mesh;
-    let customer = customer.filter(|_| credentials != Credentials::Absent);
     let limit = customer.and_then(|name| customers?.get(name)?.limit);
     let (Some(name), Some(limit)) = (customer, limit) else {
         return Drawn::Token(Token {
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -54,10 +54,7 @@
     RunEndEvidence,
     RunWatch, //
 };
-use crate::running_calls::{
-    RunningCall,
-    RunningCalls, //
-};
+use crate::running_calls::RunningCalls;
 use crate::target_state::TargetState;
 use crate::target_watch::{
     AnnounceOutcome,
@@ -159,13 +156,6 @@
         !self.is_draining() && (view.routes.version > 0 || !view.services.is_empty())
     }
 
-    /// Returns the call that the local target was running when it made the request, or `None` if the
-    /// request does not name a running call.
-    pub(crate) fn parent_call(&self, request: &Request) -> Option<RunningCall> {
-        let parent_id = self.interface.parent_id(request)?;
-        self.running.get(parent_id, Instant::now())
-    }
-
     /// Returns whether the route of the request states that it may run more than once.
     pub(crate) fn may_repeat(&self, request: &Request) -> bool {
         let Addressing::Host(host) = self.interface.addressing(request) else {
@@ -209,6 +199,16 @@
         );
         self.metrics
             .set_gauge("given_up_calls_dropped", self.run_watch.dropped_count());
+        if let Some(customers) = &view.routes.customers {
+            self.metrics
+                .set_gauge("customers", customers.customers().len() as u64);
+            self.metrics.set_gauge(
+                "customers_without_keys",
+                customers.count_without_keys() as u64,
+            );
+            self.metrics
+                .set_gauge("shared_keys", customers.shared_key_count() as u64);
+        }
         let unknown_kind_count = view.routes.unknown_kinds.len() as u64;
         self.metrics
             .set_gauge("routes_unknown_kind", unknown_kind_count);
--- a/crates/figway/src/cmd/explain.rs
+++ b/crates/figway/src/cmd/explain.rs
@@ -21,7 +21,7 @@
 const CONTEXT_MS: u64 = 1_000;
 
 /// Events that affect a node as a whole, and so may explain what happened to a request there.
-const CONTEXT_EVENTS: [&str; 17] = [
+const CONTEXT_EVENTS: [&str; 19] = [
     "node started",
     "node stopped",
     "stop requested by SIGTERM",
@@ -32,6 +32,8 @@
     "limit coordinator changed",
     "customer above its limit",
     "customer within its limit",
+    "keys held by several customers",
+    "customer skipped",
     "could not read the route table",
     "target announced",
     "target lost",
