--- a/crates/admission/src/throttle.rs
+++ b/crates/admission/src/throttle.rs
@@ -10,9 +10,9 @@
     Instant, //
 };
 
-/// Half-life of the counts. It is shorter than a peak of load, and long enough for several calls of a
-/// node that makes ten a second.
-const HALF_LIFE: Duration = Duration::from_millis(700);
+/// Half-life of the counts. What is let through grows by the headroom within about this time when there
+/// is room again, so that a peak of some seconds is not followed by as many of needless refusals.
+const HALF_LIFE: Duration = Duration::from_millis(400);
 
 /// Longest hint for the time to come back.
 const RETRY_AFTER_MAX: Duration = Duration::from_millis(800);
--- /dev/null
+++ b/crates/admission/tests/body_pacer.rs
@@ -0,0 +1,55 @@
+//! Large bodies that arrive over a link of small bandwidth.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_admission::BodyPacer;
+
+const LINK_MBPS: u32 = 10;
+
+const BODY_BYTES: usize = 60_000;
+
+/// Guards against bodies that fill the link, so that small calls wait behind them: offered twice what
+/// the link carries, they take at most their share of it.
+#[test]
+fn bodies_take_at_most_their_share_of_the_link() {
+    let started_at = Instant::now();
+    let mut pacer = BodyPacer::new(LINK_MBPS, started_at);
+    let mut accepted_bytes = 0;
+    for index in 0..400 {
+        let now = started_at + Duration::from_millis(25) * index;
+        let latest = now + Duration::from_millis(500);
+        if let Some(start_at) = pacer.reserve(BODY_BYTES, latest, now) {
+            assert!(start_at >= now && start_at < latest);
+            accepted_bytes += BODY_BYTES;
+        }
+    }
+    let link_bytes = f64::from(LINK_MBPS) * 1e6 / 8.0 * 10.5;
+    let ratio = accepted_bytes as f64 / link_bytes;
+    assert!((0.5..=0.65).contains(&ratio), "{ratio}");
+}
+
+/// Guards against a body that is let in although it can't arrive in time, and uses the link for nothing.
+#[test]
+fn a_body_that_would_arrive_too_late_is_refused_at_once() {
+    let now = Instant::now();
+    let mut pacer = BodyPacer::new(LINK_MBPS, now);
+    assert!(pacer
+        .reserve(BODY_BYTES, now + Duration::from_millis(50), now)
+        .is_none());
+    assert_eq!(pacer.wait(now), Duration::ZERO);
+    assert_eq!(
+        pacer.reserve(BODY_BYTES, now + Duration::from_millis(200), now),
+        Some(now)
+    );
+}
+
+/// Guards against a host whose settings name no bandwidth and that would take no bodies.
+#[test]
+fn an_unknown_link_takes_every_body() {
+    let now = Instant::now();
+    let mut pacer = BodyPacer::new(0, now);
+    assert_eq!(pacer.reserve(usize::MAX, now, now), Some(now));
+}
--- a/crates/dataplane/src/offers.rs
+++ b/crates/dataplane/src/offers.rs
@@ -139,6 +139,7 @@
     };
     match reserved {
         Ok(start_at) => {
+            plane.metrics.count("offers_accepted");
             tokio::time::sleep_until(start_at.into()).await;
             let mut answer = Answer::of_status(200);
             answer.headers.push(headers::OUTCOME, ACCEPTED);
--- a/crates/dataplane/src/overload.rs
+++ b/crates/dataplane/src/overload.rs
@@ -13,10 +13,10 @@
 use figway_types::FastMap;
 
 /// Calls that are let through to a service for each one that its targets accepted.
-const SERVICE_HEADROOM_RATIO: f64 = 1.25;
+const SERVICE_HEADROOM_RATIO: f64 = 1.5;
 
 /// Calls that are let through to the local target for each one whose nested calls were served.
-const NESTED_HEADROOM_RATIO: f64 = 1.1;
+const NESTED_HEADROOM_RATIO: f64 = 1.25;
 
 /// Weight of a new report in the mean load of a service.
 const BUSY_WEIGHT: f64 = 0.1;
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -125,6 +125,8 @@
     pub store: Rc<Store>,
     /// Hosts. The service alternates with each host, and the zone after every two hosts.
     pub hosts: Vec<Host>,
+    /// Bandwidth of the hosts' links that the settings state, in megabits per second; 0 for none.
+    link_mbps: u32,
 }
 
 impl Site {
@@ -135,6 +137,20 @@
     ///
     /// A file can't be written, or the store, a back end or a node can't be started.
     pub async fn start(name: &str, host_count: usize) -> anyhow::Result<Self> {
+        Self::start_on_links(name, host_count, 0).await
+    }
+
+    /// Starts a site as [`Site::start`] does, whose settings state that the hosts' links carry
+    /// `link_mbps` megabits per second. Loopback carries more.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Site::start`].
+    pub async fn start_on_links(
+        name: &str,
+        host_count: usize,
+        link_mbps: u32,
+    ) -> anyhow::Result<Self> {
         let folder =
             std::env::temp_dir().join(format!("figway-site-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
@@ -142,12 +158,13 @@
         store.publish(&config(1, "/reads/"));
         let mut hosts = Vec::new();
         for index in 0..host_count {
-            hosts.push(start_host(&folder, &store, index).await?);
+            hosts.push(start_host(&folder, &store, index, link_mbps).await?);
         }
         Ok(Self {
             folder,
             store,
             hosts,
+            link_mbps,
         })
     }
 
@@ -157,7 +174,8 @@
     ///
     /// As for [`Site::start`].
     pub async fn add_host(&mut self) -> anyhow::Result<()> {
-        let host = start_host(&self.folder, &self.store, self.hosts.len()).await?;
+        let index = self.hosts.len();
+        let host = start_host(&self.folder, &self.store, index, self.link_mbps).await?;
         self.hosts.push(host);
         Ok(())
     }
@@ -168,7 +186,12 @@
     }
 }
 
-async fn start_host(folder: &std::path::Path, store: &Store, index: usize) -> anyhow::Result<Host> {
+async fn start_host(
+    folder: &std::path::Path,
+    store: &Store,
+    index: usize,
+    link_mbps: u32,
+) -> anyhow::Result<Host> {
     let service = if index.is_multiple_of(2) {
         READS
     } else {
@@ -192,7 +215,7 @@
          platform:\n  callers: 127.0.0.1:{callers}\n  ready: 127.0.0.1:{ready}\n  \
          announcements: 127.0.0.1:{announcements}\n  store: {store}\n  service: {service}\n  \
          target: {target}\n  announce_every: 500ms\n  keep: 300s\n  grace: 6s\n  \
-         retry_ratio: 0.2\n  retry_burst_count: 20\n\
+         retry_ratio: 0.2\n  retry_burst_count: 20\n  link_mbps: {link_mbps}\n\
          calls:\n  body_max_bytes: 16777216\n  memory_max_mb: {MEMORY_MAX_MB}\nmetrics:\n  address: 127.0.0.1:{metrics}\n",
         store = store_link.address,
         target = wire.address,
--- /dev/null
+++ b/crates/testbed/tests/large_uploads.rs
@@ -0,0 +1,133 @@
+//! End-to-end tests of large bodies between nodes, on links that carry few of them. Nodes run as real
+//! processes; store, back ends and callers are emulated.
+
+mod common;
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_http::{
+    Answer,
+    Bytes,
+    Headers,
+    OutboundRequest,
+    Transport as _, //
+};
+use figway_testbed::site::{
+    config,
+    Site,
+    HOST_HEADER,
+    ORDERS, //
+};
+
+use crate::common::{
+    get_text,
+    single_use_client,
+    wait_site_ready, //
+};
+
+/// Bandwidth of the links. Their share for large bodies carries one of [`BODY_BYTES`] in 160 ms.
+const LINK_MBPS: u32 = 5;
+
+const BODY_BYTES: usize = 60_000;
+
+/// Time within which the route wants an answer, and its timeout, in milliseconds.
+const PROMPT_MS: u64 = 800;
+const TIMEOUT_MS: u64 = 4_000;
+
+/// Starts two hosts; the second one runs the uploads.
+async fn start_site(name: &str) -> Site {
+    let site = Site::start_on_links(name, 2, LINK_MBPS).await.unwrap();
+    wait_site_ready(&site).await;
+    let mut configuration = config(2, "/reads/");
+    configuration["routes"]["r-uploads"] = serde_json::json!({
+        "host": HOST_HEADER, "pathPrefix": "/uploads/", "kind": "upload",
+        "timeout": format!("{TIMEOUT_MS}ms"), "targetLatency": format!("{PROMPT_MS}ms"),
+        "priority": 1, "service": ORDERS, "maxAttempts": 2,
+    });
+    site.store.publish(&configuration);
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while upload(&site, 100).await.status != 200 {
+        assert!(Instant::now() < deadline, "the route is not in force");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    site
+}
+
+/// Sends an upload to the first node, whose target does not run it.
+async fn upload(site: &Site, len: usize) -> Answer {
+    let mut headers = Headers::default();
+    headers.push("host", HOST_HEADER);
+    let id = format!("{:016x}", figway_types::entropy());
+    headers.push("x-figway-attempt-id", id);
+    headers.push("x-figway-deadline-ms", TIMEOUT_MS.to_string());
+    let outbound = OutboundRequest {
+        address: &site.hosts[0].caller_address,
+        method: "POST",
+        path: "/uploads/1",
+        headers: &headers,
+        body: &Bytes::from(vec![b'x'; len]),
+        body_bytes_per_s: None,
+        deadline: Instant::now() + Duration::from_millis(TIMEOUT_MS),
+        echo_header: None,
+        idempotent: false,
+    };
+    let client = single_use_client(BODY_BYTES * 2);
+    client.send(&outbound).await.unwrap()
+}
+
+/// Guards against a body that the offer or its pace changes or cuts.
+#[ntex::test]
+async fn a_large_body_arrives_whole_after_its_offer() {
+    let site = start_site("offered").await;
+    let answer = upload(&site, BODY_BYTES).await;
+    assert_eq!(answer.status, 200);
+    let echoed = answer.body.iter().filter(|byte| **byte == b'x').count();
+    assert!(echoed >= BODY_BYTES, "{echoed} bytes came back");
+    let metrics = get_text(&site.hosts[1].metrics_address, "/metrics").await;
+    assert!(metrics.contains("figway_offers_accepted 1"), "{metrics}");
+}
+
+/// Guards against bodies that use a link for requests that are refused or come too late: of many at
+/// once those that can arrive in time are served, and the others are refused before they are sent.
+#[ntex::test]
+async fn uploads_beyond_the_link_are_refused_before_their_bodies_are_sent() {
+    let site = start_site("crowded").await;
+    let backend = &site.hosts[1].backend;
+    let earlier_count = backend.run_count();
+    let uploads = (0..12).map(|_| upload(&site, BODY_BYTES));
+    let answers = futures::future::join_all(uploads).await;
+    let mut served_count = 0;
+    for answer in &answers {
+        match answer.status {
+            200 => served_count += 1,
+            503 => assert!(answer.header("retry-after").is_some()),
+            status => panic!("status {status}"),
+        }
+    }
+    assert!((2..=6).contains(&served_count), "{served_count} served");
+    assert_eq!(backend.run_count() - earlier_count, served_count);
+    let metrics = get_text(&site.hosts[1].metrics_address, "/metrics").await;
+    assert!(metrics.contains("figway_offers_refused"), "{metrics}");
+}
+
+/// Guards against small requests that wait behind large bodies on the way to the same host.
+#[ntex::test]
+async fn small_requests_are_served_while_large_bodies_wait() {
+    let site = start_site("beside").await;
+    let uploads = futures::future::join_all((0..4).map(|_| upload(&site, BODY_BYTES)));
+    let small = async {
+        let caller = site.caller(0);
+        let mut slowest = Duration::ZERO;
+        for _ in 0..10 {
+            let started_at = Instant::now();
+            assert_eq!(caller.call("POST", "/orders/1").await.status, 200);
+            slowest = slowest.max(started_at.elapsed());
+        }
+        slowest
+    };
+    let (_, slowest) = futures::future::join(uploads, small).await;
+    assert!(slowest < Duration::from_millis(PROMPT_MS), "{slowest:?}");
+}
