--- a/crates/testbed/src/cmd/mod.rs
+++ b/crates/testbed/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! Subcommands of the test bed, one file each.
 
+mod call_cost;
 mod convergence;
 mod demo;
 mod experiment;
@@ -81,6 +82,12 @@
             /// Log level of the nodes: warn, or info for every other value; info if absent.
             optional --level level: String
         }
+        /// Measures the processor time and the wake-ups of a call that passes two nodes on the
+        /// users' platform.
+        cmd call-cost {
+            /// Seconds of calls for each number of connections; 8 if absent.
+            optional --seconds seconds: u64
+        }
     }
 }
 
@@ -97,6 +104,7 @@
             TestbedCmd::Experiment(command) => command.run().await,
             TestbedCmd::Convergence(command) => command.run().await,
             TestbedCmd::Latency(command) => command.run().await,
+            TestbedCmd::CallCost(command) => command.run().await,
             TestbedCmd::Slopes(command) => command.run().await,
             TestbedCmd::Soak(command) => command.run().await,
             TestbedCmd::Log(command) => command.run().await,
