--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -41,6 +41,12 @@
 use crate::target_state::TargetState;
 use crate::worker::Worker;
 
+/// Number of headers that a node adds to a call that it forwards.
+const ADMISSION_HEADER_COUNT: usize = 16;
+
+/// Usual size of the names and values of these headers, in bytes.
+const ADMISSION_TEXT_BYTES: usize = 512;
+
 /// Makes one attempt and records its outcome. Dropping the future cancels the attempt and releases
 /// all its resources.
 pub(crate) async fn attempt(
@@ -193,6 +199,7 @@
 fn admission_headers(call: &Call<'_>, left: Duration, attempt_kind: AttemptKind) -> Headers {
     let rule = &call.rule;
     let mut onward = call.headers.clone();
+    onward.reserve(ADMISSION_HEADER_COUNT, ADMISSION_TEXT_BYTES);
     headers::escape_call(&mut onward);
     if let Some(host) = call.headers.get("host") {
         onward.retain(|name| name != "host");
@@ -200,18 +207,15 @@
     }
     onward.push(headers::ADMIT_KIND, rule.name);
     onward.push(headers::ADMIT_SERVICE, rule.service);
-    onward.push(headers::ADMIT_WORTH, rule.worth.to_string());
-    onward.push(headers::ADMIT_RANK, rule.rank.to_string());
+    onward.push_display(headers::ADMIT_WORTH, rule.worth);
+    onward.push_display(headers::ADMIT_RANK, rule.rank);
     let attempt_kind = call.reported_attempt_kind(attempt_kind);
     if attempt_kind != AttemptKind::First {
         onward.push(headers::ADMIT_ATTEMPT_KIND, attempt_kind.name());
     }
     if let Some(prompt_by) = call.prompt_by {
         let prompt_left = prompt_by.saturating_duration_since(Instant::now());
-        onward.push(
-            headers::ADMIT_PROMPT_MS,
-            prompt_left.as_millis().to_string(),
-        );
+        onward.push_display(headers::ADMIT_PROMPT_MS, prompt_left.as_millis());
     }
     if rule.long {
         onward.push(headers::ADMIT_LONG, "true");
@@ -219,16 +223,16 @@
     if rule.idempotent {
         onward.push(headers::ADMIT_IDEMPOTENT, "true");
     }
-    onward.push(
+    onward.push_display(
         headers::ADMIT_FINGERPRINT,
-        format!("{:016x}", call.fingerprint.0),
+        format_args!("{:016x}", call.fingerprint.0),
     );
     onward.push(headers::ADMIT_ORIGIN, call.origin);
     if let Some(customer) = call.caller.customer {
         onward.push(headers::ADMIT_CUSTOMER, customer);
     }
     onward.push(headers::REQUEST_ID, call.request_id);
-    onward.push(headers::BUDGET_MS, left.as_millis().to_string());
+    onward.push_display(headers::BUDGET_MS, left.as_millis());
     onward
 }
 
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -152,34 +152,38 @@
     if !result.sent {
         answer.headers.push(headers::SENT, "false");
     }
+    answer.headers.push_display(
+        headers::BUSY_RATIO,
+        format_args!("{:.3}", report.busy_ratio),
+    );
     answer
         .headers
-        .push(headers::BUSY_RATIO, format!("{:.3}", report.busy_ratio));
-    answer
-        .headers
-        .push(headers::WAIT_MS, format!("{:.1}", report.wait_ms));
+        .push_display(headers::WAIT_MS, format_args!("{:.1}", report.wait_ms));
     if report.failed_ratio >= REPORTED_FAILED_RATIO_MIN {
-        answer
-            .headers
-            .push(headers::FAILED_RATIO, format!("{:.2}", report.failed_ratio));
+        answer.headers.push_display(
+            headers::FAILED_RATIO,
+            format_args!("{:.2}", report.failed_ratio),
+        );
     }
     if let Some(mean_ran_ms) = result.mean_ran_ms {
         answer
             .headers
-            .push(headers::MEAN_RAN_MS, format!("{mean_ran_ms:.1}"));
+            .push_display(headers::MEAN_RAN_MS, format_args!("{mean_ran_ms:.1}"));
     }
     if outcome == "answered" {
         let (queue_s, run_s) = (
             result.queue_time.as_secs_f64(),
             result.run_time.as_secs_f64(),
         );
-        let times_ms = format!("{:.1},{:.1}", queue_s * 1_000.0, run_s * 1_000.0);
-        answer.headers.push(headers::QUEUE_AND_RUN_MS, times_ms);
+        answer.headers.push_display(
+            headers::QUEUE_AND_RUN_MS,
+            format_args!("{:.1},{:.1}", queue_s * 1_000.0, run_s * 1_000.0),
+        );
     }
     if let Some(crash_id) = result.crash_id {
         answer
             .headers
-            .push(headers::CRASH_ID, format!("{crash_id:016x}"));
+            .push_display(headers::CRASH_ID, format_args!("{crash_id:016x}"));
     }
     answer
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -37,10 +37,10 @@
     BodyBuffer,
     BodyError, //
 };
+use crate::headers::Headers;
 use crate::memory::MemoryBudget;
 use crate::message::{
     Answer,
-    Headers,
     OutboundRequest,
     Reachability,
     SendFailure,
@@ -258,16 +258,14 @@
             }
         }
         let body = self.read_body(body).await?;
-        let answer = Answer {
+        let mut answer = Answer {
             status: head.status.as_u16(),
             headers,
             body,
         };
         self.return_to_pool(outbound, connection, &answer);
-        Ok(Answer {
-            headers: answer.headers.end_to_end(),
-            ..answer
-        })
+        answer.headers.retain_end_to_end();
+        Ok(answer)
     }
 
     async fn read_body(&self, mut body: Incoming) -> Result<Bytes, SendFailure> {
@@ -351,9 +349,12 @@
         .body(Full::new(outbound.body.clone()))
         .map_err(|error| SendFailure::Refused(error.to_string()))?;
     let headers = request.headers_mut();
-    for (name, value) in outbound.headers.iter() {
-        let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::try_from(value))
-        else {
+    headers.reserve(outbound.headers.len());
+    for (name, value) in outbound.headers.iter_shared() {
+        let (Ok(name), Ok(value)) = (
+            HeaderName::try_from(name),
+            HeaderValue::from_maybe_shared(value),
+        ) else {
             return Err(SendFailure::Refused(format!("header {name} can't be sent")));
         };
         headers.append(name, value);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,7 @@
 mod body;
 mod busy;
 mod client;
+mod headers;
 mod memory;
 mod message;
 mod receive;
@@ -18,11 +19,11 @@
     ClientLimits,
     HttpClient, //
 };
+pub use headers::Headers;
 pub use hyper::body::Bytes;
 pub use memory::MemoryBudget;
 pub use message::{
     Answer,
-    Headers,
     OutboundRequest,
     Reachability,
     Request,
--- a/crates/http/src/receive.rs
+++ b/crates/http/src/receive.rs
@@ -24,11 +24,9 @@
     BodyBuffer,
     BodyError, //
 };
+use crate::headers::Headers;
 use crate::memory::MemoryBudget;
-use crate::message::{
-    Headers,
-    Request, //
-};
+use crate::message::Request;
 use crate::server::ServerLimits;
 
 /// Longest wait for the memory of a request's body.
--- a/crates/testbed/src/cmd/call_cost.rs
+++ b/crates/testbed/src/cmd/call_cost.rs
@@ -44,7 +44,10 @@
             let callers: Vec<Caller> = (0..connection_count).map(|_| site.caller(0)).collect();
             // Opens the connections, which are not measured.
             run_phase(&callers, Duration::from_secs(1)).await;
-            println!("connections={connection_count} nodes={}", node_ids.join(","));
+            println!(
+                "connections={connection_count} nodes={}",
+                node_ids.join(",")
+            );
             let before = total_usage(&site)?;
             let (call_count, failed_count) = run_phase(&callers, phase_duration).await;
             let after = total_usage(&site)?;
