--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -30,14 +30,21 @@
     series: Arc<Mutex<Series>>,
 }
 
+/// Series by the name and the tags of their metrics, as cadence writes them. They are renamed and
+/// sorted when they are rendered, so that recording a metric allocates nothing.
 #[derive(Default)]
 struct Series {
-    counters: FastMap<String, u64>,
-    gauges: FastMap<String, f64>,
-    histograms: FastMap<String, Histogram>,
+    names: FastMap<String, FastMap<String, Value>>,
+    series_count: usize,
     dropped_count: u64,
 }
 
+enum Value {
+    Counter(u64),
+    Gauge(f64),
+    Histogram(Histogram),
+}
+
 #[derive(Clone, Debug, Default)]
 struct Histogram {
     bucket_counts: [u64; BUCKETS_MS.len()],
@@ -54,14 +61,27 @@
     /// Renders all series in the Prometheus text exposition format.
     pub fn render(&self) -> String {
         let series = self.series();
+        let mut counters = BTreeMap::new();
+        let mut gauges = BTreeMap::new();
+        let mut histograms = BTreeMap::new();
+        for (name, tagged) in &series.names {
+            for (tags, value) in tagged {
+                let key = series_key(name, tags);
+                match value {
+                    Value::Counter(count) => drop(counters.insert(key, count)),
+                    Value::Gauge(value) => drop(gauges.insert(key, value)),
+                    Value::Histogram(histogram) => drop(histograms.insert(key, histogram)),
+                }
+            }
+        }
         let mut text = String::new();
-        for (name, count) in sorted(&series.counters) {
+        for (name, count) in &counters {
             push_line(&mut text, name, "", &count.to_string());
         }
-        for (name, value) in sorted(&series.gauges) {
+        for (name, value) in &gauges {
             push_line(&mut text, name, "", &value.to_string());
         }
-        for (name, histogram) in sorted(&series.histograms) {
+        for (name, histogram) in &histograms {
             let mut cumulative_count = 0;
             for (bound_ms, count) in BUCKETS_MS.iter().zip(histogram.bucket_counts) {
                 cumulative_count += count;
@@ -119,29 +139,50 @@
             return false;
         };
         let tags = parts.find_map(|part| part.strip_prefix('#')).unwrap_or("");
-        let key = series_key(name, tags);
-        if self.len() >= SERIES_MAX_COUNT && !self.contains(&key) {
+        let Ok(number) = value.parse::<f64>() else {
             return false;
-        }
-        match (metric_type, value.parse::<f64>()) {
-            ("c", Ok(value)) => *self.counters.entry(key).or_default() += value.max(0.0) as u64,
-            ("g", Ok(value)) => {
-                self.gauges.insert(key, value);
-            }
-            ("ms", Ok(value)) => self.histograms.entry(key).or_default().record(value as u64),
+        };
+        let Some(value) = self.value_mut(name, tags, metric_type) else {
+            return false;
+        };
+        match (metric_type, value) {
+            ("c", Value::Counter(count)) => *count += number.max(0.0) as u64,
+            ("g", Value::Gauge(value)) => *value = number,
+            ("ms", Value::Histogram(histogram)) => histogram.record(number as u64),
             _ => return false,
         }
         true
     }
 
-    fn len(&self) -> usize {
-        self.counters.len() + self.gauges.len() + self.histograms.len()
+    /// Returns the value of the series, which is added if it is new. Returns `None` if the type is
+    /// unknown or there are too many series.
+    fn value_mut(&mut self, name: &str, tags: &str, metric_type: &str) -> Option<&mut Value> {
+        let is_known = self
+            .names
+            .get(name)
+            .is_some_and(|tagged| tagged.contains_key(tags));
+        if !is_known {
+            if self.series_count >= SERIES_MAX_COUNT {
+                return None;
+            }
+            let value = Value::of_type(metric_type)?;
+            let tagged = self.names.entry(name.to_owned()).or_default();
+            tagged.insert(tags.to_owned(), value);
+            self.series_count += 1;
+        }
+        self.names.get_mut(name)?.get_mut(tags)
     }
+}
 
-    fn contains(&self, key: &str) -> bool {
-        self.counters.contains_key(key)
-            || self.gauges.contains_key(key)
-            || self.histograms.contains_key(key)
+impl Value {
+    /// Returns the first value of a series whose metrics have this type in the statsd format.
+    fn of_type(metric_type: &str) -> Option<Self> {
+        match metric_type {
+            "c" => Some(Value::Counter(0)),
+            "g" => Some(Value::Gauge(0.0)),
+            "ms" => Some(Value::Histogram(Histogram::default())),
+            _ => None,
+        }
     }
 }
 
@@ -188,7 +229,3 @@
     };
     writeln!(text, "{key} {value}").expect("writing to a String can't fail");
 }
-
-fn sorted<T>(series: &FastMap<String, T>) -> BTreeMap<&String, &T> {
-    series.iter().collect()
-}
