--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -24,7 +24,6 @@
     SendRequest, //
 };
 use hyper::header::{
-    HeaderName,
     HeaderValue,
     HOST, //
 };
@@ -37,6 +36,7 @@
     BodyBuffer,
     BodyError, //
 };
+use crate::header_names::HeaderNames;
 use crate::headers::Headers;
 use crate::memory::MemoryBudget;
 use crate::message::{
@@ -99,6 +99,7 @@
 /// HTTP client with a pool of idle connections for each address.
 pub struct HttpClient {
     pool: RefCell<FastMap<String, Vec<IdleConnection>>>,
+    names: RefCell<HeaderNames>,
     limits: ClientLimits,
     memory: MemoryBudget,
 }
@@ -108,6 +109,7 @@
     pub fn new(limits: ClientLimits) -> Self {
         Self {
             pool: RefCell::default(),
+            names: RefCell::default(),
             limits,
             memory: MemoryBudget::unlimited(),
         }
@@ -210,7 +212,7 @@
     }
 
     async fn exchange(&self, outbound: &OutboundRequest<'_>) -> Result<Answer, SendFailure> {
-        let mut request = build_request(outbound)?;
+        let mut request = build_request(outbound, &mut self.names.borrow_mut())?;
         while let Some(mut connection) = self.take_idle(outbound) {
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return self.read_answer(outbound, connection, response).await,
@@ -342,6 +344,7 @@
 
 fn build_request(
     outbound: &OutboundRequest<'_>,
+    names: &mut HeaderNames,
 ) -> Result<hyper::Request<Full<Bytes>>, SendFailure> {
     let mut request = hyper::Request::builder()
         .method(outbound.method)
@@ -351,10 +354,8 @@
     let headers = request.headers_mut();
     headers.reserve(outbound.headers.len());
     for (name, value) in outbound.headers.iter_shared() {
-        let (Ok(name), Ok(value)) = (
-            HeaderName::try_from(name),
-            HeaderValue::from_maybe_shared(value),
-        ) else {
+        let (Ok(name), Ok(value)) = (names.parse(name), HeaderValue::from_maybe_shared(value))
+        else {
             return Err(SendFailure::Refused(format!("header {name} can't be sent")));
         };
         headers.append(name, value);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,7 @@
 mod body;
 mod busy;
 mod client;
+mod header_names;
 mod headers;
 mod memory;
 mod message;
