--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -30,6 +30,7 @@
 mod run_probe;
 mod run_watch;
 mod running_calls;
+mod stall_watch;
 mod steps;
 mod target_state;
 mod target_watch;
--- a/crates/dataplane/src/metrics.rs
+++ b/crates/dataplane/src/metrics.rs
@@ -62,10 +62,20 @@
 
     /// Increments a counter.
     pub(crate) fn count(&self, name: &str) {
-        self.client.count_with_tags(name, 1).send();
+        self.count_by(name, 1);
     }
 
-    /// Sets a gauge. Gauges are updated when the metrics are rendered.
+    /// Adds to a counter.
+    pub(crate) fn count_by(&self, name: &str, count: u64) {
+        self.client.count_with_tags(name, count).send();
+    }
+
+    /// Records a duration in a histogram.
+    pub(crate) fn record_time(&self, name: &str, duration: Duration) {
+        self.client.time_with_tags(name, duration).send();
+    }
+
+    /// Sets a gauge. Most gauges are updated when the metrics are rendered.
     pub(crate) fn set_gauge(&self, name: &str, value: u64) {
         self.client.gauge_with_tags(name, value).send();
     }
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -53,6 +53,7 @@
     RunningCall,
     RunningCalls, //
 };
+use crate::stall_watch::watch_stalls;
 use crate::target_state::TargetState;
 use crate::target_watch::{
     AnnounceOutcome,
@@ -366,6 +367,11 @@
         self.gate.dispatch_turns().await;
     }
 
+    /// Measures how long the node stands still. Runs until the process ends.
+    pub async fn watch_stalls(self: Arc<Self>) {
+        watch_stalls(&self.metrics).await;
+    }
+
     fn drain_grace(&self) -> Duration {
         if let Some(grace) = self.grace {
             return grace;
--- a/crates/figway/src/cmd/node.rs
+++ b/crates/figway/src/cmd/node.rs
@@ -135,6 +135,7 @@
     tokio::task::spawn_local(Arc::clone(&data_plane).watch_target());
     tokio::task::spawn_local(Rc::clone(&worker).watch_target_run());
     tokio::task::spawn_local(Arc::clone(&data_plane).dispatch_turns());
+    tokio::task::spawn_local(Arc::clone(&data_plane).watch_stalls());
     if let Some(address) = settings.metrics_address {
         spawn_server(
             listen(address).await?,
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -1,6 +1,8 @@
 //! Counters, gauges and histograms of a node. A cadence sink aggregates them in the process and
 //! renders them in the Prometheus text exposition format.
 
+mod stalls;
+
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io;
@@ -16,6 +18,11 @@
 };
 use figway_types::FastMap;
 
+pub use crate::stalls::{
+    StallWatch,
+    Stalls, //
+};
+
 /// Upper bounds of the buckets of a histogram, in milliseconds.
 const BUCKETS_MS: [u64; 14] = [
     1, 2, 5, 10, 20, 50, 100, 200, 300, 500, 800, 1_200, 2_500, 5_000,
