--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,8 @@
 mod body;
 mod busy;
 mod client;
+mod header_names;
+mod headers;
 mod memory;
 mod message;
 mod paced_body;
@@ -20,11 +22,11 @@
     ClientLimits,
     HttpClient, //
 };
+pub use headers::Headers;
 pub use hyper::body::Bytes;
 pub use memory::MemoryBudget;
 pub use message::{
     Answer,
-    Headers,
     OutboundRequest,
     Reachability,
     Request,
