--- a/crates/control/src/limit_reports.rs
+++ b/crates/control/src/limit_reports.rs
@@ -94,9 +94,7 @@
     while is_coordinator(mesh, rank, coordinator) {
         let sent_at = Instant::now();
         let report = mesh.usage_report(rank, coordinator);
-        let mut context = context_until(sent_at + REPORT_TIMEOUT);
-        // A random trace id would take a fifth of a report.
-        context.trace_context.trace_id = 0.into();
+        let context = context_until(sent_at + REPORT_TIMEOUT);
         let answer = client.report_usage(context, report.clone()).await;
         let applied = answer.as_ref().ok();
         mesh.apply_usage_answer(rank, coordinator, &report, applied, sent_at);
--- a/crates/rate-limit/src/bounds.rs
+++ b/crates/rate-limit/src/bounds.rs
@@ -7,11 +7,11 @@
 /// Part of the permitted overrun that enlarges the buckets, so that customers at their limit are not
 /// refused for the delay of reports. The rest covers requests that nodes admit before they learn that
 /// a customer is above its limit.
-const RESERVE_RATIO: f64 = 0.15;
+const RESERVE_RATIO: f64 = 0.1;
 
 /// The same of the permitted slack, most of which covers small customers, whose requests are reported
 /// late.
-const RESERVE_SLACK_RATIO: f64 = 0.15;
+const RESERVE_SLACK_RATIO: f64 = 0.05;
 
 /// Largest rate and burst; higher ones count as this.
 const LIMIT_MAX: f64 = 1e9;
--- a/crates/rate-limit/src/coordinator.rs
+++ b/crates/rate-limit/src/coordinator.rs
@@ -23,7 +23,7 @@
 
 /// Number of requests at the limit over which the demand is averaged in addition, so that a few requests
 /// that arrive together are not taken for a higher demand.
-const DEMAND_COUNT: f64 = 2.0;
+const DEMAND_COUNT: f64 = 0.8;
 
 /// Time within which a balance is spent or a debt repaid. It must be longer than the delay from a
 /// request to the answer that takes it into account, or the ratio oscillates.
@@ -49,6 +49,10 @@
 /// admitted before a report add up to more than the nodes' own shares let pass.
 const SHARE_MIN: f64 = 0.2;
 
+/// Largest debt that the loss of nodes may leave, as time at the limit. Nodes that change their
+/// coordinator are lost too, so that the loss is an estimate.
+const LOSS_DEBT_MAX: Duration = Duration::from_millis(200);
+
 /// Interval at which the nodes that report are counted.
 const RECOUNT_EVERY: Duration = Duration::from_millis(50);
 
@@ -64,6 +68,7 @@
     epoch: u32,
     sequence: u64,
     warm_at: Instant,
+    reported_at: Instant,
     expected_until: Instant,
 }
 
@@ -192,6 +197,7 @@
             epoch: report.epoch,
             sequence: report.sequence,
             warm_at: known.map_or(now + WARM_UP, |known| known.warm_at),
+            reported_at: now,
             expected_until: now + period * MISSED_PERIOD_COUNT,
         };
         self.reporters.insert(node.to_owned(), next);
@@ -240,8 +246,17 @@
         if is_recent {
             return;
         }
-        self.reporters
-            .retain(|_, reporter| reporter.expected_until > now);
+        let mut lost_s = 0.0;
+        self.reporters.retain(|_, reporter| {
+            let is_expected = reporter.expected_until > now;
+            if !is_expected {
+                let silent = now.saturating_duration_since(reporter.reported_at);
+                lost_s += silent.as_secs_f64();
+            }
+            is_expected
+        });
+        // Time for which the shares of lost nodes were granted to others, as a part of all shares.
+        let overgranted_s = lost_s / self.member_count as f64;
         self.recounted_at = Some(now);
         let warm_count = self
             .reporters
@@ -254,7 +269,9 @@
         for bucket in self.buckets.values_mut() {
             bucket.advance(self.share, now);
             // The nodes that were lost admit requests by their own shares of the burst.
-            bucket.balance -= bucket.capacity * lost_share;
+            let lost_count = bucket.capacity * lost_share + bucket.limit.rate_per_s * overgranted_s;
+            let floor = -bucket.limit.rate_per_s * LOSS_DEBT_MAX.as_secs_f64();
+            bucket.balance = (bucket.balance - lost_count).max(floor.min(bucket.balance));
             // Nodes that are new have no tokens but those of the reserve.
             bucket.balance += (bucket.capacity - bucket.limit.burst_count) * gained_share;
         }
--- a/crates/rate-limit/src/message.rs
+++ b/crates/rate-limit/src/message.rs
@@ -24,7 +24,8 @@
     /// Time within which the node reports again, in milliseconds.
     #[serde(rename = "p")]
     pub period_ms: u64,
-    /// Customers with one request since the report before, which was admitted. Most are such.
+    /// Customers with one request since the report before, which was admitted. Most are such. Their codes
+    /// are in order, each as the difference to the one before.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub single: Vec<u32>,
     /// Counts of the other customers since the report before.
@@ -43,11 +44,19 @@
                 other => self.counts.push(other),
             }
         }
+        self.single.sort_unstable();
+        let mut before = 0;
+        for code in &mut self.single {
+            (before, *code) = (*code, *code - before);
+        }
     }
 
     /// Returns all counts.
     pub fn all_counts(&self) -> impl Iterator<Item = UsageCount> + '_ {
-        let single = self.single.iter().map(|code| UsageCount(*code, 1, 1));
+        let single = self.single.iter().scan(0_u32, |code, difference| {
+            *code = code.wrapping_add(*difference);
+            Some(UsageCount(*code, 1, 1))
+        });
         single.chain(self.counts.iter().copied())
     }
 }
--- a/crates/rate-limit/src/report_feed.rs
+++ b/crates/rate-limit/src/report_feed.rs
@@ -17,9 +17,6 @@
 /// another coordinator, and have left the coordinator's account of this node's share.
 const STALE_AFTER: Duration = Duration::from_secs(2);
 
-/// Longest time for which a single request of a customer waits to be reported together with others.
-const SINGLE_MAX_AGE: Duration = Duration::from_millis(200);
-
 /// Requests of one customer since the start of the process.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Totals {
@@ -32,24 +29,15 @@
 pub(crate) struct Counted {
     pub(crate) code: u32,
     pub(crate) totals: Totals,
-    /// Whether the coordinator limits the customer. Each of its requests is then reported at once.
-    pub(crate) is_limited: bool,
     /// Requests that the node has admitted beyond its own share and not made up for.
     pub(crate) debt_count: u32,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Reported {
-    totals: Totals,
-    /// Since when there has been something to report.
-    pending_since: Option<Instant>,
-}
-
 /// Progress of the reports to one coordinator.
 #[derive(Clone, Debug)]
 pub(crate) struct ReportFeed {
     sequence: u64,
-    reported: FastMap<u32, Reported>,
+    reported: FastMap<u32, Totals>,
     unacknowledged: Option<Vec<UsageCount>>,
     acknowledged_at: Instant,
 }
@@ -72,11 +60,7 @@
         for counted in totals {
             let mut totals = counted.totals;
             totals.admitted_count -= i64::from(counted.debt_count);
-            let reported = Reported {
-                totals,
-                pending_since: None,
-            };
-            self.reported.insert(counted.code, reported);
+            self.reported.insert(counted.code, totals);
         }
     }
 
@@ -85,7 +69,7 @@
         self.acknowledged_at
     }
 
-    /// Fills `report` with the counts that are due, or with those that were not acknowledged.
+    /// Fills `report` with the new counts, or with those that were not acknowledged.
     pub(crate) fn fill(
         &mut self,
         report: &mut UsageReport,
@@ -99,36 +83,21 @@
         }
         if self.unacknowledged.is_none() {
             self.sequence += 1;
-            self.unacknowledged = Some(self.due_counts(totals, now));
+            self.unacknowledged = Some(self.new_counts(totals));
         }
         report.sequence = self.sequence;
         report.set_counts(self.unacknowledged.as_deref().unwrap_or_default());
     }
 
-    fn due_counts(
-        &mut self,
-        totals: impl Iterator<Item = Counted>,
-        now: Instant,
-    ) -> Vec<UsageCount> {
+    fn new_counts(&mut self, totals: impl Iterator<Item = Counted>) -> Vec<UsageCount> {
         let mut counts = Vec::new();
-        for counted in totals {
-            let Counted { code, totals, .. } = counted;
-            let reported = self.reported.entry(code).or_default();
-            let before = reported.totals;
+        for Counted { code, totals, .. } in totals {
+            let before = self.reported.insert(code, totals).unwrap_or_default();
             let arrivals = totals.arrival_count.saturating_sub(before.arrival_count);
             let admitted = totals.admitted_count.saturating_sub(before.admitted_count);
             if arrivals == 0 && admitted == 0 {
                 continue;
             }
-            let since = *reported.pending_since.get_or_insert(now);
-            let is_urgent = arrivals > 1 || counted.is_limited && admitted != 0;
-            if !is_urgent && now.saturating_duration_since(since) < SINGLE_MAX_AGE {
-                continue;
-            }
-            *reported = Reported {
-                totals,
-                pending_since: None,
-            };
             counts.push(UsageCount(
                 code,
                 arrivals.min(u64::from(u32::MAX)) as u32,
--- a/crates/rate-limit/src/usage_meter.rs
+++ b/crates/rate-limit/src/usage_meter.rs
@@ -34,7 +34,7 @@
 pub const COORDINATOR_COUNT: usize = 2;
 
 /// Period of the reports to the coordinator whose answers a node uses.
-const LEAD_PERIOD: Duration = Duration::from_millis(250);
+const LEAD_PERIOD: Duration = Duration::from_millis(280);
 
 /// Period of the reports to the other coordinator.
 const STANDBY_PERIOD: Duration = Duration::from_millis(700);
@@ -240,14 +240,12 @@
         self.feeds.retain(|_, feed| {
             now.saturating_duration_since(feed.acknowledged_at()) < FEED_RETENTION
         });
-        let limited = self.lead(now).map(|lead| &self.answers[lead].limited);
         if let Some(has_news) = self.has_news.get_mut(slot) {
             *has_news = false;
         }
         let totals = self.customers.values().map(|usage| Counted {
             code: usage.code,
             totals: usage.totals,
-            is_limited: limited.is_some_and(|limited| limited.contains_key(&usage.code)),
             debt_count: usage.bucket.debt_count(),
         });
         self.feeds
--- a/crates/rate-limit/tests/odd_input.rs
+++ b/crates/rate-limit/tests/odd_input.rs
@@ -129,6 +129,25 @@
     assert!(retry_after <= Duration::from_secs(120), "{retry_after:?}");
 }
 
+#[test]
+fn counts_are_the_same_after_they_were_packed_into_a_report() {
+    let counts = [
+        UsageCount(u32::MAX, 1, 1),
+        UsageCount(0, 1, 1),
+        UsageCount(7, 1, 0),
+        UsageCount(4_000_000_000, 1, 1),
+    ];
+    let mut packed = UsageReport::default();
+    packed.set_counts(&counts);
+    let text = serde_json::to_string(&packed).unwrap();
+    let unpacked: UsageReport = serde_json::from_str(&text).unwrap();
+    let mut all: Vec<UsageCount> = unpacked.all_counts().collect();
+    all.sort_by_key(|count| count.0);
+    let mut expected = counts.to_vec();
+    expected.sort_by_key(|count| count.0);
+    assert_eq!(all, expected);
+}
+
 #[test]
 fn a_returned_token_is_not_reported_as_used() {
     let now = Instant::now();
