--- a/crates/rate-limit/tests/limits_over_nodes.rs
+++ b/crates/rate-limit/tests/limits_over_nodes.rs
@@ -261,6 +261,28 @@
     }
 }
 
+/// A customer whose load follows a wave up to just below its limit is not above it.
+#[test]
+fn a_customer_whose_load_swings_up_to_its_limit_is_not_refused() {
+    for seed in SEEDS {
+        let wave = |name: &str, rate_per_s: f64| {
+            Customer::new(name, rate_per_s, move |at_s| {
+                let phase = at_s * std::f64::consts::TAU / 17.0;
+                usual(rate_per_s) * (1.0 + 0.55 * phase.sin())
+            })
+        };
+        let mut sim = Sim::new(
+            NODE_COUNT,
+            seed,
+            vec![wave("large", 560.0), wave("middle", 56.0)],
+        );
+        sim.run_until(40_000);
+        for customer in &sim.customers {
+            assert_served(customer, 3_000, 40_000, 0.001, "wave");
+        }
+    }
+}
+
 /// Callers of a customer that all use one node have the whole limit there.
 #[test]
 fn a_customer_with_callers_at_one_node_only_has_its_whole_limit() {
