--- a/crates/rate-limit/src/report_feed.rs
+++ b/crates/rate-limit/src/report_feed.rs
@@ -43,10 +43,11 @@
 }
 
 impl ReportFeed {
-    /// Creates a feed to a new coordinator. Of what was counted before, only the debt is reported.
-    pub(crate) fn new(totals: impl Iterator<Item = Counted>, now: Instant) -> Self {
+    /// Creates a feed to a new coordinator, whose numbers begin after `sequence`. Of what was counted
+    /// before, only the debt is reported.
+    pub(crate) fn new(sequence: u64, totals: impl Iterator<Item = Counted>, now: Instant) -> Self {
         let mut feed = Self {
-            sequence: 0,
+            sequence,
             reported: FastMap::default(),
             unacknowledged: None,
             acknowledged_at: now,
@@ -92,7 +93,11 @@
     fn new_counts(&mut self, totals: impl Iterator<Item = Counted>) -> Vec<UsageCount> {
         let mut counts = Vec::new();
         for Counted { code, totals, .. } in totals {
-            let before = self.reported.insert(code, totals).unwrap_or_default();
+            let mut before = self.reported.insert(code, totals).unwrap_or_default();
+            if before.arrival_count > totals.arrival_count {
+                // The customer had no limit for a while, and its counts began anew.
+                before = Totals::default();
+            }
             let arrivals = totals.arrival_count.saturating_sub(before.arrival_count);
             let admitted = totals.admitted_count.saturating_sub(before.admitted_count);
             if arrivals == 0 && admitted == 0 {
--- a/crates/rate-limit/src/usage_meter.rs
+++ b/crates/rate-limit/src/usage_meter.rs
@@ -116,6 +116,8 @@
     /// Whether requests have arrived since the last report.
     has_news: [bool; COORDINATOR_COUNT],
     feeds: FastMap<String, ReportFeed>,
+    /// Highest number of all reports. Numbers of a feed that begins anew must be higher than before.
+    last_sequence: u64,
 }
 
 impl UsageMeter {
@@ -130,6 +132,7 @@
             answers: Default::default(),
             has_news: [false; COORDINATOR_COUNT],
             feeds: FastMap::default(),
+            last_sequence: 0,
         }
     }
 
@@ -250,8 +253,9 @@
         });
         self.feeds
             .entry(coordinator.to_owned())
-            .or_insert_with(|| ReportFeed::new(totals.clone(), now))
+            .or_insert_with(|| ReportFeed::new(self.last_sequence, totals.clone(), now))
             .fill(&mut report, totals, now);
+        self.last_sequence = self.last_sequence.max(report.sequence);
         report
     }
 
--- a/crates/rate-limit/tests/odd_input.rs
+++ b/crates/rate-limit/tests/odd_input.rs
@@ -148,6 +148,27 @@
     assert_eq!(all, expected);
 }
 
+#[test]
+fn counts_of_a_customer_that_lost_its_limit_for_a_while_begin_anew() {
+    let now = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut meter = UsageMeter::new(LimitBounds::default(), 1);
+    for _ in 0..50 {
+        meter.try_admit("a", &LIMIT, now);
+    }
+    let first = meter.report(0, "node-2", now);
+    let answer = UsageAnswer::default();
+    meter.apply(0, "node-2", &first, &answer, now, now);
+    meter.retain(|_| false);
+    assert_eq!(meter.try_admit("a", &LIMIT, now), Admission::Admitted);
+    let again = meter.report(0, "node-2", now + second);
+    assert_eq!(again.single, vec![customer_code("a")]);
+    assert_eq!(again.counts, Vec::new());
+    // A feed that begins anew must not be taken for repeated reports.
+    let later = meter.report(0, "node-2", now + 30 * second);
+    assert!(later.sequence > again.sequence);
+}
+
 #[test]
 fn a_returned_token_is_not_reported_as_used() {
     let now = Instant::now();
