--- a/crates/routing/tests/placing/target.rs
+++ b/crates/routing/tests/placing/target.rs
@@ -5,6 +5,7 @@
 
 use figway_admission::{
     Admission,
+    AdmissionLimits,
     AdmitOutcome,
     CallView,
     Dequeued,
@@ -14,7 +15,6 @@
 use figway_types::mix;
 
 use super::{
-    admission,
     Call,
     Picking,
     Random,
@@ -100,3 +100,29 @@
         ran_ms
     }
 }
+
+/// Returns the runs at the target that got most for its speed, over the mean of its zone.
+pub(super) fn busiest_ratio(targets: &[Target], zone_count: usize) -> f64 {
+    let mut busiest_ratio: f64 = 0.0;
+    for zone in 0..zone_count {
+        let zone_targets = || targets.iter().skip(zone).step_by(zone_count);
+        let runs: usize = zone_targets().map(|target| target.run_count).sum();
+        let zone_speed: f64 = zone_targets().map(|target| target.speed).sum();
+        for target in zone_targets() {
+            let fair = runs as f64 * target.speed / zone_speed;
+            busiest_ratio = busiest_ratio.max(target.run_count as f64 / fair);
+        }
+    }
+    busiest_ratio
+}
+
+/// Returns an admission whose reports are computed as `picking` expects them.
+fn admission(scenario: &Scenario, picking: Picking) -> Admission {
+    let mut admission = Admission::new(AdmissionLimits {
+        slot_count: scenario.slot_count as u32,
+        queue_per_slot_ratio: scenario.queue_per_slot_ratio,
+        short_share_ratio: 0.0,
+    });
+    admission.set_uses_remaining_time(picking == Picking::LeastWork);
+    admission
+}
