--- a/crates/testbed/tests/removed_keys.rs
+++ b/crates/testbed/tests/removed_keys.rs
@@ -246,6 +246,57 @@
     assert_eq!(refusal_count, 3);
 }
 
+/// Guards against a call that was routed before requests needed keys, and whose next attempt takes its
+/// credentials to a back end, or runs without a customer.
+#[ntex::test]
+async fn a_call_that_was_routed_before_requests_needed_keys_is_identified_before_its_next_attempt()
+{
+    let site = Site::start("removed-before", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    let tenants = json!({"ann": {"apiKeys": [KEPT_KEY]}});
+    let mut open = config_with_customers(2, &tenants, 9_000);
+    open.as_object_mut().unwrap().remove("tenants");
+    site.store.publish(&open);
+    tokio::time::sleep(REMOVED_MAX).await;
+    for _ in 0..SERVED_COUNT {
+        assert_eq!(ask(&site, 0, "POST /orders/1", &new_id(), b"").await, 200);
+    }
+    set_slow(&site, LONG_RUN_MS);
+    for host in &site.hosts {
+        host.backend.refuses_late.set(true);
+    }
+    let mut calls = Vec::new();
+    for (lines, expected) in [
+        (key_line(KEPT_KEY), 200),
+        (key_line("unknown"), 401),
+        (Vec::new(), 401),
+    ] {
+        let (mut connection, id) = (RawConnection::open(&site, 0).await, new_id());
+        let bytes = request("POST /orders/1", &id, &lines);
+        connection.write(&bytes).await;
+        calls.push((connection, id, expected));
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    site.store
+        .publish(&config_with_customers(3, &tenants, 9_000));
+    tokio::time::sleep(REMOVED_MAX).await;
+    set_slow(&site, 0);
+    for host in &site.hosts {
+        host.backend.refuses_late.set(false);
+    }
+    for (connection, id, expected) in &mut calls {
+        assert_eq!(connection.read_status().await, *expected);
+        assert_eq!(run_count(&site, id), usize::from(*expected == 200));
+    }
+    let served = &calls[0].1;
+    for host in &site.hosts {
+        for run in host.backend.runs().iter().filter(|run| run.id == *served) {
+            assert_eq!(run.headers.get("x-figway-tenant"), Some("ann"));
+            assert!(run.headers.get("authorization").is_none());
+        }
+    }
+}
+
 /// Guards against a node that serves by the keys of the last table that it read itself: no request and
 /// no answer shows it the new one.
 #[ntex::test]
