--- /dev/null
+++ b/crates/rollout/src/book.rs
@@ -0,0 +1,307 @@
+//! All rollouts that a node knows: the newest of each service.
+
+use std::collections::BTreeMap;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_types::{
+    NodeId,
+    Offset, //
+};
+
+use crate::evidence::{
+    EvidenceReport,
+    RunSample, //
+};
+use crate::order::{
+    ExposureLimits,
+    RolloutOrder, //
+};
+use crate::phase::Phase;
+use crate::rollout::{
+    before,
+    Rollout,
+    RolloutState, //
+};
+
+/// Difference of two ages of one order that is not told to others.
+const AGE_TOLERANCE: Duration = Duration::from_millis(150);
+
+/// Largest number of services with a rollout. Further ones are ignored.
+const SERVICE_MAX_COUNT: usize = 4_096;
+
+/// Rollouts for a peer.
+#[derive(Clone, Debug, Default)]
+pub struct StateBatch {
+    /// States, in the order in which this node learned them.
+    pub states: Vec<RolloutState>,
+    /// Number of the last one.
+    pub last_sequence: u64,
+}
+
+/// Rollouts that a node knows.
+#[derive(Debug, Default)]
+pub struct RolloutBook {
+    limits: ExposureLimits,
+    rollouts: BTreeMap<String, Rollout>,
+    last_sequence: u64,
+}
+
+impl RolloutBook {
+    /// Sets the limits on what a bad version may get.
+    pub fn set_limits(&mut self, limits: ExposureLimits) {
+        self.limits = limits;
+    }
+
+    /// Returns the limits on what a bad version may get.
+    pub fn limits(&self) -> &ExposureLimits {
+        &self.limits
+    }
+
+    /// Returns the newest rollout of a service.
+    pub fn get(&self, service: &str) -> Option<&Rollout> {
+        self.rollouts.get(service)
+    }
+
+    /// Returns all rollouts, the newest of each service.
+    pub fn rollouts(&self) -> impl Iterator<Item = &Rollout> {
+        self.rollouts.values()
+    }
+
+    /// Returns the rollouts whose end the log does not hold yet.
+    pub fn open(&self) -> impl Iterator<Item = &Rollout> {
+        self.rollouts
+            .values()
+            .filter(|rollout| !rollout.phase.is_final())
+    }
+
+    /// Records an order that was read from the operator's topic. `fresh` says whether it was read as it
+    /// was written, `base` which version the service runs. Returns whether the order is new.
+    pub fn record_order(
+        &mut self,
+        order: &RolloutOrder,
+        offset: Offset,
+        fresh: bool,
+        base: Option<&str>,
+        now: Instant,
+    ) -> bool {
+        let earlier = self.rollouts.get(&order.service);
+        if earlier.is_none() && self.rollouts.len() >= SERVICE_MAX_COUNT {
+            return false;
+        }
+        if earlier.is_some_and(|earlier| !replaces(order, offset, earlier)) {
+            return false;
+        }
+        let mut rollout = Rollout::new(order, offset, now);
+        rollout.fresh = fresh;
+        rollout.base = base.map(str::to_owned);
+        if let Some(earlier) = earlier {
+            succeed(&mut rollout, earlier);
+        }
+        if rollout.base.as_deref() == Some(order.target_version.as_str()) {
+            // The service runs this version already; a canary's share would take it away.
+            rollout.phase = Phase::Full;
+        }
+        self.insert(rollout);
+        true
+    }
+
+    /// Merges the state that a peer sent. Returns whether this node learned something.
+    pub fn merge(&mut self, state: &RolloutState, now: Instant) -> bool {
+        if state.order.check().is_err() {
+            return false;
+        }
+        let Some(known) = self.rollouts.get_mut(&state.order.service) else {
+            if self.rollouts.len() < SERVICE_MAX_COUNT {
+                self.insert(Rollout::from_state(state, now));
+                return true;
+            }
+            return false;
+        };
+        if known.order_offset > state.order_offset {
+            return false;
+        }
+        if known.order_offset < state.order_offset {
+            let mut rollout = Rollout::from_state(state, now);
+            succeed(&mut rollout, known);
+            self.insert(rollout);
+            return true;
+        }
+        if !merge_same(known, state, now) {
+            return false;
+        }
+        let service = state.order.service.clone();
+        self.mark_changed(&service);
+        true
+    }
+
+    /// Counts a run at the target beside this node, if its service has an open rollout.
+    pub fn record_run(
+        &mut self,
+        service: &str,
+        version: &str,
+        route: &str,
+        sample: RunSample,
+        is_cold: bool,
+    ) {
+        if let Some(rollout) = self.rollouts.get_mut(service) {
+            if !rollout.phase.is_final() {
+                rollout.counter.record(version, route, sample, is_cold);
+            }
+        }
+    }
+
+    /// Returns what this node counted for the open rollout of a service.
+    pub fn report(&self, service: &str, node_id: &NodeId, epoch: u64) -> Option<EvidenceReport> {
+        let rollout = self.rollouts.get(service)?;
+        if rollout.phase.is_final() || rollout.counter.run_count() == 0 {
+            return None;
+        }
+        Some(EvidenceReport {
+            node_id: node_id.clone(),
+            epoch,
+            service: service.to_owned(),
+            order_offset: rollout.order_offset,
+            versions: rollout.counter.versions().clone(),
+        })
+    }
+
+    /// Merges evidence of a node. Returns whether it stops the new version.
+    pub fn merge_evidence(&mut self, report: &EvidenceReport, now: Instant) -> bool {
+        let Some(rollout) = self.rollouts.get_mut(&report.service) else {
+            return false;
+        };
+        rollout.merge_evidence(report, now);
+        let Some(phase) = rollout.next_by_evidence() else {
+            return false;
+        };
+        rollout.set_phase(phase, now);
+        self.mark_changed(&report.service);
+        true
+    }
+
+    /// Takes the step of a rollout that is due by time. Only the node that decides calls this.
+    /// Returns the new phase.
+    pub fn advance(&mut self, service: &str, has_targets: bool, now: Instant) -> Option<Phase> {
+        let rollout = self.rollouts.get_mut(service)?;
+        let phase = rollout.next_by_time(has_targets, now)?;
+        rollout.set_phase(phase, now);
+        self.mark_changed(service);
+        Some(phase)
+    }
+
+    /// Records that the log answered at `at`, when the status of a service was read.
+    pub fn record_log_contact(&mut self, service: &str, at: Instant) {
+        if let Some(rollout) = self.rollouts.get_mut(service) {
+            rollout.log_contact_at = Some(at);
+        }
+    }
+
+    /// Records that the log holds the rollout with the order at `offset` as running.
+    pub fn record_running(&mut self, service: &str, offset: Offset) {
+        let rollout = self.rollouts.get_mut(service);
+        if let Some(rollout) = rollout.filter(|rollout| rollout.order_offset == offset) {
+            rollout.recorded = true;
+            self.mark_changed(service);
+        }
+    }
+
+    /// Records how the log holds that the rollout with the order at `offset` ended.
+    pub fn record_end(&mut self, service: &str, offset: Offset, phase: Phase, now: Instant) {
+        let rollout = self.rollouts.get_mut(service);
+        if let Some(rollout) = rollout.filter(|rollout| rollout.order_offset == offset) {
+            rollout.set_phase(phase, now);
+            self.mark_changed(service);
+        }
+    }
+
+    /// Returns the number of the last change that this node learned.
+    pub fn last_sequence(&self) -> u64 {
+        self.last_sequence
+    }
+
+    /// Returns the rollouts that changed after `sequence`, `max_count` at most.
+    pub fn states_after(&self, sequence: u64, max_count: usize, now: Instant) -> StateBatch {
+        let mut changed: Vec<&Rollout> = Vec::new();
+        for rollout in self.rollouts.values() {
+            if rollout.sequence > sequence {
+                changed.push(rollout);
+            }
+        }
+        changed.sort_by_key(|rollout| rollout.sequence);
+        changed.truncate(max_count);
+        StateBatch {
+            last_sequence: changed.last().map_or(sequence, |last| last.sequence),
+            states: changed.iter().map(|rollout| rollout.state(now)).collect(),
+        }
+    }
+
+    fn insert(&mut self, rollout: Rollout) {
+        let service = rollout.order.service.clone();
+        self.rollouts.insert(service.clone(), rollout);
+        self.mark_changed(&service);
+    }
+
+    fn mark_changed(&mut self, service: &str) {
+        self.last_sequence += 1;
+        if let Some(rollout) = self.rollouts.get_mut(service) {
+            rollout.sequence = self.last_sequence;
+        }
+    }
+}
+
+/// Returns whether the order at `offset` replaces the earlier one. A log that went back to an older copy
+/// may hold the same order in a later era.
+fn replaces(order: &RolloutOrder, offset: Offset, earlier: &Rollout) -> bool {
+    let is_same = offset.index() == earlier.order_offset.index() && *order == earlier.order;
+    offset > earlier.order_offset && !is_same
+}
+
+/// Takes over from the earlier rollout of the service which versions are in use.
+fn succeed(rollout: &mut Rollout, earlier: &Rollout) {
+    for shunned in &earlier.shunned {
+        rollout.shun(shunned);
+    }
+    match earlier.phase {
+        Phase::Completed => {
+            rollout.base = Some(earlier.order.target_version.clone());
+        }
+        _ => {
+            rollout.shun(&earlier.order.target_version);
+            if earlier.base.is_some() {
+                rollout.base.clone_from(&earlier.base);
+            }
+        }
+    }
+}
+
+/// Merges the state of the same order. Returns whether this node learned something.
+fn merge_same(known: &mut Rollout, state: &RolloutState, now: Instant) -> bool {
+    let mut learned = false;
+    let started_at = before(now, state.age_ms);
+    if started_at + AGE_TOLERANCE < known.started_at {
+        known.started_at = started_at;
+        learned = true;
+    }
+    if state.phase > known.phase {
+        known.set_phase(state.phase, before(now, state.phase_age_ms));
+        learned = true;
+    }
+    if state.recorded && !known.recorded {
+        known.recorded = true;
+        learned = true;
+    }
+    if known.base.is_none() && state.base.is_some() {
+        known.base.clone_from(&state.base);
+        learned = true;
+    }
+    for shunned in &state.shunned {
+        if !known.shunned.contains(shunned) {
+            known.shun(shunned);
+            learned = true;
+        }
+    }
+    learned
+}
--- /dev/null
+++ b/crates/rollout/src/lib.rs
@@ -0,0 +1,51 @@
+//! Rollouts of new versions of a service: which share of the calls the new version gets, what its
+//! answers show, and when the rollout is completed or rolled back.
+//!
+//! The crate knows no network and no clock. Callers pass the time and carry [`RolloutState`] and
+//! [`EvidenceReport`] between nodes.
+
+mod book;
+mod cusum;
+mod evidence;
+mod order;
+mod phase;
+mod rollout;
+mod status;
+mod tally;
+mod versions;
+
+pub use book::{
+    RolloutBook,
+    StateBatch, //
+};
+pub use evidence::{
+    EvidenceReport,
+    RouteEvidence,
+    RunCounter,
+    RunSample, //
+};
+pub use order::{
+    ExposureLimits,
+    OrderError,
+    RolloutOrder, //
+};
+pub use phase::Phase;
+pub use rollout::{
+    Rollout,
+    RolloutState, //
+};
+pub use status::{
+    needs_status,
+    plan_status,
+    RolloutStatus,
+    StatusState,
+    StatusStep, //
+};
+pub use tally::{
+    Tally,
+    Verdict, //
+};
+pub use versions::{
+    ServiceVersions,
+    VersionMask, //
+};
--- /dev/null
+++ b/crates/rollout/src/tally.rs
@@ -0,0 +1,266 @@
+//! Evidence about one rollout from all nodes that report to this one, and what it shows.
+
+use std::collections::BTreeMap;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_types::{
+    FastMap,
+    NodeId, //
+};
+
+use crate::cusum::{
+    Cusum,
+    Hypotheses, //
+};
+use crate::evidence::{
+    EvidenceReport,
+    RouteEvidence, //
+};
+
+/// Share of failures that any version may have, with a margin: up to 0.4% fail on a good one.
+const GOOD_FAILED_RATE: f64 = 0.008;
+
+/// The same for the test that looks for a small rate over many runs.
+const GOOD_FAILED_RATE_LONG: f64 = 0.006;
+
+/// Share of failures of a version that is plainly bad.
+const BAD_FAILED_RATE: f64 = 0.06;
+
+/// Share of failures for which the long test looks.
+const BAD_FAILED_RATE_LONG: f64 = 0.02;
+
+/// Score of the short test; a false alarm then takes five failures in some dozens of runs.
+const FAILED_LIMIT: f64 = 8.0;
+
+/// Score of the long test.
+const FAILED_LIMIT_LONG: f64 = 7.0;
+
+/// Score of the test of run times. It is higher, as slow runs of one target come in groups.
+const SLOW_LIMIT: f64 = 12.0;
+
+/// Number of bins above the median of the old version from which a run is slow, about 2.8 times.
+const SLOW_BINS: u8 = 3;
+
+/// Number of runs of the old version on a route from which its run times are compared.
+const MEDIAN_MIN_COUNT: u64 = 20;
+
+/// Added to the old version's share of slow runs, since targets differ in speed.
+const SLOW_RATE_MARGIN: f64 = 0.08;
+
+/// Added to a good version's largest share of slow runs to get a bad one's.
+const SLOW_RATE_STEP: f64 = 0.25;
+
+/// Number of runs with the expected rate of failures that count beside those of the old version.
+const PRIOR_RUN_COUNT: f64 = 200.0;
+
+/// Expected rate of failures of any version.
+const PRIOR_FAILED_RATE: f64 = 0.004;
+
+/// Time over which failures of the old version count as recent.
+const RECENT: Duration = Duration::from_secs(2);
+
+/// Largest number of nodes whose reports are kept.
+const NODE_MAX_COUNT: usize = 20_000;
+
+/// What the evidence shows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Verdict {
+    /// Highest score as a part of its limit; the version is bad from 1 on.
+    pub level: f64,
+    /// Test that has the highest score.
+    pub cause: &'static str,
+}
+
+impl Verdict {
+    /// Returns whether the version is bad.
+    pub fn is_bad(&self) -> bool {
+        self.level >= 1.0
+    }
+}
+
+/// Scores of the new version, on one route or on all.
+#[derive(Clone, Copy, Debug, Default)]
+struct Scores {
+    failed: Cusum,
+    failed_long: Cusum,
+    slow: Cusum,
+}
+
+/// Counts of the old version on one route.
+#[derive(Clone, Debug, Default)]
+struct OldRoute {
+    all: RouteEvidence,
+    recent_failed: f64,
+    recent_runs: f64,
+    updated_at: Option<Instant>,
+}
+
+/// Counts that a node reported last, by version and route.
+type Reported = BTreeMap<String, BTreeMap<String, RouteEvidence>>;
+
+/// Evidence about one rollout.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    reported: FastMap<(NodeId, u64), Reported>,
+    old: BTreeMap<String, OldRoute>,
+    by_route: BTreeMap<String, Scores>,
+    overall: Scores,
+    new_run_count: u64,
+    new_failed_count: u64,
+    old_run_count: u64,
+}
+
+impl Tally {
+    /// Merges a report; one that was merged before, or is older, adds nothing. `target_version` is
+    /// the new version.
+    pub fn merge(&mut self, report: &EvidenceReport, target_version: &str, now: Instant) {
+        let key = (report.node_id.clone(), report.epoch);
+        if self.reported.len() >= NODE_MAX_COUNT && !self.reported.contains_key(&key) {
+            return;
+        }
+        let mut known = self.reported.remove(&key).unwrap_or_default();
+        for (version, routes) in &report.versions {
+            let is_new = version == target_version;
+            let known_routes = known.entry(version.clone()).or_default();
+            for (route, counts) in routes {
+                let earlier = known_routes.entry(route.clone()).or_default();
+                let more = counts.since(earlier);
+                if more == RouteEvidence::default() {
+                    continue;
+                }
+                earlier.add(&more);
+                if is_new {
+                    self.add_new(route, &more);
+                } else {
+                    self.add_old(route, &more, now);
+                }
+            }
+        }
+        self.reported.insert(key, known);
+    }
+
+    /// Returns what the evidence shows.
+    pub fn verdict(&self) -> Verdict {
+        let mut highest = Verdict {
+            level: 0.0,
+            cause: "none",
+        };
+        let mut consider = |level: f64, cause: &'static str| {
+            if level > highest.level {
+                highest = Verdict { level, cause };
+            }
+        };
+        for scores in self.by_route.values() {
+            consider(scores.failed.level(), "failures on a route");
+            consider(scores.failed_long.level(), "failures on a route");
+            consider(scores.slow.level(), "slow answers on a route");
+        }
+        consider(self.overall.failed.level(), "failures");
+        consider(self.overall.failed_long.level(), "failures");
+        consider(self.overall.slow.level(), "slow answers");
+        highest
+    }
+
+    /// Returns the number of runs of the new version.
+    pub fn new_run_count(&self) -> u64 {
+        self.new_run_count
+    }
+
+    /// Returns the number of failures of the new version.
+    pub fn new_failed_count(&self) -> u64 {
+        self.new_failed_count
+    }
+
+    /// Returns the number of runs of other versions.
+    pub fn old_run_count(&self) -> u64 {
+        self.old_run_count
+    }
+
+    fn add_old(&mut self, route: &str, more: &RouteEvidence, now: Instant) {
+        self.old_run_count += more.answered_count + more.failed_count;
+        let old = self.old.entry(route.to_owned()).or_default();
+        old.all.add(more);
+        if let Some(updated_at) = old.updated_at {
+            let passed = now.saturating_duration_since(updated_at);
+            let kept = (-passed.as_secs_f64() / RECENT.as_secs_f64()).exp();
+            old.recent_failed *= kept;
+            old.recent_runs *= kept;
+        }
+        old.recent_failed += more.failed_count as f64;
+        old.recent_runs += (more.answered_count + more.failed_count) as f64;
+        old.updated_at = Some(now);
+    }
+
+    fn add_new(&mut self, route: &str, more: &RouteEvidence) {
+        self.new_run_count += more.answered_count + more.failed_count;
+        self.new_failed_count += more.failed_count;
+        let scores = self.by_route.entry(route.to_owned()).or_default();
+        let old = self.old.get(route);
+        let old_rate = old.map_or(PRIOR_FAILED_RATE, OldRoute::failed_rate);
+        let short = failed_hypotheses(old_rate);
+        let long = failed_hypotheses_long(old_rate);
+        for scores in [&mut *scores, &mut self.overall] {
+            let (failed, answered) = (more.failed_count, more.answered_count);
+            scores.failed.add(failed, answered, &short);
+            scores.failed_long.add(failed, answered, &long);
+        }
+        let Some((slow_bin, test)) = old.and_then(OldRoute::slow_test) else {
+            return;
+        };
+        let (slow_count, fast_count) = more.slow_and_fast(slow_bin);
+        scores.slow.add(slow_count, fast_count, &test);
+        self.overall.slow.add(slow_count, fast_count, &test);
+    }
+}
+
+impl OldRoute {
+    /// Returns the share of failures, over all runs or the recent ones, whichever is higher. What
+    /// makes both versions fail is not the new one's fault.
+    fn failed_rate(&self) -> f64 {
+        let prior_failed = PRIOR_FAILED_RATE * PRIOR_RUN_COUNT;
+        let runs = (self.all.answered_count + self.all.failed_count) as f64;
+        let all = (self.all.failed_count as f64 + prior_failed) / (runs + PRIOR_RUN_COUNT);
+        let recent = (self.recent_failed + prior_failed) / (self.recent_runs + PRIOR_RUN_COUNT);
+        all.max(recent)
+    }
+
+    /// Returns the bin from which a run is slow, and the test of the share of slow runs. Returns `None`
+    /// while too few runs of the old version are known.
+    fn slow_test(&self) -> Option<(u8, Hypotheses)> {
+        let (count, median_bin) = self.all.median_bin()?;
+        if count < MEDIAN_MIN_COUNT {
+            return None;
+        }
+        let slow_bin = median_bin + SLOW_BINS;
+        let (slow, fast) = self.all.slow_and_fast(slow_bin);
+        let old_rate = slow as f64 / (slow + fast).max(1) as f64;
+        let good_rate = (old_rate * 1.3 + SLOW_RATE_MARGIN).min(0.6);
+        let test = Hypotheses {
+            good_rate,
+            bad_rate: good_rate + SLOW_RATE_STEP,
+            limit: SLOW_LIMIT,
+        };
+        Some((slow_bin, test))
+    }
+}
+
+fn failed_hypotheses(old_rate: f64) -> Hypotheses {
+    let good_rate = (old_rate * 2.0).clamp(GOOD_FAILED_RATE, 0.5);
+    Hypotheses {
+        good_rate,
+        bad_rate: (good_rate * 3.0).clamp(BAD_FAILED_RATE, 0.9),
+        limit: FAILED_LIMIT,
+    }
+}
+
+fn failed_hypotheses_long(old_rate: f64) -> Hypotheses {
+    let good_rate = (old_rate * 1.5).clamp(GOOD_FAILED_RATE_LONG, 0.5);
+    Hypotheses {
+        good_rate,
+        bad_rate: (good_rate * 3.0).clamp(BAD_FAILED_RATE_LONG, 0.8),
+        limit: FAILED_LIMIT_LONG,
+    }
+}
