--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,6 +19,7 @@
 mod reach;
 mod reader;
 mod records;
+mod rollout_agent;
 mod route_history;
 mod route_lease;
 mod route_reader;
--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -8,6 +8,7 @@
 mod news;
 mod own_target;
 mod report;
+mod rollouts;
 mod routes;
 
 use std::net::IpAddr;
@@ -51,6 +52,7 @@
     log_installed,
     log_verdict, //
 };
+use self::rollouts::RolloutFeed;
 use crate::meter::ControlMeter;
 use crate::records::RecentRecords;
 use crate::route_history::RouteHistory;
@@ -102,6 +104,7 @@
     own_report: Mutex<u64>,
     run_feed: RunFeed,
     own_target_news: OwnTargetNews,
+    rollout_feed: RolloutFeed,
     view: ArcSwap<View>,
     view_changes: watch::Sender<u64>,
     head: watch::Sender<Offset>,
@@ -142,6 +145,7 @@
             own_report: Mutex::default(),
             run_feed: RunFeed::new(now),
             own_target_news: OwnTargetNews::default(),
+            rollout_feed: RolloutFeed::default(),
             view: ArcSwap::default(),
             view_changes: watch::Sender::new(0),
             head: watch::Sender::new(Offset(0)),
--- a/crates/control/src/mesh/news.rs
+++ b/crates/control/src/mesh/news.rs
@@ -86,6 +86,7 @@
         self.add_own_target(receiver, &mut updates);
         let reports = self.reports_for(receiver);
         let runs = self.ending_runs_for(receiver);
+        let rollouts = self.rollouts_for(receiver);
         let head_left = self.head_fresh_until().saturating_duration_since(now);
         Gossip {
             applied_offset: self.applied_offset(),
@@ -101,6 +102,9 @@
             ending_runs: runs.batch.runs,
             run_range: runs.range,
             run_ack: runs.ack,
+            rollouts: rollouts.states,
+            rollout_range: rollouts.range,
+            rollout_ack: rollouts.ack,
             routes: self.route_gossip_for(self.peer_route_version(receiver)),
         }
     }
@@ -114,6 +118,7 @@
             || progress.route_version < self.routes().version
             || self.has_reports_for(peer)
             || self.has_ending_runs_for(peer)
+            || self.has_rollouts_for(peer)
         {
             return true;
         }
@@ -125,6 +130,7 @@
     pub(crate) fn has_own_news_for(&self, peer: &NodeId) -> bool {
         self.has_own_reports_for(peer)
             || self.has_own_runs_for(peer)
+            || self.has_own_rollouts_for(peer)
             || self.has_own_target_for(peer)
     }
 
@@ -155,6 +161,7 @@
         self.merge_members(&gossip.rumours);
         self.merge_reports(sender, gossip);
         self.merge_run_feed(sender, gossip);
+        self.merge_rollouts(sender, gossip);
         self.apply_route_gossip(&gossip.routes)
     }
 
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -10,9 +10,11 @@
 use anyhow::Context as _;
 use figway_log_client::{
     LogService,
-    RouteSource, //
+    RouteSource,
+    StatusLog, //
 };
 use figway_membership::LinkCounts;
+use figway_rollout::ExposureLimits;
 use figway_types::{
     Member,
     MemberState, //
@@ -41,6 +43,10 @@
 use crate::mesh::Mesh;
 use crate::reach::probe_lost_members;
 use crate::reader::follow_log;
+use crate::rollout_agent::{
+    record_statuses,
+    run_rollouts, //
+};
 use crate::route_reader::follow_routes;
 use crate::server::serve_peers;
 
@@ -63,6 +69,8 @@
     own: Member,
     log: Rc<dyn LogService>,
     routes: Option<Rc<dyn RouteSource>>,
+    statuses: Option<Rc<dyn StatusLog>>,
+    exposure_limits: ExposureLimits,
     peers: Vec<String>,
     plan: LinkPlan,
     retention_ms: u64,
@@ -84,6 +92,8 @@
             own,
             log,
             routes: None,
+            statuses: None,
+            exposure_limits: ExposureLimits::default(),
             peers: Vec::new(),
             plan: LinkPlan {
                 counts: LinkCounts {
@@ -106,6 +116,13 @@
         self
     }
 
+    /// Sets the log of the statuses of rollouts, and the limits on what a bad version may get.
+    pub fn rollouts(mut self, statuses: Rc<dyn StatusLog>, limits: ExposureLimits) -> Self {
+        self.statuses = Some(statuses);
+        self.exposure_limits = limits;
+        self
+    }
+
     /// Sets the control addresses of the peers that the node tries first when it joins.
     pub fn peers(mut self, peers: &[String]) -> Self {
         self.peers = peers.to_vec();
@@ -202,6 +219,11 @@
             self.retention_ms,
             start_at,
         ));
+        mesh.rollouts().set_limits(self.exposure_limits);
+        if let Some(statuses) = self.statuses {
+            spawn_local(run_rollouts(Arc::clone(&mesh)));
+            spawn_local(record_statuses(Arc::clone(&mesh), statuses));
+        }
         if let Some(routes) = self.routes {
             spawn_local(follow_routes(Arc::clone(&mesh), routes, start_at));
             spawn_local(follow_hub(Arc::clone(&mesh)));
--- /dev/null
+++ b/crates/control/src/rollout_agent.rs
@@ -0,0 +1,258 @@
+//! Tasks of a node while a rollout is under way: they report what the target beside the node shows, and
+//! on the first node by rank for the log they decide and record the status. Without a rollout they
+//! wait.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_log_client::{
+    AppendError,
+    StatusLog, //
+};
+use figway_rollout::{
+    needs_status,
+    plan_status,
+    EvidenceReport,
+    Phase,
+    RolloutStatus,
+    StatusState,
+    StatusStep, //
+};
+use figway_types::NodeId;
+
+use crate::dial::{
+    context_until,
+    dial, //
+};
+use crate::mesh::Mesh;
+use crate::rpc::PeerClient;
+
+/// Shortest time between two rounds of a node.
+const ROUND_MIN: Duration = Duration::from_millis(100);
+
+/// Time of a round for each node of the mesh, so that the node that decides gets at most some hundred
+/// reports a second.
+const ROUND_PER_NODE: Duration = Duration::from_millis(2);
+
+/// Longest time of a round.
+const ROUND_MAX: Duration = Duration::from_millis(500);
+
+/// Rounds of a target of the old version between two reports, which only tell what is usual.
+const OLD_REPORT_ROUND_COUNT: u32 = 4;
+
+/// Timeout of one report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Pause of the node that decides before it looks again whether the log has to be asked.
+const STATUS_PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause after a request to the log that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Timeout of one request to the log.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Reports evidence, or decides, while a rollout is open. Runs until the process ends.
+pub(crate) async fn run_rollouts(mesh: Arc<Mesh>) {
+    let mut reporter = Reporter::default();
+    loop {
+        wait_for_rollout(&mesh).await;
+        let report = mesh.own_evidence();
+        if let Some(report) = &report {
+            mesh.merge_evidence(report);
+        }
+        if mesh.log_rank() == Some(0) {
+            mesh.advance_rollouts();
+        } else if let Some(report) = report {
+            reporter.send(&mesh, &report).await;
+        }
+        let by_size = ROUND_PER_NODE * mesh.view().node_count as u32;
+        tokio::time::sleep(by_size.clamp(ROUND_MIN, ROUND_MAX)).await;
+    }
+}
+
+/// Waits until a rollout is open.
+async fn wait_for_rollout(mesh: &Mesh) {
+    let mut changes = mesh.watch_rollouts();
+    while !mesh.rollouts().has_open() {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Sends reports to the node that decides.
+#[derive(Default)]
+struct Reporter {
+    connection: Option<(NodeId, PeerClient)>,
+    /// Receiver and number of runs of the last report that arrived.
+    last: Option<(NodeId, u64, u64)>,
+    skipped_count: u32,
+}
+
+impl Reporter {
+    async fn send(&mut self, mesh: &Mesh, report: &EvidenceReport) {
+        let Some(decider) = mesh.first_log_reader() else {
+            return;
+        };
+        let run_count = run_count(mesh, report);
+        let sent = (decider.node_id.clone(), report.order_offset.0, run_count);
+        if self.last.as_ref() == Some(&sent) {
+            return;
+        }
+        if !has_new_version(mesh, report) && self.skipped_count + 1 < OLD_REPORT_ROUND_COUNT {
+            self.skipped_count += 1;
+            return;
+        }
+        self.skipped_count = 0;
+        if self
+            .connection
+            .as_ref()
+            .is_none_or(|(to, _)| *to != decider.node_id)
+        {
+            let cross_region = decider.region != mesh.members().own().region;
+            self.connection = match dial(mesh, &decider.control_address, cross_region).await {
+                Ok(client) => Some((decider.node_id.clone(), client)),
+                Err(error) => {
+                    log::info!(
+                        "could not report evidence node={} why={error:#}",
+                        decider.node_id
+                    );
+                    None
+                }
+            };
+        }
+        let Some((_, client)) = &self.connection else {
+            return;
+        };
+        let context = context_until(Instant::now() + REPORT_TIMEOUT);
+        match client.report_evidence(context, report.clone()).await {
+            Ok(states) => {
+                mesh.merge_rollout_states(&states);
+                self.last = Some(sent);
+            }
+            Err(error) => {
+                log::info!(
+                    "could not report evidence node={} why={error}",
+                    decider.node_id
+                );
+                self.connection = None;
+            }
+        }
+    }
+}
+
+fn run_count(mesh: &Mesh, report: &EvidenceReport) -> u64 {
+    let book = mesh.rollouts();
+    let rollout = book.get(&report.service);
+    rollout.map_or(0, |rollout| rollout.counter().run_count())
+}
+
+fn has_new_version(mesh: &Mesh, report: &EvidenceReport) -> bool {
+    let book = mesh.rollouts();
+    let rollout = book.get(&report.service);
+    rollout.is_some_and(|rollout| {
+        report
+            .versions
+            .contains_key(&rollout.order().target_version)
+    })
+}
+
+/// Records the status of rollouts in the log, on the node that decides. Runs until the process ends.
+pub(crate) async fn record_statuses(mesh: Arc<Mesh>, log: Rc<dyn StatusLog>) {
+    loop {
+        wait_for_rollout(&mesh).await;
+        if mesh.log_rank() != Some(0) || !is_status_needed(&mesh) {
+            tokio::time::sleep(STATUS_PAUSE).await;
+            continue;
+        }
+        if let Err(why) = record_once(&mesh, log.as_ref()).await {
+            log::warn!("could not record a rollout why={why}");
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        tokio::time::sleep(STATUS_PAUSE).await;
+    }
+}
+
+fn is_status_needed(mesh: &Mesh) -> bool {
+    let now = Instant::now();
+    let book = mesh.rollouts();
+    let needed = book.open().any(|rollout| needs_status(rollout, now));
+    needed
+}
+
+/// Reads the statuses once, and takes over or appends what follows from them.
+async fn record_once(mesh: &Mesh, log: &dyn StatusLog) -> Result<(), String> {
+    let asked_at = Instant::now();
+    let page = log
+        .read_statuses(asked_at + STATUS_TIMEOUT)
+        .await
+        .map_err(|error| error.to_string())?;
+    for service in mesh.open_rollouts() {
+        let newest = page
+            .statuses
+            .iter()
+            .find(|status| status.service == service);
+        let has_targets = mesh.has_new_targets(&service);
+        let now = Instant::now();
+        let mut book = mesh.rollouts();
+        book.record_log_contact(&service, asked_at);
+        let Some(rollout) = book.get(&service) else {
+            continue;
+        };
+        let step = plan_status(rollout, newest, has_targets, now);
+        let order_offset = rollout.order_offset();
+        let target_version = rollout.order().target_version.clone();
+        drop(book);
+        match step {
+            StatusStep::Nothing => {}
+            StatusStep::Adopt(phase) => mesh.record_rollout_end(&service, order_offset, phase),
+            StatusStep::Recorded => mesh.record_rollout_running(&service, order_offset),
+            StatusStep::Append(state) => {
+                let status = RolloutStatus {
+                    service: service.clone(),
+                    target_version,
+                    state,
+                };
+                append(log, &status, page.end_offset).await?;
+                match state {
+                    StatusState::Running => mesh.record_rollout_running(&service, order_offset),
+                    StatusState::Completed => {
+                        mesh.record_rollout_end(&service, order_offset, Phase::Completed);
+                    }
+                    StatusState::RolledBack => {
+                        mesh.record_rollout_end(&service, order_offset, Phase::RolledBack);
+                    }
+                }
+                // The end has moved; the next append needs the new one.
+                return Ok(());
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Appends a status. After a lost answer the next read tells whether it is in the log.
+async fn append(
+    log: &dyn StatusLog,
+    status: &RolloutStatus,
+    end_offset: figway_types::Offset,
+) -> Result<(), String> {
+    let deadline = Instant::now() + STATUS_TIMEOUT;
+    let appended = log.append_status(status, end_offset, deadline).await;
+    log::info!(
+        "rollout status service={} version={} state={:?} end={end_offset} result={}",
+        status.service,
+        status.target_version,
+        status.state,
+        match &appended {
+            Ok(()) => "appended".to_owned(),
+            Err(error) => error.to_string(),
+        },
+    );
+    appended.map_err(|error: AppendError| error.to_string())
+}
--- a/crates/control/src/route_reader.rs
+++ b/crates/control/src/route_reader.rs
@@ -172,7 +172,7 @@
     timing: ReadTiming,
 ) -> Result<Offset, ReadError> {
     if position == Offset(0) && mesh.routes().version == 0 {
-        return read_newest(mesh, source, timing).await;
+        return read_newest(mesh, source, timing, false).await;
     }
     let from_offset = skip_applied(position, mesh.routes().source_offset);
     let started_at = BootInstant::now();
@@ -183,7 +183,7 @@
     {
         Err(ReadError::Expired(first_offset)) => {
             log::info!("route records expired from={from_offset} first={first_offset}");
-            return read_newest(mesh, source, timing).await;
+            return read_newest(mesh, source, timing, false).await;
         }
         // In another era other records may lie before this position.
         Ok(page) if page.next_offset.era() != from_offset.era() => {
@@ -191,7 +191,7 @@
                 "log of another era from={from_offset} next={}",
                 page.next_offset
             );
-            return read_newest(mesh, source, timing).await;
+            return read_newest(mesh, source, timing, false).await;
         }
         result => result?,
     };
@@ -206,25 +206,31 @@
     if let Some(table) = page.table {
         mesh.install_read_table(table);
     }
+    // From the first position on, orders may be old: the table that peers sent lies before them.
+    let is_following = position != Offset(0);
+    mesh.record_orders(&page.orders, is_following);
     if page.next_offset < page.end_offset {
         // The newest table costs less than all the tables in between.
-        return read_newest(mesh, source, timing).await;
+        return read_newest(mesh, source, timing, is_following).await;
     }
     mesh.confirm_routes(confirmed_at);
     Ok(page.next_offset)
 }
 
-/// Reads the newest table. Returns the position of the next read.
+/// Reads the newest table and the newest order of each service. `is_following` says whether earlier
+/// orders are known. Returns the position of the next read.
 async fn read_newest(
     mesh: &Mesh,
     source: &dyn RouteSource,
     timing: ReadTiming,
+    is_following: bool,
 ) -> Result<Offset, ReadError> {
     let started_at = BootInstant::now();
     let page = source.newest(Instant::now() + timing.timeout).await?;
     if let Some(table) = page.table {
         mesh.install_read_table(table);
     }
+    mesh.record_orders(&page.orders, is_following);
     mesh.confirm_routes(started_at);
     Ok(page.next_offset)
 }
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -11,6 +11,10 @@
     RouteChange,
     RouteTable, //
 };
+use figway_rollout::{
+    EvidenceReport,
+    RolloutState, //
+};
 use figway_types::{
     EndingRun,
     LogRecord,
@@ -99,6 +103,15 @@
     /// Which of the runs that the receiver knows the sender has.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub run_ack: Option<FeedAck>,
+    /// Rollouts, the newest of each service.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<RolloutState>,
+    /// Place of these rollouts among all those that the sender knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollout_range: Option<FeedRange>,
+    /// Which of the rollouts that the receiver knows the sender has.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollout_ack: Option<FeedAck>,
     /// Gossip about the route table.
     #[serde(default)]
     pub routes: RouteGossip,
@@ -318,4 +331,7 @@
     async fn claim(claim: Claim, left_ms: u64) -> ClaimVerdict;
     /// Returns the outcome of an attempt that the receiver owns.
     async fn outcome(attempt_id: u64) -> KeyOutcome;
+    /// Reports evidence about a rollout to the node that decides. Returns what that knows of the
+    /// rollouts.
+    async fn report_evidence(report: EvidenceReport) -> Vec<RolloutState>;
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -8,6 +8,10 @@
     Instant, //
 };
 
+use figway_rollout::{
+    EvidenceReport,
+    RolloutState, //
+};
 use figway_types::{
     deadline_after_ms,
     Member,
@@ -196,4 +200,9 @@
     async fn outcome(self, _: Context, attempt_id: u64) -> KeyOutcome {
         self.mesh.outcome(attempt_id)
     }
+
+    async fn report_evidence(self, _: Context, report: EvidenceReport) -> Vec<RolloutState> {
+        self.mesh.merge_evidence(&report);
+        self.mesh.rollout_states()
+    }
 }
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -27,6 +27,7 @@
     Outcome,
     DEADLINE_EXCEEDED, //
 };
+use crate::evidence::record_run;
 use crate::interface::ForwardContext;
 use crate::plane::DataPlane;
 use crate::run_watch::{
@@ -159,7 +160,7 @@
     let mut run_log = RunLog {
         plane,
         call,
-        instance: &target.instance,
+        target: &target,
         queue_time: started_at.saturating_duration_since(entered_at),
         started_at,
         written: false,
@@ -174,6 +175,7 @@
         result.outcome.reason(),
         started_at.saturating_duration_since(entered_at),
     );
+    record_run(plane, &target, call.kind, started_at, Some(&result.outcome));
     run_log.write(result.outcome.name(), result.outcome.reason(), false);
     AttemptResult {
         queue_time: started_at.saturating_duration_since(entered_at),
@@ -188,7 +190,7 @@
 struct RunLog<'a> {
     plane: &'a DataPlane,
     call: &'a AdmissionRequest<'a>,
-    instance: &'a str,
+    target: &'a Target,
     queue_time: Duration,
     started_at: Instant,
     written: bool,
@@ -210,7 +212,7 @@
             self.call.request_id,
             self.call.kind,
             self.call.fingerprint.0,
-            self.instance,
+            self.target.instance,
             self.queue_time.as_millis(),
             self.started_at.elapsed().as_millis(),
         );
@@ -220,6 +222,13 @@
 impl Drop for RunLog<'_> {
     fn drop(&mut self) {
         if !self.written {
+            record_run(
+                self.plane,
+                self.target,
+                self.call.kind,
+                self.started_at,
+                None,
+            );
             self.write("unknown", "given-up", true);
         }
     }
--- a/crates/dataplane/src/builder.rs
+++ b/crates/dataplane/src/builder.rs
@@ -23,6 +23,7 @@
 use figway_routing::TransitPrices;
 use tokio::sync::watch;
 
+use crate::evidence::ColdStart;
 use crate::gate::TargetGate;
 use crate::interface::Interface;
 use crate::keyed_outcomes::KeyedOutcomes;
@@ -163,6 +164,7 @@
             run_watch: RunWatch::default(),
             target_watch: TargetWatch::new(self.announce_every),
             local_target: LocalTarget::default(),
+            cold_start: ColdStart::default(),
             peer_targets: PeerTargets::default(),
             outcomes,
             metrics: Metrics::default(),
--- a/crates/dataplane/src/candidates.rs
+++ b/crates/dataplane/src/candidates.rs
@@ -1,7 +1,9 @@
 //! Targets that a node calls for a service and subset, cached until the view changes.
 
+use std::fmt::Write as _;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
 use figway_control::{
     has_labels,
@@ -11,6 +13,10 @@
     Profile,
     Subset, //
 };
+use figway_rollout::{
+    ServiceVersions,
+    VersionMask, //
+};
 use figway_routing::{
     keep_nearest,
     Candidate,
@@ -45,25 +51,48 @@
     }
 }
 
-/// Service, profile and subset whose targets are candidates for a call.
+/// Service, profile, subset and versions whose targets are candidates for a call.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CandidateKey<'a> {
     pub(crate) service: &'a str,
     pub(crate) subset_name: &'a str,
     pub(crate) profile: &'a Profile,
     pub(crate) profile_name: &'a str,
+    pub(crate) versions: VersionMask,
+}
+
+/// Versions of a service's targets, and whether they were counted in the present view.
+struct CountedVersions {
+    versions: ServiceVersions,
+    is_current: bool,
 }
 
-/// Cache of candidate targets by service, profile and subset, for one view.
+/// Cache of candidate targets by service, profile, subset and versions, for one view.
 #[derive(Default)]
 pub(crate) struct CandidateCache {
     view: Option<Arc<View>>,
     entries: FastMap<String, Rc<[TargetEntry]>>,
-    /// Buffer for keys of `entries`: `SERVICE/PROFILE/SUBSET`.
+    versions: FastMap<String, CountedVersions>,
+    /// Buffer for keys of `entries`: `SERVICE/PROFILE/SUBSET/VERSIONS`.
     key_buffer: String,
 }
 
 impl CandidateCache {
+    /// Returns the versions that the serving targets of `service` run.
+    pub(crate) fn versions(&mut self, view: &Arc<View>, service: &str) -> &ServiceVersions {
+        self.enter_view(view);
+        let known = self.versions.get(service);
+        if known.is_none_or(|known| !known.is_current) {
+            let earlier = known.map(|known| &known.versions);
+            let counted = CountedVersions {
+                versions: count_versions(view, service, earlier),
+                is_current: true,
+            };
+            self.versions.insert(service.to_owned(), counted);
+        }
+        &self.versions[service].versions
+    }
+
     /// Returns the targets that `own` calls for `key`, nearest first.
     pub(crate) fn entries(
         &mut self,
@@ -71,30 +100,56 @@
         own: &Member,
         key: CandidateKey<'_>,
     ) -> Rc<[TargetEntry]> {
-        if !self
-            .view
-            .as_ref()
-            .is_some_and(|cached| Arc::ptr_eq(cached, view))
-        {
-            self.entries.clear();
-            self.view = Some(Arc::clone(view));
-        }
+        self.enter_view(view);
         self.key_buffer.clear();
         for part in [key.service, "/", key.profile_name, "/", key.subset_name] {
             self.key_buffer.push_str(part);
         }
+        write!(self.key_buffer, "/{:x}", key.versions.0).expect("a string takes any text");
         if let Some(entries) = self.entries.get(&self.key_buffer) {
             return Rc::clone(entries);
         }
-        let entries: Rc<[TargetEntry]> = Rc::from(build_entries(view, own, key));
+        let versions = self.versions.get(key.service);
+        let versions = versions.map(|counted| &counted.versions);
+        let entries: Rc<[TargetEntry]> = Rc::from(build_entries(view, own, key, versions));
         self.entries
             .insert(self.key_buffer.clone(), Rc::clone(&entries));
         entries
     }
+
+    /// Forgets what was cached for another view.
+    fn enter_view(&mut self, view: &Arc<View>) {
+        let cached = self.view.as_ref();
+        if cached.is_some_and(|cached| Arc::ptr_eq(cached, view)) {
+            return;
+        }
+        self.entries.clear();
+        for counted in self.versions.values_mut() {
+            counted.is_current = false;
+        }
+        self.view = Some(Arc::clone(view));
+    }
 }
 
-/// Returns the serving targets of the subset, limited to the profile's `share_target_count`.
-fn build_entries(view: &View, own: &Member, key: CandidateKey<'_>) -> Vec<TargetEntry> {
+fn count_versions(
+    view: &View,
+    service: &str,
+    earlier: Option<&ServiceVersions>,
+) -> ServiceVersions {
+    let members = view.targets.get(service);
+    let members = members.into_iter().flat_map(|members| members.iter());
+    let serving = members.filter_map(|member| member.serving_target());
+    let versions = serving.map(|target| (target.version(), target.started_at_ms));
+    ServiceVersions::count(versions, earlier, Instant::now())
+}
+
+/// Returns the serving targets of the subset and the versions, limited to the profile's `share_target_count`.
+fn build_entries(
+    view: &View,
+    own: &Member,
+    key: CandidateKey<'_>,
+    versions: Option<&ServiceVersions>,
+) -> Vec<TargetEntry> {
     let all_targets = Subset::default();
     let subset = key.profile.subsets.get(key.subset_name);
     let labels = &subset.unwrap_or(&all_targets).labels;
@@ -105,7 +160,12 @@
         .into_iter()
         .flat_map(|members| members.iter())
     {
-        if member.serving_target().is_none() || !has_labels(member, labels) {
+        let Some(target) = member.serving_target() else {
+            continue;
+        };
+        let place = versions.and_then(|versions| versions.index_of(target.version()));
+        let is_chosen = place.is_none_or(|index| key.versions.contains(index));
+        if !is_chosen || !has_labels(member, labels) {
             continue;
         }
         let distance = distance(own, member);
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -11,6 +11,7 @@
 mod call;
 mod candidates;
 mod crashes;
+mod evidence;
 mod front;
 mod gate;
 mod headers;
--- a/crates/dataplane/src/pick.rs
+++ b/crates/dataplane/src/pick.rs
@@ -66,7 +66,7 @@
     let plane = &worker.plane;
     let rule = &call.rule;
     let own_member = &worker.own_member;
-    let entries = entries(worker, rule);
+    let entries = entries(worker, rule, tried.is_empty());
     let candidates = build_candidates(plane, &entries);
     let excluded: Vec<&NodeId> = tried.iter().collect();
     let mut loads = plane.loads();
@@ -110,7 +110,7 @@
 /// known.
 pub(crate) fn shortest_wait(worker: &Worker, rule: &Rule<'_>) -> Option<Duration> {
     let plane = &worker.plane;
-    let entries = entries(worker, rule);
+    let entries = entries(worker, rule, true);
     let candidates = build_candidates(plane, &entries);
     let loads = plane.loads();
     let now = Instant::now();
@@ -124,19 +124,30 @@
     Duration::try_from_secs_f64(shortest_ms? / 1_000.0).ok()
 }
 
-/// Returns the targets of the rule's service and subset.
-fn entries(worker: &Worker, rule: &Rule<'_>) -> Rc<[TargetEntry]> {
-    let view = worker.plane.mesh.view();
+/// Returns the targets of the rule's service and subset, of the versions that rollouts leave to the
+/// call. `is_first` says whether this is its first attempt.
+fn entries(worker: &Worker, rule: &Rule<'_>, is_first: bool) -> Rc<[TargetEntry]> {
+    let mesh = &worker.plane.mesh;
+    let view = mesh.view();
+    let mut cache = worker.candidates.borrow_mut();
+    let draw = mesh.random() as f64 / u64::MAX as f64;
+    let book = mesh.rollouts();
+    let versions = cache.versions(&view, rule.service).choose(
+        book.get(rule.service),
+        book.limits(),
+        draw,
+        is_first,
+        Instant::now(),
+    );
+    drop(book);
     let key = CandidateKey {
         service: rule.service,
         subset_name: rule.subset,
         profile: rule.profile,
         profile_name: rule.profile_name,
+        versions,
     };
-    worker
-        .candidates
-        .borrow_mut()
-        .entries(&view, &worker.own_member, key)
+    cache.entries(&view, &worker.own_member, key)
 }
 
 /// Returns the targets in the form that pickers use, with the rate limits that this node knows.
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -37,6 +37,10 @@
 };
 use tokio::sync::watch;
 
+use crate::evidence::{
+    set_rollout_gauges,
+    ColdStart, //
+};
 use crate::gate::TargetGate;
 use crate::interface::Interface;
 use crate::keyed_outcomes::KeyedOutcomes;
@@ -102,6 +106,7 @@
     pub(crate) run_watch: RunWatch,
     pub(crate) target_watch: TargetWatch,
     pub(crate) local_target: LocalTarget,
+    pub(crate) cold_start: ColdStart,
     pub(crate) peer_targets: PeerTargets,
     pub(crate) outcomes: Arc<KeyedOutcomes>,
     pub(crate) metrics: Metrics,
@@ -192,6 +197,7 @@
             .set_gauge("control_region_bytes", self.mesh.meter().region_bytes());
         self.metrics
             .set_gauge("control_far_bytes", self.mesh.meter().cross_region_bytes());
+        set_rollout_gauges(self);
         self.metrics.render()
     }
 
@@ -233,6 +239,7 @@
             .target_watch
             .record_announcement(&self.mesh, announcement);
         if outcome == AnnounceOutcome::Accepted {
+            self.cold_start.record(announcement);
             self.apply_target_state(self.local_target.begin_run(target));
             let key = self.run_key(target);
             let replaced = self.run_watch.announce(target, key, Instant::now());
--- a/crates/figway/src/control_plane.rs
+++ b/crates/figway/src/control_plane.rs
@@ -22,7 +22,11 @@
     peer_control_address,
     StoreLog, //
 };
-use figway_settings::NodeSettings;
+use figway_rollout::ExposureLimits;
+use figway_settings::{
+    NodeSettings,
+    PlatformSettings, //
+};
 use figway_types::{
     Member,
     MemberState,
@@ -136,8 +140,10 @@
                 true if platform.link_mbps >= WIDE_LINK_MBPS => FIRST_START_SPREAD / 5,
                 true => FIRST_START_SPREAD,
             };
+            let statuses = Rc::clone(&store);
             ControlBuilder::new(&settings.cluster, own_member, log)
                 .routes(store)
+                .rollouts(statuses, exposure_limits(platform))
                 .start_spread(start_spread)
         }
     };
@@ -151,6 +157,16 @@
         .start(listener)
 }
 
+fn exposure_limits(platform: &PlatformSettings) -> ExposureLimits {
+    let default = ExposureLimits::default();
+    let rollback_ms = platform.rollback.as_deref().and_then(parse_duration_ms);
+    ExposureLimits {
+        share_ratio: platform.expose_share.unwrap_or(default.share_ratio),
+        slack_count: platform.expose_slack_count.unwrap_or(default.slack_count),
+        rollback: rollback_ms.map_or(default.rollback, Duration::from_millis),
+    }
+}
+
 fn retention_ms(settings: &NodeSettings) -> u64 {
     let store_retention_ms = settings
         .platform
--- a/crates/log-client/src/lib.rs
+++ b/crates/log-client/src/lib.rs
@@ -4,6 +4,7 @@
 //! tables only through [`RouteSource`].
 
 mod http;
+mod rollouts;
 
 use std::time::Instant;
 
@@ -19,6 +20,11 @@
 };
 
 pub use http::HttpLog;
+pub use rollouts::{
+    OrderRecord,
+    StatusLog,
+    StatusPage, //
+};
 
 /// Stream of profiles and picks.
 pub const CHANGE_STREAM: &str = "figway-changes";
@@ -130,6 +136,9 @@
 pub struct RoutePage {
     /// Newest of the tables that were read, if any.
     pub table: Option<RouteTable>,
+    /// Orders of rollouts that were read; of a read of the newest table the newest order of each
+    /// service.
+    pub orders: Vec<OrderRecord>,
     /// Offset from which the next read continues.
     pub next_offset: Offset,
     /// Offset after the last record of the source at the time of the read.
--- a/crates/rollout/src/book.rs
+++ b/crates/rollout/src/book.rs
@@ -95,7 +95,8 @@
             return false;
         }
         let mut rollout = Rollout::new(order, offset, now);
-        rollout.fresh = fresh;
+        // The log was followed before, so that the order is newer than what is known.
+        rollout.fresh = fresh || earlier.is_some();
         rollout.base = base.map(str::to_owned);
         if let Some(earlier) = earlier {
             succeed(&mut rollout, earlier);
@@ -217,6 +218,11 @@
         }
     }
 
+    /// Returns whether the log does not hold the end of some rollout yet.
+    pub fn has_open(&self) -> bool {
+        self.open().next().is_some()
+    }
+
     /// Returns the number of the last change that this node learned.
     pub fn last_sequence(&self) -> u64 {
         self.last_sequence
@@ -289,6 +295,7 @@
         known.set_phase(state.phase, before(now, state.phase_age_ms));
         learned = true;
     }
+    known.fresh |= state.fresh;
     if state.recorded && !known.recorded {
         known.recorded = true;
         learned = true;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -79,6 +79,12 @@
     pub retry_ratio: Option<f64>,
     /// Retries allowed beyond that ratio in any window, for all nodes together.
     pub retry_burst_count: Option<f64>,
+    /// Largest share of a service's requests that a bad version may get during its rollout.
+    pub expose_share: Option<f64>,
+    /// Requests that a bad version may get beyond that share.
+    pub expose_slack_count: Option<u64>,
+    /// Time after the 50th bad answer of a version until it gets no more requests, such as `5000ms`.
+    pub rollback: Option<String>,
 }
 
 /// Connection to the platform's log.
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -157,6 +157,11 @@
             .map_or(0, |mbps| mbps as u32),
         retry_ratio: reader.number("retry_ratio", 0.0..=10.0),
         retry_burst_count: reader.number("retry_burst_count", 0.0..=1e6),
+        expose_share: reader.number("expose_share", 0.0..=1.0),
+        expose_slack_count: reader
+            .number("expose_slack", 0.0..=1e6)
+            .map(|count| count as u64),
+        rollback: reader.text("rollback").map(str::to_owned),
     })
 }
 
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -65,6 +65,8 @@
     listen_address: RefCell<String>,
     /// Address that heartbeats name.
     announced_address: RefCell<String>,
+    /// Version that heartbeats name.
+    pub version: RefCell<String>,
     /// Number of starts, from 1; a part of the instance's name.
     generation: Cell<u64>,
     /// Name of an earlier generation under which this one runs.
@@ -116,6 +118,7 @@
             announce_address: announce_address.to_owned(),
             listen_address: RefCell::default(),
             announced_address: RefCell::default(),
+            version: RefCell::new("v1".to_owned()),
             generation: Cell::new(1),
             kept_name: RefCell::default(),
             sequence: Cell::new(0),
@@ -276,7 +279,7 @@
     pub async fn send_heartbeat_of(&self, sequence: u64, draining: bool) -> bool {
         let body = json!({
             "service": self.service, "address": self.announced_address(), "zone": self.zone,
-            "version": "v1", "slots": 12, "coldLeft": "0ms", "sequence": sequence,
+            "version": *self.version.borrow(), "slots": 12, "coldLeft": "0ms", "sequence": sequence,
             "state": if draining { "draining" } else { "ready" },
             "born": self.born_ms(),
         });
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -141,7 +141,7 @@
         store.publish(&config(1, "/reads/"));
         let mut hosts = Vec::new();
         for index in 0..host_count {
-            hosts.push(start_host(&folder, &store, index).await?);
+            hosts.push(start_host(&folder, &store, index, "v1").await?);
         }
         Ok(Self {
             folder,
@@ -156,7 +156,16 @@
     ///
     /// As for [`Site::start`].
     pub async fn add_host(&mut self) -> anyhow::Result<()> {
-        let host = start_host(&self.folder, &self.store, self.hosts.len()).await?;
+        self.add_host_of("v1").await
+    }
+
+    /// Adds a host whose back end is of `version`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Site::start`].
+    pub async fn add_host_of(&mut self, version: &str) -> anyhow::Result<()> {
+        let host = start_host(&self.folder, &self.store, self.hosts.len(), version).await?;
         self.hosts.push(host);
         Ok(())
     }
@@ -167,7 +176,12 @@
     }
 }
 
-async fn start_host(folder: &std::path::Path, store: &Store, index: usize) -> anyhow::Result<Host> {
+async fn start_host(
+    folder: &std::path::Path,
+    store: &Store,
+    index: usize,
+    version: &str,
+) -> anyhow::Result<Host> {
     let service = if index.is_multiple_of(2) {
         READS
     } else {
@@ -181,6 +195,7 @@
     let (callers, ready, announcements) = (ports.reserve(), ports.reserve(), ports.reserve());
     let (metrics, target) = (ports.reserve(), ports.reserve());
     let backend = Backend::start(service, zone, &format!("127.0.0.1:{announcements}")).await?;
+    *backend.version.borrow_mut() = version.to_owned();
     let wire = AnswerWire::start(&format!("127.0.0.1:{target}"), &backend.listen_address()).await?;
     backend.announce_at(&wire.address);
     let name = format!("node-{index}");
--- a/crates/testbed/src/site/store.rs
+++ b/crates/testbed/src/site/store.rs
@@ -34,6 +34,9 @@
 /// Topic to which the operator writes.
 const OPERATOR_TOPIC: &str = "keyed.op";
 
+/// Topic to which nodes write the states of rollouts.
+const STATUS_TOPIC: &str = "keyed.status";
+
 /// Copy of the store's topics at one time.
 pub struct StoreCopy {
     topics: BTreeMap<String, Topic>,
@@ -138,6 +141,36 @@
         self.append(OPERATOR_TOPIC, vec![record]);
     }
 
+    /// Orders a rollout of `service` as the operator does.
+    pub fn order_rollout(&self, service: &str, version: &str, duration: &str) {
+        let order = json!({
+            "service": service, "targetVersion": version, "duration": duration,
+        });
+        let key = format!("rollout/{service}");
+        self.append_operator_record(&key, order.to_string().as_bytes());
+    }
+
+    /// Returns the states of rollouts that nodes recorded for `service`, as `VERSION STATE`.
+    pub fn rollout_states(&self, service: &str) -> Vec<String> {
+        let topics = self.topics.borrow();
+        let mut states = Vec::new();
+        let key = format!("rollout/{service}");
+        for record in topics
+            .get(STATUS_TOPIC)
+            .map_or(&[][..], |topic| &topic.records)
+        {
+            let (length, rest) = record.split_first().expect("a record has a key");
+            let (of, value) = rest.split_at(usize::from(*length));
+            if of != key.as_bytes() {
+                continue;
+            }
+            let status: Value = serde_json::from_slice(value).expect("a status is JSON");
+            let text = |name: &str| status[name].as_str().unwrap_or("").to_owned();
+            states.push(format!("{} {}", text("targetVersion"), text("state")));
+        }
+        states
+    }
+
     /// Appends a record of figway's own topics, as a node does that knows the era.
     pub fn append_own_record(&self, topic: &str, body: &str) {
         let appended_at_ms = SystemTime::now()
@@ -194,6 +227,10 @@
         (offset, end)
     }
 
+    fn end_offset(&self, name: &str) -> u64 {
+        self.topics.borrow().get(name).map_or(0, Topic::end_offset)
+    }
+
     async fn answer(&self, request: Request) -> Answer {
         let mut answer = self.answer_without_era(request).await;
         let era = self.era.get().to_string();
@@ -217,6 +254,11 @@
         let name = query_value(query, "topic").unwrap_or("").to_owned();
         match path {
             "/log-append" => {
+                let as_of = query_value(query, "asOf").and_then(|end| end.parse().ok());
+                let end = self.end_offset(&name);
+                if as_of.is_some_and(|as_of: u64| as_of != end) {
+                    return Answer::of_json(412, json!({ "end": end }).to_string());
+                }
                 let (offset, end) = self.append(&name, decode_records(&request.body));
                 if faults.drops_answers {
                     std::future::pending::<()>().await;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -35,7 +35,8 @@
     Member,
     MemberState,
     NodeId,
-    Target, //
+    Target,
+    VERSION_LABEL, //
 };
 pub use outcome::NotRunReason;
 pub use rate::{
--- a/crates/types/src/member.rs
+++ b/crates/types/src/member.rs
@@ -80,7 +80,15 @@
     pub draining: bool,
 }
 
+/// Label that holds the version of a target's software.
+pub const VERSION_LABEL: &str = "version";
+
 impl Target {
+    /// Returns the version of the target's software; empty if it states none.
+    pub fn version(&self) -> &str {
+        self.labels.get(VERSION_LABEL).map_or("", String::as_str)
+    }
+
     /// Returns whether the target names its instance and its start, so that its runs can be told
     /// apart.
     pub fn is_identified(&self) -> bool {
