--- a/crates/control/src/mesh/rollouts.rs
+++ b/crates/control/src/mesh/rollouts.rs
@@ -116,9 +116,11 @@
             .record_run(&target.service, version, route, sample, is_cold);
     }
 
-    /// Merges evidence of a node. If it shows that the version is bad, peers are told at once.
-    pub fn merge_evidence(&self, report: &EvidenceReport) {
-        let stopped = self.rollouts().merge_evidence(report, Instant::now());
+    /// Merges evidence of a node. If it shows with a score of at least `limit` that the version is bad,
+    /// peers are told at once.
+    pub fn merge_evidence(&self, report: &EvidenceReport, limit: f64) {
+        let now = Instant::now();
+        let stopped = self.rollouts().merge_evidence(report, limit, now);
         if stopped {
             self.publish_phase(&report.service);
         }
@@ -297,7 +299,7 @@
 fn log_phase(rollout: &Rollout, how: &str) {
     let verdict = rollout.tally().verdict();
     log::info!(
-        "rollout phase={} how={how} service={} version={} offset={} evidence={:.2} cause={:?} \
+        "rollout moved phase={} how={how} service={} version={} offset={} evidence={:.2} cause={} \
          new_runs={} new_failures={} old_runs={}",
         rollout.phase().name(),
         rollout.order().service,
--- a/crates/control/src/rollout_agent.rs
+++ b/crates/control/src/rollout_agent.rs
@@ -20,9 +20,14 @@
     Phase,
     RolloutStatus,
     StatusState,
-    StatusStep, //
+    StatusStep,
+    OWN_STOP_LEVEL,
+    STOP_LEVEL, //
+};
+use figway_types::{
+    NodeId,
+    Offset, //
 };
-use figway_types::NodeId;
 
 use crate::dial::{
     context_until,
@@ -62,19 +67,32 @@
     loop {
         wait_for_rollout(&mesh).await;
         let report = mesh.own_evidence();
+        let decides = mesh.log_rank() == Some(0);
         if let Some(report) = &report {
-            mesh.merge_evidence(report);
+            let limit = match !decides && reporter.is_heard() {
+                true => OWN_STOP_LEVEL,
+                false => STOP_LEVEL,
+            };
+            mesh.merge_evidence(report, limit);
         }
-        if mesh.log_rank() == Some(0) {
+        if decides {
             mesh.advance_rollouts();
         } else if let Some(report) = report {
             reporter.send(&mesh, &report).await;
         }
-        let by_size = ROUND_PER_NODE * mesh.view().node_count as u32;
-        tokio::time::sleep(by_size.clamp(ROUND_MIN, ROUND_MAX)).await;
+        tokio::time::sleep(round(&mesh)).await;
     }
 }
 
+/// Returns the time of a round. It leaves room for several rounds before a bad version may get no more
+/// requests.
+fn round(mesh: &Mesh) -> Duration {
+    let by_size = ROUND_PER_NODE * mesh.view().node_count as u32;
+    let rollback = mesh.rollouts().limits().rollback;
+    let longest = (rollback / 10).clamp(ROUND_MIN, ROUND_MAX);
+    by_size.clamp(ROUND_MIN, longest)
+}
+
 /// Waits until a rollout is open.
 async fn wait_for_rollout(mesh: &Mesh) {
     let mut changes = mesh.watch_rollouts();
@@ -92,9 +110,16 @@
     /// Receiver and number of runs of the last report that arrived.
     last: Option<(NodeId, u64, u64)>,
     skipped_count: u32,
+    /// Whether the last report arrived.
+    heard: bool,
 }
 
 impl Reporter {
+    /// Returns whether another node decides by what this one reports.
+    fn is_heard(&self) -> bool {
+        self.heard
+    }
+
     async fn send(&mut self, mesh: &Mesh, report: &EvidenceReport) {
         let Some(decider) = mesh.first_log_reader() else {
             return;
@@ -127,10 +152,13 @@
             };
         }
         let Some((_, client)) = &self.connection else {
+            self.heard = false;
             return;
         };
         let context = context_until(Instant::now() + REPORT_TIMEOUT);
-        match client.report_evidence(context, report.clone()).await {
+        let reported = client.report_evidence(context, report.clone()).await;
+        self.heard = reported.is_ok();
+        match reported {
             Ok(states) => {
                 mesh.merge_rollout_states(&states);
                 self.last = Some(sent);
@@ -197,25 +225,18 @@
             .statuses
             .iter()
             .find(|status| status.service == service);
-        let has_targets = mesh.has_new_targets(&service);
-        let now = Instant::now();
-        let mut book = mesh.rollouts();
-        book.record_log_contact(&service, asked_at);
-        let Some(rollout) = book.get(&service) else {
+        let Some(planned) = plan(mesh, &service, newest, asked_at) else {
             continue;
         };
-        let step = plan_status(rollout, newest, has_targets, now);
-        let order_offset = rollout.order_offset();
-        let target_version = rollout.order().target_version.clone();
-        drop(book);
-        match step {
+        let order_offset = planned.order_offset;
+        match planned.step {
             StatusStep::Nothing => {}
             StatusStep::Adopt(phase) => mesh.record_rollout_end(&service, order_offset, phase),
             StatusStep::Recorded => mesh.record_rollout_running(&service, order_offset),
             StatusStep::Append(state) => {
                 let status = RolloutStatus {
                     service: service.clone(),
-                    target_version,
+                    target_version: planned.target_version,
                     state,
                 };
                 append(log, &status, page.end_offset).await?;
@@ -236,11 +257,36 @@
     Ok(())
 }
 
+/// What to do with the status of a rollout.
+struct PlannedStep {
+    step: StatusStep,
+    order_offset: Offset,
+    target_version: String,
+}
+
+/// Decides what to do with the `newest` status of a service, which was asked for at `asked_at`.
+fn plan(
+    mesh: &Mesh,
+    service: &str,
+    newest: Option<&RolloutStatus>,
+    asked_at: Instant,
+) -> Option<PlannedStep> {
+    let has_targets = mesh.has_new_targets(service);
+    let mut book = mesh.rollouts();
+    book.record_log_contact(service, asked_at);
+    let rollout = book.get(service)?;
+    Some(PlannedStep {
+        step: plan_status(rollout, newest, has_targets, Instant::now()),
+        order_offset: rollout.order_offset(),
+        target_version: rollout.order().target_version.clone(),
+    })
+}
+
 /// Appends a status. After a lost answer the next read tells whether it is in the log.
 async fn append(
     log: &dyn StatusLog,
     status: &RolloutStatus,
-    end_offset: figway_types::Offset,
+    end_offset: Offset,
 ) -> Result<(), String> {
     let deadline = Instant::now() + STATUS_TIMEOUT;
     let appended = log.append_status(status, end_offset, deadline).await;
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -10,7 +10,8 @@
 
 use figway_rollout::{
     EvidenceReport,
-    RolloutState, //
+    RolloutState,
+    STOP_LEVEL, //
 };
 use figway_types::{
     deadline_after_ms,
@@ -202,7 +203,7 @@
     }
 
     async fn report_evidence(self, _: Context, report: EvidenceReport) -> Vec<RolloutState> {
-        self.mesh.merge_evidence(&report);
+        self.mesh.merge_evidence(&report, STOP_LEVEL);
         self.mesh.rollout_states()
     }
 }
--- a/crates/rollout/src/book.rs
+++ b/crates/rollout/src/book.rs
@@ -169,13 +169,14 @@
         })
     }
 
-    /// Merges evidence of a node. Returns whether it stops the new version.
-    pub fn merge_evidence(&mut self, report: &EvidenceReport, now: Instant) -> bool {
+    /// Merges evidence of a node. Returns whether it stops the new version, with a score of at least
+    /// `limit`.
+    pub fn merge_evidence(&mut self, report: &EvidenceReport, limit: f64, now: Instant) -> bool {
         let Some(rollout) = self.rollouts.get_mut(&report.service) else {
             return false;
         };
         rollout.merge_evidence(report, now);
-        let Some(phase) = rollout.next_by_evidence() else {
+        let Some(phase) = rollout.next_by_evidence(limit) else {
             return false;
         };
         rollout.set_phase(phase, now);
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -43,7 +43,9 @@
 };
 pub use tally::{
     Tally,
-    Verdict, //
+    Verdict,
+    OWN_STOP_LEVEL,
+    STOP_LEVEL, //
 };
 pub use versions::{
     ServiceVersions,
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -199,10 +199,12 @@
         }
     }
 
-    /// Returns the phase that follows by the evidence alone. Any node may take this step.
-    pub(crate) fn next_by_evidence(&self) -> Option<Phase> {
-        let is_open = self.phase < Phase::Stopped;
-        (is_open && self.tally.verdict().is_bad()).then_some(Phase::Stopped)
+    /// Returns the phase that follows by the evidence alone, if its score is at least `limit`. Any node
+    /// may take this step. The version that the service runs already is never stopped.
+    pub(crate) fn next_by_evidence(&self, limit: f64) -> Option<Phase> {
+        let is_base = self.base.as_deref() == Some(self.order.target_version.as_str());
+        let may_stop = self.phase < Phase::Stopped && !is_base;
+        (may_stop && self.tally.verdict().level >= limit).then_some(Phase::Stopped)
     }
 
     /// Returns the phase that follows by time. Only the node that decides takes this step.
--- a/crates/rollout/src/tally.rs
+++ b/crates/rollout/src/tally.rs
@@ -32,14 +32,14 @@
 /// Share of failures for which the long test looks.
 const BAD_FAILED_RATE_LONG: f64 = 0.02;
 
-/// Score of the short test; a false alarm then takes five failures in some dozens of runs.
-const FAILED_LIMIT: f64 = 8.0;
-
-/// Score of the long test.
-const FAILED_LIMIT_LONG: f64 = 7.0;
+/// Score of the tests of failures for a first run, and its growth with the logarithm of the number of
+/// runs, since each further run may give a false alarm. After 100 runs a false alarm takes four
+/// failures in some dozens of runs, after 3,000 five.
+const FAILED_LIMIT: f64 = 3.6;
+const FAILED_LIMIT_GROWTH: f64 = 0.55;
 
 /// Score of the test of run times. It is higher, as slow runs of one target come in groups.
-const SLOW_LIMIT: f64 = 12.0;
+const SLOW_LIMIT: f64 = 10.0;
 
 /// Number of bins above the median of the old version from which a run is slow, about 2.8 times.
 const SLOW_BINS: u8 = 3;
@@ -48,19 +48,26 @@
 const MEDIAN_MIN_COUNT: u64 = 20;
 
 /// Added to the old version's share of slow runs, since targets differ in speed.
-const SLOW_RATE_MARGIN: f64 = 0.08;
+const SLOW_RATE_MARGIN: f64 = 0.05;
 
 /// Added to a good version's largest share of slow runs to get a bad one's.
-const SLOW_RATE_STEP: f64 = 0.25;
+const SLOW_RATE_STEP: f64 = 0.15;
 
 /// Number of runs with the expected rate of failures that count beside those of the old version.
-const PRIOR_RUN_COUNT: f64 = 200.0;
+const PRIOR_RUN_COUNT: f64 = 100.0;
 
 /// Expected rate of failures of any version.
 const PRIOR_FAILED_RATE: f64 = 0.004;
 
 /// Time over which failures of the old version count as recent.
-const RECENT: Duration = Duration::from_secs(2);
+const RECENT: Duration = Duration::from_millis(500);
+
+/// Share of failures of the old version above which something makes both versions fail.
+const SHARED_FAULT_RATE: f64 = 0.012;
+
+/// Factor between the old version's share of failures and a good version's largest one. What makes both
+/// fail need not hit them alike.
+const SHARED_FAULT_FACTOR: f64 = 2.5;
 
 /// Largest number of nodes whose reports are kept.
 const NODE_MAX_COUNT: usize = 20_000;
@@ -68,20 +75,20 @@
 /// What the evidence shows.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Verdict {
-    /// Highest score as a part of its limit; the version is bad from 1 on.
+    /// Highest score as a part of its limit; the version is bad from [`STOP_LEVEL`] on.
     pub level: f64,
     /// Test that has the highest score.
     pub cause: &'static str,
 }
 
-impl Verdict {
-    /// Returns whether the version is bad.
-    pub fn is_bad(&self) -> bool {
-        self.level >= 1.0
-    }
-}
+/// Score at which the node that hears from all others stops the new version.
+pub const STOP_LEVEL: f64 = 1.0;
 
-/// Scores of the new version, on one route or on all.
+/// Score at which a node stops the new version by its own target alone while another node decides. It
+/// is higher, since one target does not show what fails on all versions.
+pub const OWN_STOP_LEVEL: f64 = 3.0;
+
+/// Scores of the new version, on one route or on all together.
 #[derive(Clone, Copy, Debug, Default)]
 struct Scores {
     failed: Cusum,
@@ -89,6 +96,14 @@
     slow: Cusum,
 }
 
+/// Scores of the new version on one route.
+#[derive(Clone, Debug, Default)]
+struct NewRoute {
+    scores: Scores,
+    /// Runs whose times can't be judged yet, as too few of the old version are known.
+    pending: RouteEvidence,
+}
+
 /// Counts of the old version on one route.
 #[derive(Clone, Debug, Default)]
 struct OldRoute {
@@ -106,7 +121,7 @@
 pub struct Tally {
     reported: FastMap<(NodeId, u64), Reported>,
     old: BTreeMap<String, OldRoute>,
-    by_route: BTreeMap<String, Scores>,
+    by_route: BTreeMap<String, NewRoute>,
     overall: Scores,
     new_run_count: u64,
     new_failed_count: u64,
@@ -153,7 +168,7 @@
                 highest = Verdict { level, cause };
             }
         };
-        for scores in self.by_route.values() {
+        for NewRoute { scores, .. } in self.by_route.values() {
             consider(scores.failed.level(), "failures on a route");
             consider(scores.failed_long.level(), "failures on a route");
             consider(scores.slow.level(), "slow answers on a route");
@@ -197,21 +212,25 @@
     fn add_new(&mut self, route: &str, more: &RouteEvidence) {
         self.new_run_count += more.answered_count + more.failed_count;
         self.new_failed_count += more.failed_count;
-        let scores = self.by_route.entry(route.to_owned()).or_default();
+        let new = self.by_route.entry(route.to_owned()).or_default();
         let old = self.old.get(route);
         let old_rate = old.map_or(PRIOR_FAILED_RATE, OldRoute::failed_rate);
-        let short = failed_hypotheses(old_rate);
-        let long = failed_hypotheses_long(old_rate);
-        for scores in [&mut *scores, &mut self.overall] {
+        let log_count = (self.new_run_count.max(1) as f64).ln();
+        let limit = FAILED_LIMIT + FAILED_LIMIT_GROWTH * log_count;
+        let short = failed_hypotheses(old_rate, limit);
+        let long = failed_hypotheses_long(old_rate, limit);
+        for scores in [&mut new.scores, &mut self.overall] {
             let (failed, answered) = (more.failed_count, more.answered_count);
             scores.failed.add(failed, answered, &short);
             scores.failed_long.add(failed, answered, &long);
         }
+        new.pending.add(more);
         let Some((slow_bin, test)) = old.and_then(OldRoute::slow_test) else {
             return;
         };
-        let (slow_count, fast_count) = more.slow_and_fast(slow_bin);
-        scores.slow.add(slow_count, fast_count, &test);
+        let (slow_count, fast_count) = new.pending.slow_and_fast(slow_bin);
+        new.pending = RouteEvidence::default();
+        new.scores.slow.add(slow_count, fast_count, &test);
         self.overall.slow.add(slow_count, fast_count, &test);
     }
 }
@@ -220,11 +239,12 @@
     /// Returns the share of failures, over all runs or the recent ones, whichever is higher. What
     /// makes both versions fail is not the new one's fault.
     fn failed_rate(&self) -> f64 {
-        let prior_failed = PRIOR_FAILED_RATE * PRIOR_RUN_COUNT;
-        let runs = (self.all.answered_count + self.all.failed_count) as f64;
-        let all = (self.all.failed_count as f64 + prior_failed) / (runs + PRIOR_RUN_COUNT);
-        let recent = (self.recent_failed + prior_failed) / (self.recent_runs + PRIOR_RUN_COUNT);
-        all.max(recent)
+        let rate = |failed: f64, runs: f64| {
+            (failed + PRIOR_FAILED_RATE * PRIOR_RUN_COUNT) / (runs + PRIOR_RUN_COUNT)
+        };
+        let run_count = self.all.answered_count + self.all.failed_count;
+        let all = rate(self.all.failed_count as f64, run_count as f64);
+        all.max(rate(self.recent_failed, self.recent_runs))
     }
 
     /// Returns the bin from which a run is slow, and the test of the share of slow runs. Returns `None`
@@ -247,20 +267,25 @@
     }
 }
 
-fn failed_hypotheses(old_rate: f64) -> Hypotheses {
-    let good_rate = (old_rate * 2.0).clamp(GOOD_FAILED_RATE, 0.5);
+fn failed_hypotheses(old_rate: f64, limit: f64) -> Hypotheses {
+    let good_rate = (old_rate * SHARED_FAULT_FACTOR).clamp(GOOD_FAILED_RATE, 0.3);
     Hypotheses {
         good_rate,
         bad_rate: (good_rate * 3.0).clamp(BAD_FAILED_RATE, 0.9),
-        limit: FAILED_LIMIT,
+        limit,
     }
 }
 
-fn failed_hypotheses_long(old_rate: f64) -> Hypotheses {
-    let good_rate = (old_rate * 1.5).clamp(GOOD_FAILED_RATE_LONG, 0.5);
+fn failed_hypotheses_long(old_rate: f64, limit: f64) -> Hypotheses {
+    let factor = if old_rate > SHARED_FAULT_RATE {
+        SHARED_FAULT_FACTOR
+    } else {
+        1.5
+    };
+    let good_rate = (old_rate * factor).clamp(GOOD_FAILED_RATE_LONG, 0.3);
     Hypotheses {
         good_rate,
-        bad_rate: (good_rate * 3.0).clamp(BAD_FAILED_RATE_LONG, 0.8),
-        limit: FAILED_LIMIT_LONG,
+        bad_rate: (good_rate * 3.0).clamp(BAD_FAILED_RATE_LONG, 0.9),
+        limit,
     }
 }
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -4,6 +4,8 @@
 #![allow(dead_code)]
 
 pub(crate) mod log;
+pub(crate) mod outcome;
+pub(crate) mod plan;
 
 use std::cell::Cell;
 use std::time::{
@@ -21,7 +23,9 @@
     RunSample,
     ServiceVersions,
     StatusState,
-    StatusStep, //
+    StatusStep,
+    OWN_STOP_LEVEL,
+    STOP_LEVEL, //
 };
 use figway_types::{
     mix,
@@ -30,10 +34,20 @@
 };
 
 use self::log::SimLog;
-
-pub(crate) const SERVICE: &str = "shop";
-pub(crate) const OLD: &str = "v1";
-pub(crate) const NEW: &str = "v2";
+use self::outcome::Running;
+pub(crate) use self::outcome::{
+    Outcome,
+    Sent, //
+};
+pub(crate) use self::plan::{
+    Conduct,
+    Fault,
+    Plan,
+    Situation,
+    NEW,
+    OLD,
+    SERVICE, //
+};
 
 /// Step of virtual time.
 const STEP: Duration = Duration::from_millis(5);
@@ -47,63 +61,6 @@
 /// Share of failures of any version.
 const ANY_FAILED_RATE: f64 = 0.004;
 
-/// What a request meets at a target.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Situation {
-    /// Time since the order.
-    pub(crate) since_order: Duration,
-    /// Index of the route.
-    pub(crate) route: usize,
-    /// Share of the requests that the version got lately.
-    pub(crate) share: f64,
-}
-
-/// What a version does beyond what any version does.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Conduct {
-    pub(crate) failed_rate: f64,
-    pub(crate) slow_rate: f64,
-    pub(crate) slow_factor: f64,
-}
-
-/// Faults that hit a simulated run.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Fault {
-    /// The node that decides is killed.
-    KillDecider(Duration),
-    /// The log is cut off for a time.
-    CutLog(Duration, Duration),
-    /// Every other answer of the log to an append is lost.
-    LoseAnswers,
-    /// A second order, for the given version.
-    SecondOrder(Duration, &'static str),
-    /// A node starts, and knows nothing.
-    StartNode(Duration),
-}
-
-/// A simulated run before it starts.
-pub(crate) struct Plan {
-    pub(crate) seed: u64,
-    pub(crate) target_count: usize,
-    pub(crate) rate_per_s: f64,
-    pub(crate) duration: Duration,
-    pub(crate) conduct: fn(&str, Situation) -> Conduct,
-    pub(crate) faults: Vec<Fault>,
-}
-
-impl Default for Plan {
-    fn default() -> Self {
-        Self {
-            seed: 1,
-            target_count: 30,
-            rate_per_s: 1_000.0,
-            duration: Duration::from_secs(12),
-            conduct: |_, _| Conduct::default(),
-            faults: Vec::new(),
-        }
-    }
-}
-
 struct SimNode {
     book: RolloutBook,
     version: &'static str,
@@ -113,32 +70,6 @@
     epoch: u64,
 }
 
-struct Running {
-    ends_at: Instant,
-    node: usize,
-    route: usize,
-    sample: RunSample,
-    is_bad: bool,
-    is_cold: bool,
-}
-
-/// A request as it was sent.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Sent {
-    pub(crate) at: Duration,
-    pub(crate) version: &'static str,
-}
-
-/// What happened in a run.
-pub(crate) struct Outcome {
-    pub(crate) sent: Vec<Sent>,
-    /// When answers of the new version were bad beyond what any version's are.
-    pub(crate) bad_at: Vec<Duration>,
-    /// Ends in the log, with the version and the time of the append.
-    pub(crate) ends: Vec<(String, StatusState, Duration)>,
-    pub(crate) log: SimLog,
-}
-
 pub(crate) struct Sim {
     plan: Plan,
     random: Cell<u64>,
@@ -392,8 +323,9 @@
             let node = &mut self.nodes[index];
             let node_id = NodeId(format!("n{index}"));
             if let Some(report) = node.book.report(SERVICE, &node_id, node.epoch) {
-                node.book.merge_evidence(&report, now);
-                self.nodes[decider].book.merge_evidence(&report, now);
+                node.book.merge_evidence(&report, OWN_STOP_LEVEL, now);
+                let book = &mut self.nodes[decider].book;
+                book.merge_evidence(&report, STOP_LEVEL, now);
             }
             for _ in 0..3 {
                 let peer = (self.draw() * self.nodes.len() as f64) as usize;
--- a/crates/rollout/tests/rollouts.rs
+++ b/crates/rollout/tests/rollouts.rs
@@ -242,3 +242,21 @@
     assert_good("start", 500.0, &[start]);
     assert_bad("start", bad_at_once, &[start]);
 }
+
+/// Guards against a good version that is rolled back for failures that hit both versions, such as those
+/// of a service that both call.
+#[test]
+fn a_good_version_is_completed_though_both_versions_fail_for_a_while() {
+    for seed in SEEDS {
+        let plan = Plan {
+            seed,
+            conduct: |_, situation| {
+                let hit = (5..7).contains(&situation.since_order.as_secs());
+                failing(if hit { 0.05 } else { 0.0 })
+            },
+            ..Plan::default()
+        };
+        let duration = plan.duration;
+        assert_completed("both fail", seed, &Sim::new(plan).run(), duration);
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/versions.rs
@@ -0,0 +1,165 @@
+//! Versions to which calls go, with and without an order.
+//!
+//! The tests guard against a new version that gets its full part of the calls before its order is
+//! known, and against ordinary replacements of targets that are held up.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_rollout::{
+    ExposureLimits,
+    Phase,
+    RolloutBook,
+    RolloutOrder,
+    ServiceVersions, //
+};
+use figway_types::Offset;
+
+const DRAW_COUNT: usize = 1_000;
+
+fn versions(
+    targets: &[(&str, usize, u64)],
+    earlier: Option<&ServiceVersions>,
+    now: Instant,
+) -> ServiceVersions {
+    let mut starts = Vec::new();
+    for (version, count, started_at_ms) in targets {
+        for _ in 0..*count {
+            starts.push((*version, *started_at_ms));
+        }
+    }
+    ServiceVersions::count(starts.into_iter(), earlier, now)
+}
+
+/// Returns the share of the calls that may go to `version`.
+fn share(known: &ServiceVersions, book: &RolloutBook, version: &str, now: Instant) -> f64 {
+    let index = known.index_of(version).expect("the version is known");
+    let mut count = 0;
+    for draw in 0..DRAW_COUNT {
+        let draw = draw as f64 / DRAW_COUNT as f64;
+        let limits = ExposureLimits::default();
+        let mask = known.choose(book.get("shop"), &limits, draw, true, now);
+        count += usize::from(mask.contains(index));
+    }
+    count as f64 / DRAW_COUNT as f64
+}
+
+fn order(version: &str) -> RolloutOrder {
+    RolloutOrder {
+        service: "shop".to_owned(),
+        target_version: version.to_owned(),
+        duration_ms: 12_000,
+    }
+}
+
+/// Guards against new targets, as many as the old ones, that get half of the calls before the order is
+/// known.
+#[test]
+fn a_version_without_an_order_gets_a_small_share_at_first() {
+    let now = Instant::now();
+    let book = RolloutBook::default();
+    let both = versions(&[("v1", 30, 100), ("v2", 30, 900)], None, now);
+    let new_share = share(&both, &book, "v2", now);
+    assert!(new_share > 0.0 && new_share <= 0.07, "{new_share}");
+    assert!(share(&both, &book, "v1", now) > 0.9);
+}
+
+/// Guards against replaced targets that stay idle, since no order will ever come.
+#[test]
+fn a_replacement_without_an_order_is_served_in_the_end() {
+    let book = RolloutBook::default();
+    let now = Instant::now();
+    let few = versions(&[("v1", 50, 100), ("v2", 10, 900)], None, now);
+    let later = now + Duration::from_secs(11);
+    let still = versions(&[("v1", 50, 100), ("v2", 10, 900)], Some(&few), later);
+    assert_eq!(share(&still, &book, "v2", later), 1.0);
+    assert_eq!(share(&still, &book, "v1", later), 1.0);
+    let most = versions(&[("v1", 10, 100), ("v2", 50, 900)], None, now);
+    // The rest of the calls goes to what is left of the version before.
+    assert!(share(&most, &book, "v2", now) > 0.9);
+    let only = versions(&[("v2", 50, 900)], None, now);
+    assert_eq!(share(&only, &book, "v2", now), 1.0);
+}
+
+/// Guards against a version that lost its rollout and gets calls, and one that won and gets none.
+#[test]
+fn only_the_version_that_won_gets_calls() {
+    let now = Instant::now();
+    let both = versions(&[("v1", 30, 100), ("v2", 30, 900)], None, now);
+    for (phase, new_share) in [(Phase::Completed, 1.0), (Phase::RolledBack, 0.0)] {
+        let mut book = RolloutBook::default();
+        assert!(book.record_order(&order("v2"), Offset(5), true, Some("v1"), now));
+        book.record_end("shop", Offset(5), phase, now);
+        assert_eq!(share(&both, &book, "v2", now), new_share, "{phase:?}");
+        assert_eq!(share(&both, &book, "v1", now), 1.0 - new_share, "{phase:?}");
+        let long_after = now + Duration::from_secs(40);
+        if phase == Phase::RolledBack {
+            assert_eq!(share(&both, &book, "v2", long_after), 0.0);
+        }
+    }
+}
+
+/// Guards against an unfinished version of a replaced order that counts as an old one, and against an
+/// order that arrives late or twice and begins the rollout anew.
+#[test]
+fn a_replaced_order_leaves_its_version_without_calls() {
+    let now = Instant::now();
+    let mut book = RolloutBook::default();
+    assert!(book.record_order(&order("v2"), Offset(5), true, Some("v1"), now));
+    assert!(book.record_order(&order("v3"), Offset(6), true, Some("v2"), now));
+    assert!(!book.record_order(&order("v2"), Offset(5), true, Some("v1"), now));
+    assert!(!book.record_order(&order("v3"), Offset(6), true, Some("v1"), now));
+    let all = [("v1", 30, 100), ("v2", 30, 900), ("v3", 30, 950)];
+    let known = versions(&all, None, now);
+    assert_eq!(share(&known, &book, "v2", now), 0.0);
+    let new_share = share(&known, &book, "v3", now);
+    assert!(new_share > 0.0 && new_share <= 0.07, "{new_share}");
+}
+
+/// Guards against states that depend on the order in which nodes hear of them.
+#[test]
+fn states_merge_to_the_same_end_in_any_order() {
+    let now = Instant::now();
+    let mut first = RolloutBook::default();
+    first.record_order(&order("v2"), Offset(5), true, Some("v1"), now);
+    let canary = first.states_after(0, 8, now).states;
+    first.record_running("shop", Offset(5));
+    first.record_end(
+        "shop",
+        Offset(5),
+        Phase::RolledBack,
+        now + Duration::from_secs(1),
+    );
+    let ended = first
+        .states_after(0, 8, now + Duration::from_secs(1))
+        .states;
+    first.record_order(
+        &order("v3"),
+        Offset(6),
+        true,
+        None,
+        now + Duration::from_secs(2),
+    );
+    let second = first
+        .states_after(0, 8, now + Duration::from_secs(2))
+        .states;
+    let orders: [[&[_]; 3]; 3] = [
+        [&canary, &ended, &second],
+        [&second, &ended, &canary],
+        [&ended, &second, &canary],
+    ];
+    for states in orders {
+        let mut book = RolloutBook::default();
+        let later = now + Duration::from_secs(3);
+        for state in states.iter().flat_map(|states| states.iter()) {
+            book.merge(state, later);
+        }
+        let rollout = book.get("shop").unwrap();
+        assert_eq!(rollout.order().target_version, "v3");
+        assert_eq!(rollout.phase(), Phase::Canary);
+        assert_eq!(rollout.shunned(), ["v2"]);
+        assert_eq!(rollout.base(), Some("v1"));
+    }
+}
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -168,10 +168,6 @@
         *self.announced_address.borrow_mut() = address.to_owned();
     }
 
-    fn announced_address(&self) -> String {
-        self.announced_address.borrow().clone()
-    }
-
     /// Returns all requests that the back end has started to run, in all generations.
     pub fn runs(&self) -> Vec<Run> {
         self.runs.borrow().clone()
@@ -278,7 +274,7 @@
     /// Returns whether the node acknowledged it.
     pub async fn send_heartbeat_of(&self, sequence: u64, draining: bool) -> bool {
         let body = json!({
-            "service": self.service, "address": self.announced_address(), "zone": self.zone,
+            "service": self.service, "address": *self.announced_address.borrow(), "zone": self.zone,
             "version": *self.version.borrow(), "slots": 12, "coldLeft": "0ms", "sequence": sequence,
             "state": if draining { "draining" } else { "ready" },
             "born": self.born_ms(),
