--- a/crates/rollout/tests/rollouts.rs
+++ b/crates/rollout/tests/rollouts.rs
@@ -134,6 +134,27 @@
     assert_bad("later", conduct, &[]);
 }
 
+/// Guards against the clean evidence of a long rollout, which would make up for hundreds of failures.
+#[test]
+fn a_version_that_fails_late_in_a_long_rollout_is_rolled_back() {
+    for seed in SEEDS {
+        let plan = Plan {
+            seed,
+            rate_per_s: 500.0,
+            duration: seconds(120.0),
+            conduct: |version, situation| {
+                let late = version == NEW && situation.since_order > seconds(66.0);
+                failing(if late { 0.1 } else { 0.0 })
+            },
+            ..Plan::default()
+        };
+        let outcome = Sim::new(plan).run();
+        assert_rolled_back("long", seed, &outcome, seconds(120.0));
+        let bad_count = outcome.bad_at.len();
+        assert!(bad_count < 50, "seed {seed}: {bad_count} bad answers");
+    }
+}
+
 /// Guards against a share that rises faster than failures under load are noticed.
 #[test]
 fn a_version_that_fails_under_load_is_rolled_back() {
--- a/crates/testbed/tests/rollouts.rs
+++ b/crates/testbed/tests/rollouts.rs
@@ -11,6 +11,8 @@
     Instant, //
 };
 
+use figway_testbed::process::Signal;
+use figway_testbed::site::store::StoreFaults;
 use figway_testbed::site::{
     Site,
     READS, //
@@ -126,3 +128,47 @@
         ["v2 running", "v2 rolled_back"]
     );
 }
+
+/// Guards against a rollout that stays open once the node that decides is killed.
+#[ntex::test]
+async fn a_rollout_ends_in_time_though_the_deciding_node_is_killed() {
+    let mut site = start_site("rollout-kill", false).await;
+    let ordered_at = Instant::now();
+    site.store.order_rollout(READS, "v2", "7s");
+    wait_for_state(&site, "v2 running", ordered_at).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let decided = |log: String| log.contains("\"rollout status\"");
+    let mut hosts = site.hosts.iter_mut();
+    let decider = hosts.find(|host| decided(host.log().unwrap()));
+    let node = decider.unwrap().node.take().unwrap();
+    node.signal(Signal::Kill).unwrap();
+    drop(node);
+    wait_for_state(&site, "v2 completed", ordered_at).await;
+    assert_eq!(
+        site.store.rollout_states(READS),
+        ["v2 running", "v2 completed"]
+    );
+}
+
+/// Guards against an end that is recorded twice, or not noticed, since the store's answer was lost.
+#[ntex::test]
+async fn a_rollout_has_one_end_though_the_answers_of_the_store_are_lost() {
+    let site = start_site("rollout-lost", false).await;
+    let ordered_at = Instant::now();
+    site.store.order_rollout(READS, "v2", "7s");
+    wait_for_state(&site, "v2 running", ordered_at).await;
+    site.store.set_faults(StoreFaults {
+        drops_answers: true,
+        ..StoreFaults::default()
+    });
+    wait_for_state(&site, "v2 completed", ordered_at).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(
+        site.store.rollout_states(READS),
+        ["v2 running", "v2 completed"]
+    );
+    for host in &site.hosts {
+        let log = host.log().unwrap();
+        assert!(log.contains("\"phase\":\"completed\""), "{}", host.name);
+    }
+}
