--- a/crates/control/src/rollout_agent.rs
+++ b/crates/control/src/rollout_agent.rs
@@ -274,6 +274,9 @@
     let has_targets = mesh.has_new_targets(service);
     let mut book = mesh.rollouts();
     book.record_log_contact(service, asked_at);
+    if let Some(completed) = newest.filter(|status| status.state == StatusState::Completed) {
+        book.record_completed_before(service, &completed.target_version);
+    }
     let rollout = book.get(service)?;
     Some(PlannedStep {
         step: plan_status(rollout, newest, has_targets, Instant::now()),
--- a/crates/rollout/src/book.rs
+++ b/crates/rollout/src/book.rs
@@ -210,6 +210,17 @@
         }
     }
 
+    /// Records that the log holds the order before the newest one as completed, with `version`. Its
+    /// record was under way when the later order was read.
+    pub fn record_completed_before(&mut self, service: &str, version: &str) {
+        let rollout = self.rollouts.get_mut(service);
+        let rollout = rollout.filter(|rollout| rollout.shunned().any(|known| known == version));
+        if let Some(rollout) = rollout {
+            rollout.completed_before = Some(version.to_owned());
+            self.mark_changed(service);
+        }
+    }
+
     /// Records how the log holds that the rollout with the order at `offset` ended.
     pub fn record_end(&mut self, service: &str, offset: Offset, phase: Phase, now: Instant) {
         let rollout = self.rollouts.get_mut(service);
@@ -268,7 +279,7 @@
 
 /// Takes over from the earlier rollout of the service which versions are in use.
 fn succeed(rollout: &mut Rollout, earlier: &Rollout) {
-    for shunned in &earlier.shunned {
+    for shunned in earlier.shunned() {
         rollout.shun(shunned);
     }
     match earlier.phase {
@@ -277,8 +288,8 @@
         }
         _ => {
             rollout.shun(&earlier.order.target_version);
-            if earlier.base.is_some() {
-                rollout.base.clone_from(&earlier.base);
+            if earlier.base().is_some() {
+                rollout.base = earlier.base().map(str::to_owned);
             }
         }
     }
@@ -296,6 +307,10 @@
         known.set_phase(state.phase, before(now, state.phase_age_ms));
         learned = true;
     }
+    if known.completed_before.is_none() && state.completed_before.is_some() {
+        known.completed_before.clone_from(&state.completed_before);
+        learned = true;
+    }
     known.fresh |= state.fresh;
     if state.recorded && !known.recorded {
         known.recorded = true;
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -66,6 +66,9 @@
     /// Versions of earlier rollouts that did not complete.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub shunned: Vec<String>,
+    /// Version of the order before this one, if that was completed after this one was read.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub completed_before: Option<String>,
     /// Whether the log holds that the rollout is running.
     #[serde(default)]
     pub recorded: bool,
@@ -86,6 +89,7 @@
     pub(crate) phase_since: Instant,
     pub(crate) base: Option<String>,
     pub(crate) shunned: Vec<String>,
+    pub(crate) completed_before: Option<String>,
     pub(crate) recorded: bool,
     pub(crate) log_contact_at: Option<Instant>,
     /// Number of the last change, in the order in which this node learned them.
@@ -105,6 +109,7 @@
             phase_since: now,
             base: None,
             shunned: Vec::new(),
+            completed_before: None,
             recorded: false,
             log_contact_at: None,
             sequence: 0,
@@ -120,6 +125,7 @@
             phase_since: before(now, state.phase_age_ms),
             base: state.base.clone(),
             shunned: state.shunned.clone(),
+            completed_before: state.completed_before.clone(),
             recorded: state.recorded,
             fresh: state.fresh,
             ..Self::new(&state.order, state.order_offset, now)
@@ -148,12 +154,14 @@
 
     /// Returns the version that the service ran before, if known.
     pub fn base(&self) -> Option<&str> {
-        self.base.as_deref()
+        self.completed_before.as_deref().or(self.base.as_deref())
     }
 
     /// Returns the versions of earlier rollouts that did not complete.
-    pub fn shunned(&self) -> &[String] {
-        &self.shunned
+    pub fn shunned(&self) -> impl Iterator<Item = &str> {
+        let completed = self.completed_before.as_deref();
+        let shunned = self.shunned.iter().map(String::as_str);
+        shunned.filter(move |version| Some(*version) != completed)
     }
 
     /// Returns the evidence that this node has.
@@ -187,6 +195,7 @@
             phase_age_ms: age(self.phase_since),
             base: self.base.clone(),
             shunned: self.shunned.clone(),
+            completed_before: self.completed_before.clone(),
             recorded: self.recorded,
             fresh: self.fresh,
         }
@@ -202,7 +211,7 @@
     /// Returns the phase that follows by the evidence alone, if its score is at least `limit`. Any node
     /// may take this step. The version that the service runs already is never stopped.
     pub(crate) fn next_by_evidence(&self, limit: f64) -> Option<Phase> {
-        let is_base = self.base.as_deref() == Some(self.order.target_version.as_str());
+        let is_base = self.base() == Some(self.order.target_version.as_str());
         let may_stop = self.phase < Phase::Stopped && !is_base;
         (may_stop && self.tally.verdict().level >= limit).then_some(Phase::Stopped)
     }
@@ -241,7 +250,8 @@
 
     /// Returns whether the log should be asked, so that the share may rise.
     pub fn awaits_log(&self, now: Instant) -> bool {
-        self.phase == Phase::Canary && now + LOG_CONTACT_MAX / 2 >= self.rise_at()
+        let is_soon = self.phase == Phase::Canary && now + LOG_CONTACT_MAX / 2 >= self.rise_at();
+        is_soon && !self.hears_log(now + LOG_CONTACT_MAX / 2)
     }
 
     pub(crate) fn set_phase(&mut self, phase: Phase, since: Instant) {
--- a/crates/rollout/tests/versions.rs
+++ b/crates/rollout/tests/versions.rs
@@ -118,6 +118,26 @@
     assert!(new_share > 0.0 && new_share <= 0.07, "{new_share}");
 }
 
+/// Guards against a version that was completed after all, as its record was under way when the later
+/// order was read, and gets no calls though the targets before it have stopped.
+#[test]
+fn an_order_that_was_completed_after_all_leaves_its_version_with_the_calls() {
+    let now = Instant::now();
+    let mut book = RolloutBook::default();
+    book.record_order(&order("v2"), Offset(5), true, Some("v1"), now);
+    book.record_order(&order("v3"), Offset(6), true, Some("v1"), now);
+    book.record_completed_before("shop", "v2");
+    let mut peer = RolloutBook::default();
+    for state in book.states_after(0, 8, now).states {
+        peer.merge(&state, now);
+    }
+    let known = versions(&[("v2", 30, 900), ("v3", 30, 950)], None, now);
+    for book in [&book, &peer] {
+        assert!(share(&known, book, "v2", now) > 0.9);
+        assert!(share(&known, book, "v3", now) <= 0.07);
+    }
+}
+
 /// Guards against states that depend on the order in which nodes hear of them.
 #[test]
 fn states_merge_to_the_same_end_in_any_order() {
@@ -159,7 +179,7 @@
         let rollout = book.get("shop").unwrap();
         assert_eq!(rollout.order().target_version, "v3");
         assert_eq!(rollout.phase(), Phase::Canary);
-        assert_eq!(rollout.shunned(), ["v2"]);
+        assert_eq!(rollout.shunned().collect::<Vec<_>>(), ["v2"]);
         assert_eq!(rollout.base(), Some("v1"));
     }
 }
