--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -15,6 +15,10 @@
     UsageAnswer,
     UsageReport, //
 };
+use figway_rollout::{
+    EvidenceReport,
+    RolloutState, //
+};
 use figway_types::{
     EndingRun,
     LogRecord,
@@ -103,6 +107,15 @@
     /// Which of the runs that the receiver knows the sender has.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub run_ack: Option<FeedAck>,
+    /// Rollouts, the newest of each service.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<RolloutState>,
+    /// Place of these rollouts among all those that the sender knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollout_range: Option<FeedRange>,
+    /// Which of the rollouts that the receiver knows the sender has.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollout_ack: Option<FeedAck>,
     /// Gossip about the route table.
     #[serde(default)]
     pub routes: RouteGossip,
@@ -325,4 +338,7 @@
     /// Reports requests of customers with a limit; returns the customers above it. Peers of an earlier
     /// build close the connection.
     async fn report_usage(report: UsageReport) -> UsageAnswer;
+    /// Reports evidence about a rollout to the node that decides. Returns what that knows of the
+    /// rollouts.
+    async fn report_evidence(report: EvidenceReport) -> Vec<RolloutState>;
 }
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -29,6 +29,7 @@
     DEADLINE_EXCEEDED,
     FAILED_STATUS_MIN, //
 };
+use crate::evidence::record_run;
 use crate::interface::ForwardContext;
 use crate::plane::DataPlane;
 use crate::run_watch::{
@@ -170,7 +171,7 @@
     let mut run_log = RunLog {
         plane,
         call,
-        instance: &target.instance,
+        target: &target,
         queue_time: started_at.saturating_duration_since(entered_at),
         started_at,
         written: false,
@@ -185,6 +186,7 @@
         result.outcome.reason(),
         started_at.saturating_duration_since(entered_at),
     );
+    record_run(plane, &target, call.kind, started_at, Some(&result.outcome));
     run_log.write(result.outcome.name(), result.outcome.reason(), false);
     AttemptResult {
         queue_time: started_at.saturating_duration_since(entered_at),
@@ -223,7 +225,7 @@
 struct RunLog<'a> {
     plane: &'a DataPlane,
     call: &'a AdmissionRequest<'a>,
-    instance: &'a str,
+    target: &'a Target,
     queue_time: Duration,
     started_at: Instant,
     written: bool,
@@ -245,7 +247,7 @@
             self.call.request_id,
             self.call.kind,
             self.call.fingerprint.0,
-            self.instance,
+            self.target.instance,
             self.queue_time.as_millis(),
             self.started_at.elapsed().as_millis(),
         );
@@ -255,6 +257,13 @@
 impl Drop for RunLog<'_> {
     fn drop(&mut self) {
         if !self.written {
+            record_run(
+                self.plane,
+                self.target,
+                self.call.kind,
+                self.started_at,
+                None,
+            );
             self.write("unknown", "given-up", true);
         }
     }
--- a/crates/dataplane/src/explain.rs
+++ b/crates/dataplane/src/explain.rs
@@ -103,7 +103,7 @@
         profile_name,
         view.routes.version,
     );
-    let entries = entries(worker, &rule);
+    let entries = entries(worker, &rule, true);
     let candidates = build_candidates(plane, &entries);
     let call = CallContext {
         kind: rule.name,
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -12,6 +12,7 @@
 mod caller;
 mod candidates;
 mod crashes;
+mod evidence;
 mod explain;
 mod front;
 mod gate;
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -160,6 +160,11 @@
         quota_window: reader.text("quota_window").map(str::to_owned),
         quota_overrun: reader.number("quota_overrun", 0.0..=10.0),
         quota_slack: reader.number("quota_slack", 0.0..=1e6),
+        expose_share: reader.number("expose_share", 0.0..=1.0),
+        expose_slack_count: reader
+            .number("expose_slack", 0.0..=1e6)
+            .map(|count| count as u64),
+        rollback: reader.text("rollback").map(str::to_owned),
     })
 }
 
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -158,7 +158,18 @@
         store.publish(&config(1, "/reads/"));
         let mut hosts = Vec::new();
         for index in 0..host_count {
-            hosts.push(start_host(&folder, &store, index, link_mbps).await?);
+            hosts.push(
+                start_host(
+                    &folder,
+                    &store,
+                    index,
+                    HostSettings {
+                        link_mbps,
+                        version: "v1",
+                    },
+                )
+                .await?,
+            );
         }
         Ok(Self {
             folder,
@@ -174,8 +185,21 @@
     ///
     /// As for [`Site::start`].
     pub async fn add_host(&mut self) -> anyhow::Result<()> {
+        self.add_host_of("v1").await
+    }
+
+    /// Adds a host whose back end is of `version`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Site::start`].
+    pub async fn add_host_of(&mut self, version: &str) -> anyhow::Result<()> {
         let index = self.hosts.len();
-        let host = start_host(&self.folder, &self.store, index, self.link_mbps).await?;
+        let settings = HostSettings {
+            link_mbps: self.link_mbps,
+            version,
+        };
+        let host = start_host(&self.folder, &self.store, index, settings).await?;
         self.hosts.push(host);
         Ok(())
     }
@@ -186,12 +210,22 @@
     }
 }
 
+/// What hosts of a site may differ in.
+#[derive(Clone, Copy)]
+struct HostSettings<'a> {
+    /// Bandwidth of the link that the settings state, in megabits per second; 0 for none.
+    link_mbps: u32,
+    /// Version of the back end.
+    version: &'a str,
+}
+
 async fn start_host(
     folder: &std::path::Path,
     store: &Store,
     index: usize,
-    link_mbps: u32,
+    host_settings: HostSettings<'_>,
 ) -> anyhow::Result<Host> {
+    let HostSettings { link_mbps, version } = host_settings;
     let service = if index.is_multiple_of(2) {
         READS
     } else {
@@ -205,6 +239,7 @@
     let (callers, ready, announcements) = (ports.reserve(), ports.reserve(), ports.reserve());
     let (metrics, target) = (ports.reserve(), ports.reserve());
     let backend = Backend::start(service, zone, &format!("127.0.0.1:{announcements}")).await?;
+    *backend.version.borrow_mut() = version.to_owned();
     let wire = AnswerWire::start(&format!("127.0.0.1:{target}"), &backend.listen_address()).await?;
     backend.announce_at(&wire.address);
     let name = format!("node-{index}");
