--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -12,6 +12,11 @@
     UsageAnswer,
     UsageReport, //
 };
+use figway_rollout::{
+    EvidenceReport,
+    RolloutState,
+    STOP_LEVEL, //
+};
 use figway_types::{
     deadline_after_ms,
     Member,
@@ -208,4 +213,9 @@
             None => UsageAnswer::default(),
         }
     }
+
+    async fn report_evidence(self, _: Context, report: EvidenceReport) -> Vec<RolloutState> {
+        self.mesh.merge_evidence(&report, STOP_LEVEL);
+        self.mesh.rollout_states()
+    }
 }
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -37,6 +37,10 @@
 };
 use tokio::sync::watch;
 
+use crate::evidence::{
+    set_rollout_gauges,
+    ColdStart, //
+};
 use crate::gate::TargetGate;
 use crate::interface::{
     Addressing,
@@ -55,6 +59,7 @@
     RunWatch, //
 };
 use crate::running_calls::RunningCalls;
+use crate::stall_watch::watch_stalls;
 use crate::target_state::TargetState;
 use crate::target_watch::{
     AnnounceOutcome,
@@ -106,6 +111,7 @@
     pub(crate) run_watch: RunWatch,
     pub(crate) target_watch: TargetWatch,
     pub(crate) local_target: LocalTarget,
+    pub(crate) cold_start: ColdStart,
     pub(crate) peer_targets: PeerTargets,
     pub(crate) outcomes: Arc<KeyedOutcomes>,
     pub(crate) metrics: Metrics,
@@ -226,6 +232,7 @@
             .set_gauge("control_region_bytes", self.mesh.meter().region_bytes());
         self.metrics
             .set_gauge("control_far_bytes", self.mesh.meter().cross_region_bytes());
+        set_rollout_gauges(self);
         self.metrics.render()
     }
 
@@ -267,6 +274,7 @@
             .target_watch
             .record_announcement(&self.mesh, announcement);
         if outcome == AnnounceOutcome::Accepted {
+            self.cold_start.record(announcement);
             self.apply_target_state(self.local_target.begin_run(target));
             let key = self.run_key(target);
             let replaced = self.run_watch.announce(target, key, Instant::now());
@@ -400,6 +408,11 @@
         self.gate.dispatch_turns().await;
     }
 
+    /// Measures how long the node stands still. Runs until the process ends.
+    pub async fn watch_stalls(self: Arc<Self>) {
+        watch_stalls(&self.metrics).await;
+    }
+
     fn drain_grace(&self) -> Duration {
         if let Some(grace) = self.grace {
             return grace;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -22,7 +22,6 @@
     SendRequest, //
 };
 use hyper::header::{
-    HeaderName,
     HeaderValue,
     HOST, //
 };
@@ -35,10 +34,11 @@
     BodyBuffer,
     BodyError, //
 };
+use crate::header_names::HeaderNames;
+use crate::headers::Headers;
 use crate::memory::MemoryBudget;
 use crate::message::{
     Answer,
-    Headers,
     OutboundRequest,
     Reachability,
     SendFailure,
@@ -102,6 +102,7 @@
 /// HTTP client with a pool of idle connections for each address.
 pub struct HttpClient {
     pool: RefCell<FastMap<String, Vec<IdleConnection>>>,
+    names: RefCell<HeaderNames>,
     limits: ClientLimits,
     memory: MemoryBudget,
 }
@@ -111,6 +112,7 @@
     pub fn new(limits: ClientLimits) -> Self {
         Self {
             pool: RefCell::default(),
+            names: RefCell::default(),
             limits,
             memory: MemoryBudget::unlimited(),
         }
@@ -213,7 +215,7 @@
     }
 
     async fn exchange(&self, outbound: &OutboundRequest<'_>) -> Result<Answer, SendFailure> {
-        let mut request = build_request(outbound)?;
+        let mut request = build_request(outbound, &mut self.names.borrow_mut())?;
         while let Some(mut connection) = self.take_idle(outbound) {
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return self.read_answer(outbound, connection, response).await,
@@ -267,16 +269,14 @@
             }
         }
         let body = self.read_body(body).await?;
-        let answer = Answer {
+        let mut answer = Answer {
             status,
             headers,
             body,
         };
         self.return_to_pool(outbound, connection, &answer);
-        Ok(Answer {
-            headers: answer.headers.end_to_end(),
-            ..answer
-        })
+        answer.headers.retain_end_to_end();
+        Ok(answer)
     }
 
     async fn read_body(&self, mut body: Incoming) -> Result<Bytes, SendFailure> {
@@ -351,7 +351,10 @@
     )
 }
 
-fn build_request(outbound: &OutboundRequest<'_>) -> Result<hyper::Request<PacedBody>, SendFailure> {
+fn build_request(
+    outbound: &OutboundRequest<'_>,
+    names: &mut HeaderNames,
+) -> Result<hyper::Request<PacedBody>, SendFailure> {
     let mut request = hyper::Request::builder()
         .method(outbound.method)
         .uri(outbound.path)
@@ -361,8 +364,9 @@
         ))
         .map_err(|error| SendFailure::Refused(error.to_string()))?;
     let headers = request.headers_mut();
-    for (name, value) in outbound.headers.iter() {
-        let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::try_from(value))
+    headers.reserve(outbound.headers.len());
+    for (name, value) in outbound.headers.iter_shared() {
+        let (Ok(name), Ok(value)) = (names.parse(name), HeaderValue::from_maybe_shared(value))
         else {
             return Err(SendFailure::Refused(format!("header {name} can't be sent")));
         };
--- a/crates/rate-limit/src/usage_meter.rs
+++ b/crates/rate-limit/src/usage_meter.rs
@@ -34,7 +34,7 @@
 pub const COORDINATOR_COUNT: usize = 2;
 
 /// Period of the reports to the coordinator whose answers a node uses.
-const LEAD_PERIOD: Duration = Duration::from_millis(250);
+const LEAD_PERIOD: Duration = Duration::from_millis(280);
 
 /// Period of the reports to the other coordinator.
 const STANDBY_PERIOD: Duration = Duration::from_millis(700);
@@ -116,6 +116,8 @@
     /// Whether requests have arrived since the last report.
     has_news: [bool; COORDINATOR_COUNT],
     feeds: FastMap<String, ReportFeed>,
+    /// Highest number of all reports. Numbers of a feed that begins anew must be higher than before.
+    last_sequence: u64,
 }
 
 impl UsageMeter {
@@ -130,6 +132,7 @@
             answers: Default::default(),
             has_news: [false; COORDINATOR_COUNT],
             feeds: FastMap::default(),
+            last_sequence: 0,
         }
     }
 
@@ -240,20 +243,19 @@
         self.feeds.retain(|_, feed| {
             now.saturating_duration_since(feed.acknowledged_at()) < FEED_RETENTION
         });
-        let limited = self.lead(now).map(|lead| &self.answers[lead].limited);
         if let Some(has_news) = self.has_news.get_mut(slot) {
             *has_news = false;
         }
         let totals = self.customers.values().map(|usage| Counted {
             code: usage.code,
             totals: usage.totals,
-            is_limited: limited.is_some_and(|limited| limited.contains_key(&usage.code)),
             debt_count: usage.bucket.debt_count(),
         });
         self.feeds
             .entry(coordinator.to_owned())
-            .or_insert_with(|| ReportFeed::new(totals.clone(), now))
+            .or_insert_with(|| ReportFeed::new(self.last_sequence, totals.clone(), now))
             .fill(&mut report, totals, now);
+        self.last_sequence = self.last_sequence.max(report.sequence);
         report
     }
 
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -49,6 +49,8 @@
     listen_address: RefCell<String>,
     /// Address that heartbeats name.
     announced_address: RefCell<String>,
+    /// Version that heartbeats name.
+    pub version: RefCell<String>,
     /// Number of starts, from 1; a part of the instance's name.
     generation: Cell<u64>,
     /// Name of an earlier generation under which this one runs.
@@ -104,6 +106,7 @@
             announce_address: announce_address.to_owned(),
             listen_address: RefCell::default(),
             announced_address: RefCell::default(),
+            version: RefCell::new("v1".to_owned()),
             generation: Cell::new(1),
             kept_name: RefCell::default(),
             sequence: Cell::new(0),
@@ -155,10 +158,6 @@
         *self.announced_address.borrow_mut() = address.to_owned();
     }
 
-    fn announced_address(&self) -> String {
-        self.announced_address.borrow().clone()
-    }
-
     /// Returns all requests that the back end has started to run, in all generations.
     pub fn runs(&self) -> Vec<Run> {
         self.runs.borrow().clone()
@@ -265,8 +264,8 @@
     /// Returns whether the node acknowledged it.
     pub async fn send_heartbeat_of(&self, sequence: u64, draining: bool) -> bool {
         let body = json!({
-            "service": self.service, "address": self.announced_address(), "zone": self.zone,
-            "version": "v1", "slots": 12, "coldLeft": "0ms", "sequence": sequence,
+            "service": self.service, "address": *self.announced_address.borrow(), "zone": self.zone,
+            "version": *self.version.borrow(), "slots": 12, "coldLeft": "0ms", "sequence": sequence,
             "state": if draining { "draining" } else { "ready" },
             "born": self.born_ms(),
         });
