--- a/crates/dataplane/src/stall_watch.rs
+++ b/crates/dataplane/src/stall_watch.rs
@@ -17,6 +17,10 @@
 /// Measures the delays of wake-ups. Runs until the process ends.
 pub(crate) async fn watch_stalls(metrics: &Metrics) {
     let mut watch = StallWatch::default();
+    // Without stalls the metrics are 0, not absent.
+    metrics.count_by("stalls", 0);
+    metrics.count_by("stalled_ms", 0);
+    metrics.set_gauge("stall_longest_ms", 0);
     loop {
         let due_at = Instant::now() + WAKE_PERIOD;
         tokio::time::sleep_until(due_at.into()).await;
