A target's own refusals count as failures of the target, not as overload

Under a fault in which the small service refused half of its calls while it had room, the throttle of nested calls closed almost wholly: it can't tell refusals that fewer calls would avoid from those that come whatever is sent. Calls of the large service were refused for it. Refusals of the target itself now have a reason of their own, which neither closes a throttle nor holds calls back from the target.

--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -367,7 +367,12 @@
     at_work: CallGuard<'_>,
     answer: Answer,
 ) -> AttemptResult {
-    if let Some(reason) = plane.interface.not_run_reason(&answer) {
+    if let Some(stated) = plane.interface.not_run_reason(&answer) {
+        let reason = match stated {
+            // Its node counted a free slot, so that fewer calls would not change this.
+            NotRunReason::Overloaded if plane.overload_control() => NotRunReason::Shed,
+            stated => stated,
+        };
         log::info!(
             "target refused request={} kind={} instance={} status={} why={}",
             call.request_id,
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -25,6 +25,8 @@
     NoTarget,
     /// The queue was full, or the call was shed in favour of one with a higher worth.
     Overloaded,
+    /// The target refused the call although its node had counted a free slot.
+    Shed,
     /// The call's turn under the target's rate limit would come after its deadline.
     RateLimited,
     /// The deadline passed before the call was sent.
@@ -70,7 +72,7 @@
 
 impl NotRunReason {
     /// All reasons.
-    pub const ALL: [NotRunReason; 18] = [
+    pub const ALL: [NotRunReason; 19] = [
         NotRunReason::NoConfiguration,
         NotRunReason::NoService,
         NotRunReason::Unauthorized(KeyRefusal::Missing),
@@ -83,6 +85,7 @@
         NotRunReason::NoRoute,
         NotRunReason::NoTarget,
         NotRunReason::Overloaded,
+        NotRunReason::Shed,
         NotRunReason::RateLimited,
         NotRunReason::Expired,
         NotRunReason::Draining,
@@ -102,6 +105,7 @@
             NotRunReason::NoRoute => "no-route",
             NotRunReason::NoTarget => "no-target",
             NotRunReason::Overloaded => "overloaded",
+            NotRunReason::Shed => "shed",
             NotRunReason::RateLimited => "rate-limited",
             NotRunReason::Expired => "expired",
             NotRunReason::Draining => "draining",
@@ -117,6 +121,7 @@
             self,
             NotRunReason::NoTarget
                 | NotRunReason::Overloaded
+                | NotRunReason::Shed
                 | NotRunReason::RateLimited
                 | NotRunReason::Draining
                 | NotRunReason::Unreachable
