--- a/crates/rate-limit/src/coordinator.rs
+++ b/crates/rate-limit/src/coordinator.rs
@@ -49,6 +49,9 @@
 /// admitted before a report add up to more than the nodes' own shares let pass.
 const SHARE_MIN: f64 = 0.2;
 
+/// Largest number of a report that may be the first one to this coordinator since the node's start.
+const FIRST_REPORT_MAX: u64 = 2;
+
 /// Largest debt that the loss of nodes may leave, as time at the limit. Nodes that change their
 /// coordinator are lost too, so that the loss is an estimate.
 const LOSS_DEBT_MAX: Duration = Duration::from_millis(200);
@@ -191,6 +194,8 @@
         let period = Duration::from_millis(report.period_ms.min(PERIOD_MAX_MS));
         self.recount(now);
         let known = self.reporters.get(node);
+        // A node that was not granted a share by this coordinator before has admitted by its own one.
+        let is_new = known.is_none() && report.sequence <= FIRST_REPORT_MAX;
         let known = known.filter(|known| known.epoch == report.epoch);
         let is_repeated = known.is_some_and(|known| known.sequence >= report.sequence);
         let next = Reporter {
@@ -211,7 +216,8 @@
             bucket.advance(self.share, now);
             bucket.demand_per_s += f64::from(count.1) / bucket.demand_time_s();
             let debt_max = bucket.limit.rate_per_s * self.bounds.window.as_secs_f64();
-            let balance = bucket.balance - f64::from(count.2);
+            let drawn_count = if is_new { 0.0 } else { f64::from(count.2) };
+            let balance = bucket.balance - drawn_count;
             bucket.balance = balance.clamp(-debt_max, bucket.capacity);
         }
     }
--- a/crates/rate-limit/src/usage_meter.rs
+++ b/crates/rate-limit/src/usage_meter.rs
@@ -55,6 +55,10 @@
 /// Time without any report after which the progress of a coordinator is dropped.
 const FEED_RETENTION: Duration = Duration::from_secs(10);
 
+/// Time after the first report within which a new coordinator is told all counts since the start. After a
+/// quick restart coordinators still grant this node's share to others.
+const START_TIME: Duration = Duration::from_secs(2);
+
 /// Shortest and longest time to come back that a node states by its own share.
 const LOCAL_RETURN_MS: (u64, u64) = (700, 5_000);
 
@@ -118,6 +122,7 @@
     feeds: FastMap<String, ReportFeed>,
     /// Highest number of all reports. Numbers of a feed that begins anew must be higher than before.
     last_sequence: u64,
+    first_report_at: Option<Instant>,
 }
 
 impl UsageMeter {
@@ -133,6 +138,7 @@
             has_news: [false; COORDINATOR_COUNT],
             feeds: FastMap::default(),
             last_sequence: 0,
+            first_report_at: None,
         }
     }
 
@@ -251,9 +257,12 @@
             totals: usage.totals,
             debt_count: usage.bucket.debt_count(),
         });
+        let first_report_at = *self.first_report_at.get_or_insert(now);
+        let has_just_started = now.saturating_duration_since(first_report_at) < START_TIME;
+        let known_totals = totals.clone().filter(|_| !has_just_started);
         self.feeds
             .entry(coordinator.to_owned())
-            .or_insert_with(|| ReportFeed::new(self.last_sequence, totals.clone(), now))
+            .or_insert_with(|| ReportFeed::new(self.last_sequence, known_totals, now))
             .fill(&mut report, totals, now);
         self.last_sequence = self.last_sequence.max(report.sequence);
         report
