--- a/crates/http/tests/connections.rs
+++ b/crates/http/tests/connections.rs
@@ -66,10 +66,6 @@
         })
     }
 
-    fn may_overlap(&self, request: &Request) -> bool {
-        request.path.ends_with("/safe")
-    }
-
     fn limits(&self) -> ServerLimits {
         ServerLimits {
             head_max_bytes: 16 * 1_024,
@@ -134,70 +130,6 @@
     assert!(positions.is_sorted(), "{received}");
 }
 
-/// Guards against safe requests that wait for the answers to earlier ones of their connection, and
-/// against answers in another order than the requests.
-#[ntex::test]
-async fn pipelined_safe_requests_run_at_the_same_time() {
-    let server = start().await;
-    let mut stream = TcpStream::connect(&server.address).await.unwrap();
-    let requests = get("/slow/1/safe") + &get("/2/safe") + &get("/slow/3/safe");
-    stream.write_all(requests.as_bytes()).await.unwrap();
-    tokio::time::sleep(Duration::from_millis(100)).await;
-    assert_eq!(server.handler.running_count.get(), 2);
-    let received = exchange(&mut stream, "").await;
-    let positions: Vec<_> = ["GET /slow/1/", "GET /2/", "GET /slow/3/"]
-        .iter()
-        .map(|part| received.find(part).unwrap())
-        .collect();
-    assert!(positions.is_sorted(), "{received}");
-}
-
-/// Guards against a request with side effects that runs beside others of its connection.
-#[ntex::test]
-async fn a_pipelined_request_that_may_not_overlap_runs_alone() {
-    let server = start().await;
-    let mut stream = TcpStream::connect(&server.address).await.unwrap();
-    let requests = get("/slow/1/safe") + &get("/slow/2") + &get("/slow/3/safe");
-    stream.write_all(requests.as_bytes()).await.unwrap();
-    for _ in 0..3 {
-        tokio::time::sleep(Duration::from_millis(150)).await;
-        assert_eq!(server.handler.running_count.get(), 1);
-        tokio::time::sleep(Duration::from_millis(150)).await;
-    }
-}
-
-/// Guards against requests that run and are cut off without an answer when the server stops.
-#[ntex::test]
-async fn overlapping_requests_are_all_answered_in_a_shutdown() {
-    let server = start().await;
-    let mut stream = TcpStream::connect(&server.address).await.unwrap();
-    let requests = get("/slow/1/safe") + &get("/slow/2/safe");
-    stream.write_all(requests.as_bytes()).await.unwrap();
-    tokio::time::sleep(Duration::from_millis(100)).await;
-    server.phase.send_replace(ServerPhase::Closing);
-    let received = exchange(&mut stream, "").await;
-    assert!(received.contains("GET /slow/2/"), "{received}");
-    assert_eq!(
-        received.matches("connection: close").count(),
-        1,
-        "{received}"
-    );
-}
-
-/// Guards against requests that go on running after their client has left.
-#[ntex::test]
-async fn a_client_disconnect_cancels_all_requests_that_overlap() {
-    let server = start().await;
-    let mut stream = TcpStream::connect(&server.address).await.unwrap();
-    let requests = get("/slow/1/safe") + &get("/slow/2/safe");
-    stream.write_all(requests.as_bytes()).await.unwrap();
-    tokio::time::sleep(Duration::from_millis(100)).await;
-    assert_eq!(server.handler.running_count.get(), 2);
-    drop(stream);
-    tokio::time::sleep(Duration::from_millis(100)).await;
-    assert_eq!(server.handler.running_count.get(), 0);
-}
-
 #[ntex::test]
 async fn a_request_pipelined_after_a_closing_answer_is_not_run() {
     let server = start().await;
