Mend what the reviews found

- An answer that a client does not read no longer stops the requests behind it on its connection; the go-ahead for a body follows the answers before it; a request that was held has its whole budget.
- A throttle counts only calls that a target's node refused or accepted, so that requests without time close none.
- A request with a key is never nested, whatever its id.
- Numbers from peers are bounded; counts of evidence saturate.
- A body that need not wait is bounded by the deadline; a body that is not sent gives its time of the link back.
- A call that can't end in time is refused at the entrance.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -160,7 +160,12 @@
         if self.draining {
             return (AdmitOutcome::Refused(NotRunReason::Draining), dequeued);
         }
-        if call.deadline <= now {
+        let needed = if self.limits.overload_control {
+            needed_time(&self.times, &self.limits, call.kind)
+        } else {
+            Duration::ZERO
+        };
+        if call.deadline <= now + needed {
             return (AdmitOutcome::Refused(NotRunReason::Expired), dequeued);
         }
         if self.pacer.is_some() {
--- a/crates/admission/src/body_pacer.rs
+++ b/crates/admission/src/body_pacer.rs
@@ -9,6 +9,16 @@
 /// behind a body on a link that is full.
 const LINK_RATIO: f64 = 0.6;
 
+/// Until when a body must have arrived.
+#[derive(Clone, Copy, Debug)]
+pub struct ArrivalBounds {
+    /// Bound of a body that may start at once.
+    pub at_once: Instant,
+    /// Bound of a body that waits for others. It is earlier, so that the queue stays as short as prompt
+    /// answers need.
+    pub waiting: Instant,
+}
+
 /// Lets large bodies start one after the other, at the pace of their share of the link.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyPacer {
@@ -27,13 +37,23 @@
     }
 
     /// Returns when a body of `len_bytes` may start, and reserves the link for it. Returns `None` if it
-    /// would not have arrived by `latest`.
-    pub fn reserve(&mut self, len_bytes: usize, latest: Instant, now: Instant) -> Option<Instant> {
+    /// would arrive too late.
+    pub fn reserve(
+        &mut self,
+        len_bytes: usize,
+        by: ArrivalBounds,
+        now: Instant,
+    ) -> Option<Instant> {
         if self.bytes_per_s <= 0.0 {
             return Some(now);
         }
         let start_at = self.free_at.max(now);
-        let transfer = Duration::try_from_secs_f64(len_bytes as f64 / self.bytes_per_s).ok()?;
+        let transfer = self.transfer_time(len_bytes)?;
+        let latest = if start_at > now {
+            by.waiting
+        } else {
+            by.at_once
+        };
         let end_at = start_at.checked_add(transfer)?;
         if end_at > latest {
             return None;
@@ -42,6 +62,19 @@
         Some(start_at)
     }
 
+    /// Takes back the reservation of a body that is not sent.
+    pub fn give_back(&mut self, len_bytes: usize, now: Instant) {
+        let Some(transfer) = self.transfer_time(len_bytes) else {
+            return;
+        };
+        self.free_at = self.free_at.checked_sub(transfer).unwrap_or(now).max(now);
+    }
+
+    /// Returns the time that the link's share takes for a body.
+    fn transfer_time(&self, len_bytes: usize) -> Option<Duration> {
+        Duration::try_from_secs_f64(len_bytes as f64 / self.bytes_per_s).ok()
+    }
+
     /// Returns the pace of bodies on the link; 0 if the link is unknown.
     pub fn bytes_per_s(&self) -> f64 {
         self.bytes_per_s
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -21,7 +21,10 @@
     Dequeued,
     Ticket, //
 };
-pub use body_pacer::BodyPacer;
+pub use body_pacer::{
+    ArrivalBounds,
+    BodyPacer, //
+};
 pub use crash_report::{
     run_id,
     CrashReport,
--- a/crates/control/src/mesh/rollouts.rs
+++ b/crates/control/src/mesh/rollouts.rs
@@ -127,6 +127,15 @@
     }
 
     /// Returns all rollouts.
+    pub(crate) fn rollout_states_of(&self, service: &str) -> Vec<RolloutState> {
+        let book = self.rollouts();
+        let state = book
+            .get(service)
+            .map(|rollout| rollout.state(Instant::now()));
+        state.into_iter().collect()
+    }
+
+    /// Returns the rollouts that this node knows.
     pub fn rollout_states(&self) -> Vec<RolloutState> {
         let now = Instant::now();
         self.rollouts()
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -216,6 +216,6 @@
 
     async fn report_evidence(self, _: Context, report: EvidenceReport) -> Vec<RolloutState> {
         self.mesh.merge_evidence(&report, STOP_LEVEL);
-        self.mesh.rollout_states()
+        self.mesh.rollout_states_of(&report.service)
     }
 }
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -28,6 +28,7 @@
     admit,
     AttemptResult, //
 };
+use crate::attempts::is_overload_refusal;
 use crate::call::{
     AdmissionRequest,
     AttemptKind,
@@ -52,6 +53,9 @@
 /// Usual size of the names and values of these headers, in bytes.
 const ADMISSION_TEXT_BYTES: usize = 512;
 
+/// Largest number that is taken from a peer: an hour in milliseconds.
+const PEER_NUMBER_MAX: f64 = 3_600_000.0;
+
 /// Makes one attempt and records its outcome. Dropping the future cancels the attempt and releases
 /// all its resources.
 pub(crate) async fn attempt(
@@ -74,6 +78,9 @@
     } else {
         forward_to_peer(worker, call, entry, attempt_kind).await
     };
+    if is_overload_refusal(&result.outcome) {
+        call.refused_count.set(call.refused_count.get() + 1);
+    }
     let took = in_flight.finish();
     record_result(plane, call, entry, &result, took);
     if plane.overload_control() {
@@ -258,7 +265,7 @@
     node_id: &NodeId,
     mut answer: Answer,
 ) -> AttemptResult {
-    let parse_number = |name| answer.header(name).and_then(|value| value.parse().ok());
+    let parse_number = |name| answer.header(name).and_then(parse_peer_number);
     if let (Some(busy_ratio), Some(wait_ms)) = (
         parse_number(headers::BUSY_RATIO),
         parse_number(headers::WAIT_MS),
@@ -315,6 +322,12 @@
     }
 }
 
+/// Parses a number that a peer states. One that no node of this build would state is left out.
+fn parse_peer_number(text: &str) -> Option<f64> {
+    let number: f64 = text.parse().ok()?;
+    (0.0..=PEER_NUMBER_MAX).contains(&number).then_some(number)
+}
+
 /// Merges what the peer's answer tells of its route table. The peer wrote the answer later than the
 /// time at which the call was sent by the call's time in the queue and at the target.
 fn merge_route_confirmation(plane: &DataPlane, answer: &Answer, sent_at: BootInstant) {
@@ -345,7 +358,7 @@
 /// Parses the time in the queue and the time at the target from `QUEUE_MS,RUN_MS`.
 fn parse_queue_and_run_ms(text: &str) -> Option<(Duration, Duration)> {
     let (queue_ms, run_ms) = text.split_once(',')?;
-    let parse_ms = |ms: &str| Duration::try_from_secs_f64(ms.parse::<f64>().ok()? / 1_000.0).ok();
+    let parse_ms = |ms: &str| Some(Duration::from_secs_f64(parse_peer_number(ms)? / 1_000.0));
     Some((parse_ms(queue_ms)?, parse_ms(run_ms)?))
 }
 
--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -63,7 +63,6 @@
     let overload_control = worker.plane.overload_control();
     let mut tried: Vec<NodeId> = Vec::new();
     let mut sent_count = 0;
-    let mut refused_count = 0;
     while sent_count < rule.attempt_max_count && tried.len() < TARGET_TRY_MAX_COUNT {
         if call.deadline <= Instant::now() {
             return Outcome::NotRun(NotRunReason::Expired)
@@ -99,11 +98,10 @@
             retries.refund(rule.service);
         }
         sent_count += usize::from(result.sent) + usize::from(hedge_sent);
-        refused_count += usize::from(is_overload_refusal(&result.outcome));
         let is_retryable = may_retry(call, &result.outcome);
         let merged = result.outcome.merge_earlier(call.earlier_outcome.take());
         call.earlier_outcome.replace(merged);
-        if overload_control && refused_count >= REFUSAL_MAX_COUNT {
+        if overload_control && call.refused_count.get() >= REFUSAL_MAX_COUNT {
             break;
         }
         if !is_retryable || worker.plane.refuses_as_quarantined(call.fingerprint) {
@@ -123,9 +121,7 @@
 pub(crate) fn is_overload_refusal(outcome: &Outcome) -> bool {
     matches!(
         outcome,
-        Outcome::NotRun(
-            NotRunReason::Overloaded | NotRunReason::RateLimited | NotRunReason::Expired
-        )
+        Outcome::NotRun(NotRunReason::Overloaded | NotRunReason::RateLimited)
     )
 }
 
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -1,6 +1,9 @@
 //! A call that a node serves: its rule, its attempts and its outcome.
 
-use std::cell::RefCell;
+use std::cell::{
+    Cell,
+    RefCell, //
+};
 use std::time::Instant;
 
 use figway_cost::RequestClass;
@@ -161,6 +164,8 @@
     pub(crate) parent_is_repeat: bool,
     /// Merged outcome of the attempts that have ended.
     pub(crate) earlier_outcome: &'a RefCell<Outcome>,
+    /// Attempts that targets' nodes refused since they have no room.
+    pub(crate) refused_count: &'a Cell<usize>,
 }
 
 impl Call<'_> {
--- a/crates/dataplane/src/caller.rs
+++ b/crates/dataplane/src/caller.rs
@@ -40,8 +40,8 @@
     incoming: &Incoming<'_>,
     route: &Route,
 ) -> Result<IdentifiedCaller, NotRunReason> {
-    let parent_call = plane.parent_call(incoming.request_id);
-    let parent = parent_of(plane, incoming.request_id, parent_call.as_ref());
+    let named_call = plane.parent_call(incoming.request_id);
+    let parent = parent_of(plane, incoming.request_id, named_call.as_ref());
     let credentials = plane.interface.credentials(incoming.request);
     let customers = view.routes.customers.as_deref();
     let (customer, key) = match identify(customers, credentials, route.anonymous, parent) {
@@ -50,6 +50,8 @@
         Identity::Unauthorized(why) => return Err(NotRunReason::Unauthorized(why)),
         Identity::Orphaned => return Err(NotRunReason::UnknownParent),
     };
+    // A caller with a key may use any id, so that its request is not taken for a nested one.
+    let parent_call = named_call.filter(|_| key.is_none());
     Ok(IdentifiedCaller {
         customer,
         key,
--- a/crates/dataplane/src/offers.rs
+++ b/crates/dataplane/src/offers.rs
@@ -7,7 +7,10 @@
     Instant, //
 };
 
-use figway_admission::BodyPacer;
+use figway_admission::{
+    ArrivalBounds,
+    BodyPacer, //
+};
 use figway_http::{
     Answer,
     Bytes,
@@ -37,9 +40,13 @@
 /// Outcome of an offer that was accepted.
 const ACCEPTED: &str = "accepted";
 
-/// Fraction of the time to a prompt answer that may pass until a body has arrived.
+/// Fraction of the time to a prompt answer, or to the deadline for a body that need not wait for others,
+/// that may pass until a body has arrived.
 const ARRIVAL_RATIO: f64 = 0.6;
 
+/// Longest time for which the link is reserved ahead, whatever a peer states.
+const RESERVED_MAX: Duration = Duration::from_secs(10);
+
 /// Pace of the large bodies that peers send to this node.
 pub(crate) struct BodyOffers {
     pacer: Mutex<BodyPacer>,
@@ -58,12 +65,16 @@
         Some(pacer.bytes_per_s()).filter(|bytes_per_s| *bytes_per_s > 0.0)
     }
 
-    fn reserve(&self, len_bytes: usize, latest: Instant) -> Result<Instant, Duration> {
-        let now = Instant::now();
+    /// Reserves the link for a body, if it would arrive in time.
+    fn reserve(&self, len_bytes: usize, by: ArrivalBounds) -> Option<Reservation<'_>> {
         let mut pacer = self.pacer.lock().expect("no holder panics");
-        pacer
-            .reserve(len_bytes, latest, now)
-            .ok_or_else(|| pacer.wait(now))
+        let start_at = pacer.reserve(len_bytes, by, Instant::now())?;
+        Some(Reservation {
+            offers: self,
+            len_bytes,
+            start_at,
+            accepted: false,
+        })
     }
 }
 
@@ -75,6 +86,23 @@
     Refused(AttemptResult),
 }
 
+/// Reserved time of the link, which is given back if the peer leaves before its body may start.
+struct Reservation<'a> {
+    offers: &'a BodyOffers,
+    len_bytes: usize,
+    start_at: Instant,
+    accepted: bool,
+}
+
+impl Drop for Reservation<'_> {
+    fn drop(&mut self) {
+        if !self.accepted {
+            let mut pacer = self.offers.pacer.lock().expect("no holder panics");
+            pacer.give_back(self.len_bytes, Instant::now());
+        }
+    }
+}
+
 /// Offers the body of the call to the target's node, if it is large.
 pub(crate) async fn offer_body(worker: &Worker, call: &Call<'_>, entry: &TargetEntry) -> Offered {
     if call.body.len() < OFFERED_MIN_BYTES || !worker.plane.overload_control() {
@@ -129,18 +157,19 @@
     let report = plane.gate.load_report(offer.rank);
     let wait = Duration::try_from_secs_f64(report.wait_ms / 1_000.0).unwrap_or_default();
     let now = Instant::now();
-    let prompt_left = offer.prompt_by.saturating_duration_since(now);
-    let latest = now + prompt_left.mul_f64(ARRIVAL_RATIO);
-    let serves = !plane.is_draining() && plane.runs_service(offer.service);
-    let reserved = if serves && now + wait < latest {
-        plane.offers.reserve(offer.len_bytes, latest)
-    } else {
-        Err(wait)
+    let by = ArrivalBounds {
+        at_once: arrival_bound(offer.deadline, now),
+        waiting: arrival_bound(offer.prompt_by, now),
     };
+    let serves = !plane.is_draining() && plane.runs_service(offer.service);
+    let reserved = (serves && now + wait < by.at_once)
+        .then(|| plane.offers.reserve(offer.len_bytes, by))
+        .flatten();
     match reserved {
-        Ok(start_at) => {
+        Some(mut reservation) => {
             plane.metrics.count("offers_accepted");
-            tokio::time::sleep_until(start_at.into()).await;
+            tokio::time::sleep_until(reservation.start_at.into()).await;
+            reservation.accepted = true;
             let mut answer = Answer::of_status(200);
             answer.headers.push(headers::OUTCOME, ACCEPTED);
             if let Some(bytes_per_s) = plane.offers.bytes_per_s() {
@@ -149,7 +178,7 @@
             }
             answer
         }
-        Err(_) => {
+        None => {
             plane.metrics.count("offers_refused");
             let reason = if serves {
                 NotRunReason::Overloaded
@@ -161,23 +190,32 @@
     }
 }
 
+/// Returns until when a body must have arrived whose answer is due at `due_at`.
+fn arrival_bound(due_at: Instant, now: Instant) -> Instant {
+    let left = due_at.saturating_duration_since(now).min(RESERVED_MAX);
+    now + left.mul_f64(ARRIVAL_RATIO)
+}
+
 /// Body that a peer offers.
 struct Offer<'a> {
     len_bytes: usize,
     service: &'a str,
     rank: u32,
     prompt_by: Instant,
+    deadline: Instant,
 }
 
 impl<'a> Offer<'a> {
     fn parse(request: &'a Request) -> Option<Self> {
         let header = |name| request.headers.get(name);
         let prompt_ms = header(headers::ADMIT_PROMPT_MS)?.parse().ok()?;
+        let budget_ms = header(headers::BUDGET_MS)?.parse().ok()?;
         Some(Self {
             len_bytes: header(headers::OFFER_BYTES)?.parse().ok()?,
             service: header(headers::ADMIT_SERVICE)?,
             rank: header(headers::ADMIT_RANK)?.parse().ok()?,
             prompt_by: deadline_after_ms(request.arrived_at, prompt_ms),
+            deadline: deadline_after_ms(request.arrived_at, budget_ms),
         })
     }
 }
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -1,7 +1,10 @@
 //! Caller's side of a call: routing, then attempts within the retry budget until an answer or the
 //! deadline.
 
-use std::cell::RefCell;
+use std::cell::{
+    Cell,
+    RefCell, //
+};
 use std::time::{
     Duration,
     Instant, //
@@ -257,6 +260,7 @@
         rule.rank = NESTED_RANK;
         rule.prompt_ms = Some(route.budget_ms);
     }
+    let is_nested = parent_call.is_some();
     let parent_is_repeat =
         parent_call.is_some_and(|parent| parent.attempt_kind != AttemptKind::First);
     let properties = CallProperties {
@@ -271,7 +275,7 @@
         },
     };
     let served = run_call(worker, &incoming, &headers, rule, properties).await;
-    if is_overload_refusal(&served.outcome) {
+    if is_nested && is_overload_refusal(&served.outcome) {
         if let Some(parent_id) = plane.interface.parent_id(incoming.request_id) {
             plane.running.record_nested_refusal(parent_id);
         }
@@ -323,6 +327,7 @@
         .min(rule_deadline);
     let steps: RefCell<Vec<Step>> = RefCell::default();
     let earlier_outcome: RefCell<Outcome> = RefCell::default();
+    let refused_count = Cell::new(0);
     let call = Call {
         request_id: incoming.request_id,
         steps: &steps,
@@ -341,6 +346,7 @@
         fingerprint,
         parent_is_repeat,
         earlier_outcome: &earlier_outcome,
+        refused_count: &refused_count,
     };
     let serving = async {
         match key {
@@ -399,6 +405,11 @@
         return Outcome::NotRun(NotRunReason::Overloaded);
     }
     let outcome = run_attempts(worker, call).await;
-    overload.record_call(service, rank, !is_overload_refusal(&outcome));
+    match &outcome {
+        // A call that no target refused says nothing about the room there.
+        Outcome::NotRun(_) if call.refused_count.get() == 0 => {}
+        Outcome::NotRun(_) => overload.record_call(service, rank, false),
+        Outcome::Answered(_) | Outcome::Unknown(_) => overload.record_call(service, rank, true),
+    }
     outcome
 }
--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -1,5 +1,7 @@
 //! Requests of one connection that run at the same time, and whose answers leave in their order.
 
+use std::collections::VecDeque;
+
 use futures::future::LocalBoxFuture;
 use futures::stream::{
     FuturesOrdered,
@@ -13,8 +15,11 @@
 };
 use crate::server::Handler;
 
-/// Largest number of requests of a connection that run at the same time.
-const RUNNING_MAX_COUNT: usize = 16;
+/// Largest number of requests of a connection that run or whose answers are not sent yet.
+const UNANSWERED_MAX_COUNT: usize = 16;
+
+/// Size of the answers that are not sent yet above which no further request is read, in bytes.
+const UNSENT_MAX_BYTES: usize = 256 * 1_024;
 
 /// Answer to a request, with what its encoding depends on.
 pub(crate) struct Finished {
@@ -25,10 +30,11 @@
     pub(crate) wants_close: bool,
 }
 
-/// Requests that run, in the order in which they arrived.
+/// Requests that run, and answers that are not sent yet, in the order in which the requests arrived.
 pub(crate) struct Pipeline<'a> {
     handler: &'a dyn Handler,
     running: FuturesOrdered<LocalBoxFuture<'a, Finished>>,
+    finished: VecDeque<Finished>,
     /// Whether further requests may run beside those that run.
     may_overlap: bool,
 }
@@ -38,22 +44,32 @@
         Self {
             handler,
             running: FuturesOrdered::new(),
+            finished: VecDeque::new(),
             may_overlap: true,
         }
     }
 
+    /// Returns whether no request runs and no answer is left to send.
     pub(crate) fn is_empty(&self) -> bool {
-        self.running.is_empty()
+        self.running.is_empty() && self.finished.is_empty()
+    }
+
+    /// Returns whether a request runs.
+    pub(crate) fn runs(&self) -> bool {
+        !self.running.is_empty()
     }
 
-    /// Returns whether another request may be read while those that run are not answered.
+    /// Returns whether another request may be read while those before it are not answered.
     pub(crate) fn accepts_more(&self) -> bool {
-        self.may_overlap && self.running.len() < RUNNING_MAX_COUNT
+        let unanswered_count = self.running.len() + self.finished.len();
+        self.may_overlap
+            && unanswered_count < UNANSWERED_MAX_COUNT
+            && self.unsent_bytes() <= UNSENT_MAX_BYTES
     }
 
-    /// Returns whether `request` may start now.
+    /// Returns whether `request` may start beside those that run.
     pub(crate) fn may_start(&self, request: &Request) -> bool {
-        self.is_empty() || (self.accepts_more() && self.handler.may_overlap(request))
+        self.accepts_more() && self.handler.may_overlap(request)
     }
 
     /// Starts a request that `codec` has just decoded.
@@ -71,11 +87,24 @@
         }));
     }
 
-    /// Waits for the answer to the first request that runs. Does not return while none runs.
-    pub(crate) async fn next(&mut self) -> Finished {
+    /// Runs the requests until the answer to the first of them is there. Does not return while none
+    /// runs.
+    pub(crate) async fn run(&mut self) {
         match self.running.next().await {
-            Some(finished) => finished,
+            Some(finished) => self.finished.push_back(finished),
             None => std::future::pending().await,
         }
     }
+
+    /// Takes the next answer to send, if it is there.
+    pub(crate) fn take_finished(&mut self) -> Option<Finished> {
+        self.finished.pop_front()
+    }
+
+    fn unsent_bytes(&self) -> usize {
+        self.finished
+            .iter()
+            .map(|finished| finished.answer.body.len())
+            .sum()
+    }
 }
--- a/crates/http/src/receive.rs
+++ b/crates/http/src/receive.rs
@@ -15,6 +15,7 @@
 };
 use ntex::io::Io;
 use ntex::util::Either;
+use tokio::sync::watch;
 use tokio::time::{
     timeout,
     timeout_at, //
@@ -73,12 +74,14 @@
     }
 }
 
-/// Reads one request, whose body takes its memory from `memory`.
+/// Reads one request, whose body takes its memory from `memory`. A client that waits for a go-ahead
+/// before it sends the body gets it once all earlier requests are answered, as `answered` states.
 pub(crate) async fn receive(
     io: &Io,
     codec: &Codec,
     limits: ServerLimits,
     memory: &MemoryBudget,
+    answered: &mut watch::Receiver<bool>,
 ) -> Received {
     let arrived_at = Instant::now();
     let deadline = deadline_after_ms(arrived_at, limits.request_max_ms);
@@ -104,9 +107,11 @@
             Ok(buffer) => buffer,
             Err(error) => return refuse_body(error, request, rest),
         };
-        if expects_continue(&request) && io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n").is_err()
-        {
-            return Received::Ended;
+        if expects_continue(&request) {
+            let all_answered = answered.wait_for(|answered| *answered).await.is_ok();
+            if !all_answered || io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n").is_err() {
+                return Received::Ended;
+            }
         }
         match read_body(io, &rest.decoder, buffer).await {
             Ok(body) => request.body = body,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -218,73 +218,92 @@
         }
     }
 
-    /// Serves the requests that arrive until none is read or runs. Returns whether the connection stays
-    /// open.
+    /// Serves the requests that arrive until none is read, runs or is unanswered. Returns whether the
+    /// connection stays open.
     async fn serve_burst(&self, io: &Io, codec: &Codec) -> bool {
         let handler = self.handler.as_ref();
         let memory = handler.memory();
         let read_begun = Cell::new(true);
+        let all_answered = watch::Sender::new(true);
         let read = |waits: bool| {
             let (memory, read_begun) = (&memory, &read_begun);
+            let mut answered = all_answered.subscribe();
             async move {
                 if waits && !wait_for_more(io).await {
                     return Received::Ended;
                 }
                 read_begun.set(true);
-                receive(io, codec, handler.limits(), memory).await
+                receive(io, codec, handler.limits(), memory, &mut answered).await
             }
         };
         let mut pipeline = Pipeline::new(handler);
         let mut held: Option<Received> = None;
+        let mut was_held = false;
+        let mut writing: Option<LocalBoxFuture<'_, bool>> = None;
         let reading = read(false);
         let disconnected = io.on_disconnect();
         tokio::pin!(reading, disconnected);
         loop {
-            if pipeline.is_empty() && held.is_none() && !read_begun.get() {
-                return true;
-            }
-            let reads = held.is_none() && (read_begun.get() || self.reads_ahead(&pipeline));
-            tokio::select! {
-                received = &mut reading, if reads => held = Some(received),
-                finished = pipeline.next(), if !pipeline.is_empty() => {
-                    if !self.write_finished(io, finished, &pipeline).await {
-                        return false;
-                    }
+            if writing.is_none() {
+                if let Some(finished) = pipeline.take_finished() {
+                    let is_last = pipeline.is_empty();
+                    writing = Some(Box::pin(self.write_finished(io, finished, is_last)));
                 }
-                () = &mut disconnected => return false,
             }
-            let Some(received) = held.take() else {
-                continue;
-            };
-            match received {
-                Received::Request(request) if pipeline.may_start(&request) => {
+            let is_idle = writing.is_none() && pipeline.is_empty();
+            all_answered.send_if_modified(|known| std::mem::replace(known, is_idle) != is_idle);
+            match held.take() {
+                Some(Received::Request(mut request)) if is_idle || pipeline.may_start(&request) => {
+                    if std::mem::take(&mut was_held) {
+                        // Its budget begins when it may run, as if it had been read then.
+                        request.arrived_at = Instant::now();
+                    }
                     pipeline.start(request, codec);
                     read_begun.set(false);
                     reading.set(read(true));
+                    continue;
                 }
-                received if !pipeline.is_empty() => held = Some(received),
-                received => {
+                Some(received) if is_idle => {
                     self.refuse_received(io, codec, received).await;
                     return false;
                 }
+                received => {
+                    was_held = received.is_some();
+                    held = received;
+                }
+            }
+            if is_idle && held.is_none() && !read_begun.get() {
+                return true;
+            }
+            let reads = held.is_none() && (read_begun.get() || self.reads_ahead(&pipeline));
+            tokio::select! {
+                received = &mut reading, if reads => held = Some(received),
+                () = pipeline.run(), if pipeline.runs() => {}
+                stays_open = write(&mut writing), if writing.is_some() => {
+                    writing = None;
+                    if !stays_open {
+                        return false;
+                    }
+                }
+                () = &mut disconnected, if writing.is_none() => return false,
             }
         }
     }
 
-    /// Returns whether the next request is read while those that run are not answered.
+    /// Returns whether the next request is read while those before it are not answered.
     fn reads_ahead(&self, pipeline: &Pipeline<'_>) -> bool {
         pipeline.accepts_more() && *self.phase.borrow() == ServerPhase::Open
     }
 
     /// Writes an answer. Returns whether the connection stays open. In a shutdown the connection closes
-    /// with the answer to the last request that runs.
-    async fn write_finished(&self, io: &Io, finished: Finished, pipeline: &Pipeline<'_>) -> bool {
+    /// with the last answer.
+    async fn write_finished(&self, io: &Io, finished: Finished, is_last: bool) -> bool {
         let Finished {
             answer,
             codec,
             wants_close,
         } = finished;
-        let ends = pipeline.is_empty() && *self.phase.borrow() != ServerPhase::Open;
+        let ends = is_last && *self.phase.borrow() != ServerPhase::Open;
         let close = wants_close || ends || answer_closes(&answer);
         write_answer(io, &codec, answer, close).await && !close
     }
@@ -330,6 +349,14 @@
     }
 }
 
+/// Waits until the answer is written.
+async fn write(writing: &mut Option<LocalBoxFuture<'_, bool>>) -> bool {
+    match writing {
+        Some(writing) => writing.await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits for the first bytes of another request. Returns false if the connection ended.
 async fn wait_for_more(io: &Io) -> bool {
     while io.with_read_buf(|buf| buf.is_empty()) {
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -122,15 +122,20 @@
 }
 
 impl RouteEvidence {
+    /// Returns the number of runs that ended.
+    pub(crate) fn run_count(&self) -> u64 {
+        self.answered_count.saturating_add(self.failed_count)
+    }
+
     /// Adds `other` to the counts.
     pub(crate) fn add(&mut self, other: &RouteEvidence) {
-        self.answered_count += other.answered_count;
-        self.failed_count += other.failed_count;
+        self.answered_count = self.answered_count.saturating_add(other.answered_count);
+        self.failed_count = self.failed_count.saturating_add(other.failed_count);
         for (bin, count) in &other.ran {
-            *self.ran.entry(*bin).or_default() += count;
+            add_to_bin(&mut self.ran, *bin, *count);
         }
         for (bin, count) in &other.given_up {
-            *self.given_up.entry(*bin).or_default() += count;
+            add_to_bin(&mut self.given_up, *bin, *count);
         }
     }
 
@@ -146,11 +151,11 @@
 
     /// Returns the number of answers whose run time is counted, and the bin of the median.
     pub(crate) fn median_bin(&self) -> Option<(u64, u8)> {
-        let total: u64 = self.ran.values().sum();
-        let mut below = 0;
+        let total = sum(self.ran.values());
+        let mut below: u64 = 0;
         for (bin, count) in &self.ran {
-            below += count;
-            if below * 2 >= total {
+            below = below.saturating_add(*count);
+            if below >= total.div_ceil(2) {
                 return Some((total, *bin));
             }
         }
@@ -163,10 +168,21 @@
         let slow = self.ran.range(slow_bin..).map(|(_, count)| count);
         let given_up = self.given_up.range(slow_bin..).map(|(_, count)| count);
         let fast = self.ran.range(..slow_bin).map(|(_, count)| count);
-        (slow.sum::<u64>() + given_up.sum::<u64>(), fast.sum())
+        (sum(slow).saturating_add(sum(given_up)), sum(fast))
     }
 }
 
+/// Adds `count` to a bin. Bins of a peer beyond the last one count as that.
+fn add_to_bin(bins: &mut BTreeMap<u8, u64>, bin: u8, count: u64) {
+    let known = bins.entry(bin.min(BIN_MAX)).or_default();
+    *known = known.saturating_add(count);
+}
+
+/// Returns the sum of counts that a peer may state, which can be of any size.
+fn sum<'a>(counts: impl Iterator<Item = &'a u64>) -> u64 {
+    counts.fold(0, |sum: u64, count| sum.saturating_add(*count))
+}
+
 fn bins_since(bins: &BTreeMap<u8, u64>, earlier: &BTreeMap<u8, u64>) -> BTreeMap<u8, u64> {
     let mut since = BTreeMap::new();
     for (bin, count) in bins {
--- a/crates/rollout/src/tally.rs
+++ b/crates/rollout/src/tally.rs
@@ -195,7 +195,7 @@
     }
 
     fn add_old(&mut self, route: &str, more: &RouteEvidence, now: Instant) {
-        self.old_run_count += more.answered_count + more.failed_count;
+        self.old_run_count = self.old_run_count.saturating_add(more.run_count());
         let old = self.old.entry(route.to_owned()).or_default();
         old.all.add(more);
         if let Some(updated_at) = old.updated_at {
@@ -205,13 +205,13 @@
             old.recent_runs *= kept;
         }
         old.recent_failed += more.failed_count as f64;
-        old.recent_runs += (more.answered_count + more.failed_count) as f64;
+        old.recent_runs += more.run_count() as f64;
         old.updated_at = Some(now);
     }
 
     fn add_new(&mut self, route: &str, more: &RouteEvidence) {
-        self.new_run_count += more.answered_count + more.failed_count;
-        self.new_failed_count += more.failed_count;
+        self.new_run_count = self.new_run_count.saturating_add(more.run_count());
+        self.new_failed_count = self.new_failed_count.saturating_add(more.failed_count);
         let new = self.by_route.entry(route.to_owned()).or_default();
         let old = self.old.get(route);
         let old_rate = old.map_or(PRIOR_FAILED_RATE, OldRoute::failed_rate);
@@ -242,7 +242,7 @@
         let rate = |failed: f64, runs: f64| {
             (failed + PRIOR_FAILED_RATE * PRIOR_RUN_COUNT) / (runs + PRIOR_RUN_COUNT)
         };
-        let run_count = self.all.answered_count + self.all.failed_count;
+        let run_count = self.all.run_count();
         let all = rate(self.all.failed_count as f64, run_count as f64);
         all.max(rate(self.recent_failed, self.recent_runs))
     }
@@ -254,9 +254,9 @@
         if count < MEDIAN_MIN_COUNT {
             return None;
         }
-        let slow_bin = median_bin + SLOW_BINS;
+        let slow_bin = median_bin.saturating_add(SLOW_BINS);
         let (slow, fast) = self.all.slow_and_fast(slow_bin);
-        let old_rate = slow as f64 / (slow + fast).max(1) as f64;
+        let old_rate = slow as f64 / slow.saturating_add(fast).max(1) as f64;
         let good_rate = (old_rate * 1.3 + SLOW_RATE_MARGIN).min(0.6);
         let test = Hypotheses {
             good_rate,
--- a/crates/rollout/src/versions.rs
+++ b/crates/rollout/src/versions.rs
@@ -113,17 +113,17 @@
         is_first: bool,
         now: Instant,
     ) -> VersionMask {
+        // Without an order targets of any version serve, so that replacing them one after the other by
+        // another version changes nothing for callers.
         let Some(rollout) = rollout else {
-            if self.is_uniform() {
-                return VersionMask::ALL;
-            }
-            return self.hold_back(self.all(), self.incumbent(), limits, draw, now);
+            return VersionMask::ALL;
         };
         let new = self.mask_of(&rollout.order().target_version);
         let others = self.all() & !new & !self.shunned(rollout);
         let ended_ago = now.saturating_duration_since(rollout.phase_since());
         let base = rollout.base().or(self.incumbent_among(others));
         match rollout.phase() {
+            Phase::Completed if new == 0 && others == 0 => VersionMask::ALL,
             Phase::Completed if new == 0 => VersionMask(others),
             Phase::Completed if ended_ago < LEAVE_TIME => VersionMask(new),
             Phase::Completed => {
