--- a/crates/rollout/src/book.rs
+++ b/crates/rollout/src/book.rs
@@ -21,15 +21,16 @@
 };
 use crate::phase::Phase;
 use crate::rollout::{
-    before,
+    instant_before,
     Rollout,
     RolloutState, //
 };
 
-/// Difference of two ages of one order that is not told to others.
+/// Difference of two ages of one order that is not sent to others. Delays of messages alone make ages
+/// differ.
 const AGE_TOLERANCE: Duration = Duration::from_millis(150);
 
-/// Largest number of services with a rollout. Further ones are ignored.
+/// Largest number of services with a rollout, which bounds memory. Further ones are ignored.
 const SERVICE_MAX_COUNT: usize = 4_096;
 
 /// Rollouts for a peer.
@@ -70,15 +71,15 @@
         self.rollouts.values()
     }
 
-    /// Returns the rollouts whose end the log does not hold yet.
+    /// Returns the rollouts whose end is not recorded in the log.
     pub fn open(&self) -> impl Iterator<Item = &Rollout> {
         self.rollouts
             .values()
             .filter(|rollout| !rollout.phase.is_final())
     }
 
-    /// Records an order that was read from the operator's topic. `fresh` says whether it was read as it
-    /// was written, `base` which version the service runs. Returns whether the order is new.
+    /// Records an order that was read from the operator's topic. `fresh` says whether it was read as soon
+    /// as it was written, `base` which version the service runs. Returns whether the order is new.
     pub fn record_order(
         &mut self,
         order: &RolloutOrder,
@@ -99,10 +100,10 @@
         rollout.fresh = fresh || earlier.is_some();
         rollout.base = base.map(str::to_owned);
         if let Some(earlier) = earlier {
-            succeed(&mut rollout, earlier);
+            inherit_versions(&mut rollout, earlier);
         }
         if rollout.base.as_deref() == Some(order.target_version.as_str()) {
-            // The service runs this version already; a canary's share would take it away.
+            // The service runs this version already; a canary share would take calls from it.
             rollout.phase = Phase::Full;
         }
         self.insert(rollout);
@@ -126,7 +127,7 @@
         }
         if known.order_offset < state.order_offset {
             let mut rollout = Rollout::from_state(state, now);
-            succeed(&mut rollout, known);
+            inherit_versions(&mut rollout, known);
             self.insert(rollout);
             return true;
         }
@@ -214,7 +215,8 @@
     /// record was under way when the later order was read.
     pub fn record_completed_before(&mut self, service: &str, version: &str) {
         let rollout = self.rollouts.get_mut(service);
-        let rollout = rollout.filter(|rollout| rollout.shunned().any(|known| known == version));
+        let rollout =
+            rollout.filter(|rollout| rollout.excluded_versions().any(|known| known == version));
         if let Some(rollout) = rollout {
             rollout.completed_before = Some(version.to_owned());
             self.mark_changed(service);
@@ -230,7 +232,7 @@
         }
     }
 
-    /// Returns whether the log does not hold the end of some rollout yet.
+    /// Returns whether the end of some rollout is not recorded in the log.
     pub fn has_open(&self) -> bool {
         self.open().next().is_some()
     }
@@ -277,17 +279,17 @@
     offset > earlier.order_offset && !is_same
 }
 
-/// Takes over from the earlier rollout of the service which versions are in use.
-fn succeed(rollout: &mut Rollout, earlier: &Rollout) {
-    for shunned in earlier.shunned() {
-        rollout.shun(shunned);
+/// Takes over the base version and the excluded versions of the earlier rollout of the service.
+fn inherit_versions(rollout: &mut Rollout, earlier: &Rollout) {
+    for version in earlier.excluded_versions() {
+        rollout.exclude_version(version);
     }
     match earlier.phase {
         Phase::Completed => {
             rollout.base = Some(earlier.order.target_version.clone());
         }
         _ => {
-            rollout.shun(&earlier.order.target_version);
+            rollout.exclude_version(&earlier.order.target_version);
             if earlier.base().is_some() {
                 rollout.base = earlier.base().map(str::to_owned);
             }
@@ -298,13 +300,13 @@
 /// Merges the state of the same order. Returns whether this node learned something.
 fn merge_same(known: &mut Rollout, state: &RolloutState, now: Instant) -> bool {
     let mut learned = false;
-    let started_at = before(now, state.age_ms);
+    let started_at = instant_before(now, state.age_ms);
     if started_at + AGE_TOLERANCE < known.started_at {
         known.started_at = started_at;
         learned = true;
     }
     if state.phase > known.phase {
-        known.set_phase(state.phase, before(now, state.phase_age_ms));
+        known.set_phase(state.phase, instant_before(now, state.phase_age_ms));
         learned = true;
     }
     if known.completed_before.is_none() && state.completed_before.is_some() {
@@ -320,9 +322,9 @@
         known.base.clone_from(&state.base);
         learned = true;
     }
-    for shunned in &state.shunned {
-        if !known.shunned.contains(shunned) {
-            known.shun(shunned);
+    for version in &state.excluded_versions {
+        if !known.excluded_versions.contains(version) {
+            known.exclude_version(version);
             learned = true;
         }
     }
--- a/crates/rollout/src/cusum.rs
+++ b/crates/rollout/src/cusum.rs
@@ -2,7 +2,7 @@
 //! falls below zero, so that a version that turns bad late is found as fast as one that is bad at
 //! once.
 
-/// Two rates that the test tells apart, and the score at which it decides.
+/// Two rates between which the test decides, and the score at which it does.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Hypotheses {
     /// Largest rate of hits of a good version.
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -18,7 +18,7 @@
 /// Largest bin; it holds run times from 65 s on.
 const BIN_MAX: u8 = 32;
 
-/// Largest number of routes that are counted apart. Runs of further ones count together.
+/// Largest number of routes that are counted apart, which bounds the size of reports. Runs of further ones count together.
 const ROUTE_MAX_COUNT: usize = 32;
 
 /// Name under which the runs of further routes count.
@@ -63,7 +63,7 @@
 pub struct EvidenceReport {
     /// Node beside the target.
     pub node_id: NodeId,
-    /// Number of the node's process; counts begin anew with each.
+    /// Number of the node's process; counts start at 0 with each.
     pub epoch: u64,
     /// Service of the target.
     pub service: String,
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -1,7 +1,7 @@
 //! Rollouts of new versions of a service: which share of the calls the new version gets, what its
 //! answers show, and when the rollout is completed or rolled back.
 //!
-//! The crate knows no network and no clock. Callers pass the time and carry [`RolloutState`] and
+//! The crate has no network and no clock of its own. Callers pass the time and carry [`RolloutState`] and
 //! [`EvidenceReport`] between nodes.
 
 mod book;
--- a/crates/rollout/src/phase.rs
+++ b/crates/rollout/src/phase.rs
@@ -29,7 +29,7 @@
     Rising,
     /// The new version gets everything.
     Full,
-    /// The new version is bad and gets nothing; that is not recorded in the log yet.
+    /// The new version is bad and gets nothing; the log does not hold the end.
     Stopped,
     /// The log holds that the rollout is completed.
     Completed,
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -33,19 +33,19 @@
 const RISE_AT_MIN_PART: f64 = 0.3;
 
 /// Time for the rise, the hold and the record in the log, with a margin for repeated appends.
-const END_TIME: Duration = Duration::from_millis(3_000);
+const COMPLETION_TIME: Duration = Duration::from_millis(3_000);
 
-/// Score, as a part of the limit, above which the rise waits while there is time.
-const DOUBT_LEVEL: f64 = 0.5;
+/// Score, as a part of the limit, from which on the rise is delayed while there is time.
+const DELAY_RISE_LEVEL: f64 = 0.5;
 
 /// Longest age of the last answer of the log with which the share may rise.
 const LOG_CONTACT_MAX: Duration = Duration::from_millis(1_500);
 
-/// Time after an order was read as it was written for which the log can't hold its end yet.
+/// Time after a fresh order was read for which an end in the log is taken for that of an earlier order.
 const FRESH_FOR: Duration = Duration::from_secs(1);
 
-/// Largest number of the versions of unfinished rollouts of a service that are kept out.
-const SHUNNED_MAX_COUNT: usize = 8;
+/// Largest number of excluded versions of a service, which bounds the size of messages.
+const EXCLUDED_MAX_COUNT: usize = 8;
 
 /// State of a rollout in messages between nodes. Times are ages, since clocks differ.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,15 +64,16 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub base: Option<String>,
     /// Versions of earlier rollouts that did not complete.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub shunned: Vec<String>,
+    #[serde(rename = "shunned", default, skip_serializing_if = "Vec::is_empty")]
+    pub excluded_versions: Vec<String>,
     /// Version of the order before this one, if that was completed after this one was read.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub completed_before: Option<String>,
     /// Whether the log holds that the rollout is running.
     #[serde(default)]
     pub recorded: bool,
-    /// Whether the order was read as it was written, so that the log can't hold its end at once.
+    /// Whether the order was read as soon as it was written, so that an end in the log is of an earlier
+    /// order.
     #[serde(default)]
     pub fresh: bool,
 }
@@ -82,13 +83,14 @@
 pub struct Rollout {
     pub(crate) order: RolloutOrder,
     pub(crate) order_offset: Offset,
-    /// Whether the order was read as it was written, so that the log can't hold its end yet.
+    /// Whether the order was read as soon as it was written, so that an end in the log is of an earlier
+    /// order.
     pub(crate) fresh: bool,
     pub(crate) started_at: Instant,
     pub(crate) phase: Phase,
     pub(crate) phase_since: Instant,
     pub(crate) base: Option<String>,
-    pub(crate) shunned: Vec<String>,
+    pub(crate) excluded_versions: Vec<String>,
     pub(crate) completed_before: Option<String>,
     pub(crate) recorded: bool,
     pub(crate) log_contact_at: Option<Instant>,
@@ -108,7 +110,7 @@
             phase: Phase::Canary,
             phase_since: now,
             base: None,
-            shunned: Vec::new(),
+            excluded_versions: Vec::new(),
             completed_before: None,
             recorded: false,
             log_contact_at: None,
@@ -120,11 +122,11 @@
 
     pub(crate) fn from_state(state: &RolloutState, now: Instant) -> Self {
         Self {
-            started_at: before(now, state.age_ms),
+            started_at: instant_before(now, state.age_ms),
             phase: state.phase,
-            phase_since: before(now, state.phase_age_ms),
+            phase_since: instant_before(now, state.phase_age_ms),
             base: state.base.clone(),
-            shunned: state.shunned.clone(),
+            excluded_versions: state.excluded_versions.clone(),
             completed_before: state.completed_before.clone(),
             recorded: state.recorded,
             fresh: state.fresh,
@@ -157,11 +159,11 @@
         self.completed_before.as_deref().or(self.base.as_deref())
     }
 
-    /// Returns the versions of earlier rollouts that did not complete.
-    pub fn shunned(&self) -> impl Iterator<Item = &str> {
+    /// Returns the versions of earlier rollouts that did not complete. They get no calls.
+    pub fn excluded_versions(&self) -> impl Iterator<Item = &str> {
         let completed = self.completed_before.as_deref();
-        let shunned = self.shunned.iter().map(String::as_str);
-        shunned.filter(move |version| Some(*version) != completed)
+        let excluded = self.excluded_versions.iter().map(String::as_str);
+        excluded.filter(move |version| Some(*version) != completed)
     }
 
     /// Returns the evidence that this node has.
@@ -194,7 +196,7 @@
             phase: self.phase,
             phase_age_ms: age(self.phase_since),
             base: self.base.clone(),
-            shunned: self.shunned.clone(),
+            excluded_versions: self.excluded_versions.clone(),
             completed_before: self.completed_before.clone(),
             recorded: self.recorded,
             fresh: self.fresh,
@@ -226,8 +228,10 @@
                 (now >= self.deadline() - HOLD).then_some(Phase::Stopped)
             }
             Phase::Canary => {
-                let in_doubt = self.tally.verdict().level >= DOUBT_LEVEL && now < latest_rise_at;
-                let may_rise = now >= self.rise_at() && !in_doubt && self.hears_log(now);
+                let must_delay =
+                    self.tally.verdict().level >= DELAY_RISE_LEVEL && now < latest_rise_at;
+                let may_rise =
+                    now >= self.rise_at() && !must_delay && self.has_recent_log_contact(now);
                 may_rise.then_some(Phase::Rising)
             }
             Phase::Rising | Phase::Full if !has_targets => {
@@ -251,7 +255,7 @@
     /// Returns whether the log should be asked, so that the share may rise.
     pub fn awaits_log(&self, now: Instant) -> bool {
         let is_soon = self.phase == Phase::Canary && now + LOG_CONTACT_MAX / 2 >= self.rise_at();
-        is_soon && !self.hears_log(now + LOG_CONTACT_MAX / 2)
+        is_soon && !self.has_recent_log_contact(now + LOG_CONTACT_MAX / 2)
     }
 
     pub(crate) fn set_phase(&mut self, phase: Phase, since: Instant) {
@@ -259,14 +263,17 @@
         self.phase_since = since;
     }
 
-    /// Keeps the version of an earlier rollout out.
-    pub(crate) fn shun(&mut self, version: &str) {
-        let is_known = self.shunned.iter().any(|shunned| shunned == version);
+    /// Excludes the version of an earlier rollout.
+    pub(crate) fn exclude_version(&mut self, version: &str) {
+        let is_known = self.excluded_versions.iter().any(|known| known == version);
         if !is_known && version != self.order.target_version {
-            self.shunned.push(version.to_owned());
+            self.excluded_versions.push(version.to_owned());
         }
-        let surplus = self.shunned.len().saturating_sub(SHUNNED_MAX_COUNT);
-        self.shunned.drain(..surplus);
+        let surplus = self
+            .excluded_versions
+            .len()
+            .saturating_sub(EXCLUDED_MAX_COUNT);
+        self.excluded_versions.drain(..surplus);
     }
 
     fn rise_at(&self) -> Instant {
@@ -277,18 +284,18 @@
     }
 
     fn latest_rise_at(&self) -> Instant {
-        self.started_at + self.order.duration().saturating_sub(END_TIME)
+        self.started_at + self.order.duration().saturating_sub(COMPLETION_TIME)
     }
 
-    /// Returns whether the log answered lately. Without it the rollout could not be completed.
-    fn hears_log(&self, now: Instant) -> bool {
+    /// Returns whether the log answered recently. Without it the rollout could not be completed.
+    fn has_recent_log_contact(&self, now: Instant) -> bool {
         self.log_contact_at
             .is_some_and(|at| now.saturating_duration_since(at) <= LOG_CONTACT_MAX)
     }
 }
 
 /// Returns the time `age_ms` before `now`, or `now` if there is no such time.
-pub(crate) fn before(now: Instant, age_ms: u64) -> Instant {
+pub(crate) fn instant_before(now: Instant, age_ms: u64) -> Instant {
     now.checked_sub(Duration::from_millis(age_ms))
         .unwrap_or(now)
 }
--- a/crates/rollout/src/status.rs
+++ b/crates/rollout/src/status.rs
@@ -67,8 +67,7 @@
     let of_version = status
         .filter(|status| status.target_version == rollout.order.target_version)
         .map(|status| status.state);
-    // An order that was just written has no end yet: what the log holds is of an earlier order of the
-    // same version.
+    // A fresh order can't have ended: what the log holds is of an earlier order of the same version.
     let known = match of_version {
         Some(state) if state != StatusState::Running && rollout.is_new(now) => None,
         state => state,
--- a/crates/rollout/src/tally.rs
+++ b/crates/rollout/src/tally.rs
@@ -26,7 +26,7 @@
 /// The same for the test that looks for a small rate over many runs.
 const GOOD_FAILED_RATE_LONG: f64 = 0.006;
 
-/// Share of failures of a version that is plainly bad.
+/// Share of failures of a bad version.
 const BAD_FAILED_RATE: f64 = 0.06;
 
 /// Share of failures for which the long test looks.
@@ -60,7 +60,7 @@
 const PRIOR_FAILED_RATE: f64 = 0.004;
 
 /// Time over which failures of the old version count as recent.
-const RECENT: Duration = Duration::from_millis(500);
+const RECENT_TIME: Duration = Duration::from_millis(500);
 
 /// Share of failures of the old version above which something makes both versions fail.
 const SHARED_FAULT_RATE: f64 = 0.012;
@@ -69,7 +69,7 @@
 /// fail need not hit them alike.
 const SHARED_FAULT_FACTOR: f64 = 2.5;
 
-/// Largest number of nodes whose reports are kept.
+/// Largest number of nodes whose reports are kept, which bounds memory.
 const NODE_MAX_COUNT: usize = 20_000;
 
 /// What the evidence shows.
@@ -100,7 +100,7 @@
 #[derive(Clone, Debug, Default)]
 struct NewRoute {
     scores: Scores,
-    /// Runs whose times can't be judged yet, as too few of the old version are known.
+    /// Runs that are not compared until enough run times of the old version are known.
     pending: RouteEvidence,
 }
 
@@ -200,7 +200,7 @@
         old.all.add(more);
         if let Some(updated_at) = old.updated_at {
             let passed = now.saturating_duration_since(updated_at);
-            let kept = (-passed.as_secs_f64() / RECENT.as_secs_f64()).exp();
+            let kept = (-passed.as_secs_f64() / RECENT_TIME.as_secs_f64()).exp();
             old.recent_failed *= kept;
             old.recent_runs *= kept;
         }
--- a/crates/rollout/src/versions.rs
+++ b/crates/rollout/src/versions.rs
@@ -9,9 +9,9 @@
 use crate::phase::Phase;
 use crate::rollout::Rollout;
 
-/// Time for which a version without an order gets a small share only, as its order may not be known
-/// yet. After that it is an ordinary replacement.
-const HOLD_BACK: Duration = Duration::from_secs(10);
+/// Time for which a version without an order gets a small share only, since its order may still be on
+/// the way. After that it is an ordinary replacement.
+const HOLD_BACK_TIME: Duration = Duration::from_secs(10);
 
 /// Time after the end of a rollout for which targets of the version that lost get no calls, even if
 /// they still announce themselves.
@@ -20,7 +20,8 @@
 /// Time after which a version that was rolled back serves again if the service has no other one.
 const ABANDON_AFTER: Duration = Duration::from_secs(60);
 
-/// Largest number of versions that are told apart. Targets of further ones count as the last.
+/// Largest number of versions that are distinguished, one for each bit of a mask. Targets of further
+/// ones count as the last.
 const VERSION_MAX_COUNT: usize = 64;
 
 /// Set of versions, a bit for each by its place in [`ServiceVersions`].
@@ -120,7 +121,7 @@
             return self.hold_back(self.all(), self.incumbent(), limits, draw, now);
         };
         let new = self.mask_of(&rollout.order().target_version);
-        let others = self.all() & !new & !self.shunned(rollout);
+        let others = self.all() & !new & !self.excluded(rollout);
         let ended_ago = now.saturating_duration_since(rollout.phase_since());
         let base = rollout.base().or(self.incumbent_among(others));
         match rollout.phase() {
@@ -138,7 +139,7 @@
                 if others == 0 || new != 0 && takes_new {
                     return VersionMask(new);
                 }
-                // The draw decided already; what is left of it is uniform again.
+                // The rest of the draw is uniform from 0 to 1, so that it serves for a second decision.
                 let rest = ((draw - share) / (1.0 - share)).clamp(0.0, 1.0);
                 self.hold_back(others, base, limits, rest, now)
             }
@@ -164,7 +165,7 @@
             }
         }
         for (index, version) in self.versions.iter().enumerate() {
-            let is_young = now.saturating_duration_since(version.seen_at) < HOLD_BACK;
+            let is_young = now.saturating_duration_since(version.seen_at) < HOLD_BACK_TIME;
             let is_minor = version.target_count * 2 <= total;
             let is_incumbent = incumbent == Some(version.name.as_str());
             if mask & bit(index) != 0 && is_young && is_minor && !is_incumbent {
@@ -200,9 +201,9 @@
         mask
     }
 
-    fn shunned(&self, rollout: &Rollout) -> u64 {
+    fn excluded(&self, rollout: &Rollout) -> u64 {
         let mut mask = 0;
-        for version in rollout.shunned() {
+        for version in rollout.excluded_versions() {
             mask |= self.mask_of(version);
         }
         mask
--- a/crates/rollout/tests/versions.rs
+++ b/crates/rollout/tests/versions.rs
@@ -179,7 +179,7 @@
         let rollout = book.get("shop").unwrap();
         assert_eq!(rollout.order().target_version, "v3");
         assert_eq!(rollout.phase(), Phase::Canary);
-        assert_eq!(rollout.shunned().collect::<Vec<_>>(), ["v2"]);
+        assert_eq!(rollout.excluded_versions().collect::<Vec<_>>(), ["v2"]);
         assert_eq!(rollout.base(), Some("v1"));
     }
 }
