--- a/crates/customers/src/customer.rs
+++ b/crates/customers/src/customer.rs
@@ -7,12 +7,12 @@
 
 use crate::key::KeyDigest;
 
-/// Customer, whose callers name it by one of its API keys.
+/// Customer. Its callers identify themselves by one of its API keys.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Customer {
     /// Digests of its API keys.
     pub key_digests: Vec<KeyDigest>,
-    /// Priority of its requests, which goes before that of the route; 0 is served first.
+    /// Priority of its requests, which takes precedence over that of the route; 0 is served first.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub priority: Option<u32>,
     /// Limit of its requests over all nodes, if there is one.
@@ -20,11 +20,12 @@
     pub limit: Option<CustomerLimit>,
 }
 
-/// Number of route priorities that are told apart among customers of one priority.
+/// Number of route priorities that are distinguished among customers of one priority. Larger
+/// ones count as the last.
 const ROUTE_PRIORITY_COUNT: u32 = 16;
 
 /// Returns the priority of a call of a customer on a route; 0 is served first. The priority of the
-/// customer goes before that of the route, which stands in for a customer without one.
+/// customer takes precedence. A customer without one has that of the route.
 pub fn call_priority(customer_priority: Option<u32>, route_priority: u32) -> u32 {
     customer_priority
         .unwrap_or(route_priority)
--- a/crates/customers/src/identify.rs
+++ b/crates/customers/src/identify.rs
@@ -1,4 +1,4 @@
-//! Whose request it is, by its credentials and its route.
+//! Identification of the customer of a request, by its credentials and its route.
 
 use std::sync::Arc;
 
@@ -32,16 +32,16 @@
     },
 }
 
-/// Whose request it is.
+/// Result of the identification.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Identity {
-    /// Requests need no key, or the request needs none and belongs to no customer.
+    /// The request is accepted and belongs to no customer.
     Anonymous,
     /// The request belongs to the customer.
     Customer {
         /// Name of the customer.
         name: Arc<str>,
-        /// Digest of the key that tells so; `None` if the customer is that of the parent.
+        /// Digest of the key that identifies it; `None` if the customer is that of the parent.
         key: Option<KeyDigest>,
     },
     /// The request must be refused.
@@ -50,7 +50,7 @@
     Orphaned,
 }
 
-/// Decides whose request it is. `index` is `None` if the configuration has no customers.
+/// Identifies the customer of a request. `index` is `None` if the configuration has no customers.
 pub fn identify(
     index: Option<&CustomerIndex>,
     credentials: Credentials<'_>,
--- a/crates/customers/src/index.rs
+++ b/crates/customers/src/index.rs
@@ -18,8 +18,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CustomerIndex {
     customers: BTreeMap<String, Arc<Customer>>,
-    /// Name of the customer that holds each key; `None` if several do, so that the key does not tell
-    /// whose request it is.
+    /// Name of the customer that holds each key; `None` if several do, so that the key identifies no
+    /// customer.
     holders: FastMap<KeyDigest, Option<Arc<str>>>,
 }
 
@@ -50,7 +50,7 @@
     ///
     /// # Errors
     ///
-    /// Why the key does not tell whose request it is.
+    /// Why the key identifies no customer.
     pub fn find(&self, key: &str) -> Result<(&Arc<str>, KeyDigest), KeyRefusal> {
         let digest = KeyDigest::of_key(key).ok_or(KeyRefusal::Unknown)?;
         match self.holders.get(&digest) {
@@ -91,7 +91,7 @@
         self.holders.values().filter(|name| name.is_none()).count()
     }
 
-    /// Returns the names of the customers that hold a key which others hold too.
+    /// Returns the names of the customers that hold a key that others hold too.
     pub fn customers_with_shared_keys(&self) -> Vec<&str> {
         let mut names = Vec::new();
         for (name, customer) in &self.customers {
--- a/crates/customers/src/key.rs
+++ b/crates/customers/src/key.rs
@@ -9,11 +9,12 @@
     Sha256, //
 };
 
-/// Longest key that is looked up, in bytes. Longer ones are unknown without being hashed.
+/// Longest key that is looked up, in bytes. Longer ones are refused without being hashed, which would
+/// cost time in proportion to their length.
 const KEY_MAX_BYTES: usize = 1_024;
 
 /// SHA-256 digest of an API key. Keys are compared by their digests, so that the time of a comparison
-/// does not tell how much of a guessed key is right.
+/// does not reveal how much of a guessed key is right.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct KeyDigest([u8; 32]);
 
--- a/crates/customers/src/lib.rs
+++ b/crates/customers/src/lib.rs
@@ -1,5 +1,5 @@
 //! Customers whose callers share the targets: their API keys, priorities and rate limits, and the
-//! decision whose request it is.
+//! identification of the customer of a request.
 
 mod customer;
 mod identify;
--- a/crates/customers/tests/identify.rs
+++ b/crates/customers/tests/identify.rs
@@ -1,4 +1,4 @@
-//! Whose request it is: every combination of credentials, route and parent, and a naive version of the
+//! Identification of customers: every combination of credentials, route and parent, and a naive version of the
 //! same decision.
 
 use std::collections::BTreeMap;
@@ -50,7 +50,7 @@
     }
 }
 
-/// Guards against a request that is let in without a key, or under another customer than its own.
+/// Guards against a request that is accepted without a key, or for another customer than its own.
 #[test]
 fn every_combination_of_credentials_route_and_parent_is_decided() {
     let index = index(&[
@@ -115,7 +115,7 @@
     }
 }
 
-/// Guards against a table without customers that lets requests in.
+/// Guards against an empty table of customers that accepts requests.
 #[test]
 fn an_empty_table_of_customers_lets_no_key_in() {
     let index = index(&[]);
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -60,7 +60,7 @@
 }
 
 /// Returns the priority of a call on `route`; 0 is served first. If `routes` hold customers, that of the
-/// customer goes before that of the route.
+/// customer takes precedence.
 pub(crate) fn priority_of(routes: &RouteIndex, customer: Option<&Customer>, route: &Route) -> u32 {
     if routes.customers.is_none() {
         return route.priority;
@@ -151,7 +151,7 @@
     pub(crate) body: &'a Bytes,
     /// Service on whose host the call began.
     pub(crate) origin: &'a str,
-    /// Whose call it is.
+    /// Caller, with its customer.
     pub(crate) caller: Caller<'a>,
     /// Time after which an answer loses part of its worth.
     pub(crate) prompt_by: Option<Instant>,
@@ -224,7 +224,7 @@
     pub(crate) origin: &'a str,
     /// Customer to whom the call belongs, if any.
     pub(crate) customer: Option<&'a str>,
-    /// Key that tells the customer, if one does.
+    /// Key that identified the customer, if one did.
     pub(crate) key: Option<StatedKey>,
     pub(crate) deadline: Instant,
     pub(crate) attempt_kind: AttemptKind,
--- a/crates/dataplane/src/caller.rs
+++ b/crates/dataplane/src/caller.rs
@@ -1,4 +1,4 @@
-//! Whose call it is: identification at the caller's node, and the checks that follow when the routes
+//! Customer of a call: identification at the caller's node, and the checks that follow when the routes
 //! change while a call waits.
 
 use std::sync::Arc;
@@ -23,17 +23,21 @@
 use crate::proxy::Incoming;
 use crate::running_calls::RunningCall;
 
-/// Caller of a request that is let in.
+/// Caller of a request that is accepted.
 pub(crate) struct IdentifiedCaller {
     /// Customer to whom the call belongs, if any.
     pub(crate) customer: Option<Arc<str>>,
-    /// Digest of the key that tells the customer.
+    /// Digest of the key that identifies the customer.
     pub(crate) key: Option<KeyDigest>,
     /// Call of the local target in which the request is nested.
     pub(crate) parent_call: Option<RunningCall>,
 }
 
-/// Decides whose request it is, or why it is refused.
+/// Identifies the customer of a request.
+///
+/// # Errors
+///
+/// Why the request is refused.
 pub(crate) fn identify_caller(
     plane: &DataPlane,
     view: &View,
@@ -68,13 +72,13 @@
     }
 }
 
-/// Whose call it is, and what tells so.
+/// Customer of a call, and how it was identified.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Caller<'a> {
     /// Customer to whom the call belongs, if any.
     pub(crate) customer: Option<&'a str>,
-    /// Digest of the key that tells the customer. Absent for nested calls, which belong to the customer
-    /// of their parent.
+    /// Digest of the key that identifies the customer. Absent for nested calls, which belong to the
+    /// customer of their parent.
     pub(crate) key: Option<KeyDigest>,
     /// Version of the routes by which the caller was identified; `None` if the call has no route.
     pub(crate) routes_version: Option<u64>,
@@ -91,8 +95,8 @@
         has_customers: false,
     };
 
-    /// Returns whether `routes` still let the caller in. Its key may have been removed since it was
-    /// identified, or requests may need keys only since.
+    /// Returns whether `routes` still accept the caller. Since it was identified, its key may have been
+    /// removed, or customers may have been configured, so that requests need keys.
     pub(crate) fn is_authorized(&self, routes: &RouteIndex) -> bool {
         if self
             .routes_version
@@ -159,8 +163,8 @@
         None
     }
 
-    /// Returns whether the routes in force tell that the key of a call was removed since the node of
-    /// the caller identified it. A node with older routes than that one can't tell.
+    /// Returns whether the key of a call was removed, by the routes in force, after the caller's node
+    /// identified it. A node with older routes than that one accepts the key.
     pub(crate) fn refuses_key(&self, call: &AdmissionRequest<'_>) -> bool {
         let (Some(customer), Some(key)) = (call.customer, call.key) else {
             return false;
--- a/crates/dataplane/src/explain.rs
+++ b/crates/dataplane/src/explain.rs
@@ -40,7 +40,7 @@
     /// Host that the caller names.
     host: String,
     path: String,
-    /// Customer whose request it is. Keys are not needed.
+    /// Customer that makes the request. Keys are not needed.
     customer: Option<String>,
     /// Size of the request body.
     #[serde(default)]
--- a/crates/dataplane/src/headers.rs
+++ b/crates/dataplane/src/headers.rs
@@ -54,7 +54,7 @@
 /// Customer to whom a forwarded call belongs, absent if it belongs to none.
 pub(crate) const ADMIT_CUSTOMER: &str = "x-figway-admit-customer";
 
-/// Key that tells the customer of a forwarded call: version of the routes by which it was accepted and
+/// Key that identifies the customer of a forwarded call: version of the routes by which it was accepted and
 /// the beginning of its digest, separated by a comma. The nodes' route tables hold the digest too.
 pub(crate) const ADMIT_KEY: &str = "x-figway-admit-key";
 
--- a/crates/dataplane/src/interface.rs
+++ b/crates/dataplane/src/interface.rs
@@ -102,7 +102,7 @@
     fn request_id<'a>(&self, request: &'a Request) -> Option<&'a str>;
 
     /// Returns the id of the call that a target was running when it made a request with this id, if the
-    /// id tells one.
+    /// id names one.
     fn parent_id<'a>(&self, request_id: &'a str) -> Option<&'a str>;
 
     /// Returns the credentials of the request.
--- a/crates/figway/src/flags.rs
+++ b/crates/figway/src/flags.rs
@@ -93,7 +93,7 @@
             repeated logs: PathBuf
             /// Host that the request names.
             optional --host name: String
-            /// Customer whose request it is.
+            /// Customer that makes the request.
             optional --customer name: String
             /// Size of the request body, in bytes; 0 if absent.
             optional --body-bytes count: u64
--- a/crates/testbed/src/cmd/slopes.rs
+++ b/crates/testbed/src/cmd/slopes.rs
@@ -204,7 +204,7 @@
     Ok(())
 }
 
-/// Measures the processor time of the decision whose request it is.
+/// Measures the processor time of the identification of a caller.
 fn measure_identification(customer_count: usize) -> anyhow::Result<()> {
     let mut customers = BTreeMap::new();
     for number in 0..customer_count {
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -13,7 +13,7 @@
     NoConfiguration,
     /// No profile is in force on the node for a service with that name.
     NoService,
-    /// The credentials of the request do not tell whose it is.
+    /// The credentials of the request identify no customer.
     Unauthorized(KeyRefusal),
     /// The request names a running call that this node does not know.
     UnknownParent,
@@ -41,7 +41,7 @@
     Misdirected,
 }
 
-/// Why the credentials of a request do not tell whose it is.
+/// Why the credentials of a request identify no customer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum KeyRefusal {
@@ -53,7 +53,7 @@
     Unknown,
     /// Several customers hold the key.
     Shared,
-    /// The customer no longer holds the key with which the request was let in.
+    /// The customer no longer holds the key with which the request was accepted.
     Removed,
 }
 
