--- a/crates/rate-limit/src/coordinator.rs
+++ b/crates/rate-limit/src/coordinator.rs
@@ -36,7 +36,7 @@
 /// most of the demand is still unknown to it, as after its start or the end of a cut.
 const WARM_DIVISOR: usize = 3;
 
-/// Time without any report after which a coordinator begins anew.
+/// Time without any report after which a coordinator starts over, since its balances are outdated.
 const IDLE_MAX: Duration = Duration::from_secs(2);
 
 /// Number of its periods after which a node that did not report is not granted its share any more.
@@ -153,8 +153,7 @@
         self.bounds = bounds;
     }
 
-    /// Sets the limits by customer code. Others are forgotten. A customer that is new begins without
-    /// tokens.
+    /// Sets the limits by customer code and drops all others. The bucket of a new customer is empty.
     pub fn set_limits(&mut self, limits: impl Iterator<Item = (u32, CustomerLimit)>, now: Instant) {
         let mut buckets = FastMap::default();
         for (code, limit) in limits {
@@ -188,7 +187,7 @@
             .last_report_at
             .is_none_or(|last| now.saturating_duration_since(last) > IDLE_MAX);
         if is_idle {
-            self.begin(now);
+            self.reset(now);
         }
         self.last_report_at = Some(now);
         let period = Duration::from_millis(report.period_ms.min(PERIOD_MAX_MS));
@@ -234,7 +233,8 @@
         UsageAnswer { ready, limited }
     }
 
-    fn begin(&mut self, now: Instant) {
+    /// Starts over without reporters, with empty buckets.
+    fn reset(&mut self, now: Instant) {
         self.reporters.clear();
         self.share = 0.0;
         self.recounted_at = None;
@@ -245,6 +245,7 @@
         }
     }
 
+    /// Counts the nodes that report, at most once in [`RECOUNT_EVERY`].
     fn recount(&mut self, now: Instant) {
         let is_recent = self
             .recounted_at
@@ -252,6 +253,24 @@
         if is_recent {
             return;
         }
+        // Time for which the shares of lost nodes were granted to others, as a part of all shares.
+        let overgranted_s = self.remove_lost_reporters(now) / self.member_count as f64;
+        self.recounted_at = Some(now);
+        let warm_count = self
+            .reporters
+            .values()
+            .filter(|reporter| reporter.warm_at <= now)
+            .count();
+        let share = (self.reporters.len() as f64 / self.member_count as f64).min(1.0);
+        self.set_share(share, overgranted_s, now);
+        let is_large = share >= SHARE_MIN;
+        self.is_warm =
+            is_large && warm_count > 0 && warm_count * WARM_DIVISOR >= self.reporters.len();
+    }
+
+    /// Removes the nodes that did not report in time. Returns the sum of the times since their last
+    /// reports, in seconds.
+    fn remove_lost_reporters(&mut self, now: Instant) -> f64 {
         let mut lost_s = 0.0;
         self.reporters.retain(|_, reporter| {
             let is_expected = reporter.expected_until > now;
@@ -261,15 +280,11 @@
             }
             is_expected
         });
-        // Time for which the shares of lost nodes were granted to others, as a part of all shares.
-        let overgranted_s = lost_s / self.member_count as f64;
-        self.recounted_at = Some(now);
-        let warm_count = self
-            .reporters
-            .values()
-            .filter(|reporter| reporter.warm_at <= now)
-            .count();
-        let share = (self.reporters.len() as f64 / self.member_count as f64).min(1.0);
+        lost_s
+    }
+
+    /// Sets the share of the nodes that report, and adjusts the balances to the change.
+    fn set_share(&mut self, share: f64, overgranted_s: f64, now: Instant) {
         let lost_share = (self.share - share).max(0.0);
         let gained_share = (share - self.share).max(0.0);
         for bucket in self.buckets.values_mut() {
@@ -282,8 +297,5 @@
             bucket.balance += (bucket.capacity - bucket.limit.burst_count) * gained_share;
         }
         self.share = share;
-        let is_large = share >= SHARE_MIN;
-        self.is_warm =
-            is_large && warm_count > 0 && warm_count * WARM_DIVISOR >= self.reporters.len();
     }
 }
--- a/crates/rate-limit/src/report_feed.rs
+++ b/crates/rate-limit/src/report_feed.rs
@@ -29,7 +29,7 @@
 pub(crate) struct Counted {
     pub(crate) code: u32,
     pub(crate) totals: Totals,
-    /// Requests that the node has admitted beyond its own share and not made up for.
+    /// Requests that the node has admitted beyond its own share and not compensated since.
     pub(crate) debt_count: u32,
 }
 
@@ -95,7 +95,7 @@
         for Counted { code, totals, .. } in totals {
             let mut before = self.reported.insert(code, totals).unwrap_or_default();
             if before.arrival_count > totals.arrival_count {
-                // The customer had no limit for a while, and its counts began anew.
+                // The customer had no limit for a while, and its counts started at 0 again.
                 before = Totals::default();
             }
             let arrivals = totals.arrival_count.saturating_sub(before.arrival_count);
--- a/crates/rate-limit/src/usage_meter.rs
+++ b/crates/rate-limit/src/usage_meter.rs
@@ -55,7 +55,7 @@
 /// Time without any report after which the progress of a coordinator is dropped.
 const FEED_RETENTION: Duration = Duration::from_secs(10);
 
-/// Time after the first report within which a new coordinator is told all counts since the start. After a
+/// Time after the first report within which a new coordinator receives all counts since the start. After a
 /// quick restart coordinators still grant this node's share to others.
 const START_TIME: Duration = Duration::from_secs(2);
 
@@ -108,6 +108,42 @@
     bucket: LocalBucket,
 }
 
+/// Refusal of a request.
+struct Refusal {
+    /// Shortest time after which the request may come back.
+    wait: Duration,
+    source: LimitSource,
+}
+
+impl Usage {
+    /// Returns why the answer of a coordinator refuses the next request, if it does.
+    fn refusal_by_answer(&mut self, answer: &Answer) -> Option<Refusal> {
+        let verdict = answer.limited.get(&self.code)?;
+        self.credit += verdict.ratio;
+        if self.credit >= 1.0 {
+            self.credit -= 1.0;
+            return None;
+        }
+        Some(Refusal {
+            wait: verdict.wait,
+            source: LimitSource::Coordinator(verdict.ratio),
+        })
+    }
+
+    /// Returns why the node's own share refuses the next request, if it does.
+    fn refusal_by_share(&self, share: &Share) -> Option<Refusal> {
+        if self.bucket.has_token() {
+            return None;
+        }
+        let (min_ms, max_ms) = LOCAL_RETURN_MS;
+        let (min, max) = (Duration::from_millis(min_ms), Duration::from_millis(max_ms));
+        Some(Refusal {
+            wait: self.bucket.wait(share).clamp(min, max),
+            source: LimitSource::OwnShare,
+        })
+    }
+}
+
 /// Usage of this node's callers by customer.
 #[derive(Clone, Debug)]
 pub struct UsageMeter {
@@ -120,7 +156,8 @@
     /// Whether requests have arrived since the last report.
     has_news: [bool; COORDINATOR_COUNT],
     feeds: FastMap<String, ReportFeed>,
-    /// Highest number of all reports. Numbers of a feed that begins anew must be higher than before.
+    /// Highest number of all reports. A new feed continues after it, so that its reports do not count as
+    /// repeated.
     last_sequence: u64,
     first_report_at: Option<Instant>,
 }
@@ -177,33 +214,14 @@
         self.has_news = [true; COORDINATOR_COUNT];
         usage.totals.arrival_count += 1;
         usage.bucket.refill(&share, draws[0], now);
-        let verdict = lead.and_then(|lead| self.answers[lead].limited.get(&usage.code));
-        let refused = match (lead, verdict) {
-            (Some(_), None) => None,
-            (Some(_), Some(verdict)) => {
-                usage.credit += verdict.ratio;
-                match usage.credit >= 1.0 {
-                    true => {
-                        usage.credit -= 1.0;
-                        None
-                    }
-                    false => Some((verdict.wait, LimitSource::Coordinator(verdict.ratio))),
-                }
-            }
-            (None, _) if usage.bucket.has_token() => None,
-            (None, _) => {
-                let (min_ms, max_ms) = LOCAL_RETURN_MS;
-                let wait = usage
-                    .bucket
-                    .wait(&share)
-                    .clamp(Duration::from_millis(min_ms), Duration::from_millis(max_ms));
-                Some((wait, LimitSource::OwnShare))
-            }
+        let refusal = match lead {
+            Some(lead) => usage.refusal_by_answer(&self.answers[lead]),
+            None => usage.refusal_by_share(&share),
         };
-        if let Some((wait, source)) = refused {
+        if let Some(refusal) = refusal {
             return Admission::Limited {
-                retry_after: wait.mul_f64(1.0 + draws[1]),
-                source,
+                retry_after: refusal.wait.mul_f64(1.0 + draws[1]),
+                source: refusal.source,
             };
         }
         usage.totals.admitted_count += 1;
