--- a/crates/admission/src/admission/work.rs
+++ b/crates/admission/src/admission/work.rs
@@ -12,7 +12,7 @@
 };
 use crate::estimate::ServiceTimes;
 
-/// Share of the calls that are to be prompt of those that are admitted as such.
+/// Share of the calls admitted as prompt that are expected to be prompt.
 const PROMPT_SHARE: f64 = 0.75;
 
 /// Fraction of its usual run time that a call must have left to be worth starting.
@@ -35,7 +35,7 @@
         self.times.quantile(kind, share)
     }
 
-    /// Returns how long the calls that run and wait are expected to hold slots yet, in total.
+    /// Returns how long the calls that run and wait are still expected to hold slots, in total.
     pub fn remaining_work(&self, now: Instant) -> Duration {
         let mut work = Duration::ZERO;
         for call in &self.running {
@@ -56,7 +56,7 @@
         self.times.mean(kind)
     }
 
-    /// Returns how long a running call is expected to hold its slot yet.
+    /// Returns how long a running call is still expected to hold its slot.
     pub(super) fn expected_remaining(&self, call: &Running, now: Instant) -> Duration {
         if !self.limits.overload_control {
             return self.times.mean(&call.kind) / 2;
--- a/crates/admission/src/body_pacer.rs
+++ b/crates/admission/src/body_pacer.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct BodyPacer {
     bytes_per_s: f64,
-    /// When the link has carried the bodies that were let in.
+    /// When the link has carried the accepted bodies.
     free_at: Instant,
 }
 
--- a/crates/admission/src/estimate.rs
+++ b/crates/admission/src/estimate.rs
@@ -117,8 +117,8 @@
         Duration::from_secs_f64(times.mean_s * times.spread.quantile(share))
     }
 
-    /// Returns how long a call of the kind that has run for `elapsed` is expected to run yet. A call
-    /// that has run for much longer than others is likely a straggler, so that it has much left.
+    /// Returns how long a call of the kind that has run for `elapsed` is still expected to run. A
+    /// call that has run for much longer than others is likely a straggler, so that it has much left.
     pub(crate) fn remaining(&self, kind: &str, elapsed: Duration) -> Duration {
         let Some(times) = self.by_kind.get(kind) else {
             let mean = Duration::from_secs_f64(UNKNOWN_S);
--- a/crates/admission/src/throttle.rs
+++ b/crates/admission/src/throttle.rs
@@ -1,8 +1,8 @@
 //! Refusal of calls at the node of their caller while the targets refuse most of them, so that an
 //! overloaded service spends its time on the calls that it serves.
 //!
-//! Each node goes by its own calls: it lets through little more than the targets accepted of late.
-//! Those few calls tell it when there is room again. See "Handling Overload" in the book "Site
+//! Each node goes by its own calls: it lets through little more than the targets accepted recently.
+//! Those few calls show it when there is room again. See "Handling Overload" in the book "Site
 //! Reliability Engineering" (client-side throttling).
 
 use std::time::{
--- a/crates/cost/src/factor.rs
+++ b/crates/cost/src/factor.rs
@@ -79,13 +79,13 @@
 
     /// Returns the lasting factor, by which calls are shared between targets.
     pub fn lasting(&self, now: Instant) -> f64 {
-        (self.lasting_log * self.left(LASTING_HALF_LIFE, now)).exp()
+        (self.lasting_log * self.decay_ratio(LASTING_HALF_LIFE, now)).exp()
     }
 
     /// Returns the factor of a call that starts now.
     pub fn current(&self, now: Instant) -> f64 {
-        let passing_log = self.passing_log * self.left(PASSING_HALF_LIFE, now);
-        (self.lasting_log * self.left(LASTING_HALF_LIFE, now) + passing_log).exp()
+        let passing_log = self.passing_log * self.decay_ratio(PASSING_HALF_LIFE, now);
+        (self.lasting_log * self.decay_ratio(LASTING_HALF_LIFE, now) + passing_log).exp()
     }
 
     fn learn(&mut self, excess: f64, weight: f64) {
@@ -96,12 +96,13 @@
     }
 
     fn decay(&mut self, now: Instant) {
-        self.passing_log *= self.left(PASSING_HALF_LIFE, now);
-        self.lasting_log *= self.left(LASTING_HALF_LIFE, now);
+        self.passing_log *= self.decay_ratio(PASSING_HALF_LIFE, now);
+        self.lasting_log *= self.decay_ratio(LASTING_HALF_LIFE, now);
         self.sampled_at = now;
     }
 
-    fn left(&self, half_life: Duration, now: Instant) -> f64 {
+    /// Returns what is left of a logarithm since the last sample, as a ratio.
+    fn decay_ratio(&self, half_life: Duration, now: Instant) -> f64 {
         let idle = now.saturating_duration_since(self.sampled_at);
         0.5_f64.powf(idle.as_secs_f64() / half_life.as_secs_f64())
     }
--- a/crates/cost/src/model.rs
+++ b/crates/cost/src/model.rs
@@ -153,7 +153,7 @@
     }
 
     /// Returns how long a request of the class that has run for `elapsed` at a target of the factor
-    /// `factor` is expected to run yet.
+    /// `factor` is still expected to run.
     pub fn remaining(
         &self,
         class: &RequestClass<'_>,
--- a/crates/cost/src/spread.rs
+++ b/crates/cost/src/spread.rs
@@ -28,6 +28,10 @@
 /// Remaining time, as a multiple of the elapsed time, of a call that has run longer than all samples.
 const BEYOND_RATIO: f64 = 0.5;
 
+/// Share of the samples below which those that ran longer than a call are too few to estimate its remaining
+/// time.
+const BEYOND_SHARE_MAX: f64 = 1e-4;
+
 /// Distribution of the ratio of run times to the expected one, in buckets of logarithmic width.
 #[derive(Clone, Debug)]
 pub struct Spread {
@@ -97,7 +101,7 @@
             weight_sum += weight;
             remaining_sum += weight * ((left_from + high) / 2.0 - elapsed);
         }
-        if weight_sum < f64::from(self.total) * 1e-4 {
+        if weight_sum < f64::from(self.total) * BEYOND_SHARE_MAX {
             return elapsed * BEYOND_RATIO;
         }
         remaining_sum / weight_sum
