--- a/crates/control/src/limit_reports.rs
+++ b/crates/control/src/limit_reports.rs
@@ -21,7 +21,7 @@
 use crate::mesh::Mesh;
 use crate::rpc::PeerClient;
 
-/// Interval at which a task looks whether a report is due and who the coordinator is.
+/// Interval at which a task checks whether a report is due and which node is the coordinator.
 const CHECK_EVERY: Duration = Duration::from_millis(50);
 
 /// Timeout of a report.
@@ -30,7 +30,7 @@
 /// Timeout of connecting to a coordinator.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Reports without an answer after which the connection is opened anew.
+/// Consecutive reports without an answer after which the connection is reopened.
 const FAILURE_MAX_COUNT: u32 = 2;
 
 /// Pause before a coordinator that failed is contacted again.
--- a/crates/control/src/mesh/limits.rs
+++ b/crates/control/src/mesh/limits.rs
@@ -34,16 +34,17 @@
 /// Longest time between two updates of the number of nodes.
 const ROSTER_EVERY: Duration = Duration::from_secs(1);
 
-/// Time after its start from which on a node without known peers counts as the only one.
+/// Time after its start from which on a node without configured peers counts as the only one.
 const ALONE_AFTER: Duration = Duration::from_secs(3);
 
-/// The same for a node that was told of peers.
+/// The same for a node with configured peers. They may be out of reach at its start.
 const ALONE_AFTER_WITH_PEERS: Duration = Duration::from_secs(60);
 
-/// Shortest time between two lines about one customer.
+/// Shortest time between two log lines about one customer, so that one at its limit does not flood the
+/// log.
 const LINE_EVERY: Duration = Duration::from_secs(5);
 
-/// Usage of this node's callers, and the accounts of the nodes that report to it.
+/// Usage of this node's callers, and the accounts of the customers at this node as a coordinator.
 pub(super) struct LimitState {
     meter: Mutex<UsageMeter>,
     accounts: Mutex<Accounts>,
@@ -98,8 +99,8 @@
 }
 
 impl Mesh {
-    /// Sets the bounds of limits before the tasks start. `has_peers` tells whether the node was told of
-    /// others.
+    /// Sets the bounds of limits before the tasks start. `has_peers` says whether peers are
+    /// configured.
     pub(crate) fn set_limit_bounds(&self, bounds: LimitBounds, has_peers: bool) {
         let now = Instant::now();
         self.limits.meter().set_bounds(bounds);
@@ -146,7 +147,7 @@
         self.limits.accounts().coordinators.get(rank).cloned()
     }
 
-    /// Takes over changed routes and members.
+    /// Applies changes of the routes and the members.
     pub(crate) fn refresh_limits(&self, now: Instant) {
         let mut accounts = self.limits.accounts();
         let routes = self.view().routes.clone();
--- a/crates/control/src/mesh/rollouts.rs
+++ b/crates/control/src/mesh/rollouts.rs
@@ -35,7 +35,7 @@
 /// Largest number of rollouts in one message.
 const ROLLOUT_MAX_COUNT: usize = 64;
 
-/// Rollouts of this node and what was exchanged of them.
+/// Rollouts that this node knows, and the progress of their exchange with each peer.
 #[derive(Debug)]
 pub(super) struct RolloutFeed {
     book: Mutex<RolloutBook>,
@@ -76,7 +76,7 @@
     }
 
     /// Records orders that were read from the log. `fresh` says whether they were read as they were
-    /// written. Peers are told at once.
+    /// written. Peers are notified at once.
     pub fn record_orders(&self, orders: &[OrderRecord], fresh: bool) {
         for record in orders {
             let order = &record.order;
@@ -117,7 +117,7 @@
     }
 
     /// Merges evidence of a node. If it shows with a score of at least `limit` that the version is bad,
-    /// peers are told at once.
+    /// peers are notified at once.
     pub fn merge_evidence(&self, report: &EvidenceReport, limit: f64) {
         let now = Instant::now();
         let stopped = self.rollouts().merge_evidence(report, limit, now);
@@ -126,7 +126,7 @@
         }
     }
 
-    /// Returns all rollouts.
+    /// Returns the rollouts that this node knows, as many as one message takes.
     pub fn rollout_states(&self) -> Vec<RolloutState> {
         let now = Instant::now();
         self.rollouts()
@@ -182,7 +182,7 @@
         self.publish_phase(service);
     }
 
-    /// Returns the services with a rollout whose end the log does not hold yet.
+    /// Returns the services with a rollout whose end is not recorded in the log.
     pub(crate) fn open_rollouts(&self) -> Vec<String> {
         let mut services = Vec::new();
         for rollout in self.rollouts().open() {
@@ -241,14 +241,13 @@
         progress.receive(self.feed_epoch, gossip.rollout_ack, gossip.rollout_range);
     }
 
-    /// Returns whether there are rollouts that were not sent to the peer yet.
+    /// Returns whether there are rollouts that were not sent to the peer.
     pub(super) fn has_rollouts_for(&self, peer: &NodeId) -> bool {
         let last_sequence = self.rollouts().last_sequence();
         self.rollouts_sent_to(peer) < last_sequence
     }
 
-    /// Returns whether there are rollouts that this node changed itself and has not sent to the peer
-    /// yet.
+    /// Returns whether there are rollouts that this node changed itself and has not sent to the peer.
     pub(super) fn has_own_rollouts_for(&self, peer: &NodeId) -> bool {
         let feed = &self.rollout_feed;
         let own_sequence = *feed.own_sequence.lock().expect("no holder panics");
--- a/crates/control/src/mesh/routes.rs
+++ b/crates/control/src/mesh/routes.rs
@@ -249,7 +249,7 @@
     }
 }
 
-/// Logs which customers hold keys of each other, so that their requests are refused.
+/// Logs the customers that share keys. Requests with such keys are refused.
 fn log_shared_keys(index: &RouteIndex) {
     let Some(customers) = &index.customers else {
         return;
--- a/crates/control/src/rollout_agent.rs
+++ b/crates/control/src/rollout_agent.rs
@@ -25,6 +25,7 @@
     STOP_LEVEL, //
 };
 use figway_types::{
+    Member,
     NodeId,
     Offset, //
 };
@@ -39,20 +40,20 @@
 /// Shortest time between two rounds of a node.
 const ROUND_MIN: Duration = Duration::from_millis(100);
 
-/// Time of a round for each node of the mesh, so that the node that decides gets at most some hundred
-/// reports a second.
+/// Time of a round for each node of the mesh, so that with up to 250 nodes the node that decides gets at
+/// most 500 reports a second.
 const ROUND_PER_NODE: Duration = Duration::from_millis(2);
 
 /// Longest time of a round.
 const ROUND_MAX: Duration = Duration::from_millis(500);
 
-/// Rounds of a target of the old version between two reports, which only tell what is usual.
+/// Rounds between two reports of a target of the old version, which only show what is usual.
 const OLD_REPORT_ROUND_COUNT: u32 = 4;
 
 /// Timeout of one report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Pause of the node that decides before it looks again whether the log has to be asked.
+/// Pause of the node that decides between two checks whether the log has to be asked.
 const STATUS_PAUSE: Duration = Duration::from_millis(50);
 
 /// Pause after a request to the log that failed.
@@ -69,7 +70,7 @@
         let report = mesh.own_evidence();
         let decides = mesh.log_rank() == Some(0);
         if let Some(report) = &report {
-            let limit = match !decides && reporter.is_heard() {
+            let limit = match !decides && reporter.reaches_decider() {
                 true => OWN_STOP_LEVEL,
                 false => STOP_LEVEL,
             };
@@ -111,15 +112,35 @@
     last: Option<(NodeId, u64, u64)>,
     skipped_count: u32,
     /// Whether the last report arrived.
-    heard: bool,
+    last_arrived: bool,
 }
 
 impl Reporter {
-    /// Returns whether another node decides by what this one reports.
-    fn is_heard(&self) -> bool {
-        self.heard
+    /// Returns whether the reports of this node reach the one that decides.
+    fn reaches_decider(&self) -> bool {
+        self.last_arrived
     }
 
+    /// Opens a connection to the node that decides, unless there is one.
+    async fn connect(&mut self, mesh: &Mesh, decider: &Member) {
+        let connected = self.connection.as_ref();
+        if connected.is_some_and(|(to, _)| *to == decider.node_id) {
+            return;
+        }
+        let cross_region = decider.region != mesh.members().own().region;
+        self.connection = match dial(mesh, &decider.control_address, cross_region).await {
+            Ok(client) => Some((decider.node_id.clone(), client)),
+            Err(error) => {
+                log::info!(
+                    "could not report evidence node={} why={error:#}",
+                    decider.node_id
+                );
+                None
+            }
+        };
+    }
+
+    /// Sends the report, unless the same counts have arrived or its turn has not come.
     async fn send(&mut self, mesh: &Mesh, report: &EvidenceReport) {
         let Some(decider) = mesh.first_log_reader() else {
             return;
@@ -134,30 +155,14 @@
             return;
         }
         self.skipped_count = 0;
-        if self
-            .connection
-            .as_ref()
-            .is_none_or(|(to, _)| *to != decider.node_id)
-        {
-            let cross_region = decider.region != mesh.members().own().region;
-            self.connection = match dial(mesh, &decider.control_address, cross_region).await {
-                Ok(client) => Some((decider.node_id.clone(), client)),
-                Err(error) => {
-                    log::info!(
-                        "could not report evidence node={} why={error:#}",
-                        decider.node_id
-                    );
-                    None
-                }
-            };
-        }
+        self.connect(mesh, &decider).await;
         let Some((_, client)) = &self.connection else {
-            self.heard = false;
+            self.last_arrived = false;
             return;
         };
         let context = context_until(Instant::now() + REPORT_TIMEOUT);
         let reported = client.report_evidence(context, report.clone()).await;
-        self.heard = reported.is_ok();
+        self.last_arrived = reported.is_ok();
         match reported {
             Ok(states) => {
                 mesh.merge_rollout_states(&states);
@@ -285,7 +290,7 @@
     })
 }
 
-/// Appends a status. After a lost answer the next read tells whether it is in the log.
+/// Appends a status. After a lost answer the next read shows whether it is in the log.
 async fn append(
     log: &dyn StatusLog,
     status: &RolloutStatus,
