--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -37,7 +37,7 @@
 const TARGET_TRY_MAX_COUNT: usize = 6;
 
 /// Maximum number of targets tried for one call while they refuse it, if the route table calls for
-/// overload control. Two targets that refuse a call tell that most do.
+/// overload control. If two targets refuse a call, most do.
 const REFUSAL_MAX_COUNT: usize = 2;
 
 /// Mean calls per slot of a service above which its calls are not hedged, if the route table calls for
--- a/crates/dataplane/src/candidates.rs
+++ b/crates/dataplane/src/candidates.rs
@@ -117,7 +117,7 @@
         entries
     }
 
-    /// Forgets what was cached for another view.
+    /// Drops what was cached for another view.
     fn enter_view(&mut self, view: &Arc<View>) {
         let cached = self.view.as_ref();
         if cached.is_some_and(|cached| Arc::ptr_eq(cached, view)) {
--- a/crates/dataplane/src/evidence.rs
+++ b/crates/dataplane/src/evidence.rs
@@ -19,7 +19,7 @@
 };
 use crate::plane::DataPlane;
 
-/// Until when the local target is slow, since it has just started.
+/// Time until which the local target is slow, since it has just started.
 #[derive(Debug, Default)]
 pub(crate) struct ColdStart {
     until: Mutex<Option<Instant>>,
--- a/crates/dataplane/src/limits.rs
+++ b/crates/dataplane/src/limits.rs
@@ -18,8 +18,8 @@
 };
 use crate::worker::Worker;
 
-/// Token of an admitted request. Only its return must be stated, since a request whose fate is not known
-/// may have run.
+/// Token of an admitted request. Dropping it keeps it drawn, since a request with an unknown outcome may
+/// have run.
 pub(crate) struct Token<'a> {
     mesh: &'a Mesh,
     /// Customer whose limit the request draws from, if it has one.
--- a/crates/dataplane/src/operator.rs
+++ b/crates/dataplane/src/operator.rs
@@ -96,7 +96,7 @@
     )
 }
 
-/// `POST /figway/explain`: tells where a request would go now. Nothing is sent.
+/// `POST /figway/explain`: returns where a request would go now. Nothing is sent.
 fn explain(worker: &Worker, body: &[u8]) -> Answer {
     match serde_json::from_slice::<Described>(body) {
         Ok(described) => json_answer(200, &explain_request(worker, &described)),
--- a/crates/dataplane/src/pick.rs
+++ b/crates/dataplane/src/pick.rs
@@ -141,7 +141,7 @@
     let mesh = &worker.plane.mesh;
     let view = mesh.view();
     let mut cache = worker.candidates.borrow_mut();
-    let draw = mesh.random() as f64 / u64::MAX as f64;
+    let draw = mesh.random_ratio();
     let book = mesh.rollouts();
     let versions = cache.versions(&view, rule.service).choose(
         book.get(rule.service),
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -92,7 +92,8 @@
 /// 1 s.
 const REPLICATION_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Longest time for which a call may run that its target began before the node started.
+/// Time after the node's start for which requests that name an unknown parent are let through. Calls that
+/// the target began before end within it.
 const LOST_CALL_MAX: Duration = Duration::from_secs(10);
 
 /// Period at which a drain checks for calls in flight.
@@ -408,7 +409,7 @@
         self.gate.dispatch_turns().await;
     }
 
-    /// Measures how long the node stands still. Runs until the process ends.
+    /// Measures how long the node is suspended. Runs until the process ends.
     pub async fn watch_stalls(self: Arc<Self>) {
         watch_stalls(&self.metrics).await;
     }
--- a/crates/dataplane/src/stall_watch.rs
+++ b/crates/dataplane/src/stall_watch.rs
@@ -1,4 +1,4 @@
-//! Measures how late the node's timers wake it, which tells how long it stands still when it has used
+//! Measures how late the node's timers wake it, which shows how long it is suspended after it has used
 //! up its share of the processor.
 
 use std::time::{
@@ -10,8 +10,8 @@
 
 use crate::metrics::Metrics;
 
-/// Period of the wake-ups that are measured. It is no multiple of 100 ms, the usual period of a
-/// processor quota, so that the wake-ups fall on all parts of it.
+/// Period of the wake-ups that are measured. It is no multiple of 100 ms, the usual period of
+/// processor limits, so that the wake-ups fall on all parts of it.
 const WAKE_PERIOD: Duration = Duration::from_millis(470);
 
 /// Measures the delays of wake-ups. Runs until the process ends.
