--- a/crates/http/tests/statuses.rs
+++ b/crates/http/tests/statuses.rs
@@ -1,4 +1,4 @@
-//! Answers whose status is no status, and interim answers without end.
+//! Answers with invalid statuses, and interim answers without end.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -102,8 +102,8 @@
     client.send(&outbound).await
 }
 
-/// Guards against an answer with an invalid status that is taken for one, or whose connection is used
-/// again. 101 and 600 to 999 were taken at first.
+/// Guards against an answer with an invalid status that is accepted, or whose connection is used again.
+/// The HTTP library accepts 101 and 600 to 999.
 #[ntex::test]
 async fn an_answer_with_an_invalid_status_is_broken_and_its_connection_not_used_again() {
     for status in [
--- a/crates/rate-limit/tests/limits_over_nodes.rs
+++ b/crates/rate-limit/tests/limits_over_nodes.rs
@@ -67,6 +67,7 @@
     );
 }
 
+/// Guards against a surge that exceeds the limit before nodes learn of it, or that costs others requests.
 #[test]
 fn a_surge_is_limited_and_no_other_customer_is_refused() {
     for seed in SEEDS {
@@ -88,6 +89,7 @@
     }
 }
 
+/// Guards against a surge that is not limited while a coordinator takes over.
 #[test]
 fn the_coordinator_dies_as_a_surge_begins() {
     for seed in SEEDS {
@@ -108,6 +110,7 @@
     }
 }
 
+/// Guards against two coordinators that both grant the limit, and against one with outdated balances.
 #[test]
 fn the_coordinator_is_replaced_while_it_runs() {
     for seed in SEEDS {
@@ -124,6 +127,7 @@
     }
 }
 
+/// Guards against two halves of a cut that each grant the whole limit.
 #[test]
 fn half_of_the_nodes_are_cut_off_as_a_surge_begins() {
     for seed in SEEDS {
@@ -138,6 +142,7 @@
     }
 }
 
+/// Guards against cut off nodes whose shares are also granted to the others.
 #[test]
 fn nodes_are_cut_off_one_by_one() {
     for seed in SEEDS {
@@ -159,6 +164,7 @@
     }
 }
 
+/// Guards against shares of single nodes that add up to more than the limit.
 #[test]
 fn all_nodes_are_cut_off_from_each_other() {
     for seed in SEEDS {
@@ -172,6 +178,7 @@
     }
 }
 
+/// Guards against restarted nodes that admit a second burst.
 #[test]
 fn half_of_the_nodes_restart_at_once() {
     for seed in SEEDS {
@@ -190,7 +197,7 @@
     }
 }
 
-/// A node is a hole if it admits without a limit until it has heard from a coordinator.
+/// Guards against nodes that admit without a limit until a coordinator has answered them.
 #[test]
 fn a_surge_at_nodes_that_have_all_just_started_is_limited() {
     for seed in SEEDS {
@@ -202,6 +209,7 @@
     }
 }
 
+/// Guards against changed limits that take effect late, or that keep refusals of the old limit.
 #[test]
 fn a_lowered_limit_binds_one_window_later_and_a_raised_or_removed_one_sets_free() {
     for seed in SEEDS {
@@ -231,7 +239,8 @@
     }
 }
 
-/// Who comes back at the stated time, with the customer within its limit by then, must be admitted.
+/// Guards against a stated time at which requests are refused again although their customer is within its
+/// limit by then.
 #[test]
 fn the_time_to_come_back_is_true_and_spread() {
     for seed in SEEDS {
@@ -261,7 +270,7 @@
     }
 }
 
-/// A customer whose load follows a wave up to just below its limit is not above it.
+/// Guards against refusals of a customer whose load follows a wave up to just below its limit.
 #[test]
 fn a_customer_whose_load_swings_up_to_its_limit_is_not_refused() {
     for seed in SEEDS {
@@ -283,7 +292,7 @@
     }
 }
 
-/// Callers of a customer that all use one node have the whole limit there.
+/// Guards against a customer that gets only one node's share since all its callers use that node.
 #[test]
 fn a_customer_with_callers_at_one_node_only_has_its_whole_limit() {
     for seed in SEEDS {
@@ -298,7 +307,7 @@
     }
 }
 
-/// Messages must stay small with many customers, most of which a node sees rarely.
+/// Guards against reports that grow with the number of customers, most of which a node sees rarely.
 #[test]
 fn reports_of_85_customers_are_small() {
     let mut customers = Vec::new();
@@ -315,6 +324,7 @@
     assert!(bytes_per_s < 1_500.0, "{bytes_per_s} bytes before packing");
 }
 
+/// Guards against a customer that has no burst after a pause.
 #[test]
 fn a_customer_that_went_away_finds_its_burst_again() {
     for seed in SEEDS {
--- a/crates/rate-limit/tests/odd_input.rs
+++ b/crates/rate-limit/tests/odd_input.rs
@@ -57,6 +57,7 @@
     answer.limited.first().map(|limited| limited.1)
 }
 
+/// Guards against a report that is repeated after a lost answer and counts twice.
 #[test]
 fn a_repeated_report_counts_once() {
     let counts = vec![UsageCount(customer_code("a"), 60, 60)];
@@ -64,6 +65,7 @@
     assert_eq!(ratio_after(counts, 20), None);
 }
 
+/// Guards against one corrupt report that refuses other customers, or its own for long.
 #[test]
 fn reports_with_impossible_counts_change_no_more_than_their_customer_for_a_window() {
     let code = customer_code("a");
@@ -88,6 +90,7 @@
     assert_eq!(coordinator.answer(later).limited, Vec::new());
 }
 
+/// Guards against a limit of NaN that admits every request.
 #[test]
 fn limits_that_are_no_numbers_refuse_instead_of_admitting_all() {
     let now = Instant::now();
@@ -109,6 +112,7 @@
     }
 }
 
+/// Guards against a corrupt answer that refuses requests for hours.
 #[test]
 fn answers_with_impossible_ratios_and_times_are_clamped() {
     let now = Instant::now();
@@ -129,6 +133,7 @@
     assert!(retry_after <= Duration::from_secs(120), "{retry_after:?}");
 }
 
+/// Guards against counts that are lost or change in the short form of reports.
 #[test]
 fn counts_are_the_same_after_they_were_packed_into_a_report() {
     let counts = [
@@ -148,6 +153,7 @@
     assert_eq!(all, expected);
 }
 
+/// Guards against counts of a customer that are missing after its limit was removed and set again.
 #[test]
 fn counts_of_a_customer_that_lost_its_limit_for_a_while_begin_anew() {
     let now = Instant::now();
@@ -169,6 +175,7 @@
     assert!(later.sequence > again.sequence);
 }
 
+/// Guards against requests that did not run and count against the limit at the coordinator.
 #[test]
 fn a_returned_token_is_not_reported_as_used() {
     let now = Instant::now();
--- a/crates/rate-limit/tests/roster.rs
+++ b/crates/rate-limit/tests/roster.rs
@@ -34,6 +34,7 @@
         .collect()
 }
 
+/// Guards against a started node that takes the whole limit for itself.
 #[test]
 fn a_node_that_has_just_started_assumes_many_others_until_it_has_met_them() {
     let now = Instant::now();
@@ -47,6 +48,7 @@
     assert_eq!(roster.count(now + 32 * second), 6);
 }
 
+/// Guards against a single node that grants itself only a small share forever.
 #[test]
 fn a_node_that_meets_no_other_is_alone_in_the_end() {
     let now = Instant::now();
@@ -55,6 +57,8 @@
     assert_eq!(roster.count(now + Duration::from_secs(4)), 1);
 }
 
+/// Guards against a cut off member whose share is granted to others, and against shares held for members
+/// that have left.
 #[test]
 fn a_lost_member_counts_for_a_minute_and_one_that_left_as_planned_does_not() {
     let now = Instant::now();
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -40,7 +40,7 @@
     Sent, //
 };
 pub(crate) use self::plan::{
-    Conduct,
+    Behaviour,
     Fault,
     Plan,
     Situation,
@@ -139,7 +139,7 @@
                 ordered = 1;
                 self.order(NEW, 1);
             }
-            due.retain(|fault| !self.strike(*fault, since));
+            due.retain(|fault| !self.apply_fault(*fault, since));
             credit += self.plan.rate_per_s * STEP.as_secs_f64();
             while credit >= 1.0 {
                 credit -= 1.0;
@@ -173,7 +173,7 @@
     }
 
     /// Applies a fault that is due. Returns whether it is over.
-    fn strike(&mut self, fault: Fault, since: Duration) -> bool {
+    fn apply_fault(&mut self, fault: Fault, since: Duration) -> bool {
         match fault {
             Fault::KillDecider(at) if since >= at => {
                 let decider = self.decider();
@@ -257,7 +257,7 @@
             route,
             share: of_version as f64 / 200.0,
         };
-        let conduct = (self.plan.conduct)(node.version, situation);
+        let behaviour = (self.plan.behaviour)(node.version, situation);
         let age = self.now.saturating_duration_since(node.started_at);
         let is_cold = age < Duration::from_secs(3);
         // Periods of 600 ms of a target are slow, 15% of the time.
@@ -267,9 +267,9 @@
         run_ms *= if in_slow_period { 2.5 } else { 1.0 };
         run_ms *= if is_cold { 2.0 } else { 1.0 };
         run_ms *= if self.draw() < 0.03 { 7.0 } else { 1.0 };
-        let is_slow = self.draw() < conduct.slow_rate;
-        run_ms *= if is_slow { conduct.slow_factor } else { 1.0 };
-        let is_failed = self.draw() < conduct.failed_rate;
+        let is_slow = self.draw() < behaviour.slow_rate;
+        run_ms *= if is_slow { behaviour.slow_factor } else { 1.0 };
+        let is_failed = self.draw() < behaviour.failed_rate;
         let fails_anyway = self.draw() < ANY_FAILED_RATE;
         // Callers give up after 600 ms.
         let ran = Duration::from_secs_f64(run_ms.min(600.0) / 1_000.0);
--- a/crates/rollout/tests/common/plan.rs
+++ b/crates/rollout/tests/common/plan.rs
@@ -13,13 +13,13 @@
     pub(crate) since_order: Duration,
     /// Index of the route.
     pub(crate) route: usize,
-    /// Share of the requests that the version got lately.
+    /// Share of the requests that the version got recently.
     pub(crate) share: f64,
 }
 
 /// What a version does beyond what any version does.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Conduct {
+pub(crate) struct Behaviour {
     pub(crate) failed_rate: f64,
     pub(crate) slow_rate: f64,
     pub(crate) slow_factor: f64,
@@ -36,7 +36,7 @@
     LoseAnswers,
     /// A second order, for the given version.
     SecondOrder(Duration, &'static str),
-    /// A node starts, and knows nothing.
+    /// A node starts with an empty state.
     StartNode(Duration),
 }
 
@@ -46,7 +46,7 @@
     pub(crate) target_count: usize,
     pub(crate) rate_per_s: f64,
     pub(crate) duration: Duration,
-    pub(crate) conduct: fn(&str, Situation) -> Conduct,
+    pub(crate) behaviour: fn(&str, Situation) -> Behaviour,
     pub(crate) faults: Vec<Fault>,
 }
 
@@ -57,7 +57,7 @@
             target_count: 30,
             rate_per_s: 1_000.0,
             duration: Duration::from_secs(12),
-            conduct: |_, _| Conduct::default(),
+            behaviour: |_, _| Behaviour::default(),
             faults: Vec::new(),
         }
     }
--- a/crates/rollout/tests/rollouts.rs
+++ b/crates/rollout/tests/rollouts.rs
@@ -10,7 +10,7 @@
 use figway_rollout::StatusState;
 
 use crate::common::{
-    Conduct,
+    Behaviour,
     Fault,
     Outcome,
     Plan,
@@ -81,11 +81,11 @@
     *at
 }
 
-fn assert_bad(name: &str, conduct: fn(&str, Situation) -> Conduct, faults: &[Fault]) {
+fn assert_bad(name: &str, behaviour: fn(&str, Situation) -> Behaviour, faults: &[Fault]) {
     for seed in SEEDS {
         let plan = Plan {
             seed,
-            conduct,
+            behaviour,
             faults: faults.to_vec(),
             ..Plan::default()
         };
@@ -107,14 +107,14 @@
     }
 }
 
-fn failing(rate: f64) -> Conduct {
-    Conduct {
+fn failing(rate: f64) -> Behaviour {
+    Behaviour {
         failed_rate: rate,
-        ..Conduct::default()
+        ..Behaviour::default()
     }
 }
 
-fn bad_at_once(version: &str, _: Situation) -> Conduct {
+fn bad_at_once(version: &str, _: Situation) -> Behaviour {
     failing(if version == NEW { 0.2 } else { 0.0 })
 }
 
@@ -127,11 +127,11 @@
 /// Guards against clean evidence of the first half that outweighs failures of the second.
 #[test]
 fn a_version_that_fails_after_half_of_the_time_is_rolled_back() {
-    let conduct = |version: &str, situation: Situation| {
+    let behaviour = |version: &str, situation: Situation| {
         let late = version == NEW && situation.since_order > seconds(6.0);
         failing(if late { 0.25 } else { 0.0 })
     };
-    assert_bad("later", conduct, &[]);
+    assert_bad("later", behaviour, &[]);
 }
 
 /// Guards against the clean evidence of a long rollout, which would make up for hundreds of failures.
@@ -142,7 +142,7 @@
             seed,
             rate_per_s: 500.0,
             duration: seconds(120.0),
-            conduct: |version, situation| {
+            behaviour: |version, situation| {
                 let late = version == NEW && situation.since_order > seconds(66.0);
                 failing(if late { 0.1 } else { 0.0 })
             },
@@ -158,32 +158,32 @@
 /// Guards against a share that rises faster than failures under load are noticed.
 #[test]
 fn a_version_that_fails_under_load_is_rolled_back() {
-    let conduct = |version: &str, situation: Situation| {
+    let behaviour = |version: &str, situation: Situation| {
         let loaded = version == NEW && situation.share > 0.2;
         failing(if loaded { 0.3 } else { 0.0 })
     };
-    assert_bad("under load", conduct, &[]);
+    assert_bad("under load", behaviour, &[]);
 }
 
 /// Guards against failures of one route that are lost among the answers of the others.
 #[test]
 fn a_version_that_fails_on_one_route_is_rolled_back() {
-    let conduct = |version: &str, situation: Situation| {
+    let behaviour = |version: &str, situation: Situation| {
         let hit = version == NEW && situation.route == 2;
         failing(if hit { 0.3 } else { 0.0 })
     };
-    assert_bad("one route", conduct, &[]);
+    assert_bad("one route", behaviour, &[]);
 }
 
 /// Guards against a version that answers rightly, but four times slower.
 #[test]
 fn a_version_that_is_four_times_slower_is_rolled_back() {
-    let conduct = |version: &str, _: Situation| Conduct {
+    let behaviour = |version: &str, _: Situation| Behaviour {
         slow_rate: if version == NEW { 1.0 } else { 0.0 },
         slow_factor: 4.0,
-        ..Conduct::default()
+        ..Behaviour::default()
     };
-    assert_bad("slow", conduct, &[]);
+    assert_bad("slow", behaviour, &[]);
 }
 
 /// Guards against a good version that is held back for want of evidence.
@@ -271,7 +271,7 @@
     for seed in SEEDS {
         let plan = Plan {
             seed,
-            conduct: |_, situation| {
+            behaviour: |_, situation| {
                 let hit = (5..7).contains(&situation.since_order.as_secs());
                 failing(if hit { 0.05 } else { 0.0 })
             },
--- a/crates/testbed/tests/faulty_answers.rs
+++ b/crates/testbed/tests/faulty_answers.rs
@@ -120,7 +120,8 @@
     }
 }
 
-/// Guards against an answer with an invalid status that reaches the caller. 101 and 600 to 999 did.
+/// Guards against an answer with an invalid status that reaches the caller. The HTTP library
+/// accepts 101 and 600 to 999.
 #[ntex::test]
 async fn an_answer_with_an_invalid_status_reaches_the_caller_as_502() {
     let site = Site::start("status", 2).await.unwrap();
--- a/crates/testbed/tests/keys.rs
+++ b/crates/testbed/tests/keys.rs
@@ -1,4 +1,4 @@
-//! End-to-end tests of API keys and customers: who is let in, and what leaves the node of the caller.
+//! End-to-end tests of API keys and customers: who is accepted, and what leaves the node of the caller.
 //! Nodes run as real processes; store and back ends are emulated.
 
 mod common;
@@ -35,8 +35,8 @@
 /// Time within which a request without a valid key is answered.
 const REFUSAL_MAX: Duration = Duration::from_millis(250);
 
-/// Guards against a request that runs, or waits for its refusal, although its credentials don't tell
-/// whose it is.
+/// Guards against a request that runs, or waits for its refusal, although its credentials
+/// identify no customer.
 #[ntex::test]
 async fn a_request_without_a_valid_key_gets_401_at_once_and_never_runs() {
     let site = start_customer_site("keys-refused").await;
