--- a/crates/routing/src/least_work.rs
+++ b/crates/routing/src/least_work.rs
@@ -112,6 +112,16 @@
         let factor = self.loads.factor(candidate.node_id, self.now);
         candidate.concurrency(self.cost.cost_ms * factor) / factor
     }
+
+    /// Returns the calls that the best candidate would complete in a given time at [`FACTOR_MIN`].
+    fn max_throughput(&self, candidates: &[Candidate<'_>]) -> f64 {
+        let mut max_throughput: f64 = 0.0;
+        for candidate in candidates {
+            let throughput = candidate.concurrency(self.cost.cost_ms) / FACTOR_MIN;
+            max_throughput = max_throughput.max(throughput);
+        }
+        max_throughput
+    }
 }
 
 impl LeastWork {
@@ -137,6 +147,8 @@
             + LATENCY_WEIGHT * ((expected_ms - expected.ran_ms) / prompt_ms.max(1.0)).min(1.0)
     }
 
+    /// Draws candidates of `tier`, which are all of one distance, and keeps the one with the least loss in
+    /// `best`.
     fn compare_tier(
         &mut self,
         costed: &Costed<'_>,
@@ -147,11 +159,7 @@
         let prompt_ms = as_ms(costed.call.prompt_left).max(1.0);
         let switch_ms = SWITCH_COST_RATIO * costed.cost.cost_ms;
         let mut switch_loss = 0.0;
-        let mut max_throughput: f64 = 0.0;
-        for candidate in &candidates[tier.clone()] {
-            let throughput = candidate.concurrency(costed.cost.cost_ms) / FACTOR_MIN;
-            max_throughput = max_throughput.max(throughput);
-        }
+        let max_throughput = costed.max_throughput(&candidates[tier.clone()]);
         let mut sampled_count = 0;
         for _ in 0..DRAW_MAX_COUNT {
             let index = tier.start + self.random_below(tier.len());
