--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -129,22 +129,7 @@
     let mut slot = match plane.gate.enter(&view, limits).await {
         Ok(slot) => slot,
         Err(reason) => {
-            let (running_count, waiting_count) = plane.gate.counts();
-            if plane.log_budget.should_log(call.request_id, true) {
-                log::info!(
-                    "call refused request={} kind={} why={} running={running_count} \
-                 waiting={waiting_count} slots={} waited_ms={} left_ms={}",
-                    call.request_id,
-                    call.kind,
-                    reason.name(),
-                    target.slot_count,
-                    entered_at.elapsed().as_millis(),
-                    remaining_time(call).as_millis(),
-                );
-            }
-            plane
-                .metrics
-                .record_admission("not-run", reason.name(), entered_at.elapsed());
+            record_refusal(plane, call, target.slot_count, reason, entered_at);
             return AttemptResult::not_sent(reason);
         }
     };
@@ -156,7 +141,7 @@
     if plane.refuses_as_quarantined(call.fingerprint) {
         return AttemptResult::not_sent(NotRunReason::Quarantined);
     }
-    // The operator may have removed its key.
+    // The operator may have removed the key while the call was queued.
     if plane.refuses_key(call) {
         return refuse_removed_key(plane, call, entered_at);
     }
@@ -196,6 +181,32 @@
     }
 }
 
+/// Records a call that the gate of the target refused.
+fn record_refusal(
+    plane: &DataPlane,
+    call: &AdmissionRequest<'_>,
+    slot_count: u32,
+    reason: NotRunReason,
+    entered_at: Instant,
+) {
+    let (running_count, waiting_count) = plane.gate.counts();
+    if plane.log_budget.should_log(call.request_id, true) {
+        log::info!(
+            "call refused request={} kind={} why={} running={running_count} \
+                 waiting={waiting_count} slots={slot_count} waited_ms={} left_ms={}",
+            call.request_id,
+            call.kind,
+            reason.name(),
+            entered_at.elapsed().as_millis(),
+            remaining_time(call).as_millis(),
+        );
+    }
+    plane
+        .metrics
+        .record_admission("not-run", reason.name(), entered_at.elapsed());
+}
+
+/// Refuses a call whose key was removed while it waited, and records it.
 fn refuse_removed_key(
     plane: &DataPlane,
     call: &AdmissionRequest<'_>,
