cost: remove the distribution of the cost model, which nothing read

CostModel::quantile, CostModel::remaining, Spread::exceeds and RunCost::deviation_ratio had no caller, in tests neither. Spread stays: admission uses it.

--- a/crates/cost/src/model.rs
+++ b/crates/cost/src/model.rs
@@ -1,11 +1,8 @@
 //! Cost of a request by its class.
 
-use std::time::Duration;
-
 use figway_types::FastMap;
 
 use crate::cells::Cells;
-use crate::spread::Spread;
 
 /// Largest number of kinds with estimates of their own. Further ones share one estimate.
 const KIND_MAX_COUNT: usize = 256;
@@ -85,7 +82,6 @@
 struct KindCost {
     mean_ms: f64,
     sample_count: u32,
-    spread: Spread,
     /// Mean logarithm of run times relative to the expected ones. It is below 0, as the mean of a skewed
     /// distribution is above most samples.
     usual_log: f64,
@@ -145,29 +141,6 @@
         (kind_cost.sample_count > 0).then_some(kind_cost.mean_ms)
     }
 
-    /// Returns the run time that the share `share` of the requests of the class doesn't exceed.
-    pub fn quantile(&self, class: &RequestClass<'_>, share: f64) -> Option<Duration> {
-        let mean_ms = self.mean_ms(class)?;
-        let ratio = self.kind(class.kind).spread.quantile(share);
-        Some(Duration::from_secs_f64(mean_ms * ratio / 1_000.0))
-    }
-
-    /// Returns how long a request of the class that has run for `elapsed` at a target of the factor
-    /// `factor` is still expected to run.
-    pub fn remaining(
-        &self,
-        class: &RequestClass<'_>,
-        elapsed: Duration,
-        factor: f64,
-    ) -> Option<Duration> {
-        let run_s = self.mean_ms(class)? * factor / 1_000.0;
-        let ratio = self
-            .kind(class.kind)
-            .spread
-            .remaining(elapsed.as_secs_f64() / run_s);
-        Some(Duration::from_secs_f64(run_s * ratio))
-    }
-
     /// Returns a run time as a multiple of the usual one of the class, as [`TargetFactor::record`] takes it.
     ///
     /// [`TargetFactor::record`]: crate::TargetFactor::record
@@ -231,7 +204,6 @@
     }
 
     fn record_ratio(&mut self, ratio: f64) {
-        self.spread.record(ratio);
         let sample_log = ratio.ln().clamp(-SAMPLE_LOG_MAX, SAMPLE_LOG_MAX);
         self.usual_log += ERROR_WEIGHT * (sample_log - self.usual_log);
     }
--- a/crates/cost/src/spread.rs
+++ b/crates/cost/src/spread.rs
@@ -106,17 +106,6 @@
         }
         remaining_sum / weight_sum
     }
-
-    /// Returns the chance that a call runs longer than `ratio`, a multiple of the expected run time.
-    pub fn exceeds(&self, ratio: f64) -> f64 {
-        let mut above = 0.0;
-        for index in bucket(ratio)..BUCKET_COUNT {
-            let (low, high) = bounds(index);
-            let left_ratio = ((high - low.max(ratio)) / (high - low)).clamp(0.0, 1.0);
-            above += f64::from(self.weights[index]) * left_ratio;
-        }
-        (above / f64::from(self.total)).min(1.0)
-    }
 }
 
 fn bucket(ratio: f64) -> usize {
--- a/crates/routing/src/load/work.rs
+++ b/crates/routing/src/load/work.rs
@@ -25,8 +25,6 @@
 pub struct RunCost {
     /// Run time at a target of factor 1, in milliseconds.
     pub cost_ms: f64,
-    /// Mean absolute deviation of run times from the expected one, as a fraction of it.
-    pub deviation_ratio: f64,
     /// Wait at a target of unknown load, in milliseconds.
     kind_wait_ms: f64,
 }
@@ -72,7 +70,6 @@
         let stats = self.kinds.get(class.kind);
         RunCost {
             cost_ms: estimate.map_or(UNKNOWN_RAN_MS, |estimate| estimate.mean_ms),
-            deviation_ratio: estimate.map_or(0.0, |estimate| estimate.deviation_ratio),
             kind_wait_ms: stats.map_or(0.0, |stats| stats.decayed_wait_ms(now)),
         }
     }
