--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -223,6 +223,8 @@
     async fn serve_burst(&self, io: &Io, codec: &Codec) -> bool {
         let handler = self.handler.as_ref();
         let memory = handler.memory();
+        // Whether bytes of the request that is read have arrived. Its read then continues although no
+        // further request may start.
         let read_begun = Cell::new(true);
         let read = |waits: bool| {
             let (memory, read_begun) = (&memory, &read_begun);
@@ -235,6 +237,7 @@
             }
         };
         let mut pipeline = Pipeline::new(handler);
+        // Request that may not start before those that run are answered.
         let mut held: Option<Received> = None;
         let reading = read(false);
         let disconnected = io.on_disconnect();
--- a/crates/routing/src/least_work.rs
+++ b/crates/routing/src/least_work.rs
@@ -54,10 +54,11 @@
 /// Targets are drawn by their speed, so that small differences need no further weight.
 const SWITCH_COST_RATIO: f64 = 0.1;
 
-/// Largest number of draws for one distance.
+/// Largest number of draws for one distance, which bounds the time of a pick.
 const DRAW_MAX_COUNT: usize = 32;
 
-/// Factor at or below which a drawn target is always taken.
+/// Factor at or below which a drawn target is always taken. Targets of higher factors are taken in
+/// proportion to their throughput.
 const FACTOR_MIN: f64 = 0.5;
 
 /// Picks the candidate with the least expected loss by cost and remaining work.
@@ -67,8 +68,8 @@
     seed: u64,
 }
 
-/// A call with what it is expected to cost.
-struct Costed<'a> {
+/// A call with its expected cost, and what the choice of its target depends on.
+struct CostedCall<'a> {
     call: &'a CallContext<'a>,
     cost: RunCost,
     /// Sizes of the bodies, in bytes, if anything is known of them.
@@ -78,7 +79,7 @@
     now: Instant,
 }
 
-impl<'a> Costed<'a> {
+impl<'a> CostedCall<'a> {
     fn new(
         call: &'a CallContext<'a>,
         class: &RequestClass<'_>,
@@ -130,9 +131,9 @@
         Self { prices, seed }
     }
 
-    fn loss(&self, costed: &Costed<'_>, candidate: &Candidate<'_>) -> f64 {
+    fn loss(&self, costed: &CostedCall<'_>, candidate: &Candidate<'_>) -> f64 {
         let expected = costed.loads.expect(&costed.cost, candidate, costed.now);
-        let expected_ms = Costed::expected_ms(&expected, candidate);
+        let expected_ms = CostedCall::expected_ms(&expected, candidate);
         let spread_ms = RAN_SPREAD_RATIO * expected.ran_ms
             + WAIT_SPREAD_RATIO * expected.wait_ms
             + SPREAD_MIN_MS;
@@ -151,7 +152,7 @@
     /// `best`.
     fn compare_tier(
         &mut self,
-        costed: &Costed<'_>,
+        costed: &CostedCall<'_>,
         candidates: &[Candidate<'_>],
         tier: std::ops::Range<usize>,
         best: &mut Option<(usize, f64)>,
@@ -226,7 +227,7 @@
         loads: &LoadTracker,
         now: Instant,
     ) -> Option<Picked> {
-        let costed = Costed::new(call, class, excluded, loads, now);
+        let costed = CostedCall::new(call, class, excluded, loads, now);
         let mut best: Option<(usize, f64)> = None;
         let mut start = 0;
         while start < candidates.len() {
@@ -248,7 +249,7 @@
         let (index, cost) = best?;
         let candidate = &candidates[index];
         let expected = loads.expect(&costed.cost, candidate, now);
-        let expected_ms = Costed::expected_ms(&expected, candidate);
+        let expected_ms = CostedCall::expected_ms(&expected, candidate);
         Some(Picked {
             index,
             cost,
@@ -266,7 +267,7 @@
         loads: &LoadTracker,
         now: Instant,
     ) -> Option<Weighed> {
-        let costed = Costed::new(call, class, &[], loads, now);
+        let costed = CostedCall::new(call, class, &[], loads, now);
         let expected = loads.expect(&costed.cost, candidate, now);
         Some(Weighed {
             ran_ms: expected.ran_ms,
