--- a/crates/dataplane/src/explain.rs
+++ b/crates/dataplane/src/explain.rs
@@ -36,7 +36,7 @@
 
 /// A request that an operator asks about.
 #[derive(Debug, Deserialize)]
-pub(crate) struct Described {
+pub(crate) struct ExplainRequest {
     /// Host that the caller names.
     host: String,
     path: String,
@@ -48,15 +48,15 @@
 }
 
 /// Returns where the request would go and why.
-pub(crate) fn explain_request(worker: &Worker, described: &Described) -> Value {
+pub(crate) fn explain_request(worker: &Worker, request: &ExplainRequest) -> Value {
     let view = worker.plane.mesh.view();
     let version = view.routes.version;
-    let Some(named) = view.routes.find(&described.host, &described.path) else {
+    let Some(named) = view.routes.find(&request.host, &request.path) else {
         return json!({ "version": version, "why": "no-route" });
     };
     let customers = view.routes.customers.as_deref();
     let mut customer = None;
-    if let (Some(index), Some(name)) = (customers, described.customer.as_deref()) {
+    if let (Some(index), Some(name)) = (customers, request.customer.as_deref()) {
         customer = index.get(name);
         if customer.is_none() {
             return json!({ "version": version, "route": named.name, "why": "unknown-customer" });
@@ -68,15 +68,13 @@
     let mut services = Vec::new();
     for part in &named.route.weighted_services {
         let customer = customer.map(|customer| &**customer);
-        services.push(explain_part(
-            worker, &view, named, part, described, customer,
-        ));
+        services.push(explain_part(worker, &view, named, part, request, customer));
     }
     json!({
         "version": version,
         "route": named.name,
         "overload_control": view.routes.overload_control,
-        "customer": customer.and(described.customer.as_deref()),
+        "customer": customer.and(request.customer.as_deref()),
         "priority": priority_of(&view.routes, customer.map(|customer| &**customer), &named.route),
         "limit": customer.and_then(|customer| customer.limit),
         "services": services,
@@ -89,7 +87,7 @@
     view: &View,
     named: &NamedRoute,
     part: &WeightedService,
-    described: &Described,
+    request: &ExplainRequest,
     customer: Option<&Customer>,
 ) -> Value {
     let plane = &worker.plane;
@@ -112,11 +110,12 @@
     };
     let class = RequestClass {
         kind: rule.name,
-        body_bytes: described.body_bytes,
-        customer: customer.and(described.customer.as_deref()),
+        body_bytes: request.body_bytes,
+        customer: customer.and(request.customer.as_deref()),
     };
     let now = Instant::now();
     let mut loads = plane.loads();
+    // As for a call: the gate of this node knows the load of its target exactly.
     let own_report = plane.gate.load_report(rule.rank);
     loads.record_report(&worker.own_member.node_id, own_report, now);
     let mut picker = route_picker(worker).borrow_mut();
@@ -124,7 +123,7 @@
     for candidate in &candidates {
         let weighed = picker.weigh(&call, &class, candidate, &loads, now);
         let refused = loads.has_recent_refusal(candidate.node_id, now);
-        targets.push(target_entry(candidate, weighed.as_ref(), refused));
+        targets.push(explain_target(candidate, weighed.as_ref(), refused));
     }
     let picked = picker.pick_for_class(&call, &class, &candidates, &[], &loads, now);
     json!({
@@ -136,7 +135,8 @@
     })
 }
 
-fn target_entry(candidate: &Candidate<'_>, weighed: Option<&Weighed>, refused: bool) -> Value {
+/// Returns what a call is expected to meet at a candidate.
+fn explain_target(candidate: &Candidate<'_>, weighed: Option<&Weighed>, refused: bool) -> Value {
     json!({
         "node": candidate.node_id,
         "distance": candidate.distance.name(),
--- a/crates/dataplane/src/operator.rs
+++ b/crates/dataplane/src/operator.rs
@@ -24,7 +24,7 @@
 
 use crate::explain::{
     explain_request,
-    Described, //
+    ExplainRequest, //
 };
 use crate::worker::Worker;
 
@@ -98,8 +98,8 @@
 
 /// `POST /figway/explain`: returns where a request would go now. Nothing is sent.
 fn explain(worker: &Worker, body: &[u8]) -> Answer {
-    match serde_json::from_slice::<Described>(body) {
-        Ok(described) => json_answer(200, &explain_request(worker, &described)),
+    match serde_json::from_slice::<ExplainRequest>(body) {
+        Ok(request) => json_answer(200, &explain_request(worker, &request)),
         Err(error) => bad_request(&error.to_string()),
     }
 }
