--- a/crates/admission/src/body_pacer.rs
+++ b/crates/admission/src/body_pacer.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct BodyPacer {
     bytes_per_s: f64,
-    /// When the link has carried the bodies that were let in.
+    /// When the link has carried the accepted bodies.
     free_at: Instant,
 }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -223,6 +223,8 @@
     async fn serve_burst(&self, io: &Io, codec: &Codec) -> bool {
         let handler = self.handler.as_ref();
         let memory = handler.memory();
+        // Whether bytes of the request that is read have arrived. Its read then continues although no
+        // further request may start.
         let read_begun = Cell::new(true);
         let all_answered = watch::Sender::new(true);
         let read = |waits: bool| {
@@ -237,6 +239,7 @@
             }
         };
         let mut pipeline = Pipeline::new(handler);
+        // Request that may not start before those that run are answered.
         let mut held: Option<Received> = None;
         let mut was_held = false;
         let mut writing: Option<LocalBoxFuture<'_, bool>> = None;
--- a/crates/routing/src/least_work.rs
+++ b/crates/routing/src/least_work.rs
@@ -54,10 +54,11 @@
 /// Targets are drawn by their speed, so that small differences need no further weight.
 const SWITCH_COST_RATIO: f64 = 0.1;
 
-/// Largest number of draws for one distance.
+/// Largest number of draws for one distance, which bounds the time of a pick.
 const DRAW_MAX_COUNT: usize = 32;
 
-/// Factor at or below which a drawn target is always taken.
+/// Factor at or below which a drawn target is always taken. Targets of higher factors are taken in
+/// proportion to their throughput.
 const FACTOR_MIN: f64 = 0.5;
 
 /// Picks the candidate with the least expected loss by cost and remaining work.
@@ -67,8 +68,8 @@
     seed: u64,
 }
 
-/// A call with what it is expected to cost.
-struct Costed<'a> {
+/// A call with its expected cost, and what the choice of its target depends on.
+struct CostedCall<'a> {
     call: &'a CallContext<'a>,
     cost: RunCost,
     /// Sizes of the bodies, in bytes, if anything is known of them.
@@ -78,7 +79,7 @@
     now: Instant,
 }
 
-impl<'a> Costed<'a> {
+impl<'a> CostedCall<'a> {
     fn new(
         call: &'a CallContext<'a>,
         class: &RequestClass<'_>,
@@ -112,6 +113,16 @@
         let factor = self.loads.factor(candidate.node_id, self.now);
         candidate.concurrency(self.cost.cost_ms * factor) / factor
     }
+
+    /// Returns the calls that the best candidate would complete in a given time at [`FACTOR_MIN`].
+    fn max_throughput(&self, candidates: &[Candidate<'_>]) -> f64 {
+        let mut max_throughput: f64 = 0.0;
+        for candidate in candidates {
+            let throughput = candidate.concurrency(self.cost.cost_ms) / FACTOR_MIN;
+            max_throughput = max_throughput.max(throughput);
+        }
+        max_throughput
+    }
 }
 
 impl LeastWork {
@@ -120,9 +131,9 @@
         Self { prices, seed }
     }
 
-    fn loss(&self, costed: &Costed<'_>, candidate: &Candidate<'_>) -> f64 {
+    fn loss(&self, costed: &CostedCall<'_>, candidate: &Candidate<'_>) -> f64 {
         let expected = costed.loads.expect(&costed.cost, candidate, costed.now);
-        let expected_ms = Costed::expected_ms(&expected, candidate);
+        let expected_ms = CostedCall::expected_ms(&expected, candidate);
         let spread_ms = RAN_SPREAD_RATIO * expected.ran_ms
             + WAIT_SPREAD_RATIO * expected.wait_ms
             + SPREAD_MIN_MS;
@@ -137,9 +148,11 @@
             + LATENCY_WEIGHT * ((expected_ms - expected.ran_ms) / prompt_ms.max(1.0)).min(1.0)
     }
 
+    /// Draws candidates of `tier`, which are all of one distance, and keeps the one with the least loss in
+    /// `best`.
     fn compare_tier(
         &mut self,
-        costed: &Costed<'_>,
+        costed: &CostedCall<'_>,
         candidates: &[Candidate<'_>],
         tier: std::ops::Range<usize>,
         best: &mut Option<(usize, f64)>,
@@ -147,11 +160,7 @@
         let prompt_ms = as_ms(costed.call.prompt_left).max(1.0);
         let switch_ms = SWITCH_COST_RATIO * costed.cost.cost_ms;
         let mut switch_loss = 0.0;
-        let mut max_throughput: f64 = 0.0;
-        for candidate in &candidates[tier.clone()] {
-            let throughput = candidate.concurrency(costed.cost.cost_ms) / FACTOR_MIN;
-            max_throughput = max_throughput.max(throughput);
-        }
+        let max_throughput = costed.max_throughput(&candidates[tier.clone()]);
         let mut sampled_count = 0;
         for _ in 0..DRAW_MAX_COUNT {
             let index = tier.start + self.random_below(tier.len());
@@ -218,7 +227,7 @@
         loads: &LoadTracker,
         now: Instant,
     ) -> Option<Picked> {
-        let costed = Costed::new(call, class, excluded, loads, now);
+        let costed = CostedCall::new(call, class, excluded, loads, now);
         let mut best: Option<(usize, f64)> = None;
         let mut start = 0;
         while start < candidates.len() {
@@ -240,7 +249,7 @@
         let (index, cost) = best?;
         let candidate = &candidates[index];
         let expected = loads.expect(&costed.cost, candidate, now);
-        let expected_ms = Costed::expected_ms(&expected, candidate);
+        let expected_ms = CostedCall::expected_ms(&expected, candidate);
         Some(Picked {
             index,
             cost,
@@ -258,7 +267,7 @@
         loads: &LoadTracker,
         now: Instant,
     ) -> Option<Weighed> {
-        let costed = Costed::new(call, class, &[], loads, now);
+        let costed = CostedCall::new(call, class, &[], loads, now);
         let expected = loads.expect(&costed.cost, candidate, now);
         Some(Weighed {
             ran_ms: expected.ran_ms,
