--- a/crates/admission/tests/body_pacer.rs
+++ b/crates/admission/tests/body_pacer.rs
@@ -31,7 +31,7 @@
     assert!((0.5..=0.65).contains(&ratio), "{ratio}");
 }
 
-/// Guards against a body that is let in although it can't arrive in time, and uses the link for nothing.
+/// Guards against a body that is accepted although it can't arrive in time, and uses the link for nothing.
 #[test]
 fn a_body_that_would_arrive_too_late_is_refused_at_once() {
     let now = Instant::now();
--- a/crates/rate-limit/tests/odd_input.rs
+++ b/crates/rate-limit/tests/odd_input.rs
@@ -170,7 +170,7 @@
     let again = meter.report(0, "node-2", now + second);
     assert_eq!(again.single, vec![customer_code("a")]);
     assert_eq!(again.counts, Vec::new());
-    // A feed that begins anew must not be taken for repeated reports.
+    // Reports of a new feed must not be taken for repeated ones.
     let later = meter.report(0, "node-2", now + 30 * second);
     assert!(later.sequence > again.sequence);
 }
--- a/crates/rollout/tests/versions.rs
+++ b/crates/rollout/tests/versions.rs
@@ -102,7 +102,7 @@
 }
 
 /// Guards against an unfinished version of a replaced order that counts as an old one, and against an
-/// order that arrives late or twice and begins the rollout anew.
+/// order that arrives late or twice and restarts the rollout.
 #[test]
 fn a_replaced_order_leaves_its_version_without_calls() {
     let now = Instant::now();
