--- a/crates/cost/src/spread.rs
+++ b/crates/cost/src/spread.rs
@@ -28,6 +28,10 @@
 /// Remaining time, as a multiple of the elapsed time, of a call that has run longer than all samples.
 const BEYOND_RATIO: f64 = 0.5;
 
+/// Share of the samples below which those that ran longer than a call are too few to estimate its remaining
+/// time.
+const BEYOND_SHARE_MAX: f64 = 1e-4;
+
 /// Distribution of the ratio of run times to the expected one, in buckets of logarithmic width.
 #[derive(Clone, Debug)]
 pub struct Spread {
@@ -97,22 +101,11 @@
             weight_sum += weight;
             remaining_sum += weight * ((left_from + high) / 2.0 - elapsed);
         }
-        if weight_sum < f64::from(self.total) * 1e-4 {
+        if weight_sum < f64::from(self.total) * BEYOND_SHARE_MAX {
             return elapsed * BEYOND_RATIO;
         }
         remaining_sum / weight_sum
     }
-
-    /// Returns the chance that a call runs longer than `ratio`, a multiple of the expected run time.
-    pub fn exceeds(&self, ratio: f64) -> f64 {
-        let mut above = 0.0;
-        for index in bucket(ratio)..BUCKET_COUNT {
-            let (low, high) = bounds(index);
-            let left_ratio = ((high - low.max(ratio)) / (high - low)).clamp(0.0, 1.0);
-            above += f64::from(self.weights[index]) * left_ratio;
-        }
-        (above / f64::from(self.total)).min(1.0)
-    }
 }
 
 fn bucket(ratio: f64) -> usize {
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -1,6 +1,9 @@
 //! A call that a node serves: its rule, its attempts and its outcome.
 
-use std::cell::RefCell;
+use std::cell::{
+    Cell,
+    RefCell, //
+};
 use std::time::Instant;
 
 use figway_cost::RequestClass;
@@ -60,7 +63,7 @@
 }
 
 /// Returns the priority of a call on `route`; 0 is served first. If `routes` hold customers, that of the
-/// customer goes before that of the route.
+/// customer takes precedence.
 pub(crate) fn priority_of(routes: &RouteIndex, customer: Option<&Customer>, route: &Route) -> u32 {
     if routes.customers.is_none() {
         return route.priority;
@@ -151,7 +154,7 @@
     pub(crate) body: &'a Bytes,
     /// Service on whose host the call began.
     pub(crate) origin: &'a str,
-    /// Whose call it is.
+    /// Caller, with its customer.
     pub(crate) caller: Caller<'a>,
     /// Time after which an answer loses part of its worth.
     pub(crate) prompt_by: Option<Instant>,
@@ -161,6 +164,8 @@
     pub(crate) parent_is_repeat: bool,
     /// Merged outcome of the attempts that have ended.
     pub(crate) earlier_outcome: &'a RefCell<Outcome>,
+    /// Attempts that targets' nodes refused since they have no room.
+    pub(crate) refused_count: &'a Cell<usize>,
 }
 
 impl Call<'_> {
@@ -224,7 +229,7 @@
     pub(crate) origin: &'a str,
     /// Customer to whom the call belongs, if any.
     pub(crate) customer: Option<&'a str>,
-    /// Key that tells the customer, if one does.
+    /// Key that identified the customer, if one did.
     pub(crate) key: Option<StatedKey>,
     pub(crate) deadline: Instant,
     pub(crate) attempt_kind: AttemptKind,
