--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -8,6 +8,7 @@
 mod lost;
 mod news;
 mod own_target;
+mod random;
 mod report;
 mod rollouts;
 mod routes;
@@ -15,8 +16,7 @@
 use std::net::IpAddr;
 use std::sync::atomic::{
     AtomicBool,
-    AtomicU64,
-    Ordering, //
+    AtomicU64, //
 };
 use std::sync::{
     Arc,
@@ -211,24 +211,6 @@
         &self.meter
     }
 
-    /// Returns a random number.
-    pub fn random(&self) -> u64 {
-        mix(self
-            .seed
-            .fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed))
-    }
-
-    /// Returns a random duration below `bound`, in whole microseconds.
-    pub fn jitter(&self, bound: Duration) -> Duration {
-        let bound_us = bound.as_micros().max(1) as u64;
-        Duration::from_micros(self.random() % bound_us)
-    }
-
-    /// Returns a random number from 0 to 1.
-    pub fn random_ratio(&self) -> f64 {
-        self.random() as f64 / u64::MAX as f64
-    }
-
     /// Returns the offset of the last applied record.
     pub fn applied_offset(&self) -> Offset {
         *self.head.borrow()
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -32,6 +32,7 @@
 use crate::evidence::record_run;
 use crate::interface::ForwardContext;
 use crate::plane::DataPlane;
+use crate::run_log::RunLog;
 use crate::run_watch::{
     CallGuard,
     DoubtCause,
@@ -231,55 +232,6 @@
     AttemptResult::not_sent(reason)
 }
 
-/// Log line of a run at the local target. If the run is cancelled before it ends, the line is
-/// written on drop.
-struct RunLog<'a> {
-    plane: &'a DataPlane,
-    call: &'a AdmissionRequest<'a>,
-    target: &'a Target,
-    queue_time: Duration,
-    started_at: Instant,
-    written: bool,
-}
-
-impl RunLog<'_> {
-    fn write(&mut self, outcome: &str, reason: &str, notable: bool) {
-        self.written = true;
-        if !self
-            .plane
-            .log_budget
-            .should_log(self.call.request_id, notable)
-        {
-            return;
-        }
-        log::info!(
-            "call run request={} kind={} fingerprint={:016x} instance={} outcome={outcome} \
-             why={reason} waited_ms={} ran_ms={}",
-            self.call.request_id,
-            self.call.kind,
-            self.call.fingerprint.0,
-            self.target.instance,
-            self.queue_time.as_millis(),
-            self.started_at.elapsed().as_millis(),
-        );
-    }
-}
-
-impl Drop for RunLog<'_> {
-    fn drop(&mut self) {
-        if !self.written {
-            record_run(
-                self.plane,
-                self.target,
-                self.call.kind,
-                self.started_at,
-                None,
-            );
-            self.write("unknown", "given-up", true);
-        }
-    }
-}
-
 fn remaining_time(call: &AdmissionRequest<'_>) -> Duration {
     call.deadline.saturating_duration_since(Instant::now())
 }
--- a/crates/dataplane/src/overload.rs
+++ b/crates/dataplane/src/overload.rs
@@ -12,10 +12,12 @@
 use figway_admission::Throttle;
 use figway_types::FastMap;
 
-/// Calls that are let through to a service for each one that its targets accepted.
+/// Calls that are let through to a service for each one that its targets accepted. The rest keeps targets
+/// busy and finds out when there is room again.
 const SERVICE_HEADROOM_RATIO: f64 = 1.5;
 
-/// Calls that are let through to the local target for each one whose nested calls were served.
+/// Calls that are let through to the local target for each one whose nested calls were served. It is
+/// less, since a call whose nested calls are refused has held a slot for nothing.
 const NESTED_HEADROOM_RATIO: f64 = 1.25;
 
 /// Weight of a new report in the mean load of a service.
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -22,35 +22,22 @@
     RequestView, //
 };
 
-use crate::attempts::{
-    is_overload_refusal,
-    run_attempts, //
-};
+use crate::attempts::run_attempts;
 use crate::call::{
-    priority_of,
-    AttemptKind,
     Call,
     Outcome,
     Rule,
-    DEADLINE_EXCEEDED,
-    NESTED_RANK, //
-};
-use crate::caller::{
-    identify_caller,
-    Caller,
-    IdentifiedCaller, //
+    DEADLINE_EXCEEDED, //
 };
+use crate::caller::Caller;
 use crate::interface::Addressing;
 use crate::keyed::run_keyed;
-use crate::limits::{
-    draw_token,
-    Drawn, //
-};
 use crate::pick::shortest_wait;
 use crate::record::{
     record_unrouted,
     CallRecord, //
 };
+use crate::routed::serve_by_host;
 use crate::steps::Step;
 use crate::worker::Worker;
 
@@ -186,119 +173,19 @@
     run_call(worker, incoming, &headers, rule, properties).await
 }
 
-/// Serves a call addressed to a host, by the route table.
-async fn serve_by_host(
-    worker: &Worker,
-    view: &View,
-    incoming: &Incoming<'_>,
-    host: &str,
-) -> ServedCall {
-    if view.routes.version == 0 {
-        return Outcome::NotRun(NotRunReason::NoConfiguration).into();
-    }
-    let Some(named) = view.routes.find(host, &incoming.request.path) else {
-        return Outcome::NotRun(NotRunReason::NoRoute).into();
-    };
-    let route = &named.route;
-    let plane = &worker.plane;
-    let customers = view.routes.customers.as_deref();
-    let IdentifiedCaller {
-        customer,
-        key,
-        parent_call,
-    } = match identify_caller(plane, view, incoming, route) {
-        Ok(identified) => identified,
-        Err(reason) => return Outcome::NotRun(reason).into(),
-    };
-    let token = match draw_token(
-        worker,
-        incoming,
-        customers,
-        customer.as_deref().filter(|_| key.is_some()),
-    ) {
-        Drawn::Token(token) => token,
-        Drawn::Limited(served) => return served,
-    };
-    let mut headers = plane.interface.forwarded_headers(incoming.request);
-    if customers.is_some() {
-        plane.interface.remove_credentials(&mut headers);
-    }
-    if route.unknown_kind.is_some() {
-        worker.plane.metrics.count("unknown_kind_calls");
-    }
-    let weights: Vec<u32> = route
-        .weighted_services
-        .iter()
-        .map(|part| part.weight)
-        .collect();
-    let seed = worker.plane.mesh.random();
-    let part_index = worker.splits.borrow_mut().next(&named.name, &weights, seed);
-    let Some(part) = route.weighted_services.get(part_index) else {
-        token.give_back();
-        return Outcome::NotRun(NotRunReason::NoTarget).into();
-    };
-    let (profile, profile_name) = worker.plane.profile_of(view, &part.service);
-    let known_customer = customer
-        .as_deref()
-        .and_then(|name| Some(customers?.get(name)?.as_ref()));
-    let mut rule = Rule::from_route(
-        &named.name,
-        route,
-        priority_of(&view.routes, known_customer, route),
-        &part.service,
-        profile,
-        profile_name,
-        view.routes.version,
-    );
-    let mut incoming = *incoming;
-    if let Some(parent) = parent_call.as_ref().filter(|_| customers.is_some()) {
-        let deadline = incoming.deadline.unwrap_or(parent.deadline);
-        incoming.deadline = Some(deadline.min(parent.deadline));
-    }
-    if parent_call.is_some() {
-        // The parent's run waits for the answer, so the route's own prompt time does not apply.
-        rule.rank = NESTED_RANK;
-        rule.prompt_ms = Some(route.budget_ms);
-    }
-    let is_nested = parent_call.is_some();
-    let parent_is_repeat =
-        parent_call.is_some_and(|parent| parent.attempt_kind != AttemptKind::First);
-    let properties = CallProperties {
-        budget_ms: route.budget_ms,
-        key: None,
-        parent_is_repeat,
-        caller: Caller {
-            customer: customer.as_deref(),
-            key,
-            routes_version: Some(view.routes.version),
-            has_customers: customers.is_some(),
-        },
-    };
-    let served = run_call(worker, &incoming, &headers, rule, properties).await;
-    if is_nested && is_overload_refusal(&served.outcome) {
-        if let Some(parent_id) = plane.interface.parent_id(incoming.request_id) {
-            plane.running.record_nested_refusal(parent_id);
-        }
-    }
-    if let Outcome::NotRun(_) = served.outcome {
-        token.give_back();
-    }
-    served
-}
-
 /// Properties of a call that its rule does not hold.
-struct CallProperties<'a> {
+pub(crate) struct CallProperties<'a> {
     /// Time from arrival to deadline that the operator allows, in milliseconds.
-    budget_ms: u64,
+    pub(crate) budget_ms: u64,
     /// Idempotency key under which the call runs at most once.
-    key: Option<&'a str>,
+    pub(crate) key: Option<&'a str>,
     /// Whether the call is nested in a run that was a retry or a hedge.
-    parent_is_repeat: bool,
-    caller: Caller<'a>,
+    pub(crate) parent_is_repeat: bool,
+    pub(crate) caller: Caller<'a>,
 }
 
 /// Runs a routed call until its outcome or deadline, then records its metrics and log line.
-async fn run_call(
+pub(crate) async fn run_call(
     worker: &Worker,
     incoming: &Incoming<'_>,
     headers: &Headers,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -21,10 +21,6 @@
     self,
     SendRequest, //
 };
-use hyper::header::{
-    HeaderValue,
-    HOST, //
-};
 use hyper_util::rt::TokioIo;
 use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpStream;
@@ -44,6 +40,7 @@
     SendFailure,
     Transport, //
 };
+use crate::outbound::build_request;
 use crate::paced_body::PacedBody;
 use crate::socket;
 
@@ -351,35 +348,6 @@
     )
 }
 
-fn build_request(
-    outbound: &OutboundRequest<'_>,
-    names: &mut HeaderNames,
-) -> Result<hyper::Request<PacedBody>, SendFailure> {
-    let mut request = hyper::Request::builder()
-        .method(outbound.method)
-        .uri(outbound.path)
-        .body(PacedBody::new(
-            outbound.body.clone(),
-            outbound.body_bytes_per_s,
-        ))
-        .map_err(|error| SendFailure::Refused(error.to_string()))?;
-    let headers = request.headers_mut();
-    headers.reserve(outbound.headers.len());
-    for (name, value) in outbound.headers.iter_shared() {
-        let (Ok(name), Ok(value)) = (names.parse(name), HeaderValue::from_maybe_shared(value))
-        else {
-            return Err(SendFailure::Refused(format!("header {name} can't be sent")));
-        };
-        headers.append(name, value);
-    }
-    if !headers.contains_key(HOST) {
-        let host = HeaderValue::try_from(outbound.address)
-            .map_err(|error| SendFailure::Refused(error.to_string()))?;
-        headers.insert(HOST, host);
-    }
-    Ok(request)
-}
-
 /// An answer for which there is no memory counts as too large.
 fn too_large(_: BodyError) -> SendFailure {
     SendFailure::TooLarge
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,12 +5,14 @@
 //! memory for them comes out of a [`MemoryBudget`].
 
 mod body;
+mod burst;
 mod busy;
 mod client;
 mod header_names;
 mod headers;
 mod memory;
 mod message;
+mod outbound;
 mod paced_body;
 mod pipeline;
 mod receive;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,7 +1,6 @@
 //! HTTP/1.1 server with one task for each connection. The requests of a connection run one after the
 //! other, but for those that may overlap. The answers leave in the order of the requests.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{
     Duration,
@@ -48,15 +47,7 @@
     Answer,
     Request, //
 };
-use crate::pipeline::{
-    Finished,
-    Pipeline, //
-};
-use crate::receive::{
-    receive,
-    Received,
-    UnreadBody, //
-};
+use crate::receive::UnreadBody;
 use crate::socket;
 
 /// Delay after a failed accept, during which file descriptors can become free.
@@ -167,9 +158,9 @@
     }
 }
 
-struct Connection {
-    handler: Rc<dyn Handler>,
-    phase: watch::Receiver<ServerPhase>,
+pub(crate) struct Connection {
+    pub(crate) handler: Rc<dyn Handler>,
+    pub(crate) phase: watch::Receiver<ServerPhase>,
     config: SharedCfg,
 }
 
@@ -218,112 +209,6 @@
         }
     }
 
-    /// Serves the requests that arrive until none is read, runs or is unanswered. Returns whether the
-    /// connection stays open.
-    async fn serve_burst(&self, io: &Io, codec: &Codec) -> bool {
-        let handler = self.handler.as_ref();
-        let memory = handler.memory();
-        // Whether bytes of the request that is read have arrived. Its read then continues although no
-        // further request may start.
-        let read_begun = Cell::new(true);
-        let all_answered = watch::Sender::new(true);
-        let read = |waits: bool| {
-            let (memory, read_begun) = (&memory, &read_begun);
-            let mut answered = all_answered.subscribe();
-            async move {
-                if waits && !wait_for_more(io).await {
-                    return Received::Ended;
-                }
-                read_begun.set(true);
-                receive(io, codec, handler.limits(), memory, &mut answered).await
-            }
-        };
-        let mut pipeline = Pipeline::new(handler);
-        // Request that may not start before those that run are answered.
-        let mut held: Option<Received> = None;
-        let mut was_held = false;
-        let mut writing: Option<LocalBoxFuture<'_, bool>> = None;
-        let reading = read(false);
-        let disconnected = io.on_disconnect();
-        tokio::pin!(reading, disconnected);
-        loop {
-            if writing.is_none() {
-                if let Some(finished) = pipeline.take_finished() {
-                    let is_last = pipeline.is_empty();
-                    writing = Some(Box::pin(self.write_finished(io, finished, is_last)));
-                }
-            }
-            let is_idle = writing.is_none() && pipeline.is_empty();
-            all_answered.send_if_modified(|known| std::mem::replace(known, is_idle) != is_idle);
-            match held.take() {
-                Some(Received::Request(mut request)) if is_idle || pipeline.may_start(&request) => {
-                    if std::mem::take(&mut was_held) {
-                        // Its budget begins when it may run, as if it had been read then.
-                        request.arrived_at = Instant::now();
-                    }
-                    pipeline.start(request, codec);
-                    read_begun.set(false);
-                    reading.set(read(true));
-                    continue;
-                }
-                Some(received) if is_idle => {
-                    self.refuse_received(io, codec, received).await;
-                    return false;
-                }
-                received => {
-                    was_held = received.is_some();
-                    held = received;
-                }
-            }
-            if is_idle && held.is_none() && !read_begun.get() {
-                return true;
-            }
-            let reads = held.is_none() && (read_begun.get() || self.reads_ahead(&pipeline));
-            tokio::select! {
-                received = &mut reading, if reads => held = Some(received),
-                () = pipeline.run(), if pipeline.runs() => {}
-                stays_open = write(&mut writing), if writing.is_some() => {
-                    writing = None;
-                    if !stays_open {
-                        return false;
-                    }
-                }
-                () = &mut disconnected, if writing.is_none() => return false,
-            }
-        }
-    }
-
-    /// Returns whether the next request is read while those before it are not answered.
-    fn reads_ahead(&self, pipeline: &Pipeline<'_>) -> bool {
-        pipeline.accepts_more() && *self.phase.borrow() == ServerPhase::Open
-    }
-
-    /// Writes an answer. Returns whether the connection stays open. In a shutdown the connection closes
-    /// with the last answer.
-    async fn write_finished(&self, io: &Io, finished: Finished, is_last: bool) -> bool {
-        let Finished {
-            answer,
-            codec,
-            wants_close,
-        } = finished;
-        let ends = is_last && *self.phase.borrow() != ServerPhase::Open;
-        let close = wants_close || ends || answer_closes(&answer);
-        write_answer(io, &codec, answer, close).await && !close
-    }
-
-    async fn refuse_received(&self, io: &Io, codec: &Codec, received: Received) {
-        match received {
-            Received::NoMemory { request, rest } => {
-                let answer = self.handler.refuse_for_memory(&request);
-                refuse(io, codec, answer, Some(rest)).await;
-            }
-            Received::Refused { status, rest } => {
-                refuse(io, codec, Answer::of_status(status), rest).await;
-            }
-            Received::Request(_) | Received::Ended => {}
-        }
-    }
-
     /// Waits for the first bytes of a request. Returns false if the connection ended, was idle for
     /// too long or must be closed.
     async fn wait_for_bytes(&mut self, io: &Io) -> bool {
@@ -352,26 +237,8 @@
     }
 }
 
-/// Waits until the answer is written.
-async fn write(writing: &mut Option<LocalBoxFuture<'_, bool>>) -> bool {
-    match writing {
-        Some(writing) => writing.await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Waits for the first bytes of another request. Returns false if the connection ended.
-async fn wait_for_more(io: &Io) -> bool {
-    while io.with_read_buf(|buf| buf.is_empty()) {
-        if !matches!(io.read_ready().await, Ok(Some(()))) {
-            return false;
-        }
-    }
-    true
-}
-
 /// Answers a request that is not served. The connection is closed afterwards.
-async fn refuse(io: &Io, codec: &Codec, answer: Answer, rest: Option<UnreadBody>) {
+pub(crate) async fn refuse(io: &Io, codec: &Codec, answer: Answer, rest: Option<UnreadBody>) {
     if !write_answer(io, codec, answer, true).await {
         return;
     }
@@ -381,7 +248,7 @@
 }
 
 /// Writes an answer, and waits while much of it is unsent. Returns whether this succeeded.
-async fn write_answer(io: &Io, codec: &Codec, answer: Answer, close: bool) -> bool {
+pub(crate) async fn write_answer(io: &Io, codec: &Codec, answer: Answer, close: bool) -> bool {
     let Some(response) = encode_head(&answer, close) else {
         return false;
     };
@@ -452,6 +319,6 @@
         .unwrap_or(false)
 }
 
-fn answer_closes(answer: &Answer) -> bool {
+pub(crate) fn answer_closes(answer: &Answer) -> bool {
     answer.headers.get("connection") == Some("close")
 }
