--- a/crates/dataplane/src/explain.rs
+++ b/crates/dataplane/src/explain.rs
@@ -75,7 +75,8 @@
         "route": named.name,
         "overload_control": view.routes.overload_control,
         "customer": customer.and(request.customer.as_deref()),
-        "priority": priority_of(&view.routes, customer.map(|customer| &**customer), &named.route),
+        "priority": customer.and_then(|customer| customer.priority).unwrap_or(named.route.priority),
+        "call_priority": priority_of(&view.routes, customer.map(|customer| &**customer), &named.route),
         "limit": customer.and_then(|customer| customer.limit),
         "services": services,
     })
