--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -315,6 +315,8 @@
     config["routes"]["r-open"] = open;
     for name in ["r-reads", "r-orders", "r-open"] {
         config["routes"][name]["timeout"] = json!(format!("{timeout_ms}ms"));
+        // Overload control refuses calls that would be late, so that none counts as late here.
+        config["routes"][name]["targetLatency"] = json!(format!("{timeout_ms}ms"));
     }
     config["tenants"] = tenants.clone();
     config
