Give large bodies throttles of their own

Refusals of bodies that the link has no room for closed the throttle for small requests of the same service and rank, so that one of them was refused now and then (503).

--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -31,6 +31,8 @@
     Caller,
     StatedKey, //
 };
+use crate::offers::OFFERED_MIN_BYTES;
+use crate::overload::CallClass;
 use crate::steps::Step;
 
 /// How calls of one request kind of a profile, or of one route of the route table, are handled.
@@ -177,6 +179,19 @@
             customer: self.caller.customer,
         }
     }
+
+    /// Returns the class whose refusals tell whether the call would be refused.
+    pub(crate) fn overload_class(&self) -> CallClass {
+        CallClass {
+            rank: self.rule.rank,
+            has_large_body: self.has_large_body(),
+        }
+    }
+
+    /// Returns whether the body is offered before it is sent.
+    pub(crate) fn has_large_body(&self) -> bool {
+        self.body.len() >= OFFERED_MIN_BYTES
+    }
 }
 
 /// Why an attempt of a call is made.
--- a/crates/dataplane/src/offers.rs
+++ b/crates/dataplane/src/offers.rs
@@ -32,7 +32,7 @@
 use crate::worker::Worker;
 
 /// Size from which on a body is offered before it is sent, in bytes. The offer costs a round trip.
-const OFFERED_MIN_BYTES: usize = 16 * 1_024;
+pub(crate) const OFFERED_MIN_BYTES: usize = 16 * 1_024;
 
 /// Path of an offer. Nodes of earlier builds answer it with 404.
 const OFFER_PATH: &str = "/offer";
@@ -105,7 +105,7 @@
 
 /// Offers the body of the call to the target's node, if it is large.
 pub(crate) async fn offer_body(worker: &Worker, call: &Call<'_>, entry: &TargetEntry) -> Offered {
-    if call.body.len() < OFFERED_MIN_BYTES || !worker.plane.overload_control() {
+    if !call.has_large_body() || !worker.plane.overload_control() {
         return Offered::Accepted(None);
     }
     let left_ms = |until: Instant| until.saturating_duration_since(Instant::now()).as_millis();
--- a/crates/dataplane/src/overload.rs
+++ b/crates/dataplane/src/overload.rs
@@ -26,11 +26,18 @@
 /// Load of a service that is assumed until a target reports one.
 const UNKNOWN_BUSY_RATIO: f64 = 0.0;
 
+/// Calls to a service that are refused for the same reasons. A large body may be refused since the link
+/// is full, which says nothing about the room for small requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct CallClass {
+    pub(crate) rank: u32,
+    pub(crate) has_large_body: bool,
+}
+
 /// Outcomes of calls to one service.
 #[derive(Default)]
 struct ServiceState {
-    /// Throttles by rank.
-    throttles: FastMap<u32, Throttle>,
+    throttles: FastMap<CallClass, Throttle>,
     /// Moving average of the calls per slot that targets report.
     busy_ratio: Option<f64>,
 }
@@ -61,12 +68,12 @@
     pub(crate) fn try_call(
         &self,
         service: &str,
-        rank: u32,
+        class: CallClass,
         random_ratio: f64,
     ) -> Result<(), Duration> {
         let now = Instant::now();
         let mut inner = self.lock();
-        let Some(throttle) = inner.throttle(service, rank) else {
+        let Some(throttle) = inner.throttle(service, class) else {
             return Ok(());
         };
         if random_ratio >= throttle.refused_ratio(now) {
@@ -77,7 +84,7 @@
     }
 
     /// Records whether targets of `service` accepted a call that was let through.
-    pub(crate) fn record_call(&self, service: &str, rank: u32, accepted: bool) {
+    pub(crate) fn record_call(&self, service: &str, class: CallClass, accepted: bool) {
         let now = Instant::now();
         let mut inner = self.lock();
         if !inner.services.contains_key(service) {
@@ -88,7 +95,7 @@
         let state = inner.services.get_mut(service).expect("was just inserted");
         state
             .throttles
-            .entry(rank)
+            .entry(class)
             .or_insert_with(|| Throttle::new(SERVICE_HEADROOM_RATIO, now))
             .record(accepted, now);
     }
@@ -97,11 +104,11 @@
     pub(crate) fn retry_after(
         &self,
         service: &str,
-        rank: u32,
+        class: CallClass,
         random_ratio: f64,
     ) -> Option<Duration> {
         let mut inner = self.lock();
-        let throttle = inner.throttle(service, rank)?;
+        let throttle = inner.throttle(service, class)?;
         Some(throttle.retry_after(random_ratio, Instant::now()))
     }
 
@@ -156,7 +163,7 @@
 }
 
 impl Inner {
-    fn throttle(&mut self, service: &str, rank: u32) -> Option<&mut Throttle> {
-        self.services.get_mut(service)?.throttles.get_mut(&rank)
+    fn throttle(&mut self, service: &str, class: CallClass) -> Option<&mut Throttle> {
+        self.services.get_mut(service)?.throttles.get_mut(&class)
     }
 }
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -256,7 +256,7 @@
         {
             let random_ratio = worker.plane.mesh.random_ratio();
             let overload = &worker.plane.overload;
-            overload.retry_after(rule.service, rule.rank, random_ratio)
+            overload.retry_after(rule.service, call.overload_class(), random_ratio)
         }
         _ => None,
     };
@@ -282,9 +282,9 @@
     if !worker.plane.overload_control() {
         return run_attempts(worker, call).await;
     }
-    let (service, rank) = (call.rule.service, call.rule.rank);
+    let (service, class) = (call.rule.service, call.overload_class());
     let overload = &worker.plane.overload;
-    if let Err(retry_after) = overload.try_call(service, rank, worker.plane.mesh.random_ratio()) {
+    if let Err(retry_after) = overload.try_call(service, class, worker.plane.mesh.random_ratio()) {
         worker.plane.metrics.count("throttled");
         call.steps
             .borrow_mut()
@@ -295,8 +295,8 @@
     match &outcome {
         // A call that no target refused says nothing about the room there.
         Outcome::NotRun(_) if call.refused_count.get() == 0 => {}
-        Outcome::NotRun(_) => overload.record_call(service, rank, false),
-        Outcome::Answered(_) | Outcome::Unknown(_) => overload.record_call(service, rank, true),
+        Outcome::NotRun(_) => overload.record_call(service, class, false),
+        Outcome::Answered(_) | Outcome::Unknown(_) => overload.record_call(service, class, true),
     }
     outcome
 }
--- a/crates/testbed/tests/large_uploads.rs
+++ b/crates/testbed/tests/large_uploads.rs
@@ -113,11 +113,12 @@
     assert!(metrics.contains("figway_offers_refused"), "{metrics}");
 }
 
-/// Guards against small requests that wait behind large bodies on the way to the same host.
+/// Guards against small requests that wait behind large bodies on the way to the same host, or that are
+/// refused because the link has no room for more of these bodies.
 #[ntex::test]
 async fn small_requests_are_served_while_large_bodies_wait() {
     let site = start_site("beside").await;
-    let uploads = futures::future::join_all((0..4).map(|_| upload(&site, BODY_BYTES)));
+    let uploads = futures::future::join_all((0..12).map(|_| upload(&site, BODY_BYTES)));
     let small = async {
         let caller = site.caller(0);
         let mut slowest = Duration::ZERO;
