Rank nested calls by the priority of their parent, weigh refusals by distance

Nested calls went before all others, so that at a small service those of a less urgent kind took the slots of a more urgent one. Picks did not know that the targets of a zone refuse a kind, since their load reports show no wait then, and sent it nowhere else.

--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -112,6 +112,12 @@
     let now = Instant::now();
     let rule = &call.rule;
     let node_id = &entry.member.node_id;
+    if plane.overload_control() && has_admission_result(&result.outcome) {
+        let refused = is_overload_refusal(&result.outcome);
+        plane
+            .loads()
+            .record_admission(rule.name, entry.distance, refused, now);
+    }
     match &result.outcome {
         Outcome::Answered(answer) if result.outcome.is_success() => {
             let timings = CallTimings {
@@ -156,6 +162,14 @@
     }
 }
 
+/// Returns whether the outcome tells if the target had room for the call.
+fn has_admission_result(outcome: &Outcome) -> bool {
+    match outcome {
+        Outcome::Answered(_) | Outcome::Unknown(_) => true,
+        Outcome::NotRun(_) => is_overload_refusal(outcome),
+    }
+}
+
 fn to_ms(time: Duration) -> f64 {
     time.as_secs_f64() * 1_000.0
 }
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -85,7 +85,33 @@
 const ROUTE_BASE_RANK: u32 = 1;
 
 /// Rank of nested calls, which a target makes while it runs another call.
-pub(crate) const NESTED_RANK: u32 = 0;
+const NESTED_RANK: u32 = 0;
+
+/// Ranks of each priority under overload control: the first for nested calls, the second for others. A
+/// nested call has the priority of its parent, so that it does not displace a more urgent call.
+const RANKS_PER_PRIORITY: u32 = 2;
+
+/// Returns the rank of a call on `route` that is not nested; rank 0 is served first.
+pub(crate) fn rank_of(routes: &RouteIndex, customer: Option<&Customer>, route: &Route) -> u32 {
+    let priority = priority_of(routes, customer, route);
+    if !routes.overload_control {
+        return ROUTE_BASE_RANK.saturating_add(priority);
+    }
+    let nested_rank = ROUTE_BASE_RANK.saturating_add(priority.saturating_mul(RANKS_PER_PRIORITY));
+    nested_rank.saturating_add(1)
+}
+
+/// Returns the rank of a nested call whose parent has `parent_rank`.
+pub(crate) fn nested_rank_of(routes: &RouteIndex, parent_rank: u32) -> u32 {
+    if !routes.overload_control {
+        return NESTED_RANK;
+    }
+    let is_nested = parent_rank % RANKS_PER_PRIORITY == ROUTE_BASE_RANK % RANKS_PER_PRIORITY;
+    if is_nested {
+        return parent_rank;
+    }
+    parent_rank.saturating_sub(1)
+}
 
 impl<'a> Rule<'a> {
     /// Returns the rule of a profile's request kind. `called_service` runs the calls unless the
@@ -113,11 +139,11 @@
         }
     }
 
-    /// Returns the rule of a route for calls of `priority` to `service`, the service of one of its parts.
+    /// Returns the rule of a route for calls of `rank` to `service`, the service of one of its parts.
     pub(crate) fn from_route(
         name: &'a str,
         route: &'a Route,
-        priority: u32,
+        rank: u32,
         service: &'a str,
         profile: &'a Profile,
         profile_name: &'a str,
@@ -130,7 +156,7 @@
             idempotent: route.may_repeat(),
             worth: ROUTE_WORTH * 0.5_f64.powi(route.priority.min(60) as i32),
             long: false,
-            rank: ROUTE_BASE_RANK.saturating_add(priority),
+            rank,
             prompt_ms: Some(route.prompt_ms),
             attempt_max_count: route.attempt_max_count.max(1) as usize,
             profile,
--- a/crates/dataplane/src/explain.rs
+++ b/crates/dataplane/src/explain.rs
@@ -25,6 +25,7 @@
 
 use crate::call::{
     priority_of,
+    rank_of,
     Rule, //
 };
 use crate::pick::{
@@ -96,7 +97,7 @@
     let rule = Rule::from_route(
         &named.name,
         &named.route,
-        priority_of(&view.routes, customer, &named.route),
+        rank_of(&view.routes, customer, &named.route),
         &part.service,
         profile,
         profile_name,
--- a/crates/dataplane/src/routed.rs
+++ b/crates/dataplane/src/routed.rs
@@ -4,18 +4,17 @@
 use figway_http::Headers;
 use figway_profile::{
     NamedRoute,
-    Route,
     WeightedService, //
 };
 use figway_types::NotRunReason;
 
 use crate::attempts::is_overload_refusal;
 use crate::call::{
-    priority_of,
+    nested_rank_of,
+    rank_of,
     AttemptKind,
     Outcome,
-    Rule,
-    NESTED_RANK, //
+    Rule, //
 };
 use crate::caller::{
     identify_caller,
@@ -101,7 +100,7 @@
     let mut rule = Rule::from_route(
         &named.name,
         route,
-        priority_of(&view.routes, customer, route),
+        rank_of(&view.routes, customer, route),
         &part.service,
         profile,
         profile_name,
@@ -110,7 +109,9 @@
     let mut incoming = *incoming;
     let parent = caller.parent_call.as_ref();
     if let Some(parent) = parent {
-        nest(&mut rule, route);
+        // The parent's run waits for the answer, so the route's own prompt time does not apply.
+        rule.rank = nested_rank_of(&view.routes, parent.rank);
+        rule.prompt_ms = Some(route.budget_ms);
         if customers.is_some() {
             let deadline = incoming.deadline.unwrap_or(parent.deadline);
             incoming.deadline = Some(deadline.min(parent.deadline));
@@ -137,13 +138,6 @@
     served
 }
 
-/// Ranks a nested call. The parent's run waits for the answer, so the route's own prompt time does not
-/// apply.
-fn nest(rule: &mut Rule<'_>, route: &Route) {
-    rule.rank = NESTED_RANK;
-    rule.prompt_ms = Some(route.budget_ms);
-}
-
 fn is_repeat(parent: &RunningCall) -> bool {
     parent.attempt_kind != AttemptKind::First
 }
--- a/crates/dataplane/src/running_calls.rs
+++ b/crates/dataplane/src/running_calls.rs
@@ -25,6 +25,8 @@
     pub(crate) attempt_kind: AttemptKind,
     /// Customer to whom the call belongs, if any.
     pub(crate) customer: Option<Arc<str>>,
+    /// Rank of the call.
+    pub(crate) rank: u32,
     /// Whether a nested call of it was refused for overload.
     nested_refused: bool,
     /// Deadline of the call, at which calls that are nested in it expire too.
@@ -49,6 +51,7 @@
         let running = RunningCall {
             attempt_kind: call.attempt_kind,
             customer: call.customer.map(Arc::from),
+            rank: call.rank,
             nested_refused: false,
             deadline: call.deadline,
             given_up_until: None,
--- a/crates/routing/src/least_work.rs
+++ b/crates/routing/src/least_work.rs
@@ -47,6 +47,12 @@
 /// least work is picked.
 const LATENCY_WEIGHT: f64 = 0.3;
 
+/// Fraction of a call's worth that is lost if it is refused.
+const REFUSED_LOSS: f64 = 1.0;
+
+/// Number of targets after whose refusals a call is refused.
+const REFUSED_TRY_COUNT: i32 = 2;
+
 /// Number of targets of one distance that are compared for a call.
 const SAMPLE_COUNT: usize = 4;
 
@@ -141,8 +147,13 @@
         let late = exceeds(expected_ms, prompt_ms, spread_ms);
         let unanswered = exceeds(expected_ms, as_ms(costed.call.deadline_left), spread_ms);
         let price = self.prices.price(candidate.distance, costed.body_bytes);
+        let refused_ratio =
+            costed
+                .loads
+                .refused_ratio(costed.call.kind, candidate.distance, costed.now);
         LATE_LOSS * late
             + UNANSWERED_LOSS * unanswered
+            + REFUSED_LOSS * refused_ratio.powi(REFUSED_TRY_COUNT)
             + FAILED_LOSS * expected.failed_ratio
             + bounded_price(price)
             + LATENCY_WEIGHT * ((expected_ms - expected.ran_ms) / prompt_ms.max(1.0)).min(1.0)
--- a/crates/testbed/tests/nested_calls.rs
+++ b/crates/testbed/tests/nested_calls.rs
@@ -86,6 +86,43 @@
     assert_eq!(ask(&site, 1, "POST /open/1", &id, b"").await, 200);
 }
 
+/// Returns the rank in the log line about the end of the call.
+fn logged_rank(log: &str, id: &str) -> u32 {
+    let is_end = |line: &&str| line.contains("call ended") && line.contains(id);
+    let line = log.lines().find(is_end).expect("the call is logged");
+    let (_, rank) = line.split_once("\"rank\":").expect("it has a rank");
+    let (rank, _) = rank.split_once(',').expect("fields follow");
+    rank.parse().expect("it is a number")
+}
+
+/// Guards against nested calls that displace more urgent calls than their parent, and against ones that
+/// wait behind calls of the same priority while their parent holds a slot.
+#[ntex::test]
+async fn a_nested_call_ranks_just_before_calls_of_its_parents_priority() {
+    let site = start_customer_site("keys-ranks").await;
+    let (parent_id, index) = start_parent(&site, &key_line(ANN_KEY)).await;
+    let nested_id = format!("{parent_id}.1");
+    let inner_id = format!("{parent_id}.1.1");
+    let direct_id = new_id();
+    for id in [&nested_id, &inner_id] {
+        assert_eq!(ask(&site, index, "GET /reads/1", id, b"").await, 200);
+    }
+    let key = key_line(ANN_KEY);
+    assert_eq!(
+        ask(&site, index, "GET /reads/1", &direct_id, &key).await,
+        200
+    );
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let log = site.hosts[index].log().unwrap();
+    let direct_rank = logged_rank(&log, &direct_id);
+    assert!(direct_rank > 1, "{direct_rank}");
+    assert_eq!(
+        logged_rank(&log, &format!("{nested_id}\"")),
+        direct_rank - 1
+    );
+    assert_eq!(logged_rank(&log, &inner_id), direct_rank - 1);
+}
+
 /// Guards against a nested call that runs on, or begins, when nobody waits for its parent any more.
 #[ntex::test]
 async fn a_nested_call_expires_at_the_deadline_of_its_parent() {
