--- a/crates/routing/src/least_work.rs
+++ b/crates/routing/src/least_work.rs
@@ -51,7 +51,7 @@
 const REFUSED_LOSS: f64 = 1.0;
 
 /// Number of targets after whose refusals a call is refused.
-const REFUSED_TRY_COUNT: i32 = 2;
+const REFUSED_TRY_COUNT: usize = 2;
 
 /// Number of targets of one distance that are compared for a call.
 const SAMPLE_COUNT: usize = 4;
@@ -114,6 +114,14 @@
         expected.ran_ms + expected.wait_ms + path_ms
     }
 
+    /// Returns the chance that the call is refused if its tries that are left go as far as the candidate.
+    fn refused_chance(&self, candidate: &Candidate<'_>) -> f64 {
+        let kind = self.call.kind;
+        let ratio = self.loads.refused_ratio(kind, candidate.distance, self.now);
+        let left_count = REFUSED_TRY_COUNT.saturating_sub(self.excluded.len());
+        ratio.powi(left_count.max(1) as i32)
+    }
+
     /// Returns the calls that the candidate completes in a given time.
     fn throughput(&self, candidate: &Candidate<'_>) -> f64 {
         let factor = self.loads.factor(candidate.node_id, self.now);
@@ -147,13 +155,9 @@
         let late = exceeds(expected_ms, prompt_ms, spread_ms);
         let unanswered = exceeds(expected_ms, as_ms(costed.call.deadline_left), spread_ms);
         let price = self.prices.price(candidate.distance, costed.body_bytes);
-        let refused_ratio =
-            costed
-                .loads
-                .refused_ratio(costed.call.kind, candidate.distance, costed.now);
         LATE_LOSS * late
             + UNANSWERED_LOSS * unanswered
-            + REFUSED_LOSS * refused_ratio.powi(REFUSED_TRY_COUNT)
+            + REFUSED_LOSS * costed.refused_chance(candidate)
             + FAILED_LOSS * expected.failed_ratio
             + bounded_price(price)
             + LATENCY_WEIGHT * ((expected_ms - expected.ran_ms) / prompt_ms.max(1.0)).min(1.0)
--- a/crates/routing/tests/least_work.rs
+++ b/crates/routing/tests/least_work.rs
@@ -122,6 +122,31 @@
     assert_eq!(picks(&loads, &small, &candidates, later), [1_000, 0]);
 }
 
+/// Guards against a call whose last try goes to another target of a zone that refuses about half of them.
+#[test]
+fn the_last_try_leaves_a_zone_that_refuses_half_of_the_calls() {
+    let now = Instant::now();
+    let (first, near, far) = (node("first"), node("near"), node("far"));
+    let mut loads = LoadTracker::default();
+    loads.record_run(&near, &class("upload", 0), &timings(160.0), now);
+    for index in 0..20 {
+        loads.record_admission("upload", Distance::Zone, index % 2 == 0, now);
+    }
+    let candidates = [
+        candidate(&first, Distance::Zone),
+        candidate(&near, Distance::Zone),
+        candidate(&far, Distance::Far),
+    ];
+    let small = class("upload", 100);
+    let mut picker = LeastWork::new(TransitPrices::default(), 93);
+    let mut pick = |excluded: &[&NodeId]| {
+        let picked = picker.pick_for_class(&CALL, &small, &candidates, excluded, &loads, now);
+        picked.unwrap().index
+    };
+    assert_ne!(pick(&[]), 2);
+    assert_eq!(pick(&[&first]), 2);
+}
+
 /// Guards against a node that must call each target with each kind before it knows which one is slow.
 #[test]
 fn answers_of_one_kind_tell_how_fast_a_target_is_for_all_kinds() {
