Count calls at their throttle whose deadline passes

A call whose deadline passed during its attempts, whose caller left, or which had an idempotency key was not counted, so that a throttle did not hear of refusals before it. A call is now counted when it ends, by how targets treated its attempts: an attempt still in flight counts as accepted, as does one whose send ends at the deadline.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod answers;
+mod attempt_counts;
 mod body_pacer;
 mod crash_report;
 mod estimate;
@@ -21,6 +22,10 @@
     Dequeued,
     Ticket, //
 };
+pub use attempt_counts::{
+    AttemptCounts,
+    Treatment, //
+};
 pub use body_pacer::{
     ArrivalBounds,
     BodyPacer, //
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -28,7 +28,7 @@
     admit,
     AttemptResult, //
 };
-use crate::attempts::is_overload_refusal;
+use crate::attempts::treatment_of;
 use crate::call::{
     AdmissionRequest,
     AttemptKind,
@@ -68,6 +68,7 @@
     let plane = &worker.plane;
     let node_id = &entry.member.node_id;
     let mut in_flight = InFlightAttempt::begin(plane, node_id);
+    call.begin_attempt();
     let result = if plane.refuses_as_quarantined(call.fingerprint) {
         // The call may have waited for a target since it was last checked.
         AttemptResult::not_sent(NotRunReason::Quarantined)
@@ -79,9 +80,7 @@
     } else {
         forward_to_peer(worker, call, entry, attempt_kind).await
     };
-    if is_overload_refusal(&result.outcome) {
-        call.refused_count.set(call.refused_count.get() + 1);
-    }
+    call.end_attempt(treatment_of(&result.outcome));
     let took = in_flight.finish();
     record_result(plane, call, entry, &result, took);
     if plane.overload_control() {
--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -5,6 +5,7 @@
     Instant, //
 };
 
+use figway_admission::Treatment;
 use figway_routing::{
     prompt_answer_justifies,
     Distance,
@@ -101,7 +102,7 @@
         let is_retryable = may_retry(call, &result.outcome);
         let merged = result.outcome.merge_earlier(call.earlier_outcome.take());
         call.earlier_outcome.replace(merged);
-        if overload_control && call.refused_count.get() >= REFUSAL_MAX_COUNT {
+        if overload_control && call.attempts.get().refused_count() >= REFUSAL_MAX_COUNT {
             break;
         }
         if !is_retryable || worker.plane.refuses_as_quarantined(call.fingerprint) {
@@ -125,6 +126,15 @@
     )
 }
 
+/// Returns how the target treated an attempt with this outcome.
+pub(crate) fn treatment_of(outcome: &Outcome) -> Treatment {
+    match outcome {
+        Outcome::Answered(_) | Outcome::Unknown(_) => Treatment::Accepted,
+        Outcome::NotRun(_) if is_overload_refusal(outcome) => Treatment::Refused,
+        Outcome::NotRun(_) => Treatment::Failed,
+    }
+}
+
 /// An attempt that may be hedged.
 #[derive(Clone, Copy)]
 struct PrimaryAttempt<'a> {
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -6,6 +6,10 @@
 };
 use std::time::Instant;
 
+use figway_admission::{
+    AttemptCounts,
+    Treatment, //
+};
 use figway_cost::RequestClass;
 use figway_customers::{
     call_priority,
@@ -166,8 +170,8 @@
     pub(crate) parent_is_repeat: bool,
     /// Merged outcome of the attempts that have ended.
     pub(crate) earlier_outcome: &'a RefCell<Outcome>,
-    /// Attempts that targets' nodes refused since they have no room.
-    pub(crate) refused_count: &'a Cell<usize>,
+    /// Attempts so far, by how targets treated them.
+    pub(crate) attempts: &'a Cell<AttemptCounts>,
 }
 
 impl Call<'_> {
@@ -188,6 +192,20 @@
         }
     }
 
+    /// Records that an attempt begins.
+    pub(crate) fn begin_attempt(&self) {
+        let mut attempts = self.attempts.get();
+        attempts.begin();
+        self.attempts.set(attempts);
+    }
+
+    /// Records how the target treated an attempt that ended.
+    pub(crate) fn end_attempt(&self, treatment: Treatment) {
+        let mut attempts = self.attempts.get();
+        attempts.end(treatment);
+        self.attempts.set(attempts);
+    }
+
     /// Returns whether the body is offered before it is sent.
     pub(crate) fn has_large_body(&self) -> bool {
         self.body.len() >= OFFERED_MIN_BYTES
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -214,7 +214,7 @@
         .min(rule_deadline);
     let steps: RefCell<Vec<Step>> = RefCell::default();
     let earlier_outcome: RefCell<Outcome> = RefCell::default();
-    let refused_count = Cell::new(0);
+    let attempts = Cell::default();
     let call = Call {
         request_id: incoming.request_id,
         steps: &steps,
@@ -233,7 +233,7 @@
         fingerprint,
         parent_is_repeat,
         earlier_outcome: &earlier_outcome,
-        refused_count: &refused_count,
+        attempts: &attempts,
     };
     let serving = async {
         match key {
@@ -242,12 +242,17 @@
         }
     };
     let mut record = CallRecord::new(worker, &call);
+    let counted = CountedCall {
+        worker,
+        call: &call,
+    };
     let outcome = match tokio::time::timeout_at(deadline.into(), serving).await {
         Ok(outcome) => outcome,
         // An attempt was in flight. A failed answer of an earlier attempt is preferred to no
         // answer.
         Err(_) => Outcome::Unknown(DEADLINE_EXCEEDED).merge_earlier(earlier_outcome.take()),
     };
+    drop(counted);
     record.write(&outcome);
     let expected_wait = match outcome {
         Outcome::NotRun(NotRunReason::RateLimited) => shortest_wait(worker, &rule),
@@ -291,12 +296,27 @@
             .push(Step::Throttled { retry_after });
         return Outcome::NotRun(NotRunReason::Overloaded);
     }
-    let outcome = run_attempts(worker, call).await;
-    match &outcome {
-        // A call that no target refused says nothing about the room there.
-        Outcome::NotRun(_) if call.refused_count.get() == 0 => {}
-        Outcome::NotRun(_) => overload.record_call(service, class, false),
-        Outcome::Answered(_) | Outcome::Unknown(_) => overload.record_call(service, class, true),
+    run_attempts(worker, call).await
+}
+
+/// Counts a call at its throttle on drop: when it ends, when its deadline passes during an attempt, or when
+/// its caller leaves.
+struct CountedCall<'a> {
+    worker: &'a Worker,
+    call: &'a Call<'a>,
+}
+
+impl Drop for CountedCall<'_> {
+    fn drop(&mut self) {
+        let (plane, call) = (&self.worker.plane, self.call);
+        if !plane.overload_control() {
+            return;
+        }
+        if let Some(accepted) = call.attempts.get().accepted() {
+            let class = call.overload_class();
+            plane
+                .overload
+                .record_call(call.rule.service, class, accepted);
+        }
     }
-    outcome
 }
