Refuse no call on fewer than three refusals

After a quiet period a single refusal made the throttle refuse half of the next calls (two refusals: two in three). It now takes more than two refusals, halved each 0.4 s, until it refuses calls itself.

--- a/crates/admission/src/throttle.rs
+++ b/crates/admission/src/throttle.rs
@@ -14,6 +14,10 @@
 /// is room again, so that a peak of some seconds is not followed by as many of needless refusals.
 const HALF_LIFE: Duration = Duration::from_millis(400);
 
+/// Refusals within about a half-life up to which nothing is refused here. Single refusals also come from
+/// targets that are full by chance while others have room.
+const REFUSED_MIN_COUNT: f64 = 2.0;
+
 /// Longest hint for the time to come back.
 const RETRY_AFTER_MAX: Duration = Duration::from_millis(800);
 
@@ -45,7 +49,11 @@
     pub fn refused_ratio(&self, now: Instant) -> f64 {
         let decay = self.decay(now);
         let asked_count = self.asked_count * decay;
-        let let_through_count = self.accepted_count * decay * self.headroom_ratio;
+        let accepted_count = self.accepted_count * decay;
+        if asked_count - accepted_count <= REFUSED_MIN_COUNT {
+            return 0.0;
+        }
+        let let_through_count = accepted_count * self.headroom_ratio;
         ((asked_count - let_through_count) / (asked_count + 1.0)).max(0.0)
     }
 
--- a/crates/admission/tests/throttle.rs
+++ b/crates/admission/tests/throttle.rs
@@ -109,3 +109,17 @@
         "{hints:?}"
     );
 }
+
+/// Guards against a node that makes few calls and refuses half of them after one or two refusals.
+#[test]
+fn few_refusals_after_a_quiet_period_refuse_no_call() {
+    let now = Instant::now();
+    let mut throttle = Throttle::new(HEADROOM_RATIO, now);
+    throttle.record(false, now);
+    throttle.record(false, now);
+    assert_eq!(throttle.refused_ratio(now), 0.0);
+    throttle.record(false, now + Duration::from_millis(100));
+    throttle.record(false, now + Duration::from_millis(200));
+    let refused_ratio = throttle.refused_ratio(now + Duration::from_millis(200));
+    assert!(refused_ratio > 0.5, "{refused_ratio}");
+}
