--- a/crates/admission/src/throttle.rs
+++ b/crates/admission/src/throttle.rs
@@ -57,6 +57,20 @@
         ((asked_count - let_through_count) / (asked_count + 1.0)).max(0.0)
     }
 
+    /// Decides whether a call is let through, with a random number from 0 to 1, and records it if it is
+    /// refused.
+    ///
+    /// # Errors
+    ///
+    /// When a refused caller should come back.
+    pub fn try_call(&mut self, random_ratio: f64, now: Instant) -> Result<(), Duration> {
+        if random_ratio >= self.refused_ratio(now) {
+            return Ok(());
+        }
+        self.record(false, now);
+        Err(self.retry_after(random_ratio, now))
+    }
+
     /// Records a call that was refused here or at the targets, or accepted by one.
     pub fn record(&mut self, accepted: bool, now: Instant) {
         let decay = self.decay(now);
--- a/crates/admission/tests/overload.rs
+++ b/crates/admission/tests/overload.rs
@@ -153,12 +153,7 @@
         let ratio = self.ratio();
         let now = self.now;
         let controlled = self.controlled;
-        let throttle = pick(self);
-        if !controlled || ratio >= throttle.refused_ratio(now) {
-            return true;
-        }
-        throttle.record(false, now);
-        false
+        !controlled || pick(self).try_call(ratio, now).is_ok()
     }
 
     fn arrive(&mut self) {
--- a/crates/admission/tests/throttle.rs
+++ b/crates/admission/tests/throttle.rs
@@ -36,8 +36,7 @@
     for index in 0..per_s * seconds {
         *now += step;
         tokens = (tokens + accepted_per_s / f64::from(per_s)).min(2.0);
-        if random.ratio() < throttle.refused_ratio(*now) {
-            throttle.record(false, *now);
+        if throttle.try_call(random.ratio(), *now).is_err() {
             continue;
         }
         let_through_count += u32::from(index >= per_s * (seconds - 1));
--- a/crates/dataplane/src/overload.rs
+++ b/crates/dataplane/src/overload.rs
@@ -76,11 +76,7 @@
         let Some(throttle) = inner.throttle(service, class) else {
             return Ok(());
         };
-        if random_ratio >= throttle.refused_ratio(now) {
-            return Ok(());
-        }
-        throttle.record(false, now);
-        Err(throttle.retry_after(random_ratio, now))
+        throttle.try_call(random_ratio, now)
     }
 
     /// Records whether targets of `service` accepted a call that was let through.
@@ -139,11 +135,7 @@
         let Some(throttle) = inner.nested.get_mut(kind) else {
             return true;
         };
-        if random_ratio >= throttle.refused_ratio(now) {
-            return true;
-        }
-        throttle.record(false, now);
-        false
+        throttle.try_call(random_ratio, now).is_ok()
     }
 
     /// Records whether the nested calls of a call that the local target ran were served.
