Count a load report once in the mean load of a service

After an attempt that brought no report the last report of its target was counted again, however old. It is now counted where an answer brings it, and the load of the own target after an attempt there.

--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -76,17 +76,16 @@
         // The operator may have removed its key meanwhile.
         AttemptResult::not_sent(NotRunReason::Unauthorized(KeyRefusal::Removed))
     } else if entry.distance == Distance::Host {
-        admit(worker, &AdmissionRequest::new(call, attempt_kind)).await
+        let result = admit(worker, &AdmissionRequest::new(call, attempt_kind)).await;
+        let report = plane.gate.load_report(call.rule.rank);
+        record_busy(plane, call, report.busy_ratio);
+        result
     } else {
         forward_to_peer(worker, call, entry, attempt_kind).await
     };
     call.end_attempt(treatment_of(&result.outcome));
     let took = in_flight.finish();
     record_result(plane, call, entry, &result, took);
-    if plane.overload_control() {
-        let busy_ratio = plane.loads().reported_busy_ratio(node_id);
-        plane.overload.record_busy(call.rule.service, busy_ratio);
-    }
     call.steps.borrow_mut().push(Step::Ended {
         outcome: result.outcome.name(),
         reason: result.outcome.reason(),
@@ -195,7 +194,7 @@
     match worker.peers.send(&outbound).await {
         Ok(answer) => {
             merge_route_confirmation(&worker.plane, &answer, sent_at);
-            parse_peer_answer(&worker.plane, node_id, answer)
+            parse_peer_answer(&worker.plane, call, node_id, answer)
         }
         Err(SendFailure::Refused(why)) => {
             worker.plane.mesh.suspect(node_id, &why);
@@ -259,9 +258,10 @@
     onward
 }
 
-/// Returns the result of an attempt that a peer answered, and records the load that it reports.
+/// Returns the result of an attempt of `call` that a peer answered, and records the load that it reports.
 pub(crate) fn parse_peer_answer(
     plane: &DataPlane,
+    call: &Call<'_>,
     node_id: &NodeId,
     mut answer: Answer,
 ) -> AttemptResult {
@@ -276,6 +276,7 @@
             failed_ratio: parse_number(headers::FAILED_RATIO).unwrap_or(0.0),
         };
         plane.loads().record_report(node_id, report, Instant::now());
+        record_busy(plane, call, busy_ratio);
     }
     let state = answer
         .header(headers::TARGET_STATE)
@@ -322,6 +323,13 @@
     }
 }
 
+/// Records the calls per slot that a target of the call's service reports.
+fn record_busy(plane: &DataPlane, call: &Call<'_>, busy_ratio: f64) {
+    if plane.overload_control() {
+        plane.overload.record_busy(call.rule.service, busy_ratio);
+    }
+}
+
 /// Parses a number that a peer states. One that no node of this build would state is left out.
 fn parse_peer_number(text: &str) -> Option<f64> {
     let number: f64 = text.parse().ok()?;
--- a/crates/dataplane/src/offers.rs
+++ b/crates/dataplane/src/offers.rs
@@ -138,7 +138,7 @@
         }
         Some(_) => {
             let node_id = &entry.member.node_id;
-            Offered::Refused(parse_peer_answer(&worker.plane, node_id, answer))
+            Offered::Refused(parse_peer_answer(&worker.plane, call, node_id, answer))
         }
     }
 }
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -302,13 +302,6 @@
             .is_some_and(|load| load.refused_until > now)
     }
 
-    /// Returns the calls per slot that the target reported last; 0 if it reported none.
-    pub fn reported_busy_ratio(&self, target: &NodeId) -> f64 {
-        self.loads
-            .get(target)
-            .map_or(0.0, |load| load.report.busy_ratio)
-    }
-
     /// Returns the expected number of calls per slot at the target.
     pub fn busy_ratio(&self, target: &NodeId, slot_count: u32, now: Instant) -> f64 {
         let Some(load) = self.loads.get(target) else {
