Read overload control once a call

It was read from the view of the route table up to a dozen times a call. It is now a field of the rule, and of the admission request at the node of the target.

--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -120,8 +120,7 @@
         deadline: call.deadline,
         may_wait: call.attempt_kind != AttemptKind::Hedge,
     };
-    let overload_control = plane.overload_control();
-    if overload_control && !plane.overload.may_run(call.kind, plane.mesh.random_ratio()) {
+    if call.overload_control && !plane.overload.may_run(call.kind, plane.mesh.random_ratio()) {
         plane.metrics.count("refused_for_nested_calls");
         return AttemptResult::not_sent(NotRunReason::Overloaded);
     }
@@ -281,7 +280,7 @@
     match worker.targets.send(&outbound).await {
         Ok(answer) => {
             let nested_refused = running.finish();
-            if plane.overload_control() {
+            if call.overload_control {
                 let served = !nested_refused || answer.status < FAILED_STATUS_MIN;
                 plane.overload.record_run(call.kind, served);
             }
@@ -333,7 +332,7 @@
     if let Some(stated) = plane.interface.not_run_reason(&answer) {
         let reason = match stated {
             // Its node counted a free slot, so that fewer calls would not change this.
-            NotRunReason::Overloaded if plane.overload_control() => NotRunReason::Shed,
+            NotRunReason::Overloaded if call.overload_control => NotRunReason::Shed,
             stated => stated,
         };
         log::info!(
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -119,12 +119,11 @@
                 mean_ran_ms: result.mean_ran_ms,
                 round_trip_ms: entry.round_trip_us / 1_000.0,
             };
-            let overload_control = plane.overload_control();
             let mut loads = plane.loads();
             loads.record_latency(node_id, took, now);
             let body_bytes = call.body.len() + answer.body.len();
             loads.record_timings(node_id, rule.name, timings, body_bytes, now);
-            if overload_control {
+            if rule.overload_control {
                 loads.record_run(node_id, &call.class(), &timings, now);
             }
             drop(loads);
@@ -325,7 +324,7 @@
 
 /// Records the calls per slot that a target of the call's service reports.
 fn record_busy(plane: &DataPlane, call: &Call<'_>, busy_ratio: f64) {
-    if plane.overload_control() {
+    if call.rule.overload_control {
         plane.overload.record_busy(call.rule.service, busy_ratio);
     }
 }
--- a/crates/dataplane/src/attempts.rs
+++ b/crates/dataplane/src/attempts.rs
@@ -61,7 +61,6 @@
     if call.parent_is_repeat {
         retries.charge(rule.service);
     }
-    let overload_control = worker.plane.overload_control();
     let mut tried: Vec<NodeId> = Vec::new();
     let mut sent_count = 0;
     while sent_count < rule.attempt_max_count && tried.len() < TARGET_TRY_MAX_COUNT {
@@ -88,7 +87,7 @@
         };
         let may_hedge = rule.idempotent
             && sent_count + 1 < rule.attempt_max_count
-            && !(overload_control && is_busy(worker, rule.service));
+            && !(rule.overload_control && is_busy(worker, rule.service));
         let (result, hedge_sent) = if may_hedge {
             run_hedged(worker, call, first, &mut tried).await
         } else {
@@ -102,7 +101,7 @@
         let is_retryable = may_retry(call, &result.outcome);
         let merged = result.outcome.merge_earlier(call.earlier_outcome.take());
         call.earlier_outcome.replace(merged);
-        if overload_control && call.attempts.get().refused_count() >= REFUSAL_MAX_COUNT {
+        if rule.overload_control && call.attempts.get().refused_count() >= REFUSAL_MAX_COUNT {
             break;
         }
         if !is_retryable || worker.plane.refuses_as_quarantined(call.fingerprint) {
@@ -226,7 +225,7 @@
 ) -> Hedge {
     let service = call.rule.service;
     let retries = &worker.plane.retries;
-    if worker.plane.overload_control() && is_busy(worker, service) {
+    if call.rule.overload_control && is_busy(worker, service) {
         return Hedge::NotMade;
     }
     for _ in 0..HEDGE_TRY_MAX_COUNT {
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -66,6 +66,8 @@
     pub(crate) profile_name: &'a str,
     /// Offset of the profile's version in force, or version of the route table.
     pub(crate) version: u64,
+    /// Whether the route table calls for overload control.
+    pub(crate) overload_control: bool,
 }
 
 /// Returns the priority of a call on `route`; 0 is served first. If `routes` hold customers, that of the
@@ -100,6 +102,7 @@
         profile: &'a Profile,
         profile_name: &'a str,
         version: u64,
+        overload_control: bool,
     ) -> Self {
         Self {
             name: &kind.name,
@@ -114,18 +117,20 @@
             profile,
             profile_name,
             version,
+            overload_control,
         }
     }
 
-    /// Returns the rule of a route for calls of `priority` to `service`, the service of one of its parts.
+    /// Returns the rule of a route of `routes` for calls of `priority` to `service`, the service of one of
+    /// its parts.
     pub(crate) fn from_route(
+        routes: &RouteIndex,
         name: &'a str,
         route: &'a Route,
         priority: u32,
         service: &'a str,
         profile: &'a Profile,
         profile_name: &'a str,
-        version: u64,
     ) -> Self {
         Self {
             name,
@@ -139,7 +144,8 @@
             attempt_max_count: route.attempt_max_count.max(1) as usize,
             profile,
             profile_name,
-            version,
+            version: routes.version,
+            overload_control: routes.overload_control,
         }
     }
 }
@@ -266,6 +272,8 @@
     pub(crate) key: Option<StatedKey>,
     pub(crate) deadline: Instant,
     pub(crate) attempt_kind: AttemptKind,
+    /// Whether the route table calls for overload control.
+    pub(crate) overload_control: bool,
 }
 
 impl<'a> AdmissionRequest<'a> {
@@ -290,6 +298,7 @@
             key: call.caller.stated_key(),
             deadline: call.deadline,
             attempt_kind: call.reported_attempt_kind(attempt_kind),
+            overload_control: call.rule.overload_control,
         }
     }
 }
--- a/crates/dataplane/src/explain.rs
+++ b/crates/dataplane/src/explain.rs
@@ -94,13 +94,13 @@
     let plane = &worker.plane;
     let (profile, profile_name) = plane.profile_of(view, &part.service);
     let rule = Rule::from_route(
+        &view.routes,
         &named.name,
         &named.route,
         priority_of(&view.routes, customer, &named.route),
         &part.service,
         profile,
         profile_name,
-        view.routes.version,
     );
     let entries = entries(worker, &rule, true);
     let candidates = build_candidates(plane, &entries);
@@ -119,7 +119,7 @@
     // As for a call: the gate of this node knows the load of its target exactly.
     let own_report = plane.gate.load_report(rule.rank);
     loads.record_report(&worker.own_member.node_id, own_report, now);
-    let mut picker = route_picker(worker).borrow_mut();
+    let mut picker = route_picker(worker, &rule).borrow_mut();
     let mut targets = Vec::new();
     for candidate in &candidates {
         let weighed = picker.weigh(&call, &class, candidate, &loads, now);
--- a/crates/dataplane/src/offers.rs
+++ b/crates/dataplane/src/offers.rs
@@ -105,7 +105,7 @@
 
 /// Offers the body of the call to the target's node, if it is large.
 pub(crate) async fn offer_body(worker: &Worker, call: &Call<'_>, entry: &TargetEntry) -> Offered {
-    if !call.has_large_body() || !worker.plane.overload_control() {
+    if !call.has_large_body() || !call.rule.overload_control {
         return Offered::Accepted(None);
     }
     let left_ms = |until: Instant| until.saturating_duration_since(Instant::now()).as_millis();
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -49,7 +49,7 @@
         plane.record_peer_state(&known);
     }
     let mut rank = 0;
-    let result = match parse_call(request) {
+    let result = match parse_call(request, plane.overload_control()) {
         Some(call) => {
             rank = call.rank;
             let forwarded = forwarded_headers(request);
@@ -97,7 +97,7 @@
     format!("{},{age_ms}", confirmation.version)
 }
 
-fn parse_call(request: &Request) -> Option<AdmissionRequest<'_>> {
+fn parse_call(request: &Request, overload_control: bool) -> Option<AdmissionRequest<'_>> {
     let header = |name| request.headers.get(name);
     let budget_ms: u64 = header(headers::BUDGET_MS)?.parse().ok()?;
     let prompt_ms: Option<u64> = header(headers::ADMIT_PROMPT_MS).and_then(|ms| ms.parse().ok());
@@ -122,6 +122,7 @@
         deadline: deadline_after_ms(request.arrived_at, budget_ms),
         attempt_kind: header(headers::ADMIT_ATTEMPT_KIND)
             .map_or(AttemptKind::First, AttemptKind::from_name),
+        overload_control,
     })
 }
 
--- a/crates/dataplane/src/pick.rs
+++ b/crates/dataplane/src/pick.rs
@@ -76,7 +76,7 @@
     // This node's gate knows the load of the target on this host exactly, whoever sent the calls.
     loads.record_report(&own_member.node_id, plane.gate.load_report(rule.rank), now);
     let mut picker = match call.prompt_by {
-        Some(_) => route_picker(worker).borrow_mut(),
+        Some(_) => route_picker(worker, rule).borrow_mut(),
         None => worker.picker.borrow_mut(),
     };
     let need = CallContext {
@@ -110,8 +110,11 @@
 }
 
 /// Returns the picker for calls of the route table.
-pub(crate) fn route_picker(worker: &Worker) -> &RefCell<Box<dyn TargetPicker>> {
-    if worker.plane.overload_control() {
+pub(crate) fn route_picker<'a>(
+    worker: &'a Worker,
+    rule: &Rule<'_>,
+) -> &'a RefCell<Box<dyn TargetPicker>> {
+    if rule.overload_control {
         return &worker.work_picker;
     }
     &worker.route_picker
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -162,6 +162,7 @@
         &in_force.profile,
         &in_force.profile_name,
         in_force.version_offset.0,
+        view.routes.overload_control,
     );
     let properties = CallProperties {
         budget_ms: kind.budget_ms,
@@ -257,7 +258,7 @@
     let expected_wait = match outcome {
         Outcome::NotRun(NotRunReason::RateLimited) => shortest_wait(worker, &rule),
         Outcome::NotRun(NotRunReason::Overloaded | NotRunReason::Expired)
-            if worker.plane.overload_control() =>
+            if rule.overload_control =>
         {
             let random_ratio = worker.plane.mesh.random_ratio();
             let overload = &worker.plane.overload;
@@ -284,7 +285,7 @@
     if worker.plane.refuses_as_quarantined(call.fingerprint) {
         return Outcome::NotRun(NotRunReason::Quarantined);
     }
-    if !worker.plane.overload_control() {
+    if !call.rule.overload_control {
         return run_attempts(worker, call).await;
     }
     let (service, class) = (call.rule.service, call.overload_class());
@@ -309,7 +310,7 @@
 impl Drop for CountedCall<'_> {
     fn drop(&mut self) {
         let (plane, call) = (&self.worker.plane, self.call);
-        if !plane.overload_control() {
+        if !call.rule.overload_control {
             return;
         }
         if let Some(accepted) = call.attempts.get().accepted() {
--- a/crates/dataplane/src/routed.rs
+++ b/crates/dataplane/src/routed.rs
@@ -99,13 +99,13 @@
         .and_then(|name| Some(customers?.get(name)?.as_ref()));
     let (profile, profile_name) = plane.profile_of(view, &part.service);
     let mut rule = Rule::from_route(
+        &view.routes,
         &named.name,
         route,
         priority_of(&view.routes, customer, route),
         &part.service,
         profile,
         profile_name,
-        view.routes.version,
     );
     let mut incoming = *incoming;
     let parent = caller.parent_call.as_ref();
