Add weighted max-min shares of customers

Shares counts the calls of each customer of a service and rank in a bounded table. The callers' nodes refuse first what is above a customer's share, and the queue beside the target puts calls of customers that were served their share behind the others of their rank.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,11 +6,13 @@
 mod attempt_counts;
 mod body_pacer;
 mod crash_report;
+mod customer_throttle;
 mod estimate;
 mod pacer;
 mod quarantine;
 mod retry_budget;
 mod run_book;
+mod shares;
 mod suspicion;
 mod throttle;
 
@@ -36,6 +38,7 @@
     ReportBatch,
     SurvivalReport, //
 };
+pub use customer_throttle::CustomerThrottle;
 pub use quarantine::Quarantine;
 pub use retry_budget::RetryBudget;
 pub use run_book::{
@@ -44,4 +47,9 @@
     Suspect,
     GIVEN_UP_TTL, //
 };
+pub use shares::{
+    queue_rank,
+    ShareHolder,
+    Shares, //
+};
 pub use throttle::Throttle;
--- /dev/null
+++ b/crates/admission/tests/shares.rs
@@ -0,0 +1,396 @@
+//! Shares of customers at a service that can't take all calls: 85 nodes of callers with a throttle each,
+//! which know nothing of each other, and the queues beside the targets.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use figway_admission::{
+    queue_rank,
+    Admission,
+    AdmissionLimits,
+    AdmitOutcome,
+    CallView,
+    CustomerThrottle,
+    Dequeued,
+    ShareHolder,
+    Shares,
+    Ticket, //
+};
+use figway_types::{
+    mix,
+    FastMap, //
+};
+
+const NODE_COUNT: usize = 85;
+const TARGET_COUNT: usize = 20;
+const SLOT_COUNT: u32 = 6;
+const RUN_MS: f64 = 110.0;
+const PROMPT: Duration = Duration::from_millis(500);
+const DEADLINE: Duration = Duration::from_millis(1_200);
+const TRY_COUNT: u8 = 2;
+/// Time at which customers that surge begin to, and from which on calls are counted.
+const SURGE_AT_S: f64 = 6.0;
+const DURATION_S: f64 = 12.0;
+const RANK: u32 = 1;
+const SEED_COUNT: u64 = 3;
+
+/// Share of its weighted max-min share that each customer gets at least.
+const SHARE_MIN_RATIO: f64 = 0.8;
+
+/// Customer of the simulation.
+#[derive(Clone, Copy)]
+struct Customer {
+    name: &'static str,
+    weight: f64,
+    /// Calls a second before the surge.
+    usual_per_s: f64,
+    per_s: f64,
+    /// Nodes at which its callers are, beginning with the first one.
+    nodes: (usize, usize),
+}
+
+/// Returns a customer whose callers use all nodes.
+fn everywhere(name: &'static str, weight: f64, per_s: f64) -> Customer {
+    Customer {
+        name,
+        weight,
+        usual_per_s: per_s,
+        per_s,
+        nodes: (0, NODE_COUNT),
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival { customer: usize },
+    End { call: usize },
+}
+
+#[derive(Clone, Copy)]
+struct Call {
+    arrived_at: Instant,
+    customer: usize,
+    node: usize,
+    target: usize,
+    ticket: Ticket,
+}
+
+struct Target {
+    admission: Admission,
+    shares: Shares,
+}
+
+struct Simulation {
+    customers: Vec<Customer>,
+    /// Whether calls are refused by customer.
+    shared: bool,
+    random: u64,
+    now: Instant,
+    started_at: Instant,
+    events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
+    event_count: u64,
+    nodes: Vec<CustomerThrottle>,
+    targets: Vec<Target>,
+    calls: Vec<Call>,
+    open: FastMap<(usize, Ticket), usize>,
+    /// Calls of each customer since the surge began, and those answered promptly.
+    asked_counts: Vec<f64>,
+    prompt_counts: Vec<f64>,
+}
+
+impl Simulation {
+    fn new(customers: &[Customer], shared: bool, seed: u64) -> Self {
+        let now = Instant::now();
+        let target = || Target {
+            admission: Admission::new(AdmissionLimits {
+                slot_count: SLOT_COUNT,
+                queue_per_slot_ratio: 4.0,
+                short_share_ratio: 0.0,
+                overload_control: true,
+            }),
+            shares: Shares::new(now),
+        };
+        Self {
+            customers: customers.to_vec(),
+            shared,
+            random: seed,
+            now,
+            started_at: now,
+            events: BinaryHeap::new(),
+            event_count: 0,
+            nodes: vec![CustomerThrottle::new(1.5, now); NODE_COUNT],
+            targets: (0..TARGET_COUNT).map(|_| target()).collect(),
+            calls: Vec::new(),
+            open: FastMap::default(),
+            asked_counts: vec![0.0; customers.len()],
+            prompt_counts: vec![0.0; customers.len()],
+        }
+    }
+
+    /// Returns itself at the end.
+    fn run(mut self) -> Self {
+        for customer in 0..self.customers.len() {
+            self.schedule_arrival(customer);
+        }
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.now = at;
+            if (at - self.started_at).as_secs_f64() > DURATION_S {
+                break;
+            }
+            match event {
+                Event::Arrival { customer } => {
+                    self.schedule_arrival(customer);
+                    self.arrive(customer);
+                }
+                Event::End { call } => self.end(call),
+            }
+        }
+        self
+    }
+
+    fn ratio(&mut self) -> f64 {
+        self.random = mix(self.random);
+        (self.random >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    fn below(&mut self, count: usize) -> usize {
+        (self.ratio() * count as f64) as usize % count
+    }
+
+    fn schedule(&mut self, after_s: f64, event: Event) {
+        self.event_count += 1;
+        let at = self.now + Duration::from_secs_f64(after_s);
+        self.events.push(Reverse((at, self.event_count, event)));
+    }
+
+    fn schedule_arrival(&mut self, customer: usize) {
+        let rates = &self.customers[customer];
+        let per_s = [rates.usual_per_s, rates.per_s][usize::from(self.is_measured())];
+        let gap_s = -(1.0 - self.ratio()).ln() / per_s;
+        self.schedule(gap_s, Event::Arrival { customer });
+    }
+
+    fn is_measured(&self) -> bool {
+        (self.now - self.started_at).as_secs_f64() > SURGE_AT_S
+    }
+
+    fn holder(&self, customer: usize) -> Option<ShareHolder<'static>> {
+        let customer = &self.customers[customer];
+        self.shared.then_some(ShareHolder {
+            name: customer.name,
+            weight: customer.weight,
+        })
+    }
+
+    fn arrive(&mut self, customer: usize) {
+        let (first, count) = self.customers[customer].nodes;
+        let node = first + self.below(count);
+        self.asked_counts[customer] += f64::from(u8::from(self.is_measured()));
+        let holder = self.holder(customer);
+        let ratio = self.ratio();
+        if self.nodes[node].try_call(holder, ratio, self.now).is_err() {
+            return;
+        }
+        for _ in 0..TRY_COUNT {
+            let target = self.below(TARGET_COUNT);
+            if self.enter(customer, node, target) {
+                return;
+            }
+        }
+        self.nodes[node].record(holder, false, self.now);
+    }
+
+    fn enter(&mut self, customer: usize, node: usize, index: usize) -> bool {
+        let (now, holder) = (self.now, self.holder(customer));
+        let target = &mut self.targets[index];
+        let is_above = holder.is_some_and(|holder| target.shares.is_above(holder, now));
+        let view = CallView {
+            kind: "read",
+            worth: 1.0,
+            long: false,
+            rank: queue_rank(RANK, is_above),
+            prompt_by: Some(now + PROMPT),
+            deadline: now + DEADLINE,
+            may_wait: true,
+        };
+        let (entered, dequeued) = target.admission.admit(&view, now);
+        let ticket = match entered {
+            AdmitOutcome::Running(ticket) | AdmitOutcome::Waiting(ticket) => ticket,
+            AdmitOutcome::Refused(_) => {
+                self.record_entry(index, customer, false);
+                self.apply(index, dequeued);
+                return false;
+            }
+        };
+        self.calls.push(Call {
+            arrived_at: now,
+            customer,
+            node,
+            target: index,
+            ticket,
+        });
+        self.open.insert((index, ticket), self.calls.len() - 1);
+        if entered == AdmitOutcome::Running(ticket) {
+            self.start(self.calls.len() - 1);
+        }
+        self.apply(index, dequeued);
+        true
+    }
+
+    fn record_entry(&mut self, target: usize, customer: usize, entered: bool) {
+        if let Some(holder) = self.holder(customer) {
+            self.targets[target]
+                .shares
+                .record(holder, entered, self.now);
+        }
+    }
+
+    /// Starts a call, of which 3 in 100 run seven times as long.
+    fn start(&mut self, call: usize) {
+        let (target, customer) = (self.calls[call].target, self.calls[call].customer);
+        self.record_entry(target, customer, true);
+        let spread = 0.55 + 0.7 * self.ratio();
+        let factor = if self.ratio() < 0.03 { 7.0 } else { 1.0 };
+        self.schedule(RUN_MS * spread * factor / 1_000.0, Event::End { call });
+    }
+
+    fn apply(&mut self, target: usize, dequeued: Dequeued) {
+        for (ticket, _) in dequeued.refused {
+            let Some(call) = self.open.remove(&(target, ticket)) else {
+                continue;
+            };
+            let (customer, node) = (self.calls[call].customer, self.calls[call].node);
+            self.record_entry(target, customer, false);
+            let holder = self.holder(customer);
+            self.nodes[node].record(holder, false, self.now);
+        }
+        for ticket in dequeued.running {
+            self.start(self.open[&(target, ticket)]);
+        }
+    }
+
+    fn end(&mut self, call: usize) {
+        let call = self.calls[call];
+        self.open.remove(&(call.target, call.ticket));
+        let holder = self.holder(call.customer);
+        self.nodes[call.node].record(holder, true, self.now);
+        if self.is_measured() && self.now <= call.arrived_at + PROMPT {
+            self.prompt_counts[call.customer] += 1.0;
+        }
+        let admission = &mut self.targets[call.target].admission;
+        let dequeued = admission.release(call.ticket, true, self.now);
+        self.apply(call.target, dequeued);
+    }
+}
+
+/// Returns the weighted max-min shares of `capacity` calls, of which each customer asks for `asked`.
+fn max_min(customers: &[Customer], asked: &[f64], capacity: f64) -> Vec<f64> {
+    let need = |index: usize| asked[index] / customers[index].weight;
+    let mut by_need: Vec<usize> = (0..customers.len()).collect();
+    by_need.sort_by(|a, b| need(*a).total_cmp(&need(*b)));
+    let mut shares = vec![0.0; customers.len()];
+    let mut left = capacity;
+    let mut left_weight: f64 = customers.iter().map(|customer| customer.weight).sum();
+    for index in by_need {
+        let weight = customers[index].weight;
+        shares[index] = asked[index].min(left * weight / left_weight);
+        left -= shares[index];
+        left_weight -= weight;
+    }
+    shares
+}
+
+/// Returns what each customer got of its weighted max-min share of all calls that were answered promptly,
+/// over some seeds, and how many those were.
+fn share_ratios(customers: &[Customer], shared: bool) -> (Vec<f64>, f64) {
+    let mut asked = vec![0.0; customers.len()];
+    let mut served = vec![0.0; customers.len()];
+    for seed in 1..=SEED_COUNT {
+        let run = Simulation::new(customers, shared, seed).run();
+        for index in 0..customers.len() {
+            asked[index] += run.asked_counts[index];
+            served[index] += run.prompt_counts[index];
+        }
+    }
+    let total: f64 = served.iter().sum();
+    let shares = max_min(customers, &asked, total);
+    let ratios = served.iter().zip(shares).map(|(got, share)| got / share);
+    (ratios.collect(), total)
+}
+
+fn check(customers: &[Customer]) {
+    let (ratios, shared_count) = share_ratios(customers, true);
+    let (_, plain_count) = share_ratios(customers, false);
+    for (customer, ratio) in customers.iter().zip(&ratios) {
+        assert!(*ratio >= SHARE_MIN_RATIO, "{} {ratios:.2?}", customer.name);
+    }
+    assert!(
+        shared_count >= 0.95 * plain_count,
+        "{shared_count} {plain_count}"
+    );
+}
+
+/// Guards against a customer that crowds out the others of its priority by sending several times its usual
+/// load, or by a small weight that isn't kept.
+#[test]
+fn a_customer_that_surges_leaves_the_others_their_shares() {
+    check(&[
+        Customer {
+            usual_per_s: 150.0,
+            ..everywhere("surging", 200.0, 1_100.0)
+        },
+        everywhere("above", 100.0, 250.0),
+        everywhere("at-limit", 200.0, 190.0),
+        everywhere("below", 150.0, 80.0),
+        everywhere("small", 25.0, 20.0),
+        everywhere("tiny", 8.0, 6.0),
+    ]);
+}
+
+/// Guards against shares that depend on the node that was asked: the surging customer and a small one use
+/// a few nodes, others half of them.
+#[test]
+fn shares_hold_for_customers_that_use_different_nodes() {
+    let at = |name, weight, per_s, first, count| Customer {
+        nodes: (first, count),
+        ..everywhere(name, weight, per_s)
+    };
+    check(&[
+        Customer {
+            usual_per_s: 150.0,
+            ..at("surging", 200.0, 900.0, 0, 20)
+        },
+        at("beside", 100.0, 90.0, 0, 20),
+        at("elsewhere", 150.0, 300.0, 20, 65),
+        at("half", 200.0, 190.0, 40, 45),
+        at("one-node", 20.0, 15.0, 84, 1),
+        everywhere("spread", 50.0, 45.0),
+    ]);
+}
+
+/// Guards against small customers that are refused for the chance of their calls' arrival: each makes a call
+/// at a node each 10 s or so.
+#[test]
+fn many_small_customers_keep_their_shares_beside_a_large_one() {
+    const NAMES: &str = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMN";
+    let mut customers = vec![everywhere("large", 400.0, 1_200.0)];
+    for index in 0..NAMES.len() {
+        customers.push(everywhere(&NAMES[index..=index], 10.0, 8.0));
+    }
+    check(&customers);
+}
+
+/// Guards against shares that hold only while little is refused, with four times what the targets can serve.
+#[test]
+fn shares_hold_far_above_the_capacity() {
+    check(&[
+        everywhere("without-limit", 100.0, 3_000.0),
+        everywhere("above", 300.0, 800.0),
+        everywhere("small", 50.0, 40.0),
+        everywhere("below", 500.0, 200.0),
+    ]);
+}
