Share full services among customers by weight

The throttles at the callers' nodes refuse first the calls of customers above their share; the queue of the target puts calls of customers that were served their share behind the others of their rank. The weight is the rate of the limit; callers without a limit or a customer have the mean weight. Without customers in the route table no shares are kept, and the order in the queue is the same as before.

Entry into the queue moves to a file of its own.

--- a/crates/customers/src/index.rs
+++ b/crates/customers/src/index.rs
@@ -21,6 +21,8 @@
     /// Name of the customer that holds each key; `None` if several do, so that the key identifies no
     /// customer.
     holders: FastMap<KeyDigest, Option<Arc<str>>>,
+    /// Mean of the rates of the customers with a limit, if there are any.
+    mean_rate_per_s: Option<f64>,
 }
 
 impl CustomerIndex {
@@ -40,12 +42,29 @@
                     .or_insert_with(|| Some(Arc::clone(&name)));
             }
         }
+        let mut rates_per_s = Vec::new();
+        for customer in customers.values() {
+            rates_per_s.extend(customer.limit.map(|limit| limit.rate_per_s));
+        }
+        let rate_sum: f64 = rates_per_s.iter().sum();
         Self {
             customers: customers.clone(),
             holders,
+            mean_rate_per_s: (rate_sum > 0.0).then(|| rate_sum / rates_per_s.len() as f64),
         }
     }
 
+    /// Returns the weight by which a customer shares a full service with the others: the rate of its limit.
+    /// Callers without a limit or without a customer have the mean weight.
+    pub fn weight(&self, name: Option<&str>) -> f64 {
+        let customer = name.and_then(|name| self.customers.get(name));
+        customer
+            .and_then(|customer| customer.limit)
+            .map(|limit| limit.rate_per_s)
+            .or(self.mean_rate_per_s)
+            .unwrap_or(1.0)
+    }
+
     /// Returns the name of the customer that holds the key, and the digest of the key.
     ///
     /// # Errors
--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -5,11 +5,7 @@
     Instant, //
 };
 
-use figway_admission::{
-    AdmissionLimits,
-    CallEnding,
-    CallView, //
-};
+use figway_admission::CallEnding;
 use figway_http::{
     Answer,
     OutboundRequest,
@@ -24,11 +20,16 @@
 
 use crate::call::{
     AdmissionRequest,
-    AttemptKind,
     Outcome,
     DEADLINE_EXCEEDED,
     FAILED_STATUS_MIN, //
 };
+use crate::entry::{
+    admission_limits,
+    enter,
+    record_refusal,
+    refuses_for_nested_calls, //
+};
 use crate::evidence::record_run;
 use crate::interface::ForwardContext;
 use crate::plane::DataPlane;
@@ -111,22 +112,13 @@
     if target.draining || plane.is_draining() {
         return AttemptResult::not_sent(NotRunReason::Draining);
     }
-    let view = CallView {
-        kind: call.kind,
-        worth: call.worth,
-        long: call.long,
-        rank: call.rank,
-        prompt_by: call.prompt_by,
-        deadline: call.deadline,
-        may_wait: call.attempt_kind != AttemptKind::Hedge,
-    };
-    if call.overload_control && !plane.overload.may_run(call.kind, plane.mesh.random_ratio()) {
+    if refuses_for_nested_calls(plane, call) {
         plane.metrics.count("refused_for_nested_calls");
         return AttemptResult::not_sent(NotRunReason::Overloaded);
     }
     let limits = admission_limits(plane, &target);
     let entered_at = Instant::now();
-    let mut slot = match plane.gate.enter(&view, limits).await {
+    let mut slot = match enter(plane, call, limits).await {
         Ok(slot) => slot,
         Err(reason) => {
             record_refusal(plane, call, target.slot_count, reason, entered_at);
@@ -181,31 +173,6 @@
     }
 }
 
-/// Records a call that the gate of the target refused.
-fn record_refusal(
-    plane: &DataPlane,
-    call: &AdmissionRequest<'_>,
-    slot_count: u32,
-    reason: NotRunReason,
-    entered_at: Instant,
-) {
-    let (running_count, waiting_count) = plane.gate.counts();
-    if plane.log_budget.should_log(call.request_id, true) {
-        log::info!(
-            "call refused request={} kind={} why={} running={running_count} \
-                 waiting={waiting_count} slots={slot_count} waited_ms={} left_ms={}",
-            call.request_id,
-            call.kind,
-            reason.name(),
-            entered_at.elapsed().as_millis(),
-            remaining_time(call).as_millis(),
-        );
-    }
-    plane
-        .metrics
-        .record_admission("not-run", reason.name(), entered_at.elapsed());
-}
-
 /// Refuses a call whose key was removed while it waited, and records it.
 fn refuse_removed_key(
     plane: &DataPlane,
@@ -231,7 +198,7 @@
     AttemptResult::not_sent(reason)
 }
 
-fn remaining_time(call: &AdmissionRequest<'_>) -> Duration {
+pub(crate) fn remaining_time(call: &AdmissionRequest<'_>) -> Duration {
     call.deadline.saturating_duration_since(Instant::now())
 }
 
@@ -282,7 +249,7 @@
             let nested_refused = running.finish();
             if call.overload_control {
                 let served = !nested_refused || answer.status < FAILED_STATUS_MIN;
-                plane.overload.record_run(call.kind, served);
+                plane.overload.record_run(call.kind, call.holder, served);
             }
             plane.record_notice(target, &answer);
             take_answer(plane, call, target, at_work, answer)
@@ -370,14 +337,3 @@
     }
     AttemptResult::sent(Outcome::Answered(answer))
 }
-
-fn admission_limits(plane: &DataPlane, target: &Target) -> AdmissionLimits {
-    let view = plane.mesh.view();
-    let limits = &plane.profile_of(&view, &target.service).0.limits;
-    AdmissionLimits {
-        slot_count: target.slot_count,
-        queue_per_slot_ratio: limits.queue_per_slot_ratio,
-        short_share_ratio: limits.short_share_ratio,
-        overload_control: view.routes.overload_control,
-    }
-}
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -8,6 +8,7 @@
 
 use figway_admission::{
     AttemptCounts,
+    ShareHolder,
     Treatment, //
 };
 use figway_cost::RequestClass;
@@ -274,6 +275,8 @@
     pub(crate) attempt_kind: AttemptKind,
     /// Whether the route table calls for overload control.
     pub(crate) overload_control: bool,
+    /// As whose the call shares the target, if there are customers.
+    pub(crate) holder: Option<ShareHolder<'a>>,
 }
 
 impl<'a> AdmissionRequest<'a> {
@@ -299,6 +302,7 @@
             deadline: call.deadline,
             attempt_kind: call.reported_attempt_kind(attempt_kind),
             overload_control: call.rule.overload_control,
+            holder: call.caller.holder,
         }
     }
 }
--- a/crates/dataplane/src/caller.rs
+++ b/crates/dataplane/src/caller.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use figway_admission::ShareHolder;
 use figway_control::View;
 use figway_customers::{
     identify,
@@ -86,6 +87,8 @@
     pub(crate) routes_version: Option<u64>,
     /// Whether those routes have customers, so that the credentials were read.
     pub(crate) has_customers: bool,
+    /// As whose the call shares a full service, if there are customers.
+    pub(crate) holder: Option<ShareHolder<'a>>,
 }
 
 impl Caller<'_> {
@@ -95,6 +98,7 @@
         key: None,
         routes_version: None,
         has_customers: false,
+        holder: None,
     };
 
     /// Returns whether `routes` still accept the caller. Since it was identified, its key may have been
--- /dev/null
+++ b/crates/dataplane/src/entry.rs
@@ -0,0 +1,97 @@
+//! Entry of a call into the queue of the local target, or its refusal there.
+
+use std::time::Instant;
+
+use figway_admission::{
+    queue_rank,
+    AdmissionLimits,
+    CallView, //
+};
+use figway_types::{
+    NotRunReason,
+    Target, //
+};
+
+use crate::admit::remaining_time;
+use crate::call::{
+    AdmissionRequest,
+    AttemptKind, //
+};
+use crate::gate::Slot;
+use crate::plane::DataPlane;
+
+/// Returns whether nested calls of earlier calls of the kind were refused, so that this one may not run.
+pub(crate) fn refuses_for_nested_calls(plane: &DataPlane, call: &AdmissionRequest<'_>) -> bool {
+    if !call.overload_control {
+        return false;
+    }
+    let random_ratio = plane.mesh.random_ratio();
+    !plane.overload.may_run(call.kind, call.holder, random_ratio)
+}
+
+/// Waits for a slot, behind the others of its rank if the customer was served its share.
+pub(crate) async fn enter<'a>(
+    plane: &'a DataPlane,
+    call: &AdmissionRequest<'_>,
+    limits: AdmissionLimits,
+) -> Result<Slot<'a>, NotRunReason> {
+    let overload = &plane.overload;
+    let is_above = |holder| overload.is_above_share(call.rank, holder);
+    let is_above_share = call.holder.is_some_and(is_above);
+    if is_above_share {
+        plane.metrics.count("above_share");
+    }
+    let view = CallView {
+        kind: call.kind,
+        worth: call.worth,
+        long: call.long,
+        rank: queue_rank(call.rank, is_above_share),
+        prompt_by: call.prompt_by,
+        deadline: call.deadline,
+        may_wait: call.attempt_kind != AttemptKind::Hedge,
+    };
+    let entered = plane.gate.enter(&view, limits).await;
+    if let (Some(holder), Ok(_) | Err(NotRunReason::Overloaded | NotRunReason::Expired)) =
+        (call.holder, &entered)
+    {
+        overload.record_entry(call.rank, holder, entered.is_ok());
+    }
+    entered
+}
+
+/// Returns the limits of the local target by the profile and the route table in force.
+pub(crate) fn admission_limits(plane: &DataPlane, target: &Target) -> AdmissionLimits {
+    let view = plane.mesh.view();
+    let limits = &plane.profile_of(&view, &target.service).0.limits;
+    AdmissionLimits {
+        slot_count: target.slot_count,
+        queue_per_slot_ratio: limits.queue_per_slot_ratio,
+        short_share_ratio: limits.short_share_ratio,
+        overload_control: view.routes.overload_control,
+    }
+}
+
+/// Records a call that the gate of the target refused.
+pub(crate) fn record_refusal(
+    plane: &DataPlane,
+    call: &AdmissionRequest<'_>,
+    slot_count: u32,
+    reason: NotRunReason,
+    entered_at: Instant,
+) {
+    let (running_count, waiting_count) = plane.gate.counts();
+    if plane.log_budget.should_log(call.request_id, true) {
+        log::info!(
+            "call refused request={} kind={} why={} running={running_count} \
+                 waiting={waiting_count} slots={slot_count} waited_ms={} left_ms={}",
+            call.request_id,
+            call.kind,
+            reason.name(),
+            entered_at.elapsed().as_millis(),
+            remaining_time(call).as_millis(),
+        );
+    }
+    plane
+        .metrics
+        .record_admission("not-run", reason.name(), entered_at.elapsed());
+}
--- a/crates/dataplane/src/gate.rs
+++ b/crates/dataplane/src/gate.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use figway_admission::{
+    queue_rank,
     Admission,
     AdmissionLimits,
     AdmitOutcome,
@@ -107,7 +108,8 @@
             return LoadReport::default();
         };
         let now = Instant::now();
-        let wait = admission.expected_wait(rank, now);
+        // Behind all calls of the rank, as a caller doesn't know whether the call is above a share.
+        let wait = admission.expected_wait(queue_rank(rank, true), now);
         LoadReport {
             busy_ratio: admission.busy_ratio(now),
             wait_ms: wait.as_secs_f64() * 1_000.0,
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -12,6 +12,7 @@
 mod caller;
 mod candidates;
 mod crashes;
+mod entry;
 mod evidence;
 mod explain;
 mod front;
--- a/crates/dataplane/src/overload.rs
+++ b/crates/dataplane/src/overload.rs
@@ -9,7 +9,12 @@
     Instant, //
 };
 
-use figway_admission::Throttle;
+use figway_admission::{
+    CustomerThrottle,
+    ShareHolder,
+    Shares, //
+};
+use figway_profile::RouteIndex;
 use figway_types::FastMap;
 
 /// Calls that are let through to a service for each one that its targets accepted. The rest keeps targets
@@ -37,7 +42,7 @@
 /// Outcomes of calls to one service.
 #[derive(Default)]
 struct ServiceState {
-    throttles: FastMap<CallClass, Throttle>,
+    throttles: FastMap<CallClass, CustomerThrottle>,
     /// Moving average of the calls per slot that targets report.
     busy_ratio: Option<f64>,
 }
@@ -46,7 +51,9 @@
 struct Inner {
     services: FastMap<String, ServiceState>,
     /// Throttles of the local target, by kind.
-    nested: FastMap<String, Throttle>,
+    nested: FastMap<String, CustomerThrottle>,
+    /// Shares of the customers in the queue of the local target, by rank.
+    queue: FastMap<u32, Shares>,
 }
 
 /// Throttles of the calls of this node, and of the calls that the local target runs.
@@ -69,6 +76,7 @@
         &self,
         service: &str,
         class: CallClass,
+        holder: Option<ShareHolder<'_>>,
         random_ratio: f64,
     ) -> Result<(), Duration> {
         let now = Instant::now();
@@ -76,11 +84,17 @@
         let Some(throttle) = inner.throttle(service, class) else {
             return Ok(());
         };
-        throttle.try_call(random_ratio, now)
+        throttle.try_call(holder, random_ratio, now)
     }
 
     /// Records whether targets of `service` accepted a call that was let through.
-    pub(crate) fn record_call(&self, service: &str, class: CallClass, accepted: bool) {
+    pub(crate) fn record_call(
+        &self,
+        service: &str,
+        class: CallClass,
+        holder: Option<ShareHolder<'_>>,
+        accepted: bool,
+    ) {
         let now = Instant::now();
         let mut inner = self.lock();
         if !inner.services.contains_key(service) {
@@ -92,8 +106,8 @@
         state
             .throttles
             .entry(class)
-            .or_insert_with(|| Throttle::new(SERVICE_HEADROOM_RATIO, now))
-            .record(accepted, now);
+            .or_insert_with(|| CustomerThrottle::new(SERVICE_HEADROOM_RATIO, now))
+            .record(holder, accepted, now);
     }
 
     /// Returns when a caller should come back whose call targets of `service` refused.
@@ -129,33 +143,71 @@
 
     /// Decides whether the local target may run a call of `kind`, by whether the nested calls of
     /// earlier ones were served.
-    pub(crate) fn may_run(&self, kind: &str, random_ratio: f64) -> bool {
+    pub(crate) fn may_run(
+        &self,
+        kind: &str,
+        holder: Option<ShareHolder<'_>>,
+        random_ratio: f64,
+    ) -> bool {
         let now = Instant::now();
         let mut inner = self.lock();
         let Some(throttle) = inner.nested.get_mut(kind) else {
             return true;
         };
-        throttle.try_call(random_ratio, now).is_ok()
+        throttle.try_call(holder, random_ratio, now).is_ok()
     }
 
     /// Records whether the nested calls of a call that the local target ran were served.
-    pub(crate) fn record_run(&self, kind: &str, nested_served: bool) {
+    pub(crate) fn record_run(
+        &self,
+        kind: &str,
+        holder: Option<ShareHolder<'_>>,
+        nested_served: bool,
+    ) {
         let now = Instant::now();
         let mut inner = self.lock();
         match inner.nested.get_mut(kind) {
-            Some(throttle) => throttle.record(nested_served, now),
+            Some(throttle) => throttle.record(holder, nested_served, now),
             None if nested_served => {}
             None => {
-                let mut throttle = Throttle::new(NESTED_HEADROOM_RATIO, now);
-                throttle.record(false, now);
+                let mut throttle = CustomerThrottle::new(NESTED_HEADROOM_RATIO, now);
+                throttle.record(holder, false, now);
                 inner.nested.insert(kind.to_owned(), throttle);
             }
         }
     }
+
+    /// Returns whether the local target served `holder` its share of the calls of `rank`.
+    pub(crate) fn is_above_share(&self, rank: u32, holder: ShareHolder<'_>) -> bool {
+        let inner = self.lock();
+        let shares = inner.queue.get(&rank);
+        shares.is_some_and(|shares| shares.is_above(holder, Instant::now()))
+    }
+
+    /// Records whether a call of `rank` got a slot of the local target.
+    pub(crate) fn record_entry(&self, rank: u32, holder: ShareHolder<'_>, entered: bool) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let shares = inner.queue.entry(rank).or_insert_with(|| Shares::new(now));
+        shares.record(holder, entered, now);
+    }
+}
+
+/// Returns as whose the calls of a customer share a service, if `routes` hold customers. Those without one
+/// share as one customer without a name.
+pub(crate) fn share_holder<'a>(
+    routes: &RouteIndex,
+    customer: Option<&'a str>,
+) -> Option<ShareHolder<'a>> {
+    let customers = routes.customers.as_deref()?;
+    Some(ShareHolder {
+        name: customer.unwrap_or(""),
+        weight: customers.weight(customer),
+    })
 }
 
 impl Inner {
-    fn throttle(&mut self, service: &str, class: CallClass) -> Option<&mut Throttle> {
+    fn throttle(&mut self, service: &str, class: CallClass) -> Option<&mut CustomerThrottle> {
         self.services.get_mut(service)?.throttles.get_mut(&class)
     }
 }
--- a/crates/dataplane/src/peers.rs
+++ b/crates/dataplane/src/peers.rs
@@ -8,6 +8,7 @@
     Headers,
     Request, //
 };
+use figway_profile::RouteIndex;
 use figway_routing::LoadReport;
 use figway_types::{
     deadline_after_ms,
@@ -26,6 +27,7 @@
 };
 use crate::caller::StatedKey;
 use crate::headers;
+use crate::overload::share_holder;
 use crate::plane::DataPlane;
 use crate::target_state::TargetState;
 use crate::worker::Worker;
@@ -49,7 +51,8 @@
         plane.record_peer_state(&known);
     }
     let mut rank = 0;
-    let result = match parse_call(request, plane.overload_control()) {
+    let parsed = parse_call(request, &plane.mesh.view().routes);
+    let result = match parsed {
         Some(call) => {
             rank = call.rank;
             let forwarded = forwarded_headers(request);
@@ -97,7 +100,7 @@
     format!("{},{age_ms}", confirmation.version)
 }
 
-fn parse_call(request: &Request, overload_control: bool) -> Option<AdmissionRequest<'_>> {
+fn parse_call<'a>(request: &'a Request, routes: &RouteIndex) -> Option<AdmissionRequest<'a>> {
     let header = |name| request.headers.get(name);
     let budget_ms: u64 = header(headers::BUDGET_MS)?.parse().ok()?;
     let prompt_ms: Option<u64> = header(headers::ADMIT_PROMPT_MS).and_then(|ms| ms.parse().ok());
@@ -122,7 +125,8 @@
         deadline: deadline_after_ms(request.arrived_at, budget_ms),
         attempt_kind: header(headers::ADMIT_ATTEMPT_KIND)
             .map_or(AttemptKind::First, AttemptKind::from_name),
-        overload_control,
+        overload_control: routes.overload_control,
+        holder: share_holder(routes, header(headers::ADMIT_CUSTOMER)),
     })
 }
 
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -136,11 +136,6 @@
         self.loads.lock().expect("no holder panics")
     }
 
-    /// Returns whether the route table calls for overload control.
-    pub(crate) fn overload_control(&self) -> bool {
-        self.mesh.view().routes.overload_control
-    }
-
     /// Returns whether the local target runs `service` and takes new calls.
     pub(crate) fn runs_service(&self, service: &str) -> bool {
         let members = self.mesh.members();
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -290,7 +290,12 @@
     }
     let (service, class) = (call.rule.service, call.overload_class());
     let overload = &worker.plane.overload;
-    if let Err(retry_after) = overload.try_call(service, class, worker.plane.mesh.random_ratio()) {
+    if let Err(retry_after) = overload.try_call(
+        service,
+        class,
+        call.caller.holder,
+        worker.plane.mesh.random_ratio(),
+    ) {
         worker.plane.metrics.count("throttled");
         call.steps
             .borrow_mut()
@@ -317,7 +322,7 @@
             let class = call.overload_class();
             plane
                 .overload
-                .record_call(call.rule.service, class, accepted);
+                .record_call(call.rule.service, class, call.caller.holder, accepted);
         }
     }
 }
--- a/crates/dataplane/src/routed.rs
+++ b/crates/dataplane/src/routed.rs
@@ -26,6 +26,7 @@
     draw_token,
     Drawn, //
 };
+use crate::overload::share_holder;
 use crate::proxy::{
     run_call,
     CallProperties,
@@ -125,6 +126,7 @@
             key: caller.key,
             routes_version: Some(view.routes.version),
             has_customers: customers.is_some(),
+            holder: share_holder(&view.routes, caller.customer.as_deref()),
         },
     };
     let headers = onward_headers(worker, &incoming, customers.is_some());
