--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -3,13 +3,16 @@
 
 mod admission;
 mod answers;
+mod attempt_counts;
 mod body_pacer;
 mod crash_report;
+mod customer_throttle;
 mod estimate;
 mod pacer;
 mod quarantine;
 mod retry_budget;
 mod run_book;
+mod shares;
 mod suspicion;
 mod throttle;
 
@@ -21,6 +24,10 @@
     Dequeued,
     Ticket, //
 };
+pub use attempt_counts::{
+    AttemptCounts,
+    Treatment, //
+};
 pub use body_pacer::{
     ArrivalBounds,
     BodyPacer, //
@@ -31,6 +38,7 @@
     ReportBatch,
     SurvivalReport, //
 };
+pub use customer_throttle::CustomerThrottle;
 pub use quarantine::Quarantine;
 pub use retry_budget::RetryBudget;
 pub use run_book::{
@@ -39,4 +47,10 @@
     Suspect,
     GIVEN_UP_TTL, //
 };
+pub use shares::{
+    may_wait_above_share,
+    queue_rank,
+    ShareHolder,
+    Shares, //
+};
 pub use throttle::Throttle;
--- a/crates/admission/tests/throttle.rs
+++ b/crates/admission/tests/throttle.rs
@@ -36,8 +36,7 @@
     for index in 0..per_s * seconds {
         *now += step;
         tokens = (tokens + accepted_per_s / f64::from(per_s)).min(2.0);
-        if random.ratio() < throttle.refused_ratio(*now) {
-            throttle.record(false, *now);
+        if throttle.try_call(random.ratio(), *now).is_err() {
             continue;
         }
         let_through_count += u32::from(index >= per_s * (seconds - 1));
@@ -109,3 +108,17 @@
         "{hints:?}"
     );
 }
+
+/// Guards against a node that makes few calls and refuses half of them after one or two refusals.
+#[test]
+fn few_refusals_after_a_quiet_period_refuse_no_call() {
+    let now = Instant::now();
+    let mut throttle = Throttle::new(HEADROOM_RATIO, now);
+    throttle.record(false, now);
+    throttle.record(false, now);
+    assert_eq!(throttle.refused_ratio(now), 0.0);
+    throttle.record(false, now + Duration::from_millis(100));
+    throttle.record(false, now + Duration::from_millis(200));
+    let refused_ratio = throttle.refused_ratio(now + Duration::from_millis(200));
+    assert!(refused_ratio > 0.5, "{refused_ratio}");
+}
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -6,6 +6,11 @@
 };
 use std::time::Instant;
 
+use figway_admission::{
+    AttemptCounts,
+    ShareHolder,
+    Treatment, //
+};
 use figway_cost::RequestClass;
 use figway_customers::{
     call_priority,
@@ -62,6 +67,8 @@
     pub(crate) profile_name: &'a str,
     /// Offset of the profile's version in force, or version of the route table.
     pub(crate) version: u64,
+    /// Whether the route table calls for overload control.
+    pub(crate) overload_control: bool,
 }
 
 /// Returns the priority of a call on `route`; 0 is served first. If `routes` hold customers, that of the
@@ -122,6 +129,7 @@
         profile: &'a Profile,
         profile_name: &'a str,
         version: u64,
+        overload_control: bool,
     ) -> Self {
         Self {
             name: &kind.name,
@@ -136,18 +144,20 @@
             profile,
             profile_name,
             version,
+            overload_control,
         }
     }
 
-    /// Returns the rule of a route for calls of `rank` to `service`, the service of one of its parts.
+    /// Returns the rule of a route of `routes` for calls of `rank` to `service`, the service of one of its
+    /// parts.
     pub(crate) fn from_route(
+        routes: &RouteIndex,
         name: &'a str,
         route: &'a Route,
         rank: u32,
         service: &'a str,
         profile: &'a Profile,
         profile_name: &'a str,
-        version: u64,
     ) -> Self {
         Self {
             name,
@@ -161,7 +171,8 @@
             attempt_max_count: route.attempt_max_count.max(1) as usize,
             profile,
             profile_name,
-            version,
+            version: routes.version,
+            overload_control: routes.overload_control,
         }
     }
 }
@@ -192,8 +203,8 @@
     pub(crate) parent_is_repeat: bool,
     /// Merged outcome of the attempts that have ended.
     pub(crate) earlier_outcome: &'a RefCell<Outcome>,
-    /// Attempts that targets' nodes refused since they have no room.
-    pub(crate) refused_count: &'a Cell<usize>,
+    /// Attempts so far, by how targets treated them.
+    pub(crate) attempts: &'a Cell<AttemptCounts>,
 }
 
 impl Call<'_> {
@@ -214,6 +225,20 @@
         }
     }
 
+    /// Records that an attempt begins.
+    pub(crate) fn begin_attempt(&self) {
+        let mut attempts = self.attempts.get();
+        attempts.begin();
+        self.attempts.set(attempts);
+    }
+
+    /// Records how the target treated an attempt that ended.
+    pub(crate) fn end_attempt(&self, treatment: Treatment) {
+        let mut attempts = self.attempts.get();
+        attempts.end(treatment);
+        self.attempts.set(attempts);
+    }
+
     /// Returns whether the body is offered before it is sent.
     pub(crate) fn has_large_body(&self) -> bool {
         self.body.len() >= OFFERED_MIN_BYTES
@@ -274,6 +299,10 @@
     pub(crate) key: Option<StatedKey>,
     pub(crate) deadline: Instant,
     pub(crate) attempt_kind: AttemptKind,
+    /// Whether the route table calls for overload control.
+    pub(crate) overload_control: bool,
+    /// As whose the call shares the target, if there are customers.
+    pub(crate) holder: Option<ShareHolder<'a>>,
 }
 
 impl<'a> AdmissionRequest<'a> {
@@ -298,6 +327,8 @@
             key: call.caller.stated_key(),
             deadline: call.deadline,
             attempt_kind: call.reported_attempt_kind(attempt_kind),
+            overload_control: call.rule.overload_control,
+            holder: call.caller.holder,
         }
     }
 }
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -162,6 +162,7 @@
         &in_force.profile,
         &in_force.profile_name,
         in_force.version_offset.0,
+        view.routes.overload_control,
     );
     let properties = CallProperties {
         budget_ms: kind.budget_ms,
@@ -214,7 +215,7 @@
         .min(rule_deadline);
     let steps: RefCell<Vec<Step>> = RefCell::default();
     let earlier_outcome: RefCell<Outcome> = RefCell::default();
-    let refused_count = Cell::new(0);
+    let attempts = Cell::default();
     let call = Call {
         request_id: incoming.request_id,
         steps: &steps,
@@ -233,7 +234,7 @@
         fingerprint,
         parent_is_repeat,
         earlier_outcome: &earlier_outcome,
-        refused_count: &refused_count,
+        attempts: &attempts,
     };
     let serving = async {
         match key {
@@ -242,17 +243,22 @@
         }
     };
     let mut record = CallRecord::new(worker, &call);
+    let counted = CountedCall {
+        worker,
+        call: &call,
+    };
     let outcome = match tokio::time::timeout_at(deadline.into(), serving).await {
         Ok(outcome) => outcome,
         // An attempt was in flight. A failed answer of an earlier attempt is preferred to no
         // answer.
         Err(_) => Outcome::Unknown(DEADLINE_EXCEEDED).merge_earlier(earlier_outcome.take()),
     };
+    drop(counted);
     record.write(&outcome);
     let expected_wait = match outcome {
         Outcome::NotRun(NotRunReason::RateLimited) => shortest_wait(worker, &rule),
         Outcome::NotRun(NotRunReason::Overloaded | NotRunReason::Expired)
-            if worker.plane.overload_control() =>
+            if rule.overload_control =>
         {
             let random_ratio = worker.plane.mesh.random_ratio();
             let overload = &worker.plane.overload;
@@ -279,24 +285,44 @@
     if worker.plane.refuses_as_quarantined(call.fingerprint) {
         return Outcome::NotRun(NotRunReason::Quarantined);
     }
-    if !worker.plane.overload_control() {
+    if !call.rule.overload_control {
         return run_attempts(worker, call).await;
     }
     let (service, class) = (call.rule.service, call.overload_class());
     let overload = &worker.plane.overload;
-    if let Err(retry_after) = overload.try_call(service, class, worker.plane.mesh.random_ratio()) {
+    if let Err(retry_after) = overload.try_call(
+        service,
+        class,
+        call.caller.holder,
+        worker.plane.mesh.random_ratio(),
+    ) {
         worker.plane.metrics.count("throttled");
         call.steps
             .borrow_mut()
             .push(Step::Throttled { retry_after });
         return Outcome::NotRun(NotRunReason::Overloaded);
     }
-    let outcome = run_attempts(worker, call).await;
-    match &outcome {
-        // A call that no target refused says nothing about the room there.
-        Outcome::NotRun(_) if call.refused_count.get() == 0 => {}
-        Outcome::NotRun(_) => overload.record_call(service, class, false),
-        Outcome::Answered(_) | Outcome::Unknown(_) => overload.record_call(service, class, true),
+    run_attempts(worker, call).await
+}
+
+/// Counts a call at its throttle on drop: when it ends, when its deadline passes during an attempt, or when
+/// its caller leaves.
+struct CountedCall<'a> {
+    worker: &'a Worker,
+    call: &'a Call<'a>,
+}
+
+impl Drop for CountedCall<'_> {
+    fn drop(&mut self) {
+        let (plane, call) = (&self.worker.plane, self.call);
+        if !call.rule.overload_control {
+            return;
+        }
+        if let Some(accepted) = call.attempts.get().accepted() {
+            let class = call.overload_class();
+            plane
+                .overload
+                .record_call(call.rule.service, class, call.caller.holder, accepted);
+        }
     }
-    outcome
 }
--- a/crates/dataplane/src/routed.rs
+++ b/crates/dataplane/src/routed.rs
@@ -25,6 +25,7 @@
     draw_token,
     Drawn, //
 };
+use crate::overload::share_holder;
 use crate::proxy::{
     run_call,
     CallProperties,
@@ -98,13 +99,13 @@
         .and_then(|name| Some(customers?.get(name)?.as_ref()));
     let (profile, profile_name) = plane.profile_of(view, &part.service);
     let mut rule = Rule::from_route(
+        &view.routes,
         &named.name,
         route,
         rank_of(&view.routes, customer, route),
         &part.service,
         profile,
         profile_name,
-        view.routes.version,
     );
     let mut incoming = *incoming;
     let parent = caller.parent_call.as_ref();
@@ -126,6 +127,7 @@
             key: caller.key,
             routes_version: Some(view.routes.version),
             has_customers: customers.is_some(),
+            holder: share_holder(&view.routes, caller.customer.as_deref()),
         },
     };
     let headers = onward_headers(worker, &incoming, customers.is_some());
