--- a/crates/testbed/src/site/wire.rs
+++ b/crates/testbed/src/site/wire.rs
@@ -72,6 +72,10 @@
 /// Pause between two tries to bind a reserved port.
 const BIND_PAUSE: Duration = Duration::from_millis(2);
 
+/// Longest time until a connection that the node has closed is noticed, and pause between two looks.
+const CLOSE_MAX: Duration = Duration::from_millis(3);
+const CLOSE_PAUSE: Duration = Duration::from_millis(1);
+
 /// Step by which [`WireFault::CutAnywhere`] moves, in thousandths of an answer.
 const CUT_STEP: usize = 37;
 
@@ -87,6 +91,12 @@
     pub address: String,
     /// Damage of the answers from now on.
     pub fault: Cell<WireFault>,
+    /// Number of connections, idle ones included, above which each further one is reset at once.
+    pub connection_max_count: Cell<usize>,
+    /// Number of connections that are open.
+    connection_count: Cell<usize>,
+    /// Number of connections with a request that were reset since too many were open.
+    pub reset_count: Cell<usize>,
     state: watch::Sender<WireState>,
     upstream_address: String,
     cut_count: Cell<usize>,
@@ -103,6 +113,9 @@
         let wire = Rc::new(Self {
             address: listener.local_addr()?.to_string(),
             fault: Cell::default(),
+            connection_max_count: Cell::new(usize::MAX),
+            connection_count: Cell::new(0),
+            reset_count: Cell::new(0),
             state: watch::Sender::default(),
             upstream_address: upstream_address.to_owned(),
             cut_count: Cell::new(0),
@@ -124,7 +137,7 @@
                     let Ok((downstream, _)) = accepted else {
                         return;
                     };
-                    tokio::task::spawn_local(Rc::clone(&self).serve_while_up(downstream));
+                    tokio::task::spawn_local(Rc::clone(&self).serve_and_count(downstream));
                 }
                 () = wait_while(&mut state, WireState::accepts) => {
                     drop(listener);
@@ -137,7 +150,35 @@
         }
     }
 
-    async fn serve_while_up(self: Rc<Self>, mut downstream: TcpStream) {
+    async fn serve_and_count(self: Rc<Self>, downstream: TcpStream) {
+        if !self.has_room().await {
+            // A connection by which a node looks whether the back end accepts any carries no request.
+            let peeked = tokio::time::timeout(CLOSE_MAX, downstream.peek(&mut [0])).await;
+            if matches!(peeked, Ok(Ok(1))) {
+                self.reset_count.set(self.reset_count.get() + 1);
+            }
+            downstream.set_zero_linger().ok();
+            return;
+        }
+        self.connection_count.set(self.connection_count.get() + 1);
+        self.serve_while_up(downstream).await;
+        self.connection_count.set(self.connection_count.get() - 1);
+    }
+
+    /// Returns whether one more connection may be open. Another one that closes at the same time may be
+    /// noticed a moment later.
+    async fn has_room(&self) -> bool {
+        let deadline = Instant::now() + CLOSE_MAX;
+        while self.connection_count.get() >= self.connection_max_count.get() {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            tokio::time::sleep(CLOSE_PAUSE).await;
+        }
+        true
+    }
+
+    async fn serve_while_up(&self, mut downstream: TcpStream) {
         let mut state = self.state.subscribe();
         tokio::select! {
             () = self.serve(&mut downstream) => return,
