Soak: keys that are removed while nodes are cut off from the store

No request that is sent with such a key after the removal is in force may run, also at nodes that were paused, killed or cut off from the store. The faults of a seed are the same with and without it.

--- a/crates/testbed/src/cmd/soak.rs
+++ b/crates/testbed/src/cmd/soak.rs
@@ -4,7 +4,10 @@
 
 use anyhow::ensure;
 
-use figway_testbed::soak::soak;
+use figway_testbed::soak::{
+    soak,
+    Scenarios, //
+};
 
 use crate::cmd::{
     Run,
@@ -17,9 +20,12 @@
             .seed
             .unwrap_or_else(|| figway_types::entropy() % 1_000_000);
         let duration = Duration::from_secs(self.seconds.unwrap_or(20));
+        let scenarios = Scenarios {
+            customers: self.customers,
+        };
         let mut failed = false;
         for seed in first_seed..first_seed + self.count.unwrap_or(1) {
-            let report = soak(seed, duration).await?;
+            let report = soak(seed, duration, scenarios).await?;
             println!(
                 "seed {seed}: {} calls, {} served, {} faults, {} promises broken",
                 report.call_count,
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -4,9 +4,11 @@
 
 mod checks;
 mod crashing;
+mod customers;
 mod departures;
 mod fault;
 mod large_bodies;
+mod nodes;
 mod notices;
 
 use std::cell::{
@@ -22,6 +24,7 @@
 use figway_types::mix;
 
 use self::crashing::CrashingRequest;
+use self::customers::Customers;
 use self::fault::{
     Fault,
     FAULTS, //
@@ -31,14 +34,13 @@
     NoticeKind, //
 };
 use crate::process::Signal;
-use crate::relay::LinkState;
-use crate::site::caller::CallResult;
+use crate::site::caller::{
+    CallResult,
+    Caller, //
+};
 use crate::site::store::StoreFaults;
 use crate::site::wire::WireFault;
-use crate::site::{
-    config,
-    Site, //
-};
+use crate::site::Site;
 
 /// Number of hosts in a soak.
 const HOST_COUNT: usize = 6;
@@ -64,6 +66,13 @@
 /// Time within which a node must end after SIGTERM.
 const SHUTDOWN_GRACE: Duration = Duration::from_secs(6);
 
+/// What a soak covers beside its faults. Neither changes the sequences of the faults of a seed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Scenarios {
+    /// Callers have API keys, some of which the operator removes.
+    pub customers: bool,
+}
+
 /// Result of a soak.
 #[derive(Debug, Default)]
 pub struct SoakReport {
@@ -102,19 +111,35 @@
     disturbances: RefCell<Vec<(usize, Instant)>>,
     /// Requests that crashed back ends.
     crashing_requests: RefCell<Vec<CrashingRequest>>,
+    /// Customers of the configuration, if it has any.
+    customers: Option<Customers>,
+    /// Begin and end of each time for which the store was down.
+    store_outages: RefCell<Vec<(Instant, Instant)>>,
     config_version: Cell<u32>,
     ends_at: Instant,
     report: RefCell<SoakReport>,
 }
 
-/// Runs callers and the faults of `seed` for `duration`, then checks the guarantees.
+/// Runs callers, the scenarios and the faults of `seed` for `duration`, then checks the guarantees.
 ///
 /// # Errors
 ///
 /// The site can't be started or a task panics.
-pub async fn soak(seed: u64, duration: Duration) -> anyhow::Result<SoakReport> {
+pub async fn soak(
+    seed: u64,
+    duration: Duration,
+    scenarios: Scenarios,
+) -> anyhow::Result<SoakReport> {
     let site = Site::start(&format!("soak-{seed}"), HOST_COUNT).await?;
     tokio::time::sleep(Duration::from_secs(2)).await;
+    let customers = scenarios.customers.then(Customers::default);
+    let mut config_version = 1;
+    if let Some(customers) = &customers {
+        config_version += 1;
+        site.store
+            .publish(&customers.config(config_version, "/reads/"));
+        tokio::time::sleep(customers::APPLY_MAX).await;
+    }
     let soak = Rc::new(Soak {
         site: RefCell::new(site),
         results: RefCell::default(),
@@ -123,7 +148,9 @@
         limited_hosts: RefCell::default(),
         disturbances: RefCell::default(),
         crashing_requests: RefCell::default(),
-        config_version: Cell::new(1),
+        customers,
+        store_outages: RefCell::default(),
+        config_version: Cell::new(config_version),
         ends_at: Instant::now() + duration,
         report: RefCell::default(),
     });
@@ -140,6 +167,14 @@
             Rc::clone(&soak).inject_faults(mix(seed ^ (injector << 32))),
         ));
     }
+    if scenarios.customers {
+        let seed = mix(seed ^ (2 << 32));
+        tasks.push(tokio::task::spawn_local(Rc::clone(&soak).revoke_keys(seed)));
+        for index in 0..HOST_COUNT {
+            let keyed_callers = Rc::clone(&soak).run_keyed_callers(index);
+            tasks.push(tokio::task::spawn_local(keyed_callers));
+        }
+    }
     for task in tasks {
         task.await?;
     }
@@ -148,8 +183,28 @@
 }
 
 impl Soak {
-    async fn run_caller(self: Rc<Self>, index: usize, sends_orders: bool) {
+    /// Returns a caller of the host at `index`. It has a key if requests need one.
+    fn caller(&self, index: usize) -> Caller {
         let caller = self.site.borrow().caller(index);
+        if self.customers.is_none() {
+            return caller;
+        }
+        caller.with_key(customers::KEPT_KEY)
+    }
+
+    fn config(&self, version: u32, reads_prefix: &str) -> serde_json::Value {
+        match &self.customers {
+            Some(customers) => customers.config(version, reads_prefix),
+            None => crate::site::config(version, reads_prefix),
+        }
+    }
+
+    fn last_fault_at(&self) -> Instant {
+        self.ends_at - QUIET_PERIOD - SHUTDOWN_GRACE
+    }
+
+    async fn run_caller(self: Rc<Self>, index: usize, sends_orders: bool) {
+        let caller = self.caller(index);
         while Instant::now() < self.ends_at {
             let result = if sends_orders {
                 caller.call("POST", "/orders/1").await
@@ -167,8 +222,7 @@
     /// the end.
     async fn inject_faults(self: Rc<Self>, seed: u64) {
         let mut random = RandomSequence(seed);
-        let last_fault_at = self.ends_at - QUIET_PERIOD - SHUTDOWN_GRACE;
-        while Instant::now() < last_fault_at {
+        while Instant::now() < self.last_fault_at() {
             let fault = FAULTS[random.below(FAULTS.len() as u64) as usize];
             let index = random.below(HOST_COUNT as u64) as usize;
             let duration = Duration::from_millis(200 + random.below(1_500));
@@ -198,15 +252,9 @@
                 self.signal_node(index, Signal::Continue);
             }
             Fault::CutStore => {
-                self.set_store_link(
-                    index,
-                    LinkState {
-                        blocked: true,
-                        ..LinkState::default()
-                    },
-                );
+                self.cut_store(index, true);
                 tokio::time::sleep(duration).await;
-                self.set_store_link(index, LinkState::default());
+                self.cut_store(index, false);
             }
             Fault::SlowStore | Fault::StoreDown | Fault::StoreLosesAnswers => {
                 store.set_faults(StoreFaults {
@@ -214,8 +262,13 @@
                     drops_answers: fault == Fault::StoreLosesAnswers,
                     slow_ms: if fault == Fault::SlowStore { 300 } else { 0 },
                 });
+                let began_at = Instant::now();
                 tokio::time::sleep(duration).await;
                 store.set_faults(StoreFaults::default());
+                if fault == Fault::StoreDown {
+                    let outage = (began_at, Instant::now());
+                    self.store_outages.borrow_mut().push(outage);
+                }
             }
             Fault::ForgetHistory => store.truncate_history(),
             Fault::DamagedConfig => {
@@ -256,7 +309,7 @@
                 tokio::time::sleep(duration * 3).await;
                 store.restore(&copy);
                 // The operator writes its newest configuration again.
-                store.publish(&config(self.config_version.get(), "/reads/"));
+                store.publish(&self.config(self.config_version.get(), "/reads/"));
             }
             Fault::LimitBackend => {
                 let kind = NoticeKind::RateLimit(RATE_LIMIT_PER_S);
@@ -317,46 +370,7 @@
     fn publish(&self) {
         self.config_version.set(self.config_version.get() + 1);
         let store = Rc::clone(&self.site.borrow().store);
-        store.publish(&config(self.config_version.get(), "/reads/"));
-    }
-
-    fn signal_node(&self, index: usize, signal: Signal) {
-        self.disturbances.borrow_mut().push((index, Instant::now()));
-        let site = self.site.borrow();
-        if let Some(node) = &site.hosts[index].node {
-            // The signal fails if another injector has just ended the process, which is not an
-            // error.
-            node.signal(signal).ok();
-        }
-    }
-
-    fn set_store_link(&self, index: usize, state: LinkState) {
-        self.site.borrow().hosts[index]
-            .store_link
-            .set_link_state(state);
-    }
-
-    /// Waits for the node's process to end and starts it again. Records a violation if the process
-    /// has not ended after `timeout`, and kills it.
-    async fn restart_node(&self, index: usize, timeout: Duration) {
-        let Some(mut node) = self.site.borrow_mut().hosts[index].node.take() else {
-            return;
-        };
-        node.signal(Signal::Continue).ok();
-        let deadline = Instant::now() + timeout;
-        while !node.has_ended() && Instant::now() < deadline {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-        if !node.has_ended() {
-            self.record_violation(format!(
-                "node {index} did not end within {} ms",
-                timeout.as_millis()
-            ));
-        }
-        drop(node);
-        if let Err(error) = self.site.borrow_mut().hosts[index].start_node() {
-            self.record_violation(format!("could not start node {index}: {error:#}"));
-        }
+        store.publish(&self.config(self.config_version.get(), "/reads/"));
     }
 
     fn record_violation(&self, violation: String) {
--- a/crates/testbed/src/soak/checks.rs
+++ b/crates/testbed/src/soak/checks.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use crate::site::{
-    config,
     ORDERS,
     READS, //
 };
@@ -22,6 +21,7 @@
         self.check_notices();
         self.check_crashing_requests();
         self.check_memory();
+        self.check_customers();
         self.check_configuration().await;
     }
 
@@ -101,10 +101,10 @@
     async fn check_configuration(&self) {
         self.config_version.set(self.config_version.get() + 1);
         let store = Rc::clone(&self.site.borrow().store);
-        store.publish(&config(self.config_version.get(), "/moved/"));
+        store.publish(&self.config(self.config_version.get(), "/moved/"));
         tokio::time::sleep(Duration::from_millis(2_000)).await;
         for index in 0..HOST_COUNT {
-            let caller = self.site.borrow().caller(index);
+            let caller = self.caller(index);
             let (moved, old) = (
                 caller.call("GET", "/moved/1").await,
                 caller.call("GET", "/reads/1").await,
--- a/crates/testbed/src/soak/crashing.rs
+++ b/crates/testbed/src/soak/crashing.rs
@@ -51,7 +51,7 @@
         let crashes = Crashes::start(&self.site.borrow(), &rule);
         for _ in 0..ARRIVAL_COUNT {
             let index = random.below(HOST_COUNT as u64) as usize;
-            let caller = self.site.borrow().caller(index);
+            let caller = self.caller(index);
             let result = caller.call_alike("GET", &path, budget).await;
             self.results.borrow_mut().push((index, false, result));
             tokio::time::sleep(Duration::from_millis(random.below(900))).await;
--- a/crates/testbed/src/soak/large_bodies.rs
+++ b/crates/testbed/src/soak/large_bodies.rs
@@ -20,7 +20,7 @@
         let mut random = RandomSequence(seed);
         let count = 2 + random.below(BODY_MAX_COUNT - 1);
         let padding_bytes = (random.below(BODY_MAX_KB) * 1_000) as usize;
-        let caller = self.site.borrow().caller(index);
+        let caller = self.caller(index);
         let calls =
             (0..count).map(|_| caller.call_with_padding("POST", "/orders/large", padding_bytes));
         for result in futures::future::join_all(calls).await {
--- a/crates/testbed/tests/site.rs
+++ b/crates/testbed/tests/site.rs
@@ -19,7 +19,10 @@
     config,
     Site, //
 };
-use figway_testbed::soak::soak;
+use figway_testbed::soak::{
+    soak,
+    Scenarios, //
+};
 
 use crate::common::{
     assert_served,
@@ -461,7 +464,9 @@
 /// of faults causes.
 #[ntex::test]
 async fn a_short_soak_finds_no_violation() {
-    let report = soak(11, Duration::from_secs(18)).await.unwrap();
+    let report = soak(11, Duration::from_secs(18), Scenarios::default())
+        .await
+        .unwrap();
     assert!(
         report.violations.is_empty(),
         "{:#?} after {:?}",
