Soak: a customer that sends several times its limit

The requests of the customer that run stay within the bound of rate limits in every window of 5 s, and other customers are neither limited nor starved.

--- a/crates/testbed/src/cmd/mod.rs
+++ b/crates/testbed/src/cmd/mod.rs
@@ -68,7 +68,8 @@
             optional --count number: u64
             /// Duration of the run of each seed, in seconds; 20 if absent.
             optional --seconds number: u64
-            /// Gives callers API keys, some of which the operator removes.
+            /// Gives callers API keys, some of which the operator removes, and lets one customer send
+            /// several times its limit.
             optional --customers
         }
         /// Measures how state size, bytes and processor time of the control plane grow with the
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -10,6 +10,7 @@
 mod large_bodies;
 mod nodes;
 mod notices;
+mod surge;
 
 use std::cell::{
     Cell,
@@ -69,7 +70,8 @@
 /// What a soak covers beside its faults. Neither changes the sequences of the faults of a seed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Scenarios {
-    /// Callers have API keys, some of which the operator removes.
+    /// Callers have API keys, some of which the operator removes, and one customer sends several times
+    /// its limit.
     pub customers: bool,
 }
 
@@ -170,6 +172,8 @@
     if scenarios.customers {
         let seed = mix(seed ^ (2 << 32));
         tasks.push(tokio::task::spawn_local(Rc::clone(&soak).revoke_keys(seed)));
+        let surge = Rc::clone(&soak).surge(mix(seed));
+        tasks.push(tokio::task::spawn_local(surge));
         for index in 0..HOST_COUNT {
             let keyed_callers = Rc::clone(&soak).run_keyed_callers(index);
             tasks.push(tokio::task::spawn_local(keyed_callers));
--- a/crates/testbed/src/soak/customers.rs
+++ b/crates/testbed/src/soak/customers.rs
@@ -25,6 +25,13 @@
 /// Key that stays valid, of a customer without a limit.
 pub(super) const KEPT_KEY: &str = "key-that-is-kept";
 
+/// Customer with a limit, and its key.
+pub(super) const LIMITED_CUSTOMER: &str = "over";
+pub(super) const LIMITED_KEY: &str = "key-with-a-limit";
+
+/// Limit of that customer.
+pub(super) const RATE_PER_S: f64 = 40.0;
+
 /// Time after the acknowledgement of a version within which it is in force on all nodes in touch.
 pub(super) const APPLY_MAX: Duration = Duration::from_secs(3);
 
@@ -39,6 +46,8 @@
 pub(super) struct Customers {
     /// When the store acknowledged the removal of each key that is gone.
     removed_at: RefCell<Vec<Instant>>,
+    /// IDs of the requests of the customer with a limit.
+    pub(super) limited_ids: RefCell<BTreeSet<String>>,
     /// Number of the key of each call, and its result.
     keyed_calls: RefCell<Vec<(usize, CallResult)>>,
 }
@@ -52,6 +61,9 @@
         config["tenants"] = json!({
             "ann": {"apiKeys": [KEPT_KEY]},
             "bob": {"apiKeys": keys},
+            LIMITED_CUSTOMER: {
+                "apiKeys": [LIMITED_KEY], "ratePerS": RATE_PER_S, "burstSize": RATE_PER_S,
+            },
         });
         config
     }
@@ -123,6 +135,8 @@
         let Some(customers) = &self.customers else {
             return;
         };
+        self.check_limit();
+        self.check_unlimited();
         let runs: BTreeSet<String> = self.run_ids();
         let removed_at = customers.removed_at.borrow();
         for (number, call) in customers.keyed_calls.borrow().iter() {
