--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -110,7 +110,7 @@
     let now = Instant::now();
     let rule = &call.rule;
     let node_id = &entry.member.node_id;
-    if plane.overload_control() && has_admission_result(&result.outcome) {
+    if rule.overload_control && has_admission_result(&result.outcome) {
         let refused = is_overload_refusal(&result.outcome);
         plane
             .loads()
