--- a/crates/dataplane/src/routed.rs
+++ b/crates/dataplane/src/routed.rs
@@ -132,10 +132,8 @@
     };
     let headers = onward_headers(worker, &incoming, customers.is_some());
     let served = run_call(worker, &incoming, &headers, rule, properties).await;
-    if parent.is_some() && is_overload_refusal(&served.outcome) {
-        if let Some(parent_id) = plane.interface.parent_id(incoming.request_id) {
-            plane.running.record_nested_refusal(parent_id);
-        }
+    if let Some(parent) = parent.filter(|_| is_overload_refusal(&served.outcome)) {
+        parent.record_nested_refusal();
     }
     served
 }
--- a/crates/testbed/tests/nested_calls.rs
+++ b/crates/testbed/tests/nested_calls.rs
@@ -8,6 +8,8 @@
     Instant, //
 };
 
+use figway_testbed::site::Site;
+
 use crate::common::customers::{
     named_customers,
     runs_of,
@@ -22,7 +24,10 @@
     key_line,
     new_id, //
 };
-use crate::common::restart_node;
+use crate::common::{
+    get_text,
+    restart_node, //
+};
 
 /// Time after its start during which a node lets calls of an unknown parent through.
 const LOST_CALL_MAX: Duration = Duration::from_secs(10);
@@ -33,6 +38,18 @@
 /// Time after its deadline within which the answer to a call reaches its caller.
 const DEADLINE_SLACK: Duration = Duration::from_millis(90);
 
+/// Number of parents whose nested calls are refused. They fit the slots of a back end.
+const REFUSED_PARENT_COUNT: usize = 10;
+
+/// Waits until back ends have started `count` runs of requests with the id.
+async fn wait_runs(site: &Site, id: &str, count: usize) {
+    let deadline = Instant::now() + Duration::from_secs(2);
+    while runs_of(site, id).len() < count {
+        assert!(Instant::now() < deadline, "{id} runs fewer times");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Guards against nested calls that are refused for want of a key, or belong to nobody.
 #[ntex::test]
 async fn a_nested_call_belongs_to_the_customer_of_its_parent() {
@@ -144,3 +161,69 @@
     assert_eq!(status, 503);
     assert!(runs_of(&site, &id).is_empty());
 }
+
+/// Guards against a call that is forgotten when another one with the same id at the same target ends, so
+/// that its nested calls belong to nobody.
+#[ntex::test]
+async fn the_end_of_a_call_leaves_another_one_with_the_same_id_running() {
+    let site = start_customer_site("keys-same-id").await;
+    let id = new_id();
+    let lines = key_line(ANN_KEY);
+    let set_slow = |slow_ms| {
+        for host in &site.hosts {
+            host.backend.slow_ms.set(slow_ms);
+        }
+    };
+    set_slow(300);
+    let first = ask(&site, 0, "POST /orders/first", &id, &lines);
+    let second = async {
+        wait_runs(&site, &id, 1).await;
+        set_slow(1_200);
+        ask(&site, 0, "POST /orders/second", &id, &lines).await
+    };
+    let nested = async {
+        wait_runs(&site, &id, 2).await;
+        set_slow(0);
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        let nested_id = format!("{id}.1");
+        let status = ask(&site, 1, "GET /reads/1", &nested_id, b"").await;
+        (status, named_customers(&site, &nested_id))
+    };
+    let (first, second, nested) = futures::future::join3(first, second, nested).await;
+    assert_eq!((first, second), (200, 200));
+    assert_eq!(nested, (200, vec!["ann".to_owned()]));
+}
+
+/// Guards against refused nested calls that count for no running call, since their direct parent runs
+/// elsewhere: the calls that depend on them would go on being started.
+#[ntex::test]
+async fn a_refused_nested_call_counts_for_the_running_call_that_it_belongs_to() {
+    let site = start_customer_site("keys-refused").await;
+    site.hosts[0].backend.set_rate_limit("0");
+    let lines = key_line(ANN_KEY);
+    // The answer states the limit.
+    assert_eq!(ask(&site, 0, "GET /reads/1", &new_id(), &lines).await, 200);
+    let orders = &site.hosts[1].backend;
+    orders.slow_ms.set(400);
+    orders.fails.set(true);
+    let run_parent = async || {
+        let id = new_id();
+        let parent = ask(&site, 0, "POST /orders/1", &id, &lines);
+        let nested = async {
+            wait_runs(&site, &id, 1).await;
+            ask(&site, 1, "GET /reads/1", &format!("{id}.1.1"), b"").await
+        };
+        futures::future::join(parent, nested).await
+    };
+    let parents = (0..REFUSED_PARENT_COUNT).map(|_| run_parent());
+    for (parent, nested) in futures::future::join_all(parents).await {
+        assert_eq!(parent, 500);
+        assert!(matches!(nested, 429 | 503), "{nested}");
+    }
+    orders.slow_ms.set(0);
+    for _ in 0..REFUSED_PARENT_COUNT {
+        ask(&site, 0, "POST /orders/1", &new_id(), &lines).await;
+    }
+    let metrics = get_text(&site.hosts[1].metrics_address, "/metrics").await;
+    assert!(metrics.contains("figway_refused_for_nested_calls"));
+}
