Offers: no second connection to a node that is unreachable, no pace that is too slow

A call whose offer found no connection went on to connect to the same node, so that it lost 400 ms twice. It now goes to another target, and the node counts as suspect.

The pace that a peer states was taken as it is; with one at which the body can't arrive by the deadline the body was sent until then in vain. Such an offer is given up, counted in offers_too_slow and logged. A number that can't be a pace is ignored.

Both tests with real nodes failed before: 803 ms instead of 400, and no answer within 4 s.

--- a/crates/admission/src/body_pacer.rs
+++ b/crates/admission/src/body_pacer.rs
@@ -19,6 +19,37 @@
     pub waiting: Instant,
 }
 
+/// Lowest pace that a receiver can mean, in bytes per second.
+const PACE_MIN_BYTES_PER_S: f64 = 1.0;
+
+/// A body would arrive too late at the pace that was stated for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TooSlow;
+
+/// Returns the pace at which a body of `len_bytes` is sent for which the receiver stated one, in bytes per
+/// second. A number that can't be a pace is ignored.
+///
+/// # Errors
+///
+/// The body would arrive after `deadline`.
+pub fn checked_pace(
+    stated_bytes_per_s: Option<f64>,
+    len_bytes: usize,
+    deadline: Instant,
+    now: Instant,
+) -> Result<Option<f64>, TooSlow> {
+    let Some(bytes_per_s) =
+        stated_bytes_per_s.filter(|pace| pace.is_finite() && *pace >= PACE_MIN_BYTES_PER_S)
+    else {
+        return Ok(None);
+    };
+    let left = deadline.saturating_duration_since(now);
+    if len_bytes as f64 / bytes_per_s > left.as_secs_f64() {
+        return Err(TooSlow);
+    }
+    Ok(Some(bytes_per_s))
+}
+
 /// Lets large bodies start one after the other, at the pace of their share of the link.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyPacer {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -29,8 +29,10 @@
     Treatment, //
 };
 pub use body_pacer::{
+    checked_pace,
     ArrivalBounds,
-    BodyPacer, //
+    BodyPacer,
+    TooSlow, //
 };
 pub use crash_report::{
     run_id,
--- a/crates/admission/tests/body_pacer.rs
+++ b/crates/admission/tests/body_pacer.rs
@@ -6,8 +6,10 @@
 };
 
 use figway_admission::{
+    checked_pace,
     ArrivalBounds,
-    BodyPacer, //
+    BodyPacer,
+    TooSlow, //
 };
 
 const LINK_MBPS: u32 = 10;
@@ -89,3 +91,24 @@
     pacer.give_back(BODY_BYTES, now);
     assert_eq!(pacer.reserve(BODY_BYTES, latest, now), Some(now));
 }
+
+/// Guards against a body that is sent so slowly that it can't arrive before the deadline, and against a
+/// stated pace that is none.
+#[test]
+fn a_stated_pace_is_kept_only_if_the_body_arrives_in_time() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(1);
+    let check = |stated| checked_pace(stated, BODY_BYTES, deadline, now);
+    let enough = BODY_BYTES as f64;
+    assert_eq!(check(Some(enough)), Ok(Some(enough)));
+    assert_eq!(check(Some(enough * 0.9)), Err(TooSlow));
+    assert_eq!(check(Some(1.0)), Err(TooSlow));
+    for none in [0.0, -5.0, 1e-300, f64::NAN, f64::INFINITY] {
+        assert_eq!(check(Some(none)), Ok(None), "{none}");
+    }
+    assert_eq!(check(None), Ok(None));
+    assert_eq!(
+        checked_pace(Some(enough), BODY_BYTES, now, deadline),
+        Err(TooSlow)
+    );
+}
--- a/crates/dataplane/src/offers.rs
+++ b/crates/dataplane/src/offers.rs
@@ -8,15 +8,18 @@
 };
 
 use figway_admission::{
+    checked_pace,
     ArrivalBounds,
-    BodyPacer, //
+    BodyPacer,
+    TooSlow, //
 };
 use figway_http::{
     Answer,
     Bytes,
     Headers,
     OutboundRequest,
-    Request, //
+    Request,
+    SendFailure, //
 };
 use figway_types::{
     deadline_after_ms,
@@ -127,18 +130,48 @@
         echo_header: None,
         idempotent: true,
     };
-    // A node that does not answer the offer is found out by the call itself.
-    let Ok(answer) = worker.peers.send(&outbound).await else {
-        return Offered::Accepted(None);
+    let node_id = &entry.member.node_id;
+    let answer = match worker.peers.send(&outbound).await {
+        Ok(answer) => answer,
+        Err(SendFailure::Refused(why)) => {
+            worker.plane.mesh.suspect(node_id, &why);
+            return Offered::Refused(AttemptResult::not_sent(NotRunReason::Unreachable));
+        }
+        Err(SendFailure::Late) => {
+            return Offered::Refused(AttemptResult::not_sent(NotRunReason::Expired));
+        }
+        // A connection that was kept may have ended just now. If the node did, too, the call finds out.
+        Err(SendFailure::Broken(_) | SendFailure::TooLarge) => return Offered::Accepted(None),
     };
     match answer.header(headers::OUTCOME) {
-        Some(ACCEPTED) | None => {
-            let pace = answer.header(headers::OFFER_PACE);
-            Offered::Accepted(pace.and_then(|bytes_per_s| bytes_per_s.parse().ok()))
-        }
-        Some(_) => {
-            let node_id = &entry.member.node_id;
-            Offered::Refused(parse_peer_answer(&worker.plane, call, node_id, answer))
+        Some(ACCEPTED) | None => take_pace(worker, call, entry, &answer),
+        Some(_) => Offered::Refused(parse_peer_answer(&worker.plane, call, node_id, answer)),
+    }
+}
+
+/// Returns the pace that the answer to an offer states. With one at which the body would arrive too late,
+/// the call had better go elsewhere: a faster one would take more of the peer's link than it grants.
+fn take_pace(worker: &Worker, call: &Call<'_>, entry: &TargetEntry, answer: &Answer) -> Offered {
+    let stated = answer
+        .header(headers::OFFER_PACE)
+        .and_then(|bytes_per_s| bytes_per_s.parse().ok());
+    match checked_pace(stated, call.body.len(), call.deadline, Instant::now()) {
+        Ok(bytes_per_s) => Offered::Accepted(bytes_per_s),
+        Err(TooSlow) => {
+            worker.plane.metrics.count("offers_too_slow");
+            if worker.plane.log_budget.should_log(call.request_id, true) {
+                log::info!(
+                    "offer given up request={} node={} body_bytes={} bytes_per_s={} left_ms={}",
+                    call.request_id,
+                    entry.member.node_id,
+                    call.body.len(),
+                    stated.unwrap_or_default(),
+                    call.deadline
+                        .saturating_duration_since(Instant::now())
+                        .as_millis(),
+                );
+            }
+            Offered::Refused(AttemptResult::not_sent(NotRunReason::Overloaded))
         }
     }
 }
--- a/crates/testbed/tests/large_uploads.rs
+++ b/crates/testbed/tests/large_uploads.rs
@@ -3,24 +3,38 @@
 
 mod common;
 
+use std::rc::Rc;
 use std::time::{
     Duration,
     Instant, //
 };
 
 use figway_http::{
+    serve,
     Answer,
     Bytes,
+    Handler,
     Headers,
     OutboundRequest,
+    Request,
+    ServerLimits,
+    ServerPhase,
     Transport as _, //
 };
+use figway_testbed::process::Signal;
 use figway_testbed::site::{
     config,
     Site,
     HOST_HEADER,
     ORDERS, //
 };
+use futures::future::LocalBoxFuture;
+use tokio::net::{
+    TcpListener,
+    TcpSocket,
+    TcpStream, //
+};
+use tokio::sync::watch;
 
 use crate::common::{
     get_text,
@@ -37,6 +51,9 @@
 const PROMPT_MS: u64 = 800;
 const TIMEOUT_MS: u64 = 4_000;
 
+/// Longest time for which a node waits for a connection to a peer.
+const PEER_CONNECT_MAX: Duration = Duration::from_millis(400);
+
 /// Starts two hosts; the second one runs the uploads.
 async fn start_site(name: &str) -> Site {
     let site = Site::start_on_links(name, 2, LINK_MBPS).await.unwrap();
@@ -132,3 +149,78 @@
     let (_, slowest) = futures::future::join(uploads, small).await;
     assert!(slowest < Duration::from_millis(PROMPT_MS), "{slowest:?}");
 }
+
+/// Kills the node of the host at `index` and returns a socket that is bound to its call address.
+async fn take_over(site: &mut Site, index: usize) -> TcpSocket {
+    let node = site.hosts[index].node.take().unwrap();
+    node.signal(Signal::Kill).unwrap();
+    drop(node);
+    let address = site.hosts[index].call_address.parse().unwrap();
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.bind(address).unwrap();
+    socket
+}
+
+/// Guards against a call whose offer found its node unreachable, and which then waits for a connection to
+/// the same node once more.
+#[ntex::test]
+async fn an_upload_whose_offer_is_not_taken_does_not_call_the_node_again() {
+    let mut site = start_site("unreachable").await;
+    let socket = take_over(&mut site, 1).await;
+    let address = site.hosts[1].call_address.clone();
+    // Connections wait for ever once the queue of the listener is full.
+    let _listener = socket.listen(1).unwrap();
+    let mut queued = Vec::new();
+    while let Ok(Ok(stream)) =
+        tokio::time::timeout(Duration::from_millis(50), TcpStream::connect(&address)).await
+    {
+        queued.push(stream);
+    }
+    let started_at = Instant::now();
+    assert_eq!(upload(&site, BODY_BYTES).await.status, 503);
+    let took = started_at.elapsed();
+    assert!(took > PEER_CONNECT_MAX.mul_f64(0.9), "{took:?}");
+    assert!(took < PEER_CONNECT_MAX.mul_f64(1.75), "{took:?}");
+}
+
+/// Stand-in for a node that accepts every offer at a pace of 1,000 bytes a second.
+struct SlowPeer;
+
+impl Handler for SlowPeer {
+    fn handle(&self, request: Request) -> LocalBoxFuture<'_, Answer> {
+        let mut answer = Answer::of_status(404);
+        if request.headers.get("x-figway-offer-bytes").is_some() {
+            answer.status = 200;
+            answer.headers.push("x-figway-outcome", "accepted");
+            answer.headers.push("x-figway-offer-pace", "1000");
+        }
+        Box::pin(std::future::ready(answer))
+    }
+
+    fn limits(&self) -> ServerLimits {
+        ServerLimits {
+            head_max_bytes: 64 * 1_024,
+            body_max_bytes: 2 * BODY_BYTES,
+            request_max_ms: 60_000,
+            idle_max_ms: 5_000,
+        }
+    }
+}
+
+/// Guards against a body that is sent until its deadline at a pace that a peer states, though it can't
+/// arrive in time.
+#[ntex::test]
+async fn an_upload_is_not_sent_at_a_pace_that_is_too_slow() {
+    let mut site = start_site("slow-pace").await;
+    let socket = take_over(&mut site, 1).await;
+    let listener: TcpListener = socket.listen(16).unwrap();
+    let phase = watch::Sender::new(ServerPhase::Open);
+    tokio::task::spawn_local(serve(listener, Rc::new(SlowPeer), phase.subscribe()));
+    let started_at = Instant::now();
+    assert_eq!(upload(&site, BODY_BYTES).await.status, 503);
+    let took = started_at.elapsed();
+    assert!(took < Duration::from_millis(TIMEOUT_MS / 2), "{took:?}");
+    let metrics = get_text(&site.hosts[0].metrics_address, "/metrics").await;
+    assert!(metrics.contains("figway_offers_too_slow"), "{metrics}");
+}
