--- a/crates/cost/src/lib.rs
+++ b/crates/cost/src/lib.rs
@@ -12,7 +12,6 @@
 
 pub use factor::TargetFactor;
 pub use model::{
-    CostEstimate,
     CostModel,
     RequestClass, //
 };
--- a/crates/cost/src/model.rs
+++ b/crates/cost/src/model.rs
@@ -25,9 +25,6 @@
 /// Bound of the logarithm of a sample relative to the estimate.
 const SAMPLE_LOG_MAX: f64 = 0.9;
 
-/// Sample count at which an estimate counts by half.
-const CONFIDENCE_COUNT: f64 = 8.0;
-
 /// Bodies below this size are of the first size class; each further class is four times as large.
 const FIRST_SIZE_BYTES: usize = 1_024;
 
@@ -57,17 +54,6 @@
     }
 }
 
-/// Estimated cost of a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct CostEstimate {
-    /// Expected run time at a target of factor 1, in milliseconds.
-    pub mean_ms: f64,
-    /// Mean absolute deviation of run times from the expected one, as a fraction of it.
-    pub deviation_ratio: f64,
-    /// From 0 without samples to almost 1 with many.
-    pub confidence: f64,
-}
-
 /// Costs by class, in bounded memory.
 #[derive(Clone, Debug, Default)]
 pub struct CostModel {
@@ -119,18 +105,8 @@
         self.by_customer.record(class.kind, customer, cost_ms);
     }
 
-    /// Returns the estimate for a request of the class, if any request of its kind has run.
-    pub fn estimate(&self, class: &RequestClass<'_>) -> Option<CostEstimate> {
-        let kind_cost = self.kind(class.kind);
-        let count = f64::from(kind_cost.sample_count);
-        Some(CostEstimate {
-            mean_ms: self.mean_ms(class)?,
-            deviation_ratio: kind_cost.plain_error,
-            confidence: count / (count + CONFIDENCE_COUNT),
-        })
-    }
-
-    /// Returns the expected run time at a target of factor 1, in milliseconds.
+    /// Returns the expected run time of a request of the class at a target of factor 1, in milliseconds, if
+    /// any request of its kind has run.
     pub fn mean_ms(&self, class: &RequestClass<'_>) -> Option<f64> {
         Some(self.refined(class)?.best_ms)
     }
--- a/crates/cost/tests/cost_model.rs
+++ b/crates/cost/tests/cost_model.rs
@@ -131,13 +131,11 @@
     assert!((35.0..75.0).contains(&small_ms), "{small_ms}");
     assert!((220.0..420.0).contains(&large_ms), "{large_ms}");
     assert_eq!(costs.mean_ms(&of("b", 100)), Some(small_ms));
-    // Confidence grows with samples.
-    let estimate = costs.estimate(&of("a", 100)).unwrap();
-    assert!(estimate.confidence > 0.9, "{estimate:?}");
+    // Without samples of the kind nothing is known; one sample is the estimate of all its classes.
     let mut new = CostModel::default();
-    assert_eq!(new.estimate(&class("read")), None);
+    assert_eq!(new.mean_ms(&class("read")), None);
     new.record(&class("read"), 10.0, 1.0);
-    assert!(new.estimate(&class("read")).unwrap().confidence < 0.2);
+    assert_eq!(new.mean_ms(&of("a", 300_000)), Some(10.0));
 }
 
 /// Guards against a remaining time of 0 for a call that has run longer than usual: it is likely a
--- a/crates/routing/src/load/work.rs
+++ b/crates/routing/src/load/work.rs
@@ -66,10 +66,9 @@
 
     /// Returns the expected cost of a call of the class.
     pub fn run_cost(&self, class: &RequestClass<'_>, now: Instant) -> RunCost {
-        let estimate = self.costs.estimate(class);
         let stats = self.kinds.get(class.kind);
         RunCost {
-            cost_ms: estimate.map_or(UNKNOWN_RAN_MS, |estimate| estimate.mean_ms),
+            cost_ms: self.costs.mean_ms(class).unwrap_or(UNKNOWN_RAN_MS),
             kind_wait_ms: stats.map_or(0.0, |stats| stats.decayed_wait_ms(now)),
         }
     }
