Rate limits: no refusals after a burst, while limits begin, and fewer in isolation

A coordinator that hears of nearly all nodes in time limits a customer once its requests have exceeded the limit, and not for a demand that still holds a burst which was paid for. Coordinators of nodes that have all just begun to report decide at once, and nodes that run without limits admit for up to 1.5 s when the first comes into force. A node without a coordinator for a window may admit one request of a small customer in each window, as far as the bound permits.

--- a/crates/control/src/mesh/limits.rs
+++ b/crates/control/src/mesh/limits.rs
@@ -16,6 +16,7 @@
     LimitBounds,
     LimitCoordinator,
     Roster,
+    Standing,
     UsageAnswer,
     UsageMeter,
     UsageReport,
@@ -40,6 +41,9 @@
 /// The same for a node with configured peers. They may be out of reach at its start.
 const ALONE_AFTER_WITH_PEERS: Duration = Duration::from_secs(60);
 
+/// Time after its start from which on a node has the current route table, so that a first limit is a new one.
+const CURRENT_AFTER: Duration = Duration::from_secs(5);
+
 /// Shortest time between two log lines about one customer, so that one at its limit does not flood the
 /// log.
 const LINE_EVERY: Duration = Duration::from_secs(5);
@@ -60,6 +64,8 @@
     routes_version: Option<u64>,
     names: FastMap<u32, String>,
     has_limits: bool,
+    /// When a first limit is taken for a new one.
+    current_at: Option<Instant>,
     logged: FastMap<u32, LoggedState>,
     logged_lead: Option<String>,
 }
@@ -83,6 +89,7 @@
                 routes_version: None,
                 names: FastMap::default(),
                 has_limits: false,
+                current_at: None,
                 logged: FastMap::default(),
                 logged_lead: None,
             }),
@@ -112,6 +119,7 @@
             ALONE_AFTER
         };
         accounts.roster = Roster::of_started_node(now + alone_after);
+        accounts.current_at = Some(now + CURRENT_AFTER);
         drop(accounts);
         self.refresh_limits(now);
     }
@@ -126,6 +134,16 @@
         self.limits.meter().refund(customer);
     }
 
+    /// Returns what is left of a customer's limit as this node knows it, and its tokens if this node is a
+    /// coordinator that decides.
+    pub fn limit_standing(&self, customer: &str, limit: &CustomerLimit) -> (Standing, Option<f64>) {
+        let now = Instant::now();
+        let standing = self.limits.meter().standing(customer, limit, now);
+        let mut accounts = self.limits.accounts();
+        let balance = accounts.coordinator.balance(customer_code(customer), now);
+        (standing, balance)
+    }
+
     /// Returns the node whose answers limit this node's callers, if any are valid, and the number of
     /// customers above their limit.
     pub fn limit_status(&self) -> (Option<String>, usize) {
@@ -152,6 +170,8 @@
         let mut accounts = self.limits.accounts();
         let routes = self.view().routes.clone();
         if accounts.routes_version != Some(routes.version) {
+            let had_table = accounts.routes_version.is_some_and(|version| version > 0);
+            let had_limits = accounts.has_limits;
             accounts.routes_version = Some(routes.version);
             let mut limits = Vec::new();
             accounts.names.clear();
@@ -168,9 +188,13 @@
             accounts.has_limits = !limits.is_empty();
             accounts.coordinator.set_limits(limits.into_iter(), now);
             let names = &accounts.names;
-            self.limits
-                .meter()
-                .retain(|customer| names.contains_key(&customer_code(customer)));
+            let is_current = accounts.current_at.is_some_and(|at| at <= now);
+            let mut meter = self.limits.meter();
+            meter.retain(|customer| names.contains_key(&customer_code(customer)));
+            if accounts.has_limits && !had_limits && had_table && is_current {
+                meter.begin(now);
+            }
+            drop(meter);
         }
         if accounts.has_limits {
             self.refresh_members(&mut accounts, now);
--- a/crates/rate-limit/src/bounds.rs
+++ b/crates/rate-limit/src/bounds.rs
@@ -13,6 +13,9 @@
 /// late.
 const RESERVE_SLACK_RATIO: f64 = 0.05;
 
+/// Standard deviations that the sum of independent draws at all nodes keeps from what is permitted.
+const DRAW_DEVIATION_COUNT: f64 = 4.0;
+
 /// Largest rate and burst; higher ones count as this.
 const LIMIT_MAX: f64 = 1e9;
 
@@ -50,6 +53,29 @@
         let reserve_count = limit_count * self.overrun_ratio * RESERVE_RATIO;
         limit.burst_count + reserve_count + self.slack_count * RESERVE_SLACK_RATIO
     }
+
+    /// Returns the ratio of `node_count` nodes that may each admit a request beyond their shares.
+    pub(crate) fn spare_ratio(&self, limit: &CustomerLimit, node_count: f64) -> f64 {
+        let share_count = limit.rate_per_s * self.window.as_secs_f64() + self.capacity(limit);
+        ((self.permitted_count(limit) - share_count) / node_count).clamp(0.0, 1.0)
+    }
+
+    /// Returns the ratio of `node_count` nodes that may each admit a request in a window without knowing of
+    /// the others. The number of those that draw one at random varies.
+    pub(crate) fn one_ratio(&self, limit: &CustomerLimit, node_count: f64) -> f64 {
+        let permitted = self.permitted_count(limit);
+        if permitted >= node_count {
+            return 1.0;
+        }
+        // Solves mean + deviations x sqrt(mean x (1 - mean / nodes)) = permitted for the mean.
+        let variance_ratio = DRAW_DEVIATION_COUNT * DRAW_DEVIATION_COUNT;
+        let square = 1.0 + variance_ratio / node_count;
+        let half = permitted + variance_ratio / 2.0;
+        let root = (half * half - square * permitted * permitted)
+            .max(0.0)
+            .sqrt();
+        ((half - root) / square / node_count).clamp(0.0, 1.0)
+    }
 }
 
 /// Returns the limit with finite values from 0 to [`LIMIT_MAX`].
--- a/crates/rate-limit/src/coordinator.rs
+++ b/crates/rate-limit/src/coordinator.rs
@@ -12,23 +12,15 @@
     clamp_limit,
     LimitBounds, //
 };
+use crate::bucket::{
+    Bucket,
+    Usage, //
+};
 use crate::message::{
-    LimitedCustomer,
     UsageAnswer,
     UsageReport, //
 };
 
-/// Time over which the demand of a customer is averaged.
-const DEMAND_TIME: Duration = Duration::from_millis(500);
-
-/// Number of requests at the limit over which the demand is averaged in addition, so that a few requests
-/// that arrive together are not taken for a higher demand.
-const DEMAND_COUNT: f64 = 0.8;
-
-/// Time within which a balance is spent or a debt repaid. It must be longer than the delay from a
-/// request to the answer that takes it into account, or the ratio oscillates.
-const BALANCE_TIME: Duration = Duration::from_millis(600);
-
 /// Time after which the reports of a node are a base for decisions.
 const WARM_UP: Duration = Duration::from_millis(1_500);
 
@@ -42,6 +34,14 @@
 /// Number of its periods after which a node that did not report is not granted its share any more.
 const MISSED_PERIOD_COUNT: u32 = 3;
 
+/// The same after which a busy node is late, so that its part of the demand is unknown. Others may have
+/// become quiet and report less often.
+const LATE_PERIOD_COUNT: f64 = 1.8;
+
+/// Ratio of the nodes that must report in time for the demand to be known as a whole. One message in 100
+/// is taken to be lost.
+const WHOLE_RATIO: f64 = 0.95;
+
 /// Longest period that a report may state, in milliseconds.
 const PERIOD_MAX_MS: u64 = 10_000;
 
@@ -50,76 +50,36 @@
 const SHARE_MIN: f64 = 0.2;
 
 /// Largest number of a report that may be the first one to this coordinator since the node's start.
-const FIRST_REPORT_MAX: u64 = 2;
+const FIRST_REPORT_MAX: u64 = 4;
 
-/// Largest debt that the loss of nodes may leave, as time at the limit. Nodes that change their
-/// coordinator are lost too, so that the loss is an estimate.
-const LOSS_DEBT_MAX: Duration = Duration::from_millis(200);
+/// Number up to which a report comes from a node that began to report less than 2 s before.
+const YOUNG_REPORT_MAX: u64 = 12;
 
-/// Interval at which the nodes that report are counted.
-const RECOUNT_EVERY: Duration = Duration::from_millis(50);
+/// Ratio of the reporting nodes that must have begun to report to this coordinator for a new limit, or a
+/// site that has just started, to be told from a change of the coordinator. All demand since the begin is
+/// then known without a [`WARM_UP`].
+const YOUNG_RATIO: f64 = 0.9;
 
-/// Shortest time after which a refused request may come back: by then an answer that takes the lower
-/// demand into account has reached all nodes.
-const RETURN_MIN: Duration = Duration::from_millis(700);
+/// Share of the nodes from which on such a coordinator decides.
+const YOUNG_SHARE_MIN: f64 = 0.2;
 
-/// Longest time after which a refused request may come back.
-const RETURN_MAX: Duration = Duration::from_secs(5);
+/// Interval at which the nodes that report are counted.
+const RECOUNT_EVERY: Duration = Duration::from_millis(50);
 
 #[derive(Clone, Copy, Debug)]
 struct Reporter {
     epoch: u32,
     sequence: u64,
     warm_at: Instant,
+    /// Whether the node had just begun to report when this coordinator received its first report.
+    is_young: bool,
     reported_at: Instant,
+    /// When the last report that was not a repeated one was merged.
+    counted_at: Instant,
+    late_at: Instant,
     expected_until: Instant,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Bucket {
-    limit: CustomerLimit,
-    capacity: f64,
-    /// Tokens; negative while nodes have admitted more than the limit allows.
-    balance: f64,
-    demand_per_s: f64,
-    advanced_at: Instant,
-}
-
-impl Bucket {
-    fn advance(&mut self, share: f64, now: Instant) {
-        let elapsed_s = now
-            .saturating_duration_since(self.advanced_at)
-            .as_secs_f64();
-        let refilled = self.balance + self.limit.rate_per_s * share * elapsed_s;
-        self.balance = refilled.min(self.capacity * share);
-        self.demand_per_s *= (-elapsed_s / self.demand_time_s()).exp();
-        self.advanced_at = now;
-    }
-
-    fn demand_time_s(&self) -> f64 {
-        DEMAND_TIME.as_secs_f64() + (DEMAND_COUNT / self.limit.rate_per_s).min(1.0)
-    }
-
-    fn verdict(&self, code: u32, share: f64) -> Option<LimitedCustomer> {
-        let rate_per_s = self.limit.rate_per_s;
-        let granted_per_s = rate_per_s * share + self.balance / BALANCE_TIME.as_secs_f64();
-        if self.demand_per_s <= granted_per_s {
-            return None;
-        }
-        let ratio = (granted_per_s / self.demand_per_s).clamp(0.0, 1.0);
-        let debt_s = (-self.balance / rate_per_s).max(0.0);
-        // What is refused now arrives again, so that it is spread over as long as it takes to serve.
-        let backlog_s = (self.demand_per_s / rate_per_s - 1.0).max(0.0) / 2.0;
-        let wait_s = RETURN_MIN.as_secs_f64() + debt_s + backlog_s;
-        let wait_ms = wait_s.min(RETURN_MAX.as_secs_f64()) * 1_000.0;
-        Some(LimitedCustomer(
-            code,
-            (ratio * 1_000.0) as u32,
-            wait_ms as u32,
-        ))
-    }
-}
-
 /// Accounts of all customers with a limit at one coordinator.
 #[derive(Clone, Debug)]
 pub struct LimitCoordinator {
@@ -129,6 +89,8 @@
     member_count: usize,
     share: f64,
     is_warm: bool,
+    /// Whether nearly all nodes have reported in time, or all are new.
+    is_whole: bool,
     recounted_at: Option<Instant>,
     last_report_at: Option<Instant>,
 }
@@ -143,6 +105,7 @@
             member_count: 1,
             share: 0.0,
             is_warm: false,
+            is_whole: false,
             recounted_at: None,
             last_report_at: None,
         }
@@ -153,24 +116,19 @@
         self.bounds = bounds;
     }
 
-    /// Sets the limits by customer code and drops all others. The bucket of a new customer is empty.
+    /// Sets the limits by customer code and drops all others. The bucket of a new customer is full
+    /// if nearly all nodes report already, and empty if the coordinator has just begun.
     pub fn set_limits(&mut self, limits: impl Iterator<Item = (u32, CustomerLimit)>, now: Instant) {
         let mut buckets = FastMap::default();
         for (code, limit) in limits {
             let limit = clamp_limit(&limit);
             let capacity = self.bounds.capacity(&limit);
             let known = self.buckets.get(&code);
-            // A raised limit grants the additional burst at once.
-            let balance = known.map_or(0.0, |known| {
-                known.balance + (capacity - known.capacity).max(0.0)
-            });
-            let bucket = Bucket {
-                limit,
-                capacity,
-                balance: balance.clamp(-capacity, capacity),
-                demand_per_s: known.map_or(0.0, |known| known.demand_per_s),
-                advanced_at: known.map_or(now, |known| known.advanced_at),
-            };
+            let mut bucket = Bucket::new(limit, capacity, known, now);
+            // A coordinator that has not just begun knows that the limit is new.
+            if known.is_none() && self.is_whole {
+                bucket.fill(self.share);
+            }
             buckets.insert(code, bucket);
         }
         self.buckets = buckets;
@@ -195,14 +153,25 @@
         let known = self.reporters.get(node);
         // A node that was not granted a share by this coordinator before has admitted by its own one.
         let is_new = known.is_none() && report.sequence <= FIRST_REPORT_MAX;
+        let is_young = report.sequence <= YOUNG_REPORT_MAX;
         let known = known.filter(|known| known.epoch == report.epoch);
         let is_repeated = known.is_some_and(|known| known.sequence >= report.sequence);
+        let counted_at = known.map_or(now, |known| known.counted_at);
+        let span_s = now.saturating_duration_since(counted_at).as_secs_f64();
+        let expected_until = now + period * MISSED_PERIOD_COUNT;
         let next = Reporter {
             epoch: report.epoch,
             sequence: report.sequence,
             warm_at: known.map_or(now + WARM_UP, |known| known.warm_at),
+            is_young: known.map_or(is_young, |known| known.is_young),
             reported_at: now,
-            expected_until: now + period * MISSED_PERIOD_COUNT,
+            counted_at: if is_repeated { counted_at } else { now },
+            late_at: if report.is_busy() {
+                now + period.mul_f64(LATE_PERIOD_COUNT)
+            } else {
+                expected_until
+            },
+            expected_until,
         };
         self.reporters.insert(node.to_owned(), next);
         if is_repeated {
@@ -213,11 +182,13 @@
                 continue;
             };
             bucket.advance(self.share, now);
-            bucket.demand_per_s += f64::from(count.1) / bucket.demand_time_s();
-            let debt_max = bucket.limit.rate_per_s * self.bounds.window.as_secs_f64();
-            let drawn_count = if is_new { 0.0 } else { f64::from(count.2) };
-            let balance = bucket.balance - drawn_count;
-            bucket.balance = balance.clamp(-debt_max, bucket.capacity);
+            let usage = Usage {
+                arrival_count: f64::from(count.1),
+                admitted_count: f64::from(count.2),
+                span_s,
+                is_by_own_share: is_new,
+            };
+            bucket.draw(&usage, self.bounds.window);
         }
     }
 
@@ -228,20 +199,26 @@
         let mut limited = Vec::new();
         for (code, bucket) in &mut self.buckets {
             bucket.advance(self.share, now);
-            limited.extend(bucket.verdict(*code, self.share));
+            limited.extend(bucket.verdict(*code, self.share, self.is_whole));
         }
         UsageAnswer { ready, limited }
     }
 
+    /// Returns the tokens of a customer, if this coordinator decides and knows the customer.
+    pub fn balance(&mut self, code: u32, now: Instant) -> Option<f64> {
+        self.recount(now);
+        let bucket = self.buckets.get_mut(&code).filter(|_| self.is_warm)?;
+        bucket.advance(self.share, now);
+        Some(bucket.balance())
+    }
+
     /// Starts over without reporters, with empty buckets.
     fn reset(&mut self, now: Instant) {
         self.reporters.clear();
         self.share = 0.0;
         self.recounted_at = None;
         for bucket in self.buckets.values_mut() {
-            bucket.balance = 0.0;
-            bucket.demand_per_s = 0.0;
-            bucket.advanced_at = now;
+            bucket.reset(now);
         }
     }
 
@@ -256,24 +233,41 @@
         // Time for which the shares of lost nodes were granted to others, as a part of all shares.
         let overgranted_s = self.remove_lost_reporters(now) / self.member_count as f64;
         self.recounted_at = Some(now);
-        let warm_count = self
-            .reporters
-            .values()
-            .filter(|reporter| reporter.warm_at <= now)
-            .count();
-        let share = (self.reporters.len() as f64 / self.member_count as f64).min(1.0);
+        let reporter_count = self.reporters.len();
+        let share = (reporter_count as f64 / self.member_count as f64).min(1.0);
         self.set_share(share, overgranted_s, now);
-        let is_large = share >= SHARE_MIN;
-        self.is_warm =
-            is_large && warm_count > 0 && warm_count * WARM_DIVISOR >= self.reporters.len();
+        let count = |is_counted: fn(&Reporter, Instant) -> bool| {
+            let reporters = self.reporters.values();
+            reporters
+                .filter(|reporter| is_counted(reporter, now))
+                .count()
+        };
+        let warm_count = count(|reporter, now| reporter.warm_at <= now);
+        let young_count = count(|reporter, _| reporter.is_young);
+        let punctual_count = count(|reporter, now| reporter.late_at > now);
+        let knows_demand = warm_count > 0 && warm_count * WARM_DIVISOR >= reporter_count;
+        let has_begun = young_count as f64 >= reporter_count as f64 * YOUNG_RATIO;
+        self.is_warm = share >= SHARE_MIN && knows_demand || share >= YOUNG_SHARE_MIN && has_begun;
+        self.is_whole = punctual_count as f64 >= self.member_count as f64 * WHOLE_RATIO
+            || has_begun && !knows_demand;
     }
 
     /// Removes the nodes that did not report in time. Returns the sum of the times since their last
     /// reports, in seconds.
     fn remove_lost_reporters(&mut self, now: Instant) -> f64 {
         let mut lost_s = 0.0;
+        let is_whole = self.is_whole;
         self.reporters.retain(|_, reporter| {
-            let is_expected = reporter.expected_until > now;
+            // While nearly all nodes report, lost messages are more likely than a lost node.
+            let grace = reporter
+                .expected_until
+                .saturating_duration_since(reporter.reported_at);
+            let expected_until = if is_whole {
+                reporter.expected_until + grace
+            } else {
+                reporter.expected_until
+            };
+            let is_expected = expected_until > now;
             if !is_expected {
                 let silent = now.saturating_duration_since(reporter.reported_at);
                 lost_s += silent.as_secs_f64();
@@ -285,16 +279,9 @@
 
     /// Sets the share of the nodes that report, and adjusts the balances to the change.
     fn set_share(&mut self, share: f64, overgranted_s: f64, now: Instant) {
-        let lost_share = (self.share - share).max(0.0);
-        let gained_share = (share - self.share).max(0.0);
         for bucket in self.buckets.values_mut() {
             bucket.advance(self.share, now);
-            // The nodes that were lost admit requests by their own shares of the burst.
-            let lost_count = bucket.capacity * lost_share + bucket.limit.rate_per_s * overgranted_s;
-            let floor = -bucket.limit.rate_per_s * LOSS_DEBT_MAX.as_secs_f64();
-            bucket.balance = (bucket.balance - lost_count).max(floor.min(bucket.balance));
-            // Nodes that are new have no tokens but those of the reserve.
-            bucket.balance += (bucket.capacity - bucket.limit.burst_count) * gained_share;
+            bucket.change_share(self.share, share, overgranted_s);
         }
         self.share = share;
     }
--- a/crates/rate-limit/src/lib.rs
+++ b/crates/rate-limit/src/lib.rs
@@ -5,12 +5,14 @@
 //! limit. The crate has no network and no clock of its own.
 
 mod bounds;
+mod bucket;
 mod coordinator;
 mod local_bucket;
 mod message;
 mod report_feed;
 mod roster;
 mod usage_meter;
+mod verdict;
 
 pub use bounds::LimitBounds;
 pub use coordinator::LimitCoordinator;
@@ -24,7 +26,10 @@
 pub use roster::Roster;
 pub use usage_meter::{
     Admission,
-    LimitSource,
     UsageMeter,
     COORDINATOR_COUNT, //
 };
+pub use verdict::{
+    LimitSource,
+    Standing, //
+};
--- a/crates/rate-limit/src/message.rs
+++ b/crates/rate-limit/src/message.rs
@@ -5,6 +5,9 @@
     Serialize, //
 };
 
+/// Requests in a report from which on its node is busy.
+const BUSY_REQUEST_COUNT: u64 = 3;
+
 /// Returns the code by which messages name a customer.
 ///
 /// Two of 100 customers have the same code with a probability of 1e-6. They would share their limits.
@@ -51,6 +54,13 @@
         }
     }
 
+    /// Returns whether the node has received several requests since the report before. It then reports
+    /// again within the stated period, also without requests.
+    pub fn is_busy(&self) -> bool {
+        let arrival_count: u64 = self.all_counts().map(|count| u64::from(count.1)).sum();
+        arrival_count >= BUSY_REQUEST_COUNT
+    }
+
     /// Returns all counts.
     pub fn all_counts(&self) -> impl Iterator<Item = UsageCount> + '_ {
         let single = self.single.iter().scan(0_u32, |code, difference| {
--- a/crates/rate-limit/src/usage_meter.rs
+++ b/crates/rate-limit/src/usage_meter.rs
@@ -11,11 +11,9 @@
     FastMap, //
 };
 
-use crate::bounds::{
-    clamp_limit,
-    LimitBounds, //
-};
+use crate::bounds::LimitBounds;
 use crate::local_bucket::{
+    Exception,
     LocalBucket,
     Share, //
 };
@@ -29,6 +27,13 @@
     ReportFeed,
     Totals, //
 };
+use crate::verdict::{
+    Answer,
+    LimitSource,
+    Standing,
+    Usage,
+    Verdict, //
+};
 
 /// Number of coordinators that a node reports to.
 pub const COORDINATOR_COUNT: usize = 2;
@@ -42,6 +47,13 @@
 /// Period of the reports while no customer's requests arrive at the node.
 const QUIET_PERIOD: Duration = Duration::from_millis(600);
 
+/// Period of the reports of a node that has just begun to report, until the first answer.
+const START_PERIOD: Duration = Duration::from_millis(100);
+
+/// Longest time for which a running node waits for the first answer after the first limit came into force.
+/// A limit need not bind before a window has passed.
+const BEGIN_TIME: Duration = Duration::from_millis(1_500);
+
 /// Time after a report for which its answer is valid. A customer that suddenly sends several times its
 /// limit is not held back for as long as that if all coordinators are lost in the same moment.
 const VALID_FOR: Duration = Duration::from_millis(750);
@@ -59,18 +71,6 @@
 /// quick restart coordinators still grant this node's share to others.
 const START_TIME: Duration = Duration::from_secs(2);
 
-/// Shortest and longest time to come back that a node states by its own share.
-const LOCAL_RETURN_MS: (u64, u64) = (700, 5_000);
-
-/// Who limits a customer.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum LimitSource {
-    /// A coordinator, which had this ratio of the requests admitted.
-    Coordinator(f64),
-    /// The node itself by its share, since it has no valid answer of a coordinator.
-    OwnShare,
-}
-
 /// Decision on one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Admission {
@@ -85,65 +85,6 @@
     },
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Verdict {
-    ratio: f64,
-    wait: Duration,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Answer {
-    valid_until: Option<Instant>,
-    /// Whether the coordinator has failed to answer since.
-    is_stale: bool,
-    limited: FastMap<u32, Verdict>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Usage {
-    code: u32,
-    totals: Totals,
-    /// Part of a request that the ratio has yielded so far.
-    credit: f64,
-    bucket: LocalBucket,
-}
-
-/// Refusal of a request.
-struct Refusal {
-    /// Shortest time after which the request may come back.
-    wait: Duration,
-    source: LimitSource,
-}
-
-impl Usage {
-    /// Returns why the answer of a coordinator refuses the next request, if it does.
-    fn refusal_by_answer(&mut self, answer: &Answer) -> Option<Refusal> {
-        let verdict = answer.limited.get(&self.code)?;
-        self.credit += verdict.ratio;
-        if self.credit >= 1.0 {
-            self.credit -= 1.0;
-            return None;
-        }
-        Some(Refusal {
-            wait: verdict.wait,
-            source: LimitSource::Coordinator(verdict.ratio),
-        })
-    }
-
-    /// Returns why the node's own share refuses the next request, if it does.
-    fn refusal_by_share(&self, share: &Share) -> Option<Refusal> {
-        if self.bucket.has_token() {
-            return None;
-        }
-        let (min_ms, max_ms) = LOCAL_RETURN_MS;
-        let (min, max) = (Duration::from_millis(min_ms), Duration::from_millis(max_ms));
-        Some(Refusal {
-            wait: self.bucket.wait(share).clamp(min, max),
-            source: LimitSource::OwnShare,
-        })
-    }
-}
-
 /// Usage of this node's callers by customer.
 #[derive(Clone, Debug)]
 pub struct UsageMeter {
@@ -155,11 +96,17 @@
     answers: [Answer; COORDINATOR_COUNT],
     /// Whether requests have arrived since the last report.
     has_news: [bool; COORDINATOR_COUNT],
+    /// Whether the last report was one of a busy node.
+    was_busy: [bool; COORDINATOR_COUNT],
     feeds: FastMap<String, ReportFeed>,
     /// Highest number of all reports. A new feed continues after it, so that its reports do not count as
     /// repeated.
     last_sequence: u64,
     first_report_at: Option<Instant>,
+    /// Since when requests have been decided without a coordinator.
+    isolated_since: Option<Instant>,
+    /// Until when requests are admitted without a coordinator, since the limits are new.
+    unlimited_until: Option<Instant>,
 }
 
 impl UsageMeter {
@@ -173,12 +120,25 @@
             customers: FastMap::default(),
             answers: Default::default(),
             has_news: [false; COORDINATOR_COUNT],
+            was_busy: [false; COORDINATOR_COUNT],
             feeds: FastMap::default(),
             last_sequence: 0,
             first_report_at: None,
+            isolated_since: None,
+            unlimited_until: None,
         }
     }
 
+    /// Begins anew at a running node without limits when the first comes into force. Requests are admitted
+    /// until the first answer of a coordinator, but not longer than a limit may take to bind.
+    pub fn begin(&mut self, now: Instant) {
+        let seed = mix(self.random_state ^ u64::from(self.epoch));
+        let member_count = self.member_count;
+        *self = Self::new(self.bounds, seed);
+        self.member_count = member_count;
+        self.unlimited_until = Some(now + BEGIN_TIME);
+    }
+
     /// Sets the bounds within which limits have to hold.
     pub fn set_bounds(&mut self, bounds: LimitBounds) {
         self.bounds = bounds;
@@ -196,9 +156,14 @@
 
     /// Counts a request of a customer and decides whether it may run.
     pub fn try_admit(&mut self, customer: &str, limit: &CustomerLimit, now: Instant) -> Admission {
-        let share = self.share_of(limit);
         let draws = [self.random_ratio(), self.random_ratio()];
         let lead = self.lead(now);
+        let exception = match lead {
+            Some(_) => Exception::Never,
+            None => self.exception(now),
+        };
+        let share = Share::new(&self.bounds, limit, self.member_count, exception);
+        let is_unlimited = self.unlimited_until.is_some_and(|until| until > now);
         let usage = match self.customers.get_mut(customer) {
             Some(usage) => usage,
             None => {
@@ -216,6 +181,7 @@
         usage.bucket.refill(&share, draws[0], now);
         let refusal = match lead {
             Some(lead) => usage.refusal_by_answer(&self.answers[lead]),
+            None if is_unlimited => None,
             None => usage.refusal_by_share(&share),
         };
         if let Some(refusal) = refusal {
@@ -238,13 +204,42 @@
         usage.bucket.give_back();
     }
 
+    /// Returns what is left of a customer's limit, without drawing on it.
+    pub fn standing(&self, customer: &str, limit: &CustomerLimit, now: Instant) -> Standing {
+        let share = Share::new(&self.bounds, limit, self.member_count, Exception::Never);
+        let usage = self.customers.get(customer);
+        let own_share_count = usage.map_or(share.capacity, |usage| usage.bucket.count(&share, now));
+        let source = self.lead(now).map_or(LimitSource::OwnShare, |lead| {
+            let limited = &self.answers[lead].limited;
+            let verdict = limited.get(&customer_code(customer));
+            LimitSource::Coordinator(verdict.map_or(1.0, |verdict| verdict.ratio))
+        });
+        Standing {
+            source,
+            own_share_count,
+        }
+    }
+
     /// Returns the period of the reports to the coordinator of rank `slot`.
     pub fn report_period(&self, slot: usize, now: Instant) -> Duration {
-        let lead = self.lead(now).unwrap_or(slot);
+        match self.lead(now) {
+            None if self.is_beginning(now) => START_PERIOD.mul_f64(self.period_factor()),
+            lead => self.period_with_lead(slot, lead.unwrap_or(slot)),
+        }
+    }
+
+    /// Returns whether the node has not reported yet, or begun to a short time ago.
+    fn is_beginning(&self, now: Instant) -> bool {
+        self.first_report_at
+            .is_none_or(|first| now.saturating_duration_since(first) < START_TIME)
+    }
+
+    fn period_with_lead(&self, slot: usize, lead: usize) -> Duration {
         let has_news = self.has_news.get(slot).is_some_and(|news| *news);
+        let was_busy = self.was_busy.get(slot).is_some_and(|busy| *busy);
         let period = if slot != lead {
             STANDBY_PERIOD
-        } else if has_news {
+        } else if has_news || was_busy {
             LEAD_PERIOD
         } else {
             QUIET_PERIOD
@@ -259,9 +254,14 @@
 
     /// Returns the next report to `coordinator`, which is of rank `slot`.
     pub fn report(&mut self, slot: usize, coordinator: &str, now: Instant) -> UsageReport {
+        self.first_report_at.get_or_insert(now);
+        let has_just_started = self.is_beginning(now);
+        // Until the first answer the node reports more often than it states.
+        let assumed_lead = if has_just_started { 0 } else { slot };
+        let period = self.period_with_lead(slot, self.lead(now).unwrap_or(assumed_lead));
         let mut report = UsageReport {
             epoch: self.epoch,
-            period_ms: self.report_period(slot, now).as_millis() as u64,
+            period_ms: period.as_millis() as u64,
             ..UsageReport::default()
         };
         self.feeds.retain(|_, feed| {
@@ -275,14 +275,15 @@
             totals: usage.totals,
             debt_count: usage.bucket.debt_count(),
         });
-        let first_report_at = *self.first_report_at.get_or_insert(now);
-        let has_just_started = now.saturating_duration_since(first_report_at) < START_TIME;
         let known_totals = totals.clone().filter(|_| !has_just_started);
         self.feeds
             .entry(coordinator.to_owned())
             .or_insert_with(|| ReportFeed::new(self.last_sequence, known_totals, now))
             .fill(&mut report, totals, now);
         self.last_sequence = self.last_sequence.max(report.sequence);
+        if let Some(was_busy) = self.was_busy.get_mut(slot) {
+            *was_busy = report.is_busy();
+        }
         report
     }
 
@@ -309,13 +310,10 @@
         }
         slot.valid_until = Some(sent_at + VALID_FOR.mul_f64(period_factor));
         slot.is_stale = false;
+        self.isolated_since = None;
         slot.limited.clear();
         for limited in &answer.limited {
-            let verdict = Verdict {
-                ratio: f64::from(limited.1.min(1_000)) / 1_000.0,
-                wait: Duration::from_millis(u64::from(limited.2.min(60_000))),
-            };
-            slot.limited.insert(limited.0, verdict);
+            slot.limited.insert(limited.0, Verdict::from(limited));
         }
     }
 
@@ -341,13 +339,15 @@
             .map_or(0, |lead| self.answers[lead].limited.len())
     }
 
-    fn share_of(&self, limit: &CustomerLimit) -> Share {
-        let limit = clamp_limit(limit);
-        let member_count = self.member_count as f64;
-        Share {
-            rate_per_s: limit.rate_per_s / member_count,
-            capacity: self.bounds.capacity(&limit) / member_count,
-            redraw_after: self.bounds.window,
+    /// Returns which requests the node admits beyond its share while it has no coordinator.
+    fn exception(&mut self, now: Instant) -> Exception {
+        let since = *self.isolated_since.get_or_insert(now);
+        if now.saturating_duration_since(since) >= self.bounds.window {
+            return Exception::InIsolation;
+        }
+        match self.is_beginning(now) {
+            true => Exception::AtBegin,
+            false => Exception::Never,
         }
     }
 
--- a/crates/rate-limit/tests/common/customer.rs
+++ b/crates/rate-limit/tests/common/customer.rs
@@ -19,6 +19,8 @@
     pub(crate) arrived_ms: Vec<u64>,
     /// Number of nodes that its callers use.
     pub(crate) node_count: usize,
+    /// Tokens that the callers have left if they keep the limit by themselves, and when they were counted.
+    paced: Option<(f64, u64)>,
 }
 
 impl Customer {
@@ -34,9 +36,36 @@
             refused: Vec::new(),
             arrived_ms: Vec::new(),
             node_count: usize::MAX,
+            paced: None,
         }
     }
 
+    /// Returns a customer with the limit whose callers never exceed it: of the demand, they send what the
+    /// limit allows.
+    pub(crate) fn paced(
+        name: &str,
+        limit: CustomerLimit,
+        demand: impl Fn(f64) -> f64 + 'static,
+    ) -> Self {
+        let mut customer = Self::new(name, limit.rate_per_s, demand);
+        customer.limit = Some(limit);
+        customer.paced = Some((limit.burst_count, 0));
+        customer
+    }
+
+    /// Returns whether a request that the demand yields is sent.
+    pub(crate) fn sends(&mut self, now_ms: u64) -> bool {
+        let (Some((tokens, counted_ms)), Some(limit)) = (&mut self.paced, self.limit) else {
+            return true;
+        };
+        let added = (now_ms - *counted_ms) as f64 / 1_000.0 * limit.rate_per_s;
+        *tokens = (*tokens + added).min(limit.burst_count);
+        *counted_ms = now_ms;
+        let is_sent = *tokens >= 1.0;
+        *tokens -= f64::from(u8::from(is_sent));
+        is_sent
+    }
+
     /// Returns how many requests arrived from one time to another.
     pub(crate) fn arrived_count(&self, from_ms: u64, to_ms: u64) -> usize {
         let times = &self.arrived_ms;
--- a/crates/rate-limit/tests/common/mod.rs
+++ b/crates/rate-limit/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Simulation of many nodes and their coordinators in virtual time, with delayed and lost messages.
 
 mod customer;
+mod node;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -12,10 +13,7 @@
 use figway_rate_limit::{
     customer_code,
     Admission,
-    LimitBounds,
-    LimitCoordinator,
     UsageAnswer,
-    UsageMeter,
     UsageReport,
     COORDINATOR_COUNT, //
 };
@@ -25,6 +23,10 @@
     assert_within,
     Customer, //
 };
+use self::node::{
+    new_node,
+    Node, //
+};
 
 /// Interval at which a node looks whether a report is due.
 const TICK_MS: u64 = 50;
@@ -35,20 +37,6 @@
 /// One in this many messages is lost.
 const LOSS_PERIOD: u64 = 100;
 
-struct Node {
-    is_up: bool,
-    started_ms: u64,
-    /// When the node has met others after its start.
-    joined_ms: u64,
-    group: u32,
-    /// Group as the failure detector of the mesh sees it.
-    seen_group: u32,
-    meter: UsageMeter,
-    coordinator: LimitCoordinator,
-    due_ms: [u64; COORDINATOR_COUNT],
-    in_flight: [bool; COORDINATOR_COUNT],
-}
-
 enum Event {
     Tick(usize),
     Report {
@@ -74,6 +62,7 @@
         node: usize,
         group: u32,
     },
+    Begin(usize),
 }
 
 /// The simulated nodes.
@@ -88,6 +77,10 @@
     pub(crate) customers: Vec<Customer>,
     pub(crate) report_count: u64,
     pub(crate) report_bytes: u64,
+    /// Whether one in [`LOSS_PERIOD`] messages is lost.
+    pub(crate) loses_messages: bool,
+    /// Whether nodes send their first report at once, as real ones do, and not after a period.
+    pub(crate) reports_at_once: bool,
 }
 
 impl Sim {
@@ -104,6 +97,8 @@
             customers,
             report_count: 0,
             report_bytes: 0,
+            loses_messages: true,
+            reports_at_once: false,
         };
         for index in 0..node_count {
             let seed = sim.random();
@@ -143,7 +138,21 @@
             .filter_map(|customer| Some((customer_code(&customer.name), customer.limit?)))
             .collect();
         for node in &mut self.nodes {
-            node.coordinator.set_limits(limits.iter().copied(), now);
+            if node.begun_ms <= self.now_ms {
+                node.coordinator.set_limits(limits.iter().copied(), now);
+            }
+        }
+    }
+
+    /// Lets the limits come into force at `at_ms` and within the next `spread_ms` at the running nodes,
+    /// which have had none before.
+    pub(crate) fn begin_at(&mut self, at_ms: u64, spread_ms: u64) {
+        for index in 0..self.nodes.len() {
+            let begun_ms = at_ms + self.random() % spread_ms;
+            let node = &mut self.nodes[index];
+            node.begun_ms = begun_ms;
+            node.coordinator.set_limits(std::iter::empty(), self.base);
+            self.push(begun_ms, Event::Begin(index));
         }
     }
 
@@ -211,7 +220,7 @@
             while left > 0.0 {
                 let arrives = self.ratio() < left.min(1.0);
                 left -= 1.0;
-                if !arrives {
+                if !arrives || !self.customers[index].sends(self.now_ms) {
                     continue;
                 }
                 let node_count = self.customers[index].node_count.min(self.nodes.len());
@@ -229,7 +238,10 @@
         let node_count = self.nodes.len();
         let customer = &mut self.customers[customer];
         customer.arrived_ms.push(now_ms);
-        let Some(limit) = customer.limit else {
+        let limit = customer
+            .limit
+            .filter(|_| self.nodes[node].begun_ms <= now_ms);
+        let Some(limit) = limit else {
             customer.admitted_ms.push(now_ms);
             return;
         };
@@ -247,6 +259,11 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Tick(index) => self.tick(index),
+            Event::Begin(node) => {
+                let now = self.instant();
+                self.nodes[node].meter.begin(now);
+                self.apply_limits();
+            }
             Event::Detect { node, group } => self.nodes[node].seen_group = group,
             Event::Report {
                 from,
@@ -261,9 +278,13 @@
                 let joined = node.joined_ms <= self.now_ms;
                 node.coordinator
                     .set_member_count(if joined { node_count } else { 128 });
-                node.coordinator.merge(&format!("n{from}"), &report, now);
-                let answer = node.coordinator.answer(now);
-                let answer_lost = from != to && self.random().is_multiple_of(LOSS_PERIOD);
+                let mut answer = UsageAnswer::default();
+                if node.begun_ms <= self.now_ms {
+                    node.coordinator.merge(&format!("n{from}"), &report, now);
+                    answer = node.coordinator.answer(now);
+                }
+                let answer_lost =
+                    from != to && self.random().is_multiple_of(LOSS_PERIOD) && self.loses_messages;
                 if answer_lost || self.nodes[from].group != self.nodes[to].group {
                     let at_ms = sent_ms + TIMEOUT_MS;
                     self.push(at_ms, Event::Failure { to: from, slot });
@@ -317,14 +338,16 @@
 
     fn tick(&mut self, index: usize) {
         self.push(self.now_ms + TICK_MS, Event::Tick(index));
-        if !self.nodes[index].is_up {
+        if !self.nodes[index].is_up || self.nodes[index].begun_ms > self.now_ms {
             return;
         }
         let now = self.instant();
         for (slot, to) in self.coordinators(index).into_iter().enumerate() {
             let node = &mut self.nodes[index];
             let period_ms = node.meter.report_period(slot, now).as_millis() as u64;
-            if node.in_flight[slot] || node.due_ms[slot] + period_ms > self.now_ms {
+            let is_first = self.reports_at_once && node.due_ms[slot] == 0;
+            let is_due = is_first || node.due_ms[slot] + period_ms <= self.now_ms;
+            if node.in_flight[slot] || !is_due {
                 continue;
             }
             node.due_ms[slot] = self.now_ms;
@@ -333,7 +356,8 @@
             self.report_count += 1;
             self.report_bytes += serde_json::to_vec(&report).expect("encodes").len() as u64;
             let sent_ms = self.now_ms;
-            let is_lost = index != to && self.random().is_multiple_of(LOSS_PERIOD);
+            let is_lost =
+                index != to && self.random().is_multiple_of(LOSS_PERIOD) && self.loses_messages;
             let reachable = self.nodes[to].is_up && self.nodes[to].group == self.nodes[index].group;
             if is_lost || !reachable {
                 // A peer whose process has ended refuses the connection at once.
@@ -355,17 +379,3 @@
         }
     }
 }
-
-fn new_node(seed: u64, started_ms: u64) -> Node {
-    Node {
-        is_up: true,
-        started_ms,
-        joined_ms: 0,
-        group: 0,
-        seen_group: 0,
-        meter: UsageMeter::new(LimitBounds::default(), seed),
-        coordinator: LimitCoordinator::new(LimitBounds::default()),
-        due_ms: [0; COORDINATOR_COUNT],
-        in_flight: [false; COORDINATOR_COUNT],
-    }
-}
--- a/crates/rate-limit/tests/limits_over_nodes.rs
+++ b/crates/rate-limit/tests/limits_over_nodes.rs
@@ -2,6 +2,7 @@
 //! refusals of customers below their limit, while nodes and coordinators fail.
 
 mod common;
+mod within_the_limit;
 
 use figway_customers::CustomerLimit;
 
