--- a/crates/dataplane/src/explain.rs
+++ b/crates/dataplane/src/explain.rs
@@ -7,11 +7,15 @@
 
 use figway_control::View;
 use figway_cost::RequestClass;
-use figway_customers::Customer;
+use figway_customers::{
+    Customer,
+    CustomerLimit, //
+};
 use figway_profile::{
     NamedRoute,
     WeightedService, //
 };
+use figway_rate_limit::LimitSource;
 use figway_routing::{
     CallContext,
     Candidate,
@@ -78,10 +82,32 @@
         "priority": customer.and_then(|customer| customer.priority).unwrap_or(named.route.priority),
         "call_priority": priority_of(&view.routes, customer.map(|customer| &**customer), &named.route),
         "limit": customer.and_then(|customer| customer.limit),
+        "limit_left": request
+            .customer
+            .as_deref()
+            .zip(customer.and_then(|customer| customer.limit))
+            .map(|(name, limit)| explain_limit(worker, name, &limit)),
         "services": services,
     })
 }
 
+/// Returns what is left of a customer's limit, as this node knows it. The tokens at all nodes together are
+/// known to coordinators only.
+fn explain_limit(worker: &Worker, customer: &str, limit: &CustomerLimit) -> Value {
+    let mesh = &worker.plane.mesh;
+    let (standing, token_count) = mesh.limit_standing(customer, limit);
+    let (ratio, coordinator) = match standing.source {
+        LimitSource::Coordinator(ratio) => (Some(ratio), mesh.limit_status().0),
+        LimitSource::OwnShare => (None, None),
+    };
+    json!({
+        "coordinator": coordinator,
+        "admitted_ratio": ratio,
+        "token_count": token_count,
+        "own_share_count": standing.own_share_count,
+    })
+}
+
 /// Returns the candidates of one service of the route, and the one that would be picked.
 fn explain_part(
     worker: &Worker,
--- a/crates/figway/src/cmd/explain_node.rs
+++ b/crates/figway/src/cmd/explain_node.rs
@@ -46,6 +46,7 @@
         explained["priority"],
         explained["limit"],
     );
+    print_limit_left(&explained["limit_left"]);
     for service in explained["services"].as_array().into_iter().flatten() {
         println!(
             "service {} weight {}: to {} ({})",
@@ -60,6 +61,22 @@
     }
 }
 
+/// Prints what is left of the customer's limit, if it has one.
+fn print_limit_left(left: &Value) {
+    if left.is_null() {
+        return;
+    }
+    let ratio = &left["admitted_ratio"];
+    let tokens = &left["token_count"];
+    println!(
+        "limit left: coordinator {} admits {} of its requests, tokens at all nodes {}, of this node's share {:.2}",
+        left["coordinator"].as_str().unwrap_or("none"),
+        ratio.as_f64().map_or("unknown".to_owned(), |ratio| format!("{ratio:.3}")),
+        tokens.as_f64().map_or("unknown here".to_owned(), |count| format!("{count:.1}")),
+        left["own_share_count"].as_f64().unwrap_or(f64::NAN),
+    );
+}
+
 fn print_target(target: &Value) {
     let number = |name: &str| target[name].as_f64().unwrap_or(f64::NAN);
     let mut remarks = String::new();
--- a/crates/testbed/tests/asking.rs
+++ b/crates/testbed/tests/asking.rs
@@ -98,6 +98,10 @@
     assert_eq!(explained["customer"], "first");
     assert_eq!(explained["priority"], 0);
     assert!(explained["limit"].is_object(), "{explained}");
+    let left = &explained["limit_left"];
+    assert!(left["own_share_count"].is_number(), "{explained}");
+    assert!(left["coordinator"].is_string(), "{explained}");
+    assert_eq!(left["admitted_ratio"], 1.0, "{explained}");
     assert!(!explained.to_string().contains("k1"), "{explained}");
     for (flags, why) in [
         (&["--customer", "second"][..], "unknown-customer"),
