--- a/crates/admission/tests/shares/simulation.rs
+++ b/crates/admission/tests/shares/simulation.rs
@@ -218,6 +218,8 @@
         let waiting_count = target.admission.waiting_count();
         let view = CallView {
             kind: "read",
+            body_bytes: 0,
+            customer: None,
             worth: 1.0,
             long: false,
             rank: queue_rank(RANK, is_above),
--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -5,6 +5,7 @@
     Instant, //
 };
 
+use figway_admission::Treatment;
 use figway_control::RouteConfirmation;
 use figway_http::{
     Answer,
@@ -83,7 +84,14 @@
     } else {
         forward_to_peer(worker, call, entry, attempt_kind).await
     };
-    call.end_attempt(treatment_of(&result.outcome));
+    let treatment = treatment_of(&result.outcome);
+    call.end_attempt(treatment);
+    if call.rule.overload_control && treatment != Treatment::Failed {
+        let refused = treatment == Treatment::Refused;
+        plane
+            .loads()
+            .record_admission(call.rule.name, entry.distance, refused, Instant::now());
+    }
     let took = in_flight.finish();
     record_result(plane, call, entry, &result, took);
     call.steps.borrow_mut().push(Step::Ended {
@@ -110,12 +118,6 @@
     let now = Instant::now();
     let rule = &call.rule;
     let node_id = &entry.member.node_id;
-    if rule.overload_control && has_admission_result(&result.outcome) {
-        let refused = is_overload_refusal(&result.outcome);
-        plane
-            .loads()
-            .record_admission(rule.name, entry.distance, refused, now);
-    }
     match &result.outcome {
         Outcome::Answered(answer) if result.outcome.is_success() => {
             let timings = CallTimings {
@@ -159,14 +161,6 @@
     }
 }
 
-/// Returns whether the outcome tells if the target had room for the call.
-fn has_admission_result(outcome: &Outcome) -> bool {
-    match outcome {
-        Outcome::Answered(_) | Outcome::Unknown(_) => true,
-        Outcome::NotRun(_) => is_overload_refusal(outcome),
-    }
-}
-
 fn to_ms(time: Duration) -> f64 {
     time.as_secs_f64() * 1_000.0
 }
