--- a/crates/dataplane/src/routed.rs
+++ b/crates/dataplane/src/routed.rs
@@ -110,9 +110,11 @@
     let mut incoming = *incoming;
     let parent = caller.parent_call.as_ref();
     if let Some(parent) = parent {
-        // The parent's run waits for the answer, so the route's own prompt time does not apply.
         rule.rank = nested_rank_of(&view.routes, parent.rank);
-        rule.prompt_ms = Some(route.budget_ms);
+        // Under overload a parent that waits long for the answer takes its slot from other calls.
+        if !rule.overload_control {
+            rule.prompt_ms = Some(route.budget_ms);
+        }
         if customers.is_some() {
             let deadline = incoming.deadline.unwrap_or(parent.deadline);
             incoming.deadline = Some(deadline.min(parent.deadline));
