--- a/crates/dataplane/src/admit.rs
+++ b/crates/dataplane/src/admit.rs
@@ -27,7 +27,6 @@
 use crate::entry::{
     admission_limits,
     enter,
-    record_refusal,
     refuses_for_nested_calls, //
 };
 use crate::evidence::record_run;
@@ -120,10 +119,7 @@
     let entered_at = Instant::now();
     let mut slot = match enter(plane, call, limits).await {
         Ok(slot) => slot,
-        Err(reason) => {
-            record_refusal(plane, call, target.slot_count, reason, entered_at);
-            return AttemptResult::not_sent(reason);
-        }
+        Err(reason) => return AttemptResult::not_sent(reason),
     };
     // The process may have been paused or the target replaced while the call was queued.
     if remaining_time(call) < TARGET_TIME_MIN {
--- a/crates/dataplane/src/entry.rs
+++ b/crates/dataplane/src/entry.rs
@@ -54,12 +54,22 @@
         deadline: call.deadline,
         may_wait: may_wait && call.attempt_kind != AttemptKind::Hedge,
     };
+    let entered_at = Instant::now();
     let entered = plane.gate.enter(&view, limits).await;
     if let (Some(holder), Ok(_) | Err(NotRunReason::Overloaded | NotRunReason::Expired)) =
         (call.holder, &entered)
     {
         overload.record_entry(call.rank, holder, entered.is_ok());
     }
+    if let Err(reason) = &entered {
+        let refusal = Refusal {
+            reason: *reason,
+            slot_count: limits.slot_count,
+            is_above_share,
+            entered_at,
+        };
+        record_refusal(plane, call, &refusal);
+    }
     entered
 }
 
@@ -75,27 +85,31 @@
     }
 }
 
-/// Records a call that the gate of the target refused.
-pub(crate) fn record_refusal(
-    plane: &DataPlane,
-    call: &AdmissionRequest<'_>,
-    slot_count: u32,
+/// Refusal of a call by the gate of the target.
+struct Refusal {
     reason: NotRunReason,
+    slot_count: u32,
+    is_above_share: bool,
     entered_at: Instant,
-) {
+}
+
+/// Records a call that the gate of the target refused.
+fn record_refusal(plane: &DataPlane, call: &AdmissionRequest<'_>, refusal: &Refusal) {
     let (running_count, waiting_count) = plane.gate.counts();
+    let reason = refusal.reason.name();
+    let waited = refusal.entered_at.elapsed();
     if plane.log_budget.should_log(call.request_id, true) {
         log::info!(
-            "call refused request={} kind={} why={} running={running_count} \
-                 waiting={waiting_count} slots={slot_count} waited_ms={} left_ms={}",
+            "call refused request={} kind={} customer={} why={reason} above_share={} \
+             running={running_count} waiting={waiting_count} slots={} waited_ms={} left_ms={}",
             call.request_id,
             call.kind,
-            reason.name(),
-            entered_at.elapsed().as_millis(),
+            call.customer.unwrap_or(""),
+            refusal.is_above_share,
+            refusal.slot_count,
+            waited.as_millis(),
             remaining_time(call).as_millis(),
         );
     }
-    plane
-        .metrics
-        .record_admission("not-run", reason.name(), entered_at.elapsed());
+    plane.metrics.record_admission("not-run", reason, waited);
 }
