--- a/crates/rate-limit/src/coordinator.rs
+++ b/crates/rate-limit/src/coordinator.rs
@@ -60,9 +60,6 @@
 /// then known without a [`WARM_UP`].
 const YOUNG_RATIO: f64 = 0.9;
 
-/// Share of the nodes from which on such a coordinator decides.
-const YOUNG_SHARE_MIN: f64 = 0.2;
-
 /// Interval at which the nodes that report are counted.
 const RECOUNT_EVERY: Duration = Duration::from_millis(50);
 
@@ -246,8 +243,9 @@
         let young_count = count(|reporter, _| reporter.is_young);
         let punctual_count = count(|reporter, now| reporter.late_at > now);
         let knows_demand = warm_count > 0 && warm_count * WARM_DIVISOR >= reporter_count;
-        let has_begun = young_count as f64 >= reporter_count as f64 * YOUNG_RATIO;
-        self.is_warm = share >= SHARE_MIN && knows_demand || share >= YOUNG_SHARE_MIN && has_begun;
+        let has_begun =
+            young_count > 0 && young_count as f64 >= reporter_count as f64 * YOUNG_RATIO;
+        self.is_warm = share >= SHARE_MIN && (knows_demand || has_begun);
         self.is_whole = punctual_count as f64 >= self.member_count as f64 * WHOLE_RATIO
             || has_begun && !knows_demand;
     }
