--- a/crates/rate-limit/src/bucket.rs
+++ b/crates/rate-limit/src/bucket.rs
@@ -20,10 +20,16 @@
 /// request to the answer that takes it into account, or the ratio oscillates.
 const BALANCE_TIME: Duration = Duration::from_millis(600);
 
+/// Demand as a multiple of the limit from which on a customer is watched. Smaller ones exceed the limit slowly.
+const WATCHED_RATIO: f64 = 1.5;
+
 /// Largest debt that the loss of nodes may leave, as time at the limit. Nodes that change their
 /// coordinator are lost too, so that the loss is an estimate.
 const LOSS_DEBT_MAX: Duration = Duration::from_millis(200);
 
+/// Shortest time between two reports that is taken as such, in seconds.
+const ELAPSED_MIN_S: f64 = 0.05;
+
 /// Mean time from a report to its coordinator.
 const TRANSIT_TIME: Duration = Duration::from_millis(30);
 
@@ -40,6 +46,8 @@
     pub(crate) arrival_count: f64,
     pub(crate) admitted_count: f64,
     /// Time since the report before, within which the requests arrived.
+    pub(crate) elapsed_s: f64,
+    /// The same, or the usual time between reports if that is longer.
     pub(crate) span_s: f64,
     /// Whether the node admitted them by its own share, which this coordinator has not granted.
     pub(crate) is_by_own_share: bool,
@@ -57,7 +65,7 @@
     demand_per_s: f64,
     /// Sum of the spans of the reported requests, averaged as the demand.
     demand_span: f64,
-    /// Most requests in one report, decreasing as the demand.
+    /// Most requests in one report, as it would be after the usual time, decreasing as the demand.
     lump_count: f64,
     advanced_at: Instant,
 }
@@ -126,7 +134,8 @@
         let demand_per_s = usage.arrival_count / self.demand_time_s();
         self.demand_per_s += demand_per_s;
         self.demand_span += demand_per_s * usage.span_s;
-        self.lump_count = self.lump_count.max(usage.arrival_count);
+        let lump_count = usage.arrival_count * usage.span_s / usage.elapsed_s.max(ELAPSED_MIN_S);
+        self.lump_count = self.lump_count.max(lump_count);
         if usage.is_by_own_share {
             return;
         }
@@ -158,13 +167,24 @@
         self.balance
     }
 
+    /// Returns whether the customer sends so much more than its limit that its tokens would soon be used.
+    pub(crate) fn is_watched(&self, share: f64) -> bool {
+        let granted_per_s = self.granted_per_s(share);
+        let watched_per_s = self.limit.rate_per_s * share * WATCHED_RATIO;
+        self.demand_per_s > granted_per_s.max(watched_per_s)
+    }
+
+    fn granted_per_s(&self, share: f64) -> f64 {
+        self.limit.rate_per_s * share + self.balance / BALANCE_TIME.as_secs_f64()
+    }
+
     /// Returns how the customer is limited, if it is. `is_whole` says whether nearly all nodes report in
     /// time. If they do, a customer is not limited before its requests have exceeded the limit, since
     /// the demand still holds bursts that were paid for. If not, its unknown requests at the others may
     /// exceed it already.
     pub(crate) fn verdict(&self, code: u32, share: f64, is_whole: bool) -> Option<LimitedCustomer> {
         let rate_per_s = self.limit.rate_per_s;
-        let granted_per_s = rate_per_s * share + self.balance / BALANCE_TIME.as_secs_f64();
+        let granted_per_s = self.granted_per_s(share);
         let has_exceeded = self.balance.min(self.arrival_balance) < -self.delayed_count();
         if self.demand_per_s <= granted_per_s || is_whole && !has_exceeded {
             return None;
--- a/crates/rate-limit/src/coordinator.rs
+++ b/crates/rate-limit/src/coordinator.rs
@@ -154,7 +154,9 @@
         let known = known.filter(|known| known.epoch == report.epoch);
         let is_repeated = known.is_some_and(|known| known.sequence >= report.sequence);
         let counted_at = known.map_or(now, |known| known.counted_at);
-        let span_s = now.saturating_duration_since(counted_at).as_secs_f64();
+        // A node that reports more often for a moment will do so less often again.
+        let elapsed_s = now.saturating_duration_since(counted_at).as_secs_f64();
+        let span_s = elapsed_s.max(period.as_secs_f64());
         let expected_until = now + period * MISSED_PERIOD_COUNT;
         let next = Reporter {
             epoch: report.epoch,
@@ -183,6 +185,7 @@
                 arrival_count: f64::from(count.1),
                 admitted_count: f64::from(count.2),
                 span_s,
+                elapsed_s,
                 is_by_own_share: is_new,
             };
             bucket.draw(&usage, self.bounds.window);
@@ -194,11 +197,17 @@
         self.recount(now);
         let ready = self.is_warm;
         let mut limited = Vec::new();
+        let mut watched = false;
         for (code, bucket) in &mut self.buckets {
             bucket.advance(self.share, now);
+            watched |= self.is_whole && bucket.is_watched(self.share);
             limited.extend(bucket.verdict(*code, self.share, self.is_whole));
         }
-        UsageAnswer { ready, limited }
+        UsageAnswer {
+            ready,
+            watched,
+            limited,
+        }
     }
 
     /// Returns the tokens of a customer, if this coordinator decides and knows the customer.
--- a/crates/rate-limit/src/message.rs
+++ b/crates/rate-limit/src/message.rs
@@ -81,6 +81,9 @@
     /// Whether the coordinator has received reports for long enough to decide.
     #[serde(rename = "r", default)]
     pub ready: bool,
+    /// Whether a customer may be about to exceed its limit, so that nodes report more often for a moment.
+    #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
+    pub watched: bool,
     /// Customers above their limit.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub limited: Vec<LimitedCustomer>,
--- a/crates/rate-limit/src/usage_meter.rs
+++ b/crates/rate-limit/src/usage_meter.rs
@@ -50,6 +50,13 @@
 /// Period of the reports of a node that has just begun to report, until the first answer.
 const START_PERIOD: Duration = Duration::from_millis(100);
 
+/// Time for which a node reports this often too when a customer is watched.
+const WATCH_TIME: Duration = Duration::from_millis(800);
+
+/// Shortest time between two such times, so that a customer at its limit does not raise the bytes of reports for
+/// long.
+const WATCH_EVERY: Duration = Duration::from_secs(5);
+
 /// Longest time for which a running node waits for the first answer after the first limit came into force.
 /// A limit need not bind before a window has passed.
 const BEGIN_TIME: Duration = Duration::from_millis(1_500);
@@ -107,6 +114,8 @@
     isolated_since: Option<Instant>,
     /// Until when requests are admitted without a coordinator, since the limits are new.
     unlimited_until: Option<Instant>,
+    /// When the node last began to report more often for a customer that is watched.
+    watched_at: Option<Instant>,
 }
 
 impl UsageMeter {
@@ -126,6 +135,7 @@
             first_report_at: None,
             isolated_since: None,
             unlimited_until: None,
+            watched_at: None,
         }
     }
 
@@ -224,10 +234,19 @@
     pub fn report_period(&self, slot: usize, now: Instant) -> Duration {
         match self.lead(now) {
             None if self.is_beginning(now) => START_PERIOD.mul_f64(self.period_factor()),
+            Some(lead) if lead == slot && self.has_watched(WATCH_TIME, now) => {
+                START_PERIOD.mul_f64(self.period_factor())
+            }
             lead => self.period_with_lead(slot, lead.unwrap_or(slot)),
         }
     }
 
+    /// Returns whether the node has begun to watch within the last `time`.
+    fn has_watched(&self, time: Duration, now: Instant) -> bool {
+        self.watched_at
+            .is_some_and(|at| now.saturating_duration_since(at) < time)
+    }
+
     /// Returns whether the node has not reported yet, or begun to a short time ago.
     fn is_beginning(&self, now: Instant) -> bool {
         self.first_report_at
@@ -300,6 +319,9 @@
         if let Some(feed) = self.feeds.get_mut(coordinator) {
             feed.acknowledge(report.sequence, now);
         }
+        if answer.watched && !self.has_watched(WATCH_EVERY, now) {
+            self.watched_at = Some(now);
+        }
         let period_factor = self.period_factor();
         let Some(slot) = self.answers.get_mut(slot) else {
             return;
--- a/crates/rate-limit/tests/odd_input.rs
+++ b/crates/rate-limit/tests/odd_input.rs
@@ -120,6 +120,7 @@
     let sent = meter.report(0, "node-2", now);
     let answer = UsageAnswer {
         ready: true,
+        watched: false,
         limited: vec![
             LimitedCustomer(customer_code("a"), u32::MAX, u32::MAX),
             LimitedCustomer(customer_code("b"), 0, u32::MAX),
@@ -183,6 +184,7 @@
     meter.report(0, "node-2", now);
     let answer = UsageAnswer {
         ready: true,
+        watched: false,
         limited: Vec::new(),
     };
     meter.apply(0, "node-2", &report(1, Vec::new()), &answer, now, now);
