Soak: rollouts of good and bad versions

Checked are its end, what a bad version got, and its last request. When the history of the store's stand-in is dropped, orders can still be read by their keys.

--- a/crates/testbed/src/cmd/mod.rs
+++ b/crates/testbed/src/cmd/mod.rs
@@ -71,6 +71,8 @@
             /// Gives callers API keys, some of which the operator removes, and lets one customer send
             /// several times its limit.
             optional --customers
+            /// Rolls out a good or a bad version of a service.
+            optional --rollouts
         }
         /// Measures how state size, bytes and processor time of the control plane grow with the
         /// number of services and members.
--- a/crates/testbed/src/cmd/soak.rs
+++ b/crates/testbed/src/cmd/soak.rs
@@ -22,6 +22,7 @@
         let duration = Duration::from_secs(self.seconds.unwrap_or(20));
         let scenarios = Scenarios {
             customers: self.customers,
+            rollouts: self.rollouts,
         };
         let mut failed = false;
         for seed in first_seed..first_seed + self.count.unwrap_or(1) {
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -6,6 +6,7 @@
 pub mod crash;
 mod run;
 pub mod store;
+mod topic;
 pub mod wire;
 
 use std::path::PathBuf;
--- a/crates/testbed/src/site/store.rs
+++ b/crates/testbed/src/site/store.rs
@@ -30,6 +30,7 @@
 use tokio::sync::watch;
 
 use super::serve_on_free_port;
+use super::topic::Topic;
 
 /// Topic to which the operator writes.
 const OPERATOR_TOPIC: &str = "keyed.op";
@@ -50,20 +51,6 @@
     }
 }
 
-#[derive(Clone, Default)]
-struct Topic {
-    /// Offset of the oldest record.
-    first_offset: u64,
-    records: Vec<Vec<u8>>,
-}
-
-impl Topic {
-    /// Returns the offset of the next record.
-    fn end_offset(&self) -> u64 {
-        self.first_offset + self.records.len() as u64
-    }
-}
-
 /// Faults that tests inject.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreFaults {
@@ -202,16 +189,12 @@
         *self.wrong_era.borrow_mut() = text.map(str::to_owned);
     }
 
-    /// Drops all records of the operator's topic but the newest, which gets a new offset.
+    /// Drops all records of the operator's topic but the newest, which gets a new offset. Orders of
+    /// rollouts can still be read by their keys.
     pub fn truncate_history(&self) {
         let mut topics = self.topics.borrow_mut();
         if let Some(topic) = topics.get_mut(OPERATOR_TOPIC) {
-            // `/log-newest` still returns the newest record. A reader that continues from its old
-            // offset gets 410, even at the end of the topic.
-            let newest = topic.records.last().cloned();
-            topic.first_offset = topic.end_offset() + 1;
-            topic.records.clear();
-            topic.records.extend(newest);
+            topic.truncate();
         }
     }
 
@@ -323,14 +306,9 @@
         let mut end = 0;
         if let Some(topic) = topics.get(name) {
             end = topic.end_offset();
-            for (index, record) in topic.records.iter().enumerate() {
-                let (length, rest) = record
-                    .split_first()
-                    .expect("each record starts with the length of its key");
-                let (key, value) = rest.split_at(usize::from(*length));
+            for (offset, key, value) in topic.keyed_records() {
                 let value = base64::engine::general_purpose::STANDARD.encode(value);
                 let key = String::from_utf8_lossy(key).into_owned();
-                let offset = topic.first_offset + index as u64;
                 items.insert(
                     key.clone(),
                     json!({ "key": key, "value": value, "offset": offset }),
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -10,6 +10,7 @@
 mod large_bodies;
 mod nodes;
 mod notices;
+mod rollouts;
 mod surge;
 
 use std::cell::{
@@ -34,6 +35,7 @@
     BackendNotice,
     NoticeKind, //
 };
+use self::rollouts::Rollout;
 use crate::process::Signal;
 use crate::site::caller::{
     CallResult,
@@ -73,6 +75,8 @@
     /// Callers have API keys, some of which the operator removes, and one customer sends several times
     /// its limit.
     pub customers: bool,
+    /// A new version of a service is rolled out.
+    pub rollouts: bool,
 }
 
 /// Result of a soak.
@@ -117,6 +121,10 @@
     customers: Option<Customers>,
     /// Begin and end of each time for which the store was down.
     store_outages: RefCell<Vec<(Instant, Instant)>>,
+    /// When each copy of the store was taken, and when the store went back to it.
+    store_restores: RefCell<Vec<(Instant, Instant)>>,
+    /// Rollout that was ordered.
+    rollout: RefCell<Option<Rollout>>,
     config_version: Cell<u32>,
     ends_at: Instant,
     report: RefCell<SoakReport>,
@@ -132,7 +140,10 @@
     duration: Duration,
     scenarios: Scenarios,
 ) -> anyhow::Result<SoakReport> {
-    let site = Site::start(&format!("soak-{seed}"), HOST_COUNT).await?;
+    let mut site = Site::start(&format!("soak-{seed}"), HOST_COUNT).await?;
+    if scenarios.rollouts {
+        rollouts::add_new_hosts(&mut site).await?;
+    }
     tokio::time::sleep(Duration::from_secs(2)).await;
     let customers = scenarios.customers.then(Customers::default);
     let mut config_version = 1;
@@ -152,6 +163,8 @@
         crashing_requests: RefCell::default(),
         customers,
         store_outages: RefCell::default(),
+        store_restores: RefCell::default(),
+        rollout: RefCell::default(),
         config_version: Cell::new(config_version),
         ends_at: Instant::now() + duration,
         report: RefCell::default(),
@@ -179,6 +192,10 @@
             tasks.push(tokio::task::spawn_local(keyed_callers));
         }
     }
+    if scenarios.rollouts {
+        let rollout = Rc::clone(&soak).roll_out(mix(seed ^ (3 << 32)));
+        tasks.push(tokio::task::spawn_local(rollout));
+    }
     for task in tasks {
         task.await?;
     }
@@ -309,9 +326,11 @@
             Fault::DepartBackend => self.depart(index, &backend, duration, false).await,
             Fault::DepartBackendAndKillNode => self.depart(index, &backend, duration, true).await,
             Fault::RestoreStore => {
-                let copy = store.copy();
+                let (copy, copied_at) = (store.copy(), Instant::now());
                 tokio::time::sleep(duration * 3).await;
                 store.restore(&copy);
+                let restore = (copied_at, Instant::now());
+                self.store_restores.borrow_mut().push(restore);
                 // The operator writes its newest configuration again.
                 store.publish(&self.config(self.config_version.get(), "/reads/"));
             }
@@ -351,19 +370,6 @@
         }
     }
 
-    /// Ends one fault that limits the back end on the host at `index`. The back end names its limit
-    /// until the last one ends.
-    fn end_rate_limit(&self, index: usize) {
-        let mut limited_hosts = self.limited_hosts.borrow_mut();
-        if let Some(position) = limited_hosts.iter().position(|host| *host == index) {
-            limited_hosts.swap_remove(position);
-        }
-        if !limited_hosts.contains(&index) {
-            let site = self.site.borrow();
-            *site.hosts[index].backend.rate_limit.borrow_mut() = None;
-        }
-    }
-
     async fn damage_answers(&self, index: usize, fault: WireFault, duration: Duration) {
         let wire = Rc::clone(&self.site.borrow().hosts[index].wire);
         wire.fault.set(fault);
--- a/crates/testbed/src/soak/checks.rs
+++ b/crates/testbed/src/soak/checks.rs
@@ -22,6 +22,7 @@
         self.check_crashing_requests();
         self.check_memory();
         self.check_customers();
+        self.check_rollout();
         self.check_configuration().await;
     }
 
--- a/crates/testbed/src/soak/notices.rs
+++ b/crates/testbed/src/soak/notices.rs
@@ -76,6 +76,19 @@
 }
 
 impl Soak {
+    /// Ends one fault that limits the back end on the host at `index`. The back end names its limit
+    /// until the last one ends.
+    pub(super) fn end_rate_limit(&self, index: usize) {
+        let mut limited_hosts = self.limited_hosts.borrow_mut();
+        if let Some(position) = limited_hosts.iter().position(|host| *host == index) {
+            limited_hosts.swap_remove(position);
+        }
+        if !limited_hosts.contains(&index) {
+            let site = self.site.borrow();
+            *site.hosts[index].backend.rate_limit.borrow_mut() = None;
+        }
+    }
+
     pub(super) fn check_notices(&self) {
         for notice in self.notices.borrow().iter() {
             let calls = self.called_runs(notice);
