--- a/crates/control/src/mesh/rollouts.rs
+++ b/crates/control/src/mesh/rollouts.rs
@@ -1,5 +1,9 @@
 //! Rollouts that this node knows, and which of them each peer has.
 
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use std::sync::{
     Mutex,
     MutexGuard, //
@@ -14,7 +18,9 @@
     RolloutBook,
     RolloutState,
     RunSample,
-    ServiceVersions, //
+    ServiceVersions,
+    WaitingOrder,
+    WaitingOrders, //
 };
 use figway_types::{
     FastMap,
@@ -39,19 +45,25 @@
 #[derive(Debug)]
 pub(super) struct RolloutFeed {
     book: Mutex<RolloutBook>,
+    /// Orders for services that the configuration does not contain.
+    waiting: Mutex<WaitingOrders>,
     progress: Mutex<FastMap<NodeId, FeedProgress>>,
     /// Number of the last change that this node made itself.
     own_sequence: Mutex<u64>,
     changes: watch::Sender<u64>,
+    /// Whether any rollout is known.
+    is_known: AtomicBool,
 }
 
 impl Default for RolloutFeed {
     fn default() -> Self {
         Self {
             book: Mutex::default(),
+            waiting: Mutex::default(),
             progress: Mutex::default(),
             own_sequence: Mutex::default(),
             changes: watch::Sender::new(0),
+            is_known: AtomicBool::new(false),
         }
     }
 }
@@ -70,47 +82,89 @@
         self.rollout_feed.book.lock().expect("no holder panics")
     }
 
+    /// Returns whether any rollout is known, without a lock.
+    pub fn has_rollouts(&self) -> bool {
+        self.rollout_feed.is_known.load(Ordering::Acquire)
+    }
+
     /// Returns a watch that changes whenever a rollout does.
     pub(crate) fn watch_rollouts(&self) -> watch::Receiver<u64> {
         self.rollout_feed.changes.subscribe()
     }
 
     /// Records orders that were read from the log. `fresh` says whether they were read as they were
-    /// written. Peers are notified at once.
+    /// written. Peers are notified at once. An order for a service that the configuration does not
+    /// contain waits until it does.
     pub fn record_orders(&self, orders: &[OrderRecord], fresh: bool) {
         for record in orders {
+            let waiting = WaitingOrder {
+                order: record.order.clone(),
+                offset: record.offset,
+                fresh,
+                read_at: Instant::now(),
+            };
+            if self.routes().services.contains_key(&record.order.service) {
+                self.record_order(&waiting);
+                continue;
+            }
             let order = &record.order;
-            let service = &order.service;
-            if !self.routes().services.contains_key(service) {
+            if self.waiting_orders().keep(waiting) {
                 log::warn!(
-                    "rollout order ignored service={service} version={} offset={} why=the \
-                     configuration does not know the service",
+                    "rollout order waits service={} version={} offset={} why=the configuration does \
+                     not know the service",
+                    order.service,
                     order.target_version,
                     record.offset
                 );
-                continue;
-            }
-            let base = self.base_version(service, &order.target_version);
-            let now = Instant::now();
-            let mut book = self.rollouts();
-            let is_new = book.record_order(order, record.offset, fresh, base.as_deref(), now);
-            drop(book);
-            if is_new {
-                log::info!(
-                    "rollout ordered service={service} version={} offset={} duration_ms={} \
-                     fresh={fresh} base={}",
-                    order.target_version,
-                    record.offset,
-                    order.duration_ms,
-                    base.as_deref().unwrap_or("-"),
-                );
-                self.publish_own_rollout();
+                self.rollout_feed.changes.send_modify(|count| *count += 1);
             }
         }
     }
 
+    /// Returns whether orders wait for their service.
+    pub(crate) fn has_waiting_orders(&self) -> bool {
+        !self.waiting_orders().is_empty()
+    }
+
+    /// Records the orders whose service the configuration contains now.
+    pub(crate) fn record_waiting_orders(&self) {
+        let routes = self.routes();
+        let is_known = |service: &str| routes.services.contains_key(service);
+        let known = self.waiting_orders().take(is_known, Instant::now());
+        for waiting in known {
+            self.record_order(&waiting);
+        }
+    }
+
+    fn waiting_orders(&self) -> MutexGuard<'_, WaitingOrders> {
+        self.rollout_feed.waiting.lock().expect("no holder panics")
+    }
+
+    fn record_order(&self, waiting: &WaitingOrder) {
+        let (order, offset, fresh) = (&waiting.order, waiting.offset, waiting.fresh);
+        let base = self.base_version(&order.service, &order.target_version);
+        let mut book = self.rollouts();
+        let is_new = book.record_order(order, offset, fresh, base.as_deref(), waiting.read_at);
+        drop(book);
+        if !is_new {
+            return;
+        }
+        log::info!(
+            "rollout ordered service={} version={} offset={offset} duration_ms={} fresh={fresh} \
+             base={}",
+            order.service,
+            order.target_version,
+            order.duration_ms,
+            base.as_deref().unwrap_or("-"),
+        );
+        self.publish_own_rollout();
+    }
+
     /// Counts a run at the target beside this node, if its service has an open rollout.
     pub fn record_run(&self, target: &Target, route: &str, sample: RunSample, is_cold: bool) {
+        if !self.has_rollouts() {
+            return;
+        }
         let version = target.version();
         self.rollouts()
             .record_run(&target.service, version, route, sample, is_cold);
@@ -169,25 +223,38 @@
         for service in self.open_rollouts() {
             let has_targets = self.has_new_targets(&service);
             let mut book = self.rollouts();
-            let phase = book.advance(&service, has_targets, Instant::now());
+            let changed = book.advance(&service, has_targets, Instant::now());
             drop(book);
-            if phase.is_some() {
+            if changed {
                 self.publish_phase(&service);
             }
         }
     }
 
     /// Records that the log holds a rollout as running.
-    pub(crate) fn record_rollout_running(&self, service: &str, order_offset: Offset) {
-        self.rollouts().record_running(service, order_offset);
+    pub(crate) fn record_rollout_running(
+        &self,
+        service: &str,
+        order_offset: Offset,
+        status_at: Offset,
+    ) {
+        let mut book = self.rollouts();
+        book.record_running(service, order_offset, status_at);
+        drop(book);
         self.publish_own_rollout();
     }
 
     /// Records how the log holds that a rollout ended.
-    pub(crate) fn record_rollout_end(&self, service: &str, order_offset: Offset, phase: Phase) {
-        let now = Instant::now();
-        self.rollouts()
-            .record_end(service, order_offset, phase, now);
+    pub(crate) fn record_rollout_end(
+        &self,
+        service: &str,
+        order_offset: Offset,
+        phase: Phase,
+        status_at: Offset,
+    ) {
+        let mut book = self.rollouts();
+        book.record_end(service, order_offset, phase, status_at, Instant::now());
+        drop(book);
         self.publish_phase(service);
     }
 
@@ -284,6 +351,7 @@
     }
 
     fn notify_rollouts(&self) {
+        self.rollout_feed.is_known.store(true, Ordering::Release);
         self.rollout_feed.changes.send_modify(|count| *count += 1);
     }
 
@@ -308,7 +376,7 @@
     let verdict = rollout.tally().verdict();
     log::info!(
         "rollout moved phase={} how={how} service={} version={} offset={} evidence={:.2} cause={} \
-         new_runs={} new_failures={} old_runs={}",
+         new_runs={} new_failures={} old_runs={} focus={}",
         rollout.phase().name(),
         rollout.order().service,
         rollout.order().target_version,
@@ -318,5 +386,6 @@
         rollout.tally().new_run_count(),
         rollout.tally().new_failed_count(),
         rollout.tally().old_run_count(),
+        rollout.focus().unwrap_or("-"),
     );
 }
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -50,6 +50,7 @@
 use crate::reader::follow_log;
 use crate::rollout_agent::{
     record_statuses,
+    record_waiting_orders,
     run_rollouts, //
 };
 use crate::route_reader::follow_routes;
@@ -240,6 +241,7 @@
         mesh.rollouts().set_limits(self.exposure_limits);
         if let Some(statuses) = self.statuses {
             spawn_local(run_rollouts(Arc::clone(&mesh)));
+            spawn_local(record_waiting_orders(Arc::clone(&mesh)));
             spawn_local(record_statuses(Arc::clone(&mesh), statuses));
         }
         if let Some(routes) = self.routes {
--- a/crates/control/src/rollout_agent.rs
+++ b/crates/control/src/rollout_agent.rs
@@ -18,13 +18,16 @@
     plan_status,
     EvidenceReport,
     Phase,
+    RolloutState,
     RolloutStatus,
+    StatusRecord,
     StatusState,
     StatusStep,
     OWN_STOP_LEVEL,
     STOP_LEVEL, //
 };
 use figway_types::{
+    Backoff,
     Member,
     NodeId,
     Offset, //
@@ -53,6 +56,12 @@
 /// Timeout of one report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Pause before a node that took no report is contacted again.
+const REDIAL_FIRST_MS: u64 = 200;
+
+/// Longest such pause. A node of a build without rollouts closes each connection.
+const REDIAL_MAX_MS: u64 = 3_000;
+
 /// Pause of the node that decides between two checks whether the log has to be asked.
 const STATUS_PAUSE: Duration = Duration::from_millis(50);
 
@@ -64,7 +73,7 @@
 
 /// Reports evidence, or decides, while a rollout is open. Runs until the process ends.
 pub(crate) async fn run_rollouts(mesh: Arc<Mesh>) {
-    let mut reporter = Reporter::default();
+    let mut reporter = Reporter::new(mesh.random());
     loop {
         wait_for_rollout(&mesh).await;
         let report = mesh.own_evidence();
@@ -104,8 +113,24 @@
     }
 }
 
+/// Records orders once the configuration contains their service. Runs until the process ends.
+pub(crate) async fn record_waiting_orders(mesh: Arc<Mesh>) {
+    let mut orders = mesh.watch_rollouts();
+    let mut views = mesh.watch_view();
+    loop {
+        let is_waiting = mesh.has_waiting_orders();
+        let changed = match is_waiting {
+            true => views.changed().await.is_ok(),
+            false => orders.changed().await.is_ok(),
+        };
+        if !changed {
+            return;
+        }
+        mesh.record_waiting_orders();
+    }
+}
+
 /// Sends reports to the node that decides.
-#[derive(Default)]
 struct Reporter {
     connection: Option<(NodeId, PeerClient)>,
     /// Receiver and number of runs of the last report that arrived.
@@ -113,31 +138,60 @@
     skipped_count: u32,
     /// Whether the last report arrived.
     last_arrived: bool,
+    backoff: Backoff,
+    /// Node that took no report, and when it is contacted again.
+    redial: Option<(NodeId, Instant)>,
 }
 
 impl Reporter {
+    fn new(seed: u64) -> Self {
+        Self {
+            connection: None,
+            last: None,
+            skipped_count: 0,
+            last_arrived: false,
+            backoff: Backoff::new(REDIAL_FIRST_MS, REDIAL_MAX_MS, seed),
+            redial: None,
+        }
+    }
+
+    /// Returns whether the pause after a report that `decider` did not take has not passed.
+    fn must_wait(&self, decider: &NodeId) -> bool {
+        let redial = self.redial.as_ref();
+        redial.is_some_and(|(node, at)| node == decider && Instant::now() < *at)
+    }
+
+    /// Closes the connection to `decider`, which took no report.
+    fn record_failure(&mut self, decider: &NodeId, why: &dyn std::fmt::Display) {
+        log::info!("could not report evidence node={decider} why={why:#}");
+        let is_other = self
+            .redial
+            .as_ref()
+            .is_some_and(|(node, _)| node != decider);
+        if is_other {
+            self.backoff.reset();
+        }
+        let redial_at = self.backoff.next_attempt_at(Instant::now());
+        self.redial = Some((decider.clone(), redial_at));
+        self.connection = None;
+        self.last_arrived = false;
+    }
+
     /// Returns whether the reports of this node reach the one that decides.
     fn reaches_decider(&self) -> bool {
         self.last_arrived
     }
 
-    /// Opens a connection to the node that decides, unless there is one.
-    async fn connect(&mut self, mesh: &Mesh, decider: &Member) {
+    /// Returns a connection to the node that decides.
+    async fn connect(&mut self, mesh: &Mesh, decider: &Member) -> anyhow::Result<&PeerClient> {
         let connected = self.connection.as_ref();
-        if connected.is_some_and(|(to, _)| *to == decider.node_id) {
-            return;
+        if connected.is_none_or(|(to, _)| *to != decider.node_id) {
+            let cross_region = decider.region != mesh.members().own().region;
+            let client = dial(mesh, &decider.control_address, cross_region).await?;
+            self.connection = Some((decider.node_id.clone(), client));
         }
-        let cross_region = decider.region != mesh.members().own().region;
-        self.connection = match dial(mesh, &decider.control_address, cross_region).await {
-            Ok(client) => Some((decider.node_id.clone(), client)),
-            Err(error) => {
-                log::info!(
-                    "could not report evidence node={} why={error:#}",
-                    decider.node_id
-                );
-                None
-            }
-        };
+        let (_, client) = self.connection.as_ref().expect("it was opened");
+        Ok(client)
     }
 
     /// Sends the report, unless the same counts have arrived or its turn has not come.
@@ -155,28 +209,31 @@
             return;
         }
         self.skipped_count = 0;
-        self.connect(mesh, &decider).await;
-        let Some((_, client)) = &self.connection else {
-            self.last_arrived = false;
+        if self.must_wait(&decider.node_id) {
             return;
-        };
-        let context = context_until(Instant::now() + REPORT_TIMEOUT);
-        let reported = client.report_evidence(context, report.clone()).await;
-        self.last_arrived = reported.is_ok();
-        match reported {
+        }
+        match self.report(mesh, &decider, report).await {
             Ok(states) => {
                 mesh.merge_rollout_states(&states);
                 self.last = Some(sent);
+                self.last_arrived = true;
+                self.redial = None;
+                self.backoff.reset();
             }
-            Err(error) => {
-                log::info!(
-                    "could not report evidence node={} why={error}",
-                    decider.node_id
-                );
-                self.connection = None;
-            }
+            Err(error) => self.record_failure(&decider.node_id, &error),
         }
     }
+
+    async fn report(
+        &mut self,
+        mesh: &Mesh,
+        decider: &Member,
+        report: &EvidenceReport,
+    ) -> anyhow::Result<Vec<RolloutState>> {
+        let client = self.connect(mesh, decider).await?;
+        let context = context_until(Instant::now() + REPORT_TIMEOUT);
+        Ok(client.report_evidence(context, report.clone()).await?)
+    }
 }
 
 fn run_count(mesh: &Mesh, report: &EvidenceReport) -> u64 {
@@ -229,30 +286,39 @@
         let newest = page
             .statuses
             .iter()
-            .find(|status| status.service == service);
+            .find(|record| record.status.service == service);
         let Some(planned) = plan(mesh, &service, newest, asked_at) else {
             continue;
         };
         let order_offset = planned.order_offset;
+        let newest_at = newest.map_or(page.end_offset, |record| record.offset);
         match planned.step {
             StatusStep::Nothing => {}
-            StatusStep::Adopt(phase) => mesh.record_rollout_end(&service, order_offset, phase),
-            StatusStep::Recorded => mesh.record_rollout_running(&service, order_offset),
+            StatusStep::Adopt(phase) => {
+                mesh.record_rollout_end(&service, order_offset, phase, newest_at);
+            }
+            StatusStep::Recorded => {
+                mesh.record_rollout_running(&service, order_offset, newest_at);
+            }
             StatusStep::Append(state) => {
                 let status = RolloutStatus {
                     service: service.clone(),
                     target_version: planned.target_version,
                     state,
                 };
-                append(log, &status, page.end_offset).await?;
-                match state {
-                    StatusState::Running => mesh.record_rollout_running(&service, order_offset),
-                    StatusState::Completed => {
-                        mesh.record_rollout_end(&service, order_offset, Phase::Completed);
-                    }
-                    StatusState::RolledBack => {
-                        mesh.record_rollout_end(&service, order_offset, Phase::RolledBack);
+                // The log took the record only if it ended there.
+                let status_at = page.end_offset;
+                append(log, &status, status_at).await?;
+                let end = match state {
+                    StatusState::Running => None,
+                    StatusState::Completed => Some(Phase::Completed),
+                    StatusState::RolledBack => Some(Phase::RolledBack),
+                };
+                match end {
+                    Some(phase) => {
+                        mesh.record_rollout_end(&service, order_offset, phase, status_at);
                     }
+                    None => mesh.record_rollout_running(&service, order_offset, status_at),
                 }
                 // The end has moved; the next append needs the new one.
                 return Ok(());
@@ -273,14 +339,14 @@
 fn plan(
     mesh: &Mesh,
     service: &str,
-    newest: Option<&RolloutStatus>,
+    newest: Option<&StatusRecord>,
     asked_at: Instant,
 ) -> Option<PlannedStep> {
     let has_targets = mesh.has_new_targets(service);
     let mut book = mesh.rollouts();
     book.record_log_contact(service, asked_at);
-    if let Some(completed) = newest.filter(|status| status.state == StatusState::Completed) {
-        book.record_completed_before(service, &completed.target_version);
+    if let Some(newest) = newest {
+        book.record_completed_before(newest, Instant::now());
     }
     let rollout = book.get(service)?;
     Some(PlannedStep {
--- a/crates/dataplane/src/candidates.rs
+++ b/crates/dataplane/src/candidates.rs
@@ -109,8 +109,8 @@
         if let Some(entries) = self.entries.get(&self.key_buffer) {
             return Rc::clone(entries);
         }
-        let versions = self.versions.get(key.service);
-        let versions = versions.map(|counted| &counted.versions);
+        // Versions are counted in each view, so that it is known how long each was there before an order.
+        let versions = self.versions(view, key.service);
         let entries: Rc<[TargetEntry]> = Rc::from(build_entries(view, own, key, versions));
         self.entries
             .insert(self.key_buffer.clone(), Rc::clone(&entries));
@@ -148,7 +148,7 @@
     view: &View,
     own: &Member,
     key: CandidateKey<'_>,
-    versions: Option<&ServiceVersions>,
+    versions: &ServiceVersions,
 ) -> Vec<TargetEntry> {
     let all_targets = Subset::default();
     let subset = key.profile.subsets.get(key.subset_name);
@@ -163,7 +163,7 @@
         let Some(target) = member.serving_target() else {
             continue;
         };
-        let place = versions.and_then(|versions| versions.index_of(target.version()));
+        let place = versions.index_of(target.version());
         let is_chosen = place.is_none_or(|index| key.versions.contains(index));
         if !is_chosen || !has_labels(member, labels) {
             continue;
--- a/crates/dataplane/src/pick.rs
+++ b/crates/dataplane/src/pick.rs
@@ -7,6 +7,7 @@
     Instant, //
 };
 
+use figway_rollout::VersionMask;
 use figway_routing::{
     CallContext,
     Candidate,
@@ -141,16 +142,19 @@
     let mesh = &worker.plane.mesh;
     let view = mesh.view();
     let mut cache = worker.candidates.borrow_mut();
-    let draw = mesh.random_ratio();
-    let book = mesh.rollouts();
-    let versions = cache.versions(&view, rule.service).choose(
-        book.get(rule.service),
-        book.limits(),
-        draw,
-        is_first,
-        Instant::now(),
-    );
-    drop(book);
+    let mut versions = VersionMask::ALL;
+    if mesh.has_rollouts() {
+        let draw = mesh.random_ratio();
+        let book = mesh.rollouts();
+        versions = cache.versions(&view, rule.service).choose(
+            book.get(rule.service),
+            book.limits(),
+            rule.name,
+            draw,
+            is_first,
+            Instant::now(),
+        );
+    }
     let key = CandidateKey {
         service: rule.service,
         subset_name: rule.subset,
--- a/crates/log-client/src/rollouts.rs
+++ b/crates/log-client/src/rollouts.rs
@@ -4,7 +4,8 @@
 
 use figway_rollout::{
     RolloutOrder,
-    RolloutStatus, //
+    RolloutStatus,
+    StatusRecord, //
 };
 use figway_types::Offset;
 use futures::future::LocalBoxFuture;
@@ -27,7 +28,7 @@
 #[derive(Clone, Debug)]
 pub struct StatusPage {
     /// Newest status of each service.
-    pub statuses: Vec<RolloutStatus>,
+    pub statuses: Vec<StatusRecord>,
     /// End of the log before which all of them lie.
     pub end_offset: Offset,
 }
--- a/crates/rollout/src/book.rs
+++ b/crates/rollout/src/book.rs
@@ -20,11 +20,15 @@
     RolloutOrder, //
 };
 use crate::phase::Phase;
-use crate::rollout::{
+use crate::rollout::Rollout;
+use crate::state::{
     instant_before,
-    Rollout,
     RolloutState, //
 };
+use crate::status::{
+    StatusRecord,
+    StatusState, //
+};
 
 /// Difference of two ages of one order that is not sent to others. Delays of messages alone make ages
 /// differ.
@@ -103,8 +107,7 @@
             inherit_versions(&mut rollout, earlier);
         }
         if rollout.base.as_deref() == Some(order.target_version.as_str()) {
-            // The service runs this version already; a canary share would take calls from it.
-            rollout.phase = Phase::Full;
+            rollout.serve_base(now);
         }
         self.insert(rollout);
         true
@@ -185,14 +188,21 @@
         true
     }
 
-    /// Takes the step of a rollout that is due by time. Only the node that decides calls this.
-    /// Returns the new phase.
-    pub fn advance(&mut self, service: &str, has_targets: bool, now: Instant) -> Option<Phase> {
-        let rollout = self.rollouts.get_mut(service)?;
-        let phase = rollout.next_by_time(has_targets, now)?;
-        rollout.set_phase(phase, now);
+    /// Takes the step of a rollout that is due by time, or asks for more evidence on a route. Only the
+    /// node that decides calls this. Returns whether the rollout changed.
+    pub fn advance(&mut self, service: &str, has_targets: bool, now: Instant) -> bool {
+        let Some(rollout) = self.rollouts.get_mut(service) else {
+            return false;
+        };
+        if let Some(phase) = rollout.next_by_time(has_targets, now) {
+            rollout.set_phase(phase, now);
+        } else if let Some(probe) = rollout.next_probe(&self.limits, has_targets, now) {
+            rollout.probe = probe;
+        } else {
+            return false;
+        }
         self.mark_changed(service);
-        Some(phase)
+        true
     }
 
     /// Records that the log answered at `at`, when the status of a service was read.
@@ -202,32 +212,53 @@
         }
     }
 
-    /// Records that the log holds the rollout with the order at `offset` as running.
-    pub fn record_running(&mut self, service: &str, offset: Offset) {
+    /// Records that the log holds the rollout with the order at `offset` as running, at `status_at`.
+    pub fn record_running(&mut self, service: &str, offset: Offset, status_at: Offset) {
         let rollout = self.rollouts.get_mut(service);
         if let Some(rollout) = rollout.filter(|rollout| rollout.order_offset == offset) {
             rollout.recorded = true;
+            rollout.status_at = rollout.status_at.max(Some(status_at));
             self.mark_changed(service);
         }
     }
 
-    /// Records that the log holds the order before the newest one as completed, with `version`. Its
+    /// Records that the log holds an order before the newest one as completed, if `newest` says so. Its
     /// record was under way when the later order was read.
-    pub fn record_completed_before(&mut self, service: &str, version: &str) {
-        let rollout = self.rollouts.get_mut(service);
-        let rollout =
-            rollout.filter(|rollout| rollout.excluded_versions().any(|known| known == version));
-        if let Some(rollout) = rollout {
-            rollout.completed_before = Some(version.to_owned());
-            self.mark_changed(service);
+    pub fn record_completed_before(&mut self, newest: &StatusRecord, now: Instant) {
+        let status = &newest.status;
+        let Some(rollout) = self.rollouts.get_mut(&status.service) else {
+            return;
+        };
+        let version = &status.target_version;
+        let is_target = *version == rollout.order.target_version;
+        let is_earlier = match is_target {
+            true => !rollout.owns_status(status.state, newest.offset),
+            false => rollout.excluded_versions().any(|known| known == version),
+        };
+        let is_known = rollout.completed_before.as_ref() == Some(version);
+        if status.state != StatusState::Completed || !is_earlier || is_known {
+            return;
+        }
+        rollout.completed_before = Some(version.clone());
+        if is_target && rollout.phase < Phase::Full {
+            rollout.serve_base(now);
         }
+        self.mark_changed(&status.service);
     }
 
-    /// Records how the log holds that the rollout with the order at `offset` ended.
-    pub fn record_end(&mut self, service: &str, offset: Offset, phase: Phase, now: Instant) {
+    /// Records how the log holds, at `status_at`, that the rollout with the order at `offset` ended.
+    pub fn record_end(
+        &mut self,
+        service: &str,
+        offset: Offset,
+        phase: Phase,
+        status_at: Offset,
+        now: Instant,
+    ) {
         let rollout = self.rollouts.get_mut(service);
         if let Some(rollout) = rollout.filter(|rollout| rollout.order_offset == offset) {
             rollout.set_phase(phase, now);
+            rollout.status_at = rollout.status_at.max(Some(status_at));
             self.mark_changed(service);
         }
     }
@@ -279,22 +310,34 @@
     offset > earlier.order_offset && !is_same
 }
 
-/// Takes over the base version and the excluded versions of the earlier rollout of the service.
+/// Takes over from the earlier rollout of the service the base version, the excluded versions and the
+/// place of its end in the log.
 fn inherit_versions(rollout: &mut Rollout, earlier: &Rollout) {
-    for version in earlier.excluded_versions() {
-        rollout.exclude_version(version);
+    let is_open = !earlier.phase.is_final();
+    // A record of the earlier order that is under way is refused once a later one is in the log.
+    let may_end_late = is_open || earlier.replaces_open && !earlier.recorded;
+    rollout.replaces_open |= may_end_late;
+    let earlier_at = earlier.status_at.max(earlier.earlier_status_at);
+    rollout.earlier_status_at = rollout.earlier_status_at.max(earlier_at);
+    let excluded = &mut rollout.excluded_versions;
+    excluded.merge(&earlier.excluded_versions);
+    if let Some(completed) = &earlier.completed_before {
+        excluded.remove(completed);
     }
     match earlier.phase {
         Phase::Completed => {
             rollout.base = Some(earlier.order.target_version.clone());
         }
         _ => {
-            rollout.exclude_version(&earlier.order.target_version);
+            excluded.add(&earlier.order.target_version, earlier.order_offset);
             if earlier.base().is_some() {
                 rollout.base = earlier.base().map(str::to_owned);
             }
         }
     }
+    rollout
+        .excluded_versions
+        .remove(&rollout.order.target_version);
 }
 
 /// Merges the state of the same order. Returns whether this node learned something.
@@ -313,7 +356,14 @@
         known.completed_before.clone_from(&state.completed_before);
         learned = true;
     }
+    if state.probe > known.probe {
+        known.probe.clone_from(&state.probe);
+        learned = true;
+    }
     known.fresh |= state.fresh;
+    known.replaces_open |= state.replaces_open;
+    known.status_at = known.status_at.max(state.status_at);
+    known.earlier_status_at = known.earlier_status_at.max(state.earlier_status_at);
     if state.recorded && !known.recorded {
         known.recorded = true;
         learned = true;
@@ -322,11 +372,6 @@
         known.base.clone_from(&state.base);
         learned = true;
     }
-    for version in &state.excluded_versions {
-        if !known.excluded_versions.contains(version) {
-            known.exclude_version(version);
-            learned = true;
-        }
-    }
+    learned |= known.excluded_versions.merge(&state.excluded_versions);
     learned
 }
--- a/crates/rollout/src/cusum.rs
+++ b/crates/rollout/src/cusum.rs
@@ -13,6 +13,13 @@
     pub(crate) limit: f64,
 }
 
+impl Hypotheses {
+    /// Returns the part of the limit that `hit_count` bad runs add.
+    pub(crate) fn hit_level(&self, hit_count: f64) -> f64 {
+        (self.bad_rate / self.good_rate).ln() * hit_count / self.limit
+    }
+}
+
 /// Sum of log-likelihood ratios since it was last zero.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Cusum {
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -7,12 +7,17 @@
 mod book;
 mod cusum;
 mod evidence;
+mod excluded;
 mod order;
 mod phase;
+mod probe;
 mod rollout;
+mod slow;
+mod state;
 mod status;
 mod tally;
 mod versions;
+mod waiting;
 
 pub use book::{
     RolloutBook,
@@ -24,20 +29,24 @@
     RunCounter,
     RunSample, //
 };
+pub use excluded::ExcludedVersions;
 pub use order::{
     ExposureLimits,
     OrderError,
     RolloutOrder, //
 };
 pub use phase::Phase;
-pub use rollout::{
-    Rollout,
-    RolloutState, //
+pub use probe::{
+    Probe,
+    Trial, //
 };
+pub use rollout::Rollout;
+pub use state::RolloutState;
 pub use status::{
     needs_status,
     plan_status,
     RolloutStatus,
+    StatusRecord,
     StatusState,
     StatusStep, //
 };
@@ -51,3 +60,7 @@
     ServiceVersions,
     VersionMask, //
 };
+pub use waiting::{
+    WaitingOrder,
+    WaitingOrders, //
+};
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -6,15 +6,12 @@
 };
 
 use figway_types::Offset;
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 
 use crate::evidence::{
     EvidenceReport,
     RunCounter, //
 };
+use crate::excluded::ExcludedVersions;
 use crate::order::{
     ExposureLimits,
     RolloutOrder, //
@@ -24,60 +21,50 @@
     HOLD,
     RISE, //
 };
+use crate::probe::{
+    Probe,
+    Trial,
+    TrialStart,
+    TRIAL_USUAL, //
+};
+use crate::state::{
+    instant_before,
+    RolloutState, //
+};
+use crate::status::StatusState;
 use crate::tally::Tally;
 
+/// Part of the duration after which the version is tried under load. The time left is for runs that
+/// clear or confirm what the trial showed.
+const TRIAL_AT_PART: f64 = 0.45;
+
+/// Part of the duration until which a suspect version is not tried under load.
+const LATE_TRIAL_AT_PART: f64 = 0.55;
+
 /// Part of the duration after which the share rises.
 const RISE_AT_PART: f64 = 0.7;
 
-/// Earliest part of the duration at which the share rises, if the duration is short.
-const RISE_AT_MIN_PART: f64 = 0.3;
+/// Number of runs of the new version after which the share rises then. With fewer ones it rises as late
+/// as it may.
+const RISE_RUN_COUNT: u64 = 400;
 
 /// Time for the rise, the hold and the record in the log, with a margin for repeated appends.
-const COMPLETION_TIME: Duration = Duration::from_millis(3_000);
+const COMPLETION_TIME: Duration = Duration::from_millis(2_300);
+
+/// Largest part of the duration for that.
+const COMPLETION_PART: f64 = 0.7;
 
-/// Score, as a part of the limit, from which on the rise is delayed while there is time.
-const DELAY_RISE_LEVEL: f64 = 0.5;
+/// Scores of failures and of slow runs, as parts of their limits, from which on the version is in doubt
+/// when the share has to rise: the rise is delayed while there is time, and then the version is stopped.
+/// One failure gives 0.3, and further answers clear it.
+const DOUBT_LEVELS: (f64, f64) = (0.35, 0.6);
+
+/// The same at the end of a trial with few runs. Any version may fail twice in a short time.
+const TRIAL_DOUBT_LEVELS: (f64, f64) = (0.8, 0.42);
 
 /// Longest age of the last answer of the log with which the share may rise.
 const LOG_CONTACT_MAX: Duration = Duration::from_millis(1_500);
 
-/// Time after a fresh order was read for which an end in the log is taken for that of an earlier order.
-const FRESH_FOR: Duration = Duration::from_secs(1);
-
-/// Largest number of excluded versions of a service, which bounds the size of messages.
-const EXCLUDED_MAX_COUNT: usize = 8;
-
-/// State of a rollout in messages between nodes. Times are ages, since clocks differ.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RolloutState {
-    /// The order.
-    pub order: RolloutOrder,
-    /// Offset of the order in the operator's topic.
-    pub order_offset: Offset,
-    /// Time since the order was read, in milliseconds.
-    pub age_ms: u64,
-    /// Phase.
-    pub phase: Phase,
-    /// Time since the phase began, in milliseconds.
-    pub phase_age_ms: u64,
-    /// Version that the service ran before, if known.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub base: Option<String>,
-    /// Versions of earlier rollouts that did not complete.
-    #[serde(rename = "shunned", default, skip_serializing_if = "Vec::is_empty")]
-    pub excluded_versions: Vec<String>,
-    /// Version of the order before this one, if that was completed after this one was read.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub completed_before: Option<String>,
-    /// Whether the log holds that the rollout is running.
-    #[serde(default)]
-    pub recorded: bool,
-    /// Whether the order was read as soon as it was written, so that an end in the log is of an earlier
-    /// order.
-    #[serde(default)]
-    pub fresh: bool,
-}
-
 /// A rollout as this node knows it.
 #[derive(Clone, Debug)]
 pub struct Rollout {
@@ -90,14 +77,20 @@
     pub(crate) phase: Phase,
     pub(crate) phase_since: Instant,
     pub(crate) base: Option<String>,
-    pub(crate) excluded_versions: Vec<String>,
+    pub(crate) excluded_versions: ExcludedVersions,
     pub(crate) completed_before: Option<String>,
     pub(crate) recorded: bool,
+    pub(crate) status_at: Option<Offset>,
+    pub(crate) earlier_status_at: Option<Offset>,
+    pub(crate) replaces_open: bool,
     pub(crate) log_contact_at: Option<Instant>,
     /// Number of the last change, in the order in which this node learned them.
     pub(crate) sequence: u64,
     pub(crate) counter: RunCounter,
     pub(crate) tally: Tally,
+    pub(crate) probe: Probe,
+    /// Start of the trial, on the node that decides.
+    trial_start: Option<TrialStart>,
 }
 
 impl Rollout {
@@ -110,13 +103,18 @@
             phase: Phase::Canary,
             phase_since: now,
             base: None,
-            excluded_versions: Vec::new(),
+            excluded_versions: ExcludedVersions::default(),
             completed_before: None,
             recorded: false,
+            status_at: None,
+            earlier_status_at: None,
+            replaces_open: false,
             log_contact_at: None,
             sequence: 0,
             counter: RunCounter::default(),
             tally: Tally::default(),
+            probe: Probe::default(),
+            trial_start: None,
         }
     }
 
@@ -129,7 +127,11 @@
             excluded_versions: state.excluded_versions.clone(),
             completed_before: state.completed_before.clone(),
             recorded: state.recorded,
+            status_at: state.status_at,
+            earlier_status_at: state.earlier_status_at,
+            replaces_open: state.replaces_open,
             fresh: state.fresh,
+            probe: state.probe.clone(),
             ..Self::new(&state.order, state.order_offset, now)
         }
     }
@@ -162,7 +164,7 @@
     /// Returns the versions of earlier rollouts that did not complete. They get no calls.
     pub fn excluded_versions(&self) -> impl Iterator<Item = &str> {
         let completed = self.completed_before.as_deref();
-        let excluded = self.excluded_versions.iter().map(String::as_str);
+        let excluded = self.excluded_versions.names();
         excluded.filter(move |version| Some(*version) != completed)
     }
 
@@ -171,6 +173,11 @@
         &self.tally
     }
 
+    /// Returns the route on which the node that decides asked for more evidence, if there is one.
+    pub fn focus(&self) -> Option<&str> {
+        self.probe.focus.as_deref()
+    }
+
     /// Returns the counts of the target beside this node.
     pub fn counter(&self) -> &RunCounter {
         &self.counter
@@ -181,9 +188,13 @@
         self.started_at + self.order.duration()
     }
 
-    /// Returns the share of the new version at `now`.
-    pub fn share(&self, limits: &ExposureLimits, now: Instant) -> f64 {
-        self.phase.share(self.phase_since, now, limits)
+    /// Returns the share of the new version on `route` at `now`.
+    pub fn share(&self, route: &str, limits: &ExposureLimits, now: Instant) -> f64 {
+        let share = self.phase.share(self.phase_since, now, limits);
+        match self.phase {
+            Phase::Canary => self.probe.share(route, share),
+            _ => share,
+        }
     }
 
     /// Returns the state for a message.
@@ -199,7 +210,11 @@
             excluded_versions: self.excluded_versions.clone(),
             completed_before: self.completed_before.clone(),
             recorded: self.recorded,
+            status_at: self.status_at,
+            earlier_status_at: self.earlier_status_at,
+            replaces_open: self.replaces_open,
             fresh: self.fresh,
+            probe: self.probe.clone(),
         }
     }
 
@@ -213,25 +228,29 @@
     /// Returns the phase that follows by the evidence alone, if its score is at least `limit`. Any node
     /// may take this step. The version that the service runs already is never stopped.
     pub(crate) fn next_by_evidence(&self, limit: f64) -> Option<Phase> {
-        let is_base = self.base() == Some(self.order.target_version.as_str());
-        let may_stop = self.phase < Phase::Stopped && !is_base;
+        let may_stop = self.phase < Phase::Stopped && !self.is_base();
         (may_stop && self.tally.verdict().level >= limit).then_some(Phase::Stopped)
     }
 
     /// Returns the phase that follows by time. Only the node that decides takes this step.
     /// `has_targets` says whether targets of the new version serve.
     pub(crate) fn next_by_time(&self, has_targets: bool, now: Instant) -> Option<Phase> {
-        let latest_rise_at = self.latest_rise_at();
         match self.phase {
             // The service would end with its old targets.
             Phase::Canary if !has_targets => {
                 (now >= self.deadline() - HOLD).then_some(Phase::Stopped)
             }
+            // Clean runs after the trial say nothing about the version under load.
+            Phase::Canary
+                if self.has_thin_trial_ended(now) && self.is_in_doubt(TRIAL_DOUBT_LEVELS) =>
+            {
+                Some(Phase::Stopped)
+            }
+            Phase::Canary if self.is_in_doubt(DOUBT_LEVELS) => {
+                (now >= self.latest_rise_at()).then_some(Phase::Stopped)
+            }
             Phase::Canary => {
-                let must_delay =
-                    self.tally.verdict().level >= DELAY_RISE_LEVEL && now < latest_rise_at;
-                let may_rise =
-                    now >= self.rise_at() && !must_delay && self.has_recent_log_contact(now);
+                let may_rise = now >= self.rise_at() && self.has_recent_log_contact(now);
                 may_rise.then_some(Phase::Rising)
             }
             Phase::Rising | Phase::Full if !has_targets => {
@@ -242,14 +261,82 @@
         }
     }
 
+    /// Returns what the canary is asked next. Only the node that decides asks.
+    pub(crate) fn next_probe(
+        &mut self,
+        limits: &ExposureLimits,
+        has_targets: bool,
+        now: Instant,
+    ) -> Option<Probe> {
+        if self.phase != Phase::Canary || !has_targets {
+            return None;
+        }
+        let trial = self.next_trial(now);
+        self.probe.next(&self.tally, limits, trial)
+    }
+
+    fn next_trial(&mut self, now: Instant) -> Trial {
+        match self.probe.trial {
+            Trial::Pending => {
+                let is_due = now >= self.trial_at();
+                if is_due {
+                    Trial::Running
+                } else {
+                    Trial::Pending
+                }
+            }
+            Trial::Running => {
+                let run_count = self.tally.new_run_count();
+                let start = self
+                    .trial_start
+                    .get_or_insert(TrialStart { at: now, run_count });
+                if !start.has_ended(&self.tally, now) {
+                    return Trial::Running;
+                }
+                let run_count = run_count.saturating_sub(start.run_count);
+                self.tally.set_trial_run_count(run_count);
+                Trial::Ended
+            }
+            Trial::Ended => Trial::Ended,
+        }
+    }
+
+    /// Returns whether the trial under load is over, not yet marked as ended, and showed few runs. With
+    /// many ones the sequential tests decide.
+    fn has_thin_trial_ended(&self, now: Instant) -> bool {
+        let start = self.trial_start.as_ref();
+        let is_running = self.probe.trial == Trial::Running;
+        is_running && start.is_some_and(|start| start.has_ended_thin(&self.tally, now))
+    }
+
+    /// Returns when the version is tried under load; later if a route is in focus.
+    fn trial_at(&self) -> Instant {
+        let part = match self.probe.focus {
+            Some(_) => LATE_TRIAL_AT_PART,
+            None => TRIAL_AT_PART,
+        };
+        let latest = self.time_until_rise().saturating_sub(TRIAL_USUAL);
+        self.started_at + self.order.duration().mul_f64(part).min(latest)
+    }
+
     /// Returns whether the new version has served everything for long enough.
     pub(crate) fn is_settled(&self, now: Instant) -> bool {
         self.phase == Phase::Full && now >= self.phase_since + HOLD
     }
 
-    /// Returns whether what the log holds of this version may be of an earlier order.
-    pub(crate) fn is_new(&self, now: Instant) -> bool {
-        self.fresh && !self.recorded && now < self.started_at + FRESH_FOR
+    /// Returns whether the log's record at `offset` with this version belongs to this order. An end
+    /// follows the record that the rollout is running, of which this node may not have heard.
+    pub(crate) fn owns_status(&self, state: StatusState, offset: Offset) -> bool {
+        let earlier = self.earlier_status_at;
+        // The log gives offsets out again when it goes back to an older copy.
+        let is_later = earlier.is_some_and(|earlier| earlier.era() == offset.era());
+        if is_later && earlier >= Some(offset) {
+            return false;
+        }
+        if self.recorded || state == StatusState::Running {
+            return true;
+        }
+        !self.replaces_open && (is_later || !self.fresh)
     }
 
     /// Returns whether the log should be asked, so that the share may rise.
@@ -258,33 +345,46 @@
         is_soon && !self.has_recent_log_contact(now + LOG_CONTACT_MAX / 2)
     }
 
+    /// Lets the version serve everything, as the service runs it already; a canary share would take
+    /// calls from it.
+    pub(crate) fn serve_base(&mut self, now: Instant) {
+        self.set_phase(Phase::Full, now);
+    }
+
     pub(crate) fn set_phase(&mut self, phase: Phase, since: Instant) {
         self.phase = phase;
         self.phase_since = since;
     }
 
-    /// Excludes the version of an earlier rollout.
-    pub(crate) fn exclude_version(&mut self, version: &str) {
-        let is_known = self.excluded_versions.iter().any(|known| known == version);
-        if !is_known && version != self.order.target_version {
-            self.excluded_versions.push(version.to_owned());
+    fn rise_at(&self) -> Instant {
+        let usual = self.order.duration().mul_f64(RISE_AT_PART);
+        let latest = self.time_until_rise();
+        if self.tally.new_run_count() >= RISE_RUN_COUNT {
+            return self.started_at + usual.min(latest);
         }
-        let surplus = self
-            .excluded_versions
-            .len()
-            .saturating_sub(EXCLUDED_MAX_COUNT);
-        self.excluded_versions.drain(..surplus);
+        self.started_at + latest
     }
 
-    fn rise_at(&self) -> Instant {
+    /// Returns the time after the order at which the share must rise, so that the rollout ends in time.
+    fn time_until_rise(&self) -> Duration {
         let duration = self.order.duration();
-        let earliest = self.started_at + duration.mul_f64(RISE_AT_MIN_PART);
-        let usual = self.started_at + duration.mul_f64(RISE_AT_PART);
-        usual.min(self.latest_rise_at()).max(earliest)
+        let earliest = duration.saturating_sub(COMPLETION_TIME);
+        earliest.max(duration.mul_f64(1.0 - COMPLETION_PART))
     }
 
     fn latest_rise_at(&self) -> Instant {
-        self.started_at + self.order.duration().saturating_sub(COMPLETION_TIME)
+        self.started_at + self.time_until_rise()
+    }
+
+    fn is_base(&self) -> bool {
+        self.base() == Some(self.order.target_version.as_str())
+    }
+
+    /// Returns whether the scores of failures and of slow runs reach one of `levels`, so that the version
+    /// must not serve everything unless further runs clear it.
+    fn is_in_doubt(&self, levels: (f64, f64)) -> bool {
+        let (failed, slow) = self.tally.levels();
+        !self.is_base() && (failed >= levels.0 || slow >= levels.1)
     }
 
     /// Returns whether the log answered recently. Without it the rollout could not be completed.
@@ -293,9 +393,3 @@
             .is_some_and(|at| now.saturating_duration_since(at) <= LOG_CONTACT_MAX)
     }
 }
-
-/// Returns the time `age_ms` before `now`, or `now` if there is no such time.
-pub(crate) fn instant_before(now: Instant, age_ms: u64) -> Instant {
-    now.checked_sub(Duration::from_millis(age_ms))
-        .unwrap_or(now)
-}
--- a/crates/rollout/src/status.rs
+++ b/crates/rollout/src/status.rs
@@ -5,6 +5,8 @@
 
 use std::time::Instant;
 
+use figway_types::Offset;
+
 use crate::phase::Phase;
 use crate::rollout::Rollout;
 
@@ -30,6 +32,15 @@
     pub state: StatusState,
 }
 
+/// Status with its place in the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatusRecord {
+    /// Status.
+    pub status: RolloutStatus,
+    /// Offset of its record.
+    pub offset: Offset,
+}
+
 /// What to do after the newest status of a service was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StatusStep {
@@ -53,26 +64,22 @@
     }
 }
 
-/// Decides what to do with the newest `status` of the service of `rollout`. `has_targets` says whether
+/// Decides what to do with the `newest` status of the service of `rollout`. `has_targets` says whether
 /// targets of the new version serve.
 pub fn plan_status(
     rollout: &Rollout,
-    status: Option<&RolloutStatus>,
+    newest: Option<&StatusRecord>,
     has_targets: bool,
     now: Instant,
 ) -> StatusStep {
     if rollout.phase.is_final() {
         return StatusStep::Nothing;
     }
-    let of_version = status
-        .filter(|status| status.target_version == rollout.order.target_version)
-        .map(|status| status.state);
-    // A fresh order can't have ended: what the log holds is of an earlier order of the same version.
-    let known = match of_version {
-        Some(state) if state != StatusState::Running && rollout.is_new(now) => None,
-        state => state,
-    };
-    match known {
+    let own = newest.filter(|record| {
+        record.status.target_version == rollout.order.target_version
+            && rollout.owns_status(record.status.state, record.offset)
+    });
+    match own.map(|record| record.status.state) {
         Some(StatusState::Completed) => StatusStep::Adopt(Phase::Completed),
         Some(StatusState::RolledBack) => StatusStep::Adopt(Phase::RolledBack),
         None => StatusStep::Append(StatusState::Running),
--- a/crates/rollout/src/tally.rs
+++ b/crates/rollout/src/tally.rs
@@ -19,6 +19,10 @@
     EvidenceReport,
     RouteEvidence, //
 };
+use crate::slow::{
+    SlowScore,
+    SLOW_TESTS, //
+};
 
 /// Share of failures that any version may have, with a margin: up to 0.4% fail on a good one.
 const GOOD_FAILED_RATE: f64 = 0.008;
@@ -35,24 +39,12 @@
 /// Score of the tests of failures for a first run, and its growth with the logarithm of the number of
 /// runs, since each further run may give a false alarm. After 100 runs a false alarm takes four
 /// failures in some dozens of runs, after 3,000 five.
-const FAILED_LIMIT: f64 = 3.6;
-const FAILED_LIMIT_GROWTH: f64 = 0.55;
-
-/// Score of the test of run times. It is higher, as slow runs of one target come in groups.
-const SLOW_LIMIT: f64 = 10.0;
-
-/// Number of bins above the median of the old version from which a run is slow, about 2.8 times.
-const SLOW_BINS: u8 = 3;
+const FAILED_LIMIT: f64 = 4.2;
+const FAILED_LIMIT_GROWTH: f64 = 0.45;
 
 /// Number of runs of the old version on a route from which its run times are compared.
 const MEDIAN_MIN_COUNT: u64 = 20;
 
-/// Added to the old version's share of slow runs, since targets differ in speed.
-const SLOW_RATE_MARGIN: f64 = 0.05;
-
-/// Added to a good version's largest share of slow runs to get a bad one's.
-const SLOW_RATE_STEP: f64 = 0.15;
-
 /// Number of runs with the expected rate of failures that count beside those of the old version.
 const PRIOR_RUN_COUNT: f64 = 100.0;
 
@@ -89,11 +81,11 @@
 pub const OWN_STOP_LEVEL: f64 = 3.0;
 
 /// Scores of the new version, on one route or on all together.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Scores {
     failed: Cusum,
     failed_long: Cusum,
-    slow: Cusum,
+    slow: [SlowScore; SLOW_TESTS.len()],
 }
 
 /// Scores of the new version on one route.
@@ -123,8 +115,12 @@
     old: BTreeMap<String, OldRoute>,
     by_route: BTreeMap<String, NewRoute>,
     overall: Scores,
+    /// Number of nodes that reported runs of the new version.
+    new_node_count: usize,
     new_run_count: u64,
     new_failed_count: u64,
+    /// Runs of the new version during the trial under load.
+    trial_run_count: u64,
     old_run_count: u64,
 }
 
@@ -139,6 +135,9 @@
         let mut known = self.reported.remove(&key).unwrap_or_default();
         for (version, routes) in &report.versions {
             let is_new = version == target_version;
+            if is_new && !known.contains_key(version) {
+                self.new_node_count += 1;
+            }
             let known_routes = known.entry(version.clone()).or_default();
             for (route, counts) in routes {
                 let earlier = known_routes.entry(route.clone()).or_default();
@@ -148,7 +147,7 @@
                 }
                 earlier.add(&more);
                 if is_new {
-                    self.add_new(route, &more);
+                    self.add_new(&report.node_id, route, &more);
                 } else {
                     self.add_old(route, &more, now);
                 }
@@ -169,13 +168,39 @@
             }
         };
         for NewRoute { scores, .. } in self.by_route.values() {
-            consider(scores.failed.level(), "failures on a route");
-            consider(scores.failed_long.level(), "failures on a route");
-            consider(scores.slow.level(), "slow answers on a route");
+            consider(scores.failed_level(), "failures on a route");
+            consider(scores.slow_level(), "slow answers on a route");
+        }
+        consider(self.overall.failed_level(), "failures");
+        consider(self.overall.slow_level(), "slow answers");
+        highest
+    }
+
+    /// Returns the highest scores of failures and of slow runs, as parts of their limits.
+    pub(crate) fn levels(&self) -> (f64, f64) {
+        let mut highest = (self.overall.failed_level(), self.overall.slow_level());
+        for NewRoute { scores, .. } in self.by_route.values() {
+            highest.0 = highest.0.max(scores.failed_level());
+            highest.1 = highest.1.max(scores.slow_level());
+        }
+        highest
+    }
+
+    /// Returns the score of failures on a route.
+    pub(crate) fn route_level(&self, route: &str) -> f64 {
+        let new = self.by_route.get(route);
+        new.map_or(0.0, |new| new.scores.failed_level())
+    }
+
+    /// Returns the route with the highest score of failures, and the score.
+    pub(crate) fn most_suspect_route(&self) -> Option<(&str, f64)> {
+        let mut highest: Option<(&str, f64)> = None;
+        for (route, new) in &self.by_route {
+            let level = new.scores.failed_level();
+            if highest.is_none_or(|(_, known)| level > known) {
+                highest = Some((route, level));
+            }
         }
-        consider(self.overall.failed.level(), "failures");
-        consider(self.overall.failed_long.level(), "failures");
-        consider(self.overall.slow.level(), "slow answers");
         highest
     }
 
@@ -184,6 +209,16 @@
         self.new_run_count
     }
 
+    /// Returns the number of runs of the new version during the trial under load.
+    pub(crate) fn trial_run_count(&self) -> u64 {
+        self.trial_run_count
+    }
+
+    /// Sets the number of runs of the new version during the trial under load.
+    pub(crate) fn set_trial_run_count(&mut self, run_count: u64) {
+        self.trial_run_count = run_count;
+    }
+
     /// Returns the number of failures of the new version.
     pub fn new_failed_count(&self) -> u64 {
         self.new_failed_count
@@ -209,7 +244,7 @@
         old.updated_at = Some(now);
     }
 
-    fn add_new(&mut self, route: &str, more: &RouteEvidence) {
+    fn add_new(&mut self, node_id: &NodeId, route: &str, more: &RouteEvidence) {
         self.new_run_count = self.new_run_count.saturating_add(more.run_count());
         self.new_failed_count = self.new_failed_count.saturating_add(more.failed_count);
         let new = self.by_route.entry(route.to_owned()).or_default();
@@ -225,13 +260,35 @@
             scores.failed_long.add(failed, answered, &long);
         }
         new.pending.add(more);
-        let Some((slow_bin, test)) = old.and_then(OldRoute::slow_test) else {
+        let Some((old, median_bin)) = old.and_then(|old| Some((&old.all, old.median_bin()?)))
+        else {
             return;
         };
-        let (slow_count, fast_count) = new.pending.slow_and_fast(slow_bin);
+        for (index, slow_test) in SLOW_TESTS.iter().enumerate() {
+            let slow_bin = median_bin.saturating_add(slow_test.bin_count);
+            let (slow_count, fast_count) = new.pending.slow_and_fast(slow_bin);
+            let test = slow_test.hypotheses(old, slow_bin, self.new_run_count);
+            for scores in [&mut new.scores, &mut self.overall] {
+                scores.slow[index].add(
+                    (node_id, self.new_node_count),
+                    slow_count,
+                    fast_count,
+                    &test,
+                );
+            }
+        }
         new.pending = RouteEvidence::default();
-        new.scores.slow.add(slow_count, fast_count, &test);
-        self.overall.slow.add(slow_count, fast_count, &test);
+    }
+}
+
+impl Scores {
+    fn failed_level(&self) -> f64 {
+        self.failed.level().max(self.failed_long.level())
+    }
+
+    fn slow_level(&self) -> f64 {
+        let levels = self.slow.iter().map(SlowScore::level);
+        levels.fold(0.0, f64::max)
     }
 }
 
@@ -247,23 +304,10 @@
         all.max(rate(self.recent_failed, self.recent_runs))
     }
 
-    /// Returns the bin from which a run is slow, and the test of the share of slow runs. Returns `None`
-    /// while too few runs of the old version are known.
-    fn slow_test(&self) -> Option<(u8, Hypotheses)> {
+    /// Returns the bin of the median run time, unless too few runs are known.
+    fn median_bin(&self) -> Option<u8> {
         let (count, median_bin) = self.all.median_bin()?;
-        if count < MEDIAN_MIN_COUNT {
-            return None;
-        }
-        let slow_bin = median_bin.saturating_add(SLOW_BINS);
-        let (slow, fast) = self.all.slow_and_fast(slow_bin);
-        let old_rate = slow as f64 / slow.saturating_add(fast).max(1) as f64;
-        let good_rate = (old_rate * 1.3 + SLOW_RATE_MARGIN).min(0.6);
-        let test = Hypotheses {
-            good_rate,
-            bad_rate: good_rate + SLOW_RATE_STEP,
-            limit: SLOW_LIMIT,
-        };
-        Some((slow_bin, test))
+        (count >= MEDIAN_MIN_COUNT).then_some(median_bin)
     }
 }
 
--- a/crates/rollout/src/versions.rs
+++ b/crates/rollout/src/versions.rs
@@ -17,7 +17,7 @@
 /// they still announce themselves.
 const LEAVE_TIME: Duration = Duration::from_secs(30);
 
-/// Time after which a version that was rolled back serves again if the service has no other one.
+/// Time after which a version that was stopped serves again if the service has no other one.
 const ABANDON_AFTER: Duration = Duration::from_secs(60);
 
 /// Largest number of versions that are distinguished, one for each bit of a mask. Targets of further
@@ -88,11 +88,6 @@
             .position(|version| version.name == name)
     }
 
-    /// Returns whether all targets run one version.
-    pub fn is_uniform(&self) -> bool {
-        self.versions.len() <= 1
-    }
-
     /// Returns the version that most targets run; of several the one that started first.
     pub fn incumbent(&self) -> Option<&str> {
         let most = |version: &&VersionUse| {
@@ -104,12 +99,13 @@
         Some(&self.versions.iter().max_by_key(most)?.name)
     }
 
-    /// Chooses the versions to which a call may go. `draw` is a random number from 0 to 1, and
+    /// Chooses the versions to which a call of `route` may go. `draw` is a random number from 0 to 1, and
     /// `is_first` says whether this is the first attempt of the call.
     pub fn choose(
         &self,
         rollout: Option<&Rollout>,
         limits: &ExposureLimits,
+        route: &str,
         draw: f64,
         is_first: bool,
         now: Instant,
@@ -119,22 +115,36 @@
         let Some(rollout) = rollout else {
             return VersionMask::ALL;
         };
+        let chosen = self.choose_by_phase(rollout, limits, route, draw, is_first, now);
+        if chosen.0 == 0 {
+            return self.widen(rollout, now);
+        }
+        chosen
+    }
+
+    fn choose_by_phase(
+        &self,
+        rollout: &Rollout,
+        limits: &ExposureLimits,
+        route: &str,
+        draw: f64,
+        is_first: bool,
+        now: Instant,
+    ) -> VersionMask {
         let new = self.mask_of(&rollout.order().target_version);
         let others = self.all() & !new & !self.excluded(rollout);
         let ended_ago = now.saturating_duration_since(rollout.phase_since());
         let base = rollout.base().or(self.incumbent_among(others));
         match rollout.phase() {
-            Phase::Completed if new == 0 && others == 0 => VersionMask::ALL,
             Phase::Completed if new == 0 => VersionMask(others),
             Phase::Completed if ended_ago < LEAVE_TIME => VersionMask(new),
             Phase::Completed => {
                 let incumbent = Some(rollout.order().target_version.as_str());
                 self.hold_back(new | others, incumbent, limits, draw, now)
             }
-            Phase::RolledBack if others == 0 && ended_ago >= ABANDON_AFTER => VersionMask(new),
             Phase::Stopped | Phase::RolledBack => self.hold_back(others, base, limits, draw, now),
             Phase::Canary | Phase::Rising | Phase::Full => {
-                let share = rollout.share(limits, now);
+                let share = rollout.share(route, limits, now);
                 let takes_new = share >= 1.0 || is_first && draw < share;
                 if others == 0 || new != 0 && takes_new {
                     return VersionMask(new);
@@ -146,6 +156,20 @@
         }
     }
 
+    /// Returns the versions of a call for which the phase of the rollout leaves none: those of earlier
+    /// orders. A version that was stopped is served only after a time, if there is no other: a node that
+    /// is cut off from the others must not send it the calls that they spared it.
+    fn widen(&self, rollout: &Rollout, now: Instant) -> VersionMask {
+        let new = self.mask_of(&rollout.order().target_version);
+        let excluded = self.all() & !new;
+        let is_stopped = matches!(rollout.phase(), Phase::Stopped | Phase::RolledBack);
+        let stopped_ago = now.saturating_duration_since(rollout.phase_since());
+        if excluded == 0 && is_stopped && stopped_ago >= ABANDON_AFTER {
+            return VersionMask(new);
+        }
+        VersionMask(excluded)
+    }
+
     /// Returns the versions of `mask` without those that have neither an order nor most of the targets,
     /// but for a small share of the calls.
     fn hold_back(
