--- a/crates/routing/src/least_work.rs
+++ b/crates/routing/src/least_work.rs
@@ -47,8 +47,9 @@
 /// least work is picked.
 const LATENCY_WEIGHT: f64 = 0.3;
 
-/// Fraction of a call's worth that is lost if it is refused.
-const REFUSED_LOSS: f64 = 1.0;
+/// Fraction of a call's worth that is lost if it is refused. It is below the bounded price of large bodies
+/// between zones, which therefore stay in their zone.
+const REFUSED_LOSS: f64 = 0.7;
 
 /// Number of targets after whose refusals a call is refused.
 const REFUSED_TRY_COUNT: usize = 2;
--- a/crates/routing/tests/least_work.rs
+++ b/crates/routing/tests/least_work.rs
@@ -118,6 +118,8 @@
         loads.record_admission("upload", Distance::Far, false, now);
     }
     assert_eq!(picks(&loads, &small, &candidates, now), [0, 1_000]);
+    let large = class("upload", 60_000);
+    assert_eq!(picks(&loads, &large, &candidates, now), [1_000, 0]);
     let later = now + Duration::from_secs(3);
     assert_eq!(picks(&loads, &small, &candidates, later), [1_000, 0]);
 }
