Admission: refuse calls that will be late when they arrive

Calls that had to be late behind others were refused only if enough waiting calls were late at once. A queue was therefore filled beyond what can be prompt, and the rest of it refused after up to 130 ms in the queue, or at the deadline. Under overload control waiting calls that were expected to be late at their arrival count too, of the same or an earlier rank.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -155,7 +155,8 @@
         if self.turn_is_too_late(call, costed, now) {
             return (AdmitOutcome::Refused(NotRunReason::RateLimited), dequeued);
         }
-        if self.would_be_late(call, costed, now) && self.late_count(now) >= self.late_max_count() {
+        let expected_late = self.would_be_late(call, costed, now);
+        if expected_late && self.expected_late_count(call.rank, now) >= self.late_max_count() {
             return (AdmitOutcome::Refused(NotRunReason::Overloaded), dequeued);
         }
         if self.waiting.len() >= self.limits.queue_max_count() {
@@ -175,6 +176,7 @@
             long: call.long,
             rank: call.rank,
             prompt_by: call.prompt_by,
+            expected_late,
             deadline: call.deadline,
         });
         (AdmitOutcome::Waiting(ticket), dequeued)
@@ -320,6 +322,21 @@
         late_count
     }
 
+    /// Returns the number of late calls that a new one of `rank` finds in the queue. Under overload control
+    /// those count that were expected to be late when they arrived. Otherwise a queue is filled with
+    /// calls that are refused together once they are late.
+    fn expected_late_count(&self, rank: u32, now: Instant) -> usize {
+        if !self.limits.overload_control {
+            return self.late_count(now);
+        }
+        let mut late_count = 0;
+        for call in &self.waiting {
+            let is_late = call.expected_late || self.is_late(call, now);
+            late_count += usize::from(is_late && call.rank <= rank);
+        }
+        late_count
+    }
+
     fn late_max_count(&self) -> usize {
         (self.concurrency() * self.limits.late_per_slot_ratio()).ceil() as usize
     }
--- a/crates/admission/src/admission/calls.rs
+++ b/crates/admission/src/admission/calls.rs
@@ -89,6 +89,8 @@
     pub(super) long: bool,
     pub(super) rank: u32,
     pub(super) prompt_by: Option<Instant>,
+    /// Whether the call was expected to be late when it arrived.
+    pub(super) expected_late: bool,
     pub(super) deadline: Instant,
 }
 
--- a/crates/admission/tests/remaining_work.rs
+++ b/crates/admission/tests/remaining_work.rs
@@ -97,3 +97,47 @@
     let four = admission.expected_wait(0, now);
     assert!(four > one.mul_f64(3.5), "{four:?}");
 }
+
+/// Guards against calls that wait in a queue until they are late, and are refused only then: their callers
+/// have no time left to go elsewhere.
+#[test]
+fn calls_that_will_be_late_are_refused_when_they_arrive() {
+    let (mut admission, started_at) = trained(Instant::now());
+    admission.set_limits(AdmissionLimits {
+        queue_per_slot_ratio: 20.0,
+        overload_control: true,
+        ..LIMITS
+    });
+    let (mut running, mut accepted_count) = (Vec::new(), 0);
+    for _ in 0..40 {
+        let call = CallView {
+            kind: "read",
+            body_bytes: 0,
+            customer: None,
+            worth: 1.0,
+            long: false,
+            rank: 0,
+            prompt_by: Some(started_at + ms(300)),
+            deadline: started_at + ms(900),
+            may_wait: true,
+        };
+        match admission.admit(&call, started_at).0 {
+            AdmitOutcome::Running(ticket) => running.push(ticket),
+            AdmitOutcome::Waiting(_) => accepted_count += 1,
+            AdmitOutcome::Refused(_) => {}
+        }
+    }
+    // Two rounds of 100 ms may follow the first one.
+    assert!((2..=5).contains(&accepted_count), "{accepted_count}");
+    let mut late_count = 0;
+    for round in 1..8 {
+        let mut started = Vec::new();
+        for ticket in std::mem::take(&mut running) {
+            let dequeued = admission.release(ticket, true, started_at + ms(100) * round);
+            started.extend(dequeued.running);
+            late_count += dequeued.refused.len();
+        }
+        running = started;
+    }
+    assert!(late_count <= 1, "{late_count} were refused after a wait");
+}
