--- a/crates/rollout/src/phase.rs
+++ b/crates/rollout/src/phase.rs
@@ -13,7 +13,7 @@
 use crate::order::ExposureLimits;
 
 /// Time in which the share rises from the canary's to all.
-pub(crate) const RISE: Duration = Duration::from_millis(600);
+pub(crate) const RISE: Duration = Duration::from_millis(1_000);
 
 /// Time for which the new version serves everything before the rollout is completed, so that calls at
 /// the old targets end first.
--- a/crates/rollout/src/probe.rs
+++ b/crates/rollout/src/probe.rs
@@ -18,6 +18,9 @@
 /// answers arrive, some 0.5 s, for less exposure than a share that rises on.
 const TRIAL_SHARE: f64 = 0.3;
 
+/// Part of the canary's share after the trial, which has shown more runs.
+const AFTER_TRIAL_PART: f64 = 0.5;
+
 /// Share of the new version on a route in focus. With 50 calls a second of the route it shows 30 runs a
 /// second, which clear or confirm a failure within 2 s.
 const FOCUS_SHARE: f64 = 0.6;
@@ -41,7 +44,7 @@
 const TRIAL_MAX: Duration = Duration::from_millis(2_000);
 
 /// Number of runs of the new version after which the trial need not last longer.
-const TRIAL_RUN_COUNT: u64 = 100;
+const TRIAL_RUN_COUNT: u64 = 60;
 
 /// Score from which the trial lasts longer.
 const LONG_TRIAL_LEVEL: f64 = 0.15;
@@ -86,7 +89,8 @@
         }
         match self.trial {
             Trial::Running => share.max(TRIAL_SHARE),
-            Trial::Pending | Trial::Ended => share,
+            Trial::Pending => share,
+            Trial::Ended => share * AFTER_TRIAL_PART,
         }
     }
 
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -46,10 +46,10 @@
 
 /// Number of runs of the new version after which the share rises then. With fewer ones it rises as late
 /// as it may.
-const RISE_RUN_COUNT: u64 = 400;
+const RISE_RUN_COUNT: u64 = 180;
 
 /// Time for the rise, the hold and the record in the log, with a margin for repeated appends.
-const COMPLETION_TIME: Duration = Duration::from_millis(2_300);
+const COMPLETION_TIME: Duration = Duration::from_millis(2_700);
 
 /// Largest part of the duration for that.
 const COMPLETION_PART: f64 = 0.7;
