--- a/crates/rate-limit/src/bucket.rs
+++ b/crates/rate-limit/src/bucket.rs
@@ -33,6 +33,10 @@
 /// Mean time from a report to its coordinator.
 const TRANSIT_TIME: Duration = Duration::from_millis(30);
 
+/// Demand as a multiple of the limit above which a customer is limited before it has used its burst. What
+/// a higher demand admits until all nodes know of it would exceed the bound.
+const BURST_DEMAND_RATIO: f64 = 2.0;
+
 /// Shortest time after which a refused request may come back: by then an answer that takes the lower
 /// demand into account has reached all nodes.
 const RETURN_MIN: Duration = Duration::from_millis(700);
@@ -186,7 +190,8 @@
         let rate_per_s = self.limit.rate_per_s;
         let granted_per_s = self.granted_per_s(share);
         let has_exceeded = self.balance.min(self.arrival_balance) < -self.delayed_count();
-        if self.demand_per_s <= granted_per_s || is_whole && !has_exceeded {
+        let may_be_burst = self.demand_per_s <= BURST_DEMAND_RATIO * rate_per_s;
+        if self.demand_per_s <= granted_per_s || is_whole && may_be_burst && !has_exceeded {
             return None;
         }
         let ratio = (granted_per_s / self.demand_per_s).clamp(0.0, 1.0);
