Clarify comments of admission, shares, refusals and soaks

Doc comments say what functions return, and errors what they carry. Names of tests use expensive for dear and idle period for lull. No change of behaviour.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -322,9 +322,9 @@
         late_count
     }
 
-    /// Returns the number of late calls that a new one of `rank` finds in the queue. Under overload control
-    /// those count that were expected to be late when they arrived. Otherwise a queue is filled with
-    /// calls that are refused together once they are late.
+    /// Returns the number of waiting calls that count as late for a new one of `rank`. Under overload
+    /// control, those expected to be late when they arrived count too, and calls of later ranks don't:
+    /// without this the queue fills with calls that are refused together once they are late.
     fn expected_late_count(&self, rank: u32, now: Instant) -> usize {
         if !self.limits.overload_control {
             return self.late_count(now);
--- a/crates/admission/src/admission/calls.rs
+++ b/crates/admission/src/admission/calls.rs
@@ -1,4 +1,4 @@
-//! Calls as their nodes submit them, and as admission holds them.
+//! Views of new calls, and records of those that run or wait.
 
 use std::time::Instant;
 
@@ -45,7 +45,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
-/// Class of a call that runs or waits.
+/// Class and expected cost of a call that runs or waits.
 #[derive(Clone, Debug)]
 pub(super) struct HeldClass {
     kind: String,
--- a/crates/admission/src/admission/turns.rs
+++ b/crates/admission/src/admission/turns.rs
@@ -86,7 +86,7 @@
         !is_before(pacer.wait(ahead_count, now), now, start_by)
     }
 
-    /// Returns until when `call` may start: so that it can be answered by its deadline. A
+    /// Returns the latest time at which `call` may start, so that it can be answered by its deadline. A
     /// call behind others must also start in time for a prompt answer, since later turns are better
     /// used by calls that can still be prompt.
     fn latest_start(
--- a/crates/admission/src/body_pacer.rs
+++ b/crates/admission/src/body_pacer.rs
@@ -19,15 +19,15 @@
     pub waiting: Instant,
 }
 
-/// Lowest pace that a receiver can mean, in bytes per second.
+/// Lowest stated pace that counts as valid, in bytes per second.
 const PACE_MIN_BYTES_PER_S: f64 = 1.0;
 
 /// A body would arrive too late at the pace that was stated for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TooSlow;
 
-/// Returns the pace at which a body of `len_bytes` is sent for which the receiver stated one, in bytes per
-/// second. A number that can't be a pace is ignored.
+/// Returns the pace at which to send a body of `len_bytes`, in bytes per second: the one that the receiver
+/// stated, or `None` if it stated none or an invalid one.
 ///
 /// # Errors
 ///
--- a/crates/admission/src/customer_throttle.rs
+++ b/crates/admission/src/customer_throttle.rs
@@ -11,7 +11,7 @@
 };
 use crate::throttle::Throttle;
 
-/// Throttle that knows whose calls it counts.
+/// Throttle that also counts calls by customer.
 #[derive(Clone, Debug)]
 pub struct CustomerThrottle {
     throttle: Throttle,
@@ -32,7 +32,7 @@
     ///
     /// # Errors
     ///
-    /// When a refused caller should come back.
+    /// The call is refused. The error is the time after which its caller should try again.
     pub fn try_call(
         &mut self,
         holder: Option<ShareHolder<'_>>,
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Returns when a refused caller should come back, see [`Throttle::retry_after`].
+    /// Returns the time after which a refused caller should try again, see [`Throttle::retry_after`].
     pub fn retry_after(&self, random_ratio: f64, now: Instant) -> Duration {
         self.throttle.retry_after(random_ratio, now)
     }
--- a/crates/admission/src/estimate.rs
+++ b/crates/admission/src/estimate.rs
@@ -1,5 +1,5 @@
-//! Service times, estimated from answered calls: a mean and a distribution for each request kind, and what
-//! the size of the body and the customer change in the mean.
+//! Service times, estimated from answered calls: a mean and a distribution for each request kind, and how
+//! the mean depends on the size of the body and on the customer.
 
 use std::time::Duration;
 
@@ -26,13 +26,13 @@
 /// it follows newer samples.
 const MIN_RISE_RATIO: f64 = 0.02;
 
-/// Largest number of kinds with estimates. The one whose last sample is the oldest makes room for another.
+/// Largest number of kinds with estimates. A further one replaces the kind whose last sample is the oldest.
 const KIND_MAX_COUNT: usize = 256;
 
 /// Lower bound of the mean by which service times are divided, in seconds.
 const MEAN_MIN_S: f64 = 1e-6;
 
-/// Kind of a call, and the expected cost of the call.
+/// Kind of a call and its expected cost.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Costed<'a> {
     pub(crate) kind: &'a str,
@@ -41,7 +41,7 @@
 }
 
 impl<'a> Costed<'a> {
-    /// Returns a call of the kind of which nothing more is known.
+    /// Returns the expected cost of a call of which only the kind is known.
     pub(crate) fn of_kind(kind: &'a str) -> Self {
         Self { kind, ratio: 1.0 }
     }
@@ -54,7 +54,7 @@
     /// Mean that stragglers move little, over more calls than `mean_s`.
     steady_s: f64,
     sample_count: u32,
-    /// Number of the last sample among those of all kinds.
+    /// Value of [`ServiceTimes::sample_count`] at the last sample.
     sampled_at_number: u64,
     /// Distribution of the service times relative to the expected ones.
     spread: Spread,
@@ -82,7 +82,8 @@
 }
 
 impl ServiceTimes {
-    /// Records the service time of a call of the kind that was expected to cost what `call` states.
+    /// Records the service time of a call as a sample of its kind. The expected cost in `call` is the one
+    /// from its arrival.
     pub(crate) fn record(&mut self, call: Costed<'_>, took: Duration) {
         let sample_s = took.as_secs_f64();
         let overall_mean_s = self.overall_mean_s.get_or_insert(sample_s);
@@ -106,7 +107,7 @@
 
     /// Records the service time of a call as a sample of its class.
     pub(crate) fn record_class(&mut self, class: &RequestClass<'_>, took: Duration) {
-        // The factor of the target is a part of all its samples, and of the mean of the kind too.
+        // All samples come from one target, so that its factor cancels out in the ratio of two means.
         self.costs.record(class, took.as_secs_f64() * 1_000.0, 1.0);
     }
 
@@ -148,7 +149,7 @@
 
     /// Returns the worth of a call per second that it is expected to hold a slot.
     pub(crate) fn density(&self, call: Costed<'_>, worth: f64) -> f64 {
-        worth / self.mean(call).as_secs_f64().max(1e-6)
+        worth / self.mean(call).as_secs_f64().max(MEAN_MIN_S)
     }
 
     /// Returns the mean service time of the call, or the assumed one if its kind has no samples.
@@ -183,7 +184,7 @@
         Some(Duration::from_secs_f64(times.min_s))
     }
 
-    /// Returns the service time that calls like this one don't exceed in the share `share` of the cases.
+    /// Returns the service time that the share `share` of calls like this one doesn't exceed.
     pub(crate) fn quantile(&self, call: Costed<'_>, share: f64) -> Duration {
         let Some(times) = self.by_kind.get(call.kind) else {
             return Duration::from_secs_f64(UNKNOWN_S * Spread::default().quantile(share));
--- a/crates/admission/src/shares.rs
+++ b/crates/admission/src/shares.rs
@@ -1,7 +1,8 @@
 //! Weighted max-min shares of the customers whose calls compete for the same slots.
 //!
-//! Calls of each customer are counted by halving with time. What can be served is divided so that a customer
-//! gets what it asks for or its share by weight, and what some leave over goes to the others.
+//! The calls of each customer are counted, and the counts decay exponentially. The calls that can be served
+//! are divided by weight. A customer that asks for less than its share gets all of it, and the rest is
+//! divided among the others.
 
 use std::time::{
     Duration,
@@ -11,23 +12,24 @@
 use figway_types::stable_hash;
 
 /// Half-life of the counts: 1 call a second has a count of about 2. With 3 s a surge is noticed so late that
-/// a customer above its share got 0.74 of it in the first 6 s; with 1 s small customers get less.
+/// a customer that asks for more than its share got 0.74 of it in the first 6 s; with 1 s small customers
+/// get less.
 const HALF_LIFE: Duration = Duration::from_millis(1500);
 
-/// Calls from which on a customer is held to its own share at the callers' nodes. The customers below share
-/// as one, so that none is refused for some calls that arrive close together.
+/// Count of calls from which on a customer is held to its own share at the callers' nodes. Customers with
+/// fewer calls share as one, so that none is refused for a few calls that arrive close together.
 const KNOWN_MIN_COUNT: f64 = 4.0;
 
 /// Waiting calls per slot from which on a call of a customer above its share no longer waits.
 const ABOVE_SHARE_WAITING_RATIO: f64 = 0.5;
 
-/// Customers that are counted. Further ones replace the one with the fewest calls.
+/// Largest number of customers that are counted. A further one replaces the one with the fewest calls.
 const CUSTOMER_MAX_COUNT: usize = 128;
 
-/// Calls below which a customer is no longer counted.
+/// Count of calls below which a customer is no longer counted.
 const COUNT_MIN: f64 = 0.01;
 
-/// Growth of the unit of the counts at which they are scaled back.
+/// Unit at which all counts are scaled back, so that they don't overflow.
 const UNIT_MAX: f64 = 1e12;
 
 /// Smallest weight of a customer. Weights come from the operator.
@@ -61,6 +63,7 @@
 /// Calls of one customer, in the unit of [`Shares::unit`].
 #[derive(Clone, Copy, Debug)]
 struct Usage {
+    /// Hash of the customer's name.
     code: u64,
     weight: f64,
     asked_count: f64,
@@ -182,7 +185,7 @@
         2.0_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
     }
 
-    /// Returns what one call counts now, after the counts were scaled back if it would be too much.
+    /// Returns what one call counts now. Scales the counts back first if that is too much.
     fn rescale(&mut self, now: Instant) -> f64 {
         let unit = self.unit(now);
         if unit < UNIT_MAX {
@@ -214,7 +217,7 @@
 }
 
 impl Claim {
-    /// Returns the share of the calls above `level` by weight.
+    /// Returns the share of the calls that are above `level`, in calls per unit of weight.
     fn excess_ratio(self, level: f64) -> f64 {
         if self.count <= 0.0 {
             return 0.0;
@@ -223,8 +226,8 @@
     }
 }
 
-/// Returns the level up to which each claim is met, in calls by weight, so that `capacity_count` are met in
-/// all. It is infinite if all claims can be met.
+/// Returns the level up to which each claim is met, in calls per unit of weight, so that `capacity_count`
+/// calls are met in total. It is infinite if all claims can be met.
 fn fill_level<I>(claims: impl Fn() -> I, capacity_count: f64) -> f64
 where
     I: Iterator<Item = Claim>,
--- a/crates/admission/src/throttle.rs
+++ b/crates/admission/src/throttle.rs
@@ -14,11 +14,11 @@
 /// is room again, so that a peak of some seconds is not followed by as many of needless refusals.
 const HALF_LIFE: Duration = Duration::from_millis(400);
 
-/// Refusals within about a half-life up to which nothing is refused here. Single refusals also come from
-/// targets that are full by chance while others have room.
+/// Count of recent refusals up to which no call is refused here. Single refusals also come from targets
+/// that are full by chance while others have room.
 const REFUSED_MIN_COUNT: f64 = 2.0;
 
-/// Longest hint for the time to come back.
+/// Longest time after which a caller is told to try again.
 const RETRY_AFTER_MAX: Duration = Duration::from_millis(800);
 
 /// Shortest hint for the time to come back.
@@ -62,7 +62,7 @@
     ///
     /// # Errors
     ///
-    /// When a refused caller should come back.
+    /// The call is refused. The error is the time after which its caller should try again.
     pub fn try_call(&mut self, random_ratio: f64, now: Instant) -> Result<(), Duration> {
         if random_ratio >= self.refused_ratio(now) {
             return Ok(());
@@ -79,8 +79,8 @@
         self.counted_at = now;
     }
 
-    /// Returns when a refused caller should come back: later, the more calls are refused, and spread by
-    /// `random_ratio`, from 0 to 1, so that callers don't come back together.
+    /// Returns the time after which a refused caller should try again: longer, the more calls are refused,
+    /// and spread by `random_ratio`, from 0 to 1, so that callers don't try again together.
     pub fn retry_after(&self, random_ratio: f64, now: Instant) -> Duration {
         let spread = RETRY_AFTER_MAX.mul_f64(self.refused_ratio(now) * (0.5 + random_ratio));
         spread.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
--- a/crates/admission/tests/classes.rs
+++ b/crates/admission/tests/classes.rs
@@ -21,14 +21,14 @@
     overload_control: true,
 };
 
-/// Run times of a cheap and of a dear call.
+/// Run times of a cheap and of an expensive call.
 const CHEAP: Duration = Duration::from_millis(20);
-const DEAR: Duration = Duration::from_millis(200);
+const EXPENSIVE: Duration = Duration::from_millis(200);
 
-/// Time left that is enough for a cheap call, and not for a dear one.
+/// Time left that is enough for a cheap call, and not for an expensive one.
 const SHORT: Duration = Duration::from_millis(60);
 
-/// What tells a cheap from a dear call: the size of the body and the customer.
+/// What tells a cheap from an expensive call: the size of the body and the customer.
 type Class = (usize, &'static str);
 
 const BY_SIZE: [Class; 2] = [(100, "ann"), (300_000, "ann")];
@@ -59,36 +59,36 @@
     }
 }
 
-/// Returns an admission that has run cheap and dear calls in turn.
+/// Returns an admission that has run cheap and expensive calls in turn.
 fn trained(limits: AdmissionLimits, classes: [Class; 2]) -> (Admission, Instant) {
     let mut admission = Admission::new(limits);
     let mut now = Instant::now();
     for index in 0..1_000 {
-        let is_dear = index % 2 == 1;
-        let ticket = start(&mut admission, classes[usize::from(is_dear)], now);
-        let took = if is_dear { DEAR } else { CHEAP };
+        let is_expensive = index % 2 == 1;
+        let ticket = start(&mut admission, classes[usize::from(is_expensive)], now);
+        let took = if is_expensive { EXPENSIVE } else { CHEAP };
         now += took.mul_f64(0.8 + f64::from(index % 9) * 0.05);
         admission.release(ticket, true, now);
     }
     (admission, now)
 }
 
-/// Guards against cheap calls that are refused, and dear ones that run in vain, since calls of the same
-/// kind cost something else.
+/// Guards against cheap calls that are refused, and expensive ones that run in vain, since other calls
+/// of the same kind cost more or less.
 #[test]
 fn calls_are_refused_by_the_cost_of_their_class() {
     for classes in [BY_SIZE, BY_CUSTOMER] {
         let (mut admission, now) = trained(LIMITS, classes);
         let expired = AdmitOutcome::Refused(NotRunReason::Expired);
         assert_eq!(admit(&mut admission, classes[1], SHORT, now), expired);
-        let longer = DEAR.mul_f64(0.65);
+        let longer = EXPENSIVE.mul_f64(0.65);
         assert_eq!(admit(&mut admission, classes[1], longer, now), expired);
         let cheap = admit(&mut admission, classes[0], SHORT, now);
         assert!(matches!(cheap, AdmitOutcome::Running(_)), "{cheap:?}");
     }
 }
 
-/// Guards against a wait that counts cheap and dear calls alike.
+/// Guards against a wait that counts cheap and expensive calls alike.
 #[test]
 fn the_expected_wait_counts_the_class_of_running_and_waiting_calls() {
     for classes in [BY_SIZE, BY_CUSTOMER] {
@@ -103,8 +103,8 @@
         }
         assert!(waits[0] < CHEAP * 2, "{waits:?}");
         assert!(waits[1] < CHEAP * 3, "{waits:?}");
-        assert!(waits[2] > DEAR.mul_f64(0.6), "{waits:?}");
-        assert!(waits[3] > DEAR, "{waits:?}");
+        assert!(waits[2] > EXPENSIVE.mul_f64(0.6), "{waits:?}");
+        assert!(waits[3] > EXPENSIVE, "{waits:?}");
     }
 }
 
@@ -116,8 +116,11 @@
         ..LIMITS
     };
     let (mut admission, now) = trained(limits, BY_CUSTOMER);
-    let dear = admit(&mut admission, BY_CUSTOMER[1], SHORT, now);
-    assert!(matches!(dear, AdmitOutcome::Running(_)), "{dear:?}");
+    let expensive = admit(&mut admission, BY_CUSTOMER[1], SHORT, now);
+    assert!(
+        matches!(expensive, AdmitOutcome::Running(_)),
+        "{expensive:?}"
+    );
 }
 
 /// Guards against memory that grows with the routes that come and go.
--- a/crates/admission/tests/customer_throttle.rs
+++ b/crates/admission/tests/customer_throttle.rs
@@ -42,7 +42,7 @@
         .is_err());
 }
 
-/// Guards against a throttle without customers that refuses other calls than the plain one.
+/// Guards against calls without a customer that are refused in another share than by a plain `Throttle`.
 #[test]
 fn calls_without_a_customer_are_refused_alike() {
     let now = Instant::now();
--- a/crates/admission/tests/shares/simulation.rs
+++ b/crates/admission/tests/shares/simulation.rs
@@ -1,4 +1,4 @@
-//! Nodes of callers with a throttle each, which know nothing of each other, and targets with a queue each.
+//! Simulation of callers' nodes with a throttle each, which exchange no state, and targets with a queue each.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -49,7 +49,7 @@
     /// Calls a second before the surge.
     pub(crate) usual_per_s: f64,
     pub(crate) per_s: f64,
-    /// Nodes at which its callers are, beginning with the first one.
+    /// Index of the first node at which its callers are, and the number of these nodes.
     pub(crate) nodes: (usize, usize),
 }
 
@@ -136,7 +136,7 @@
         }
     }
 
-    /// Returns itself at the end.
+    /// Runs the simulation to its end, at which its counts are read.
     pub(crate) fn run(mut self) -> Self {
         for customer in 0..self.customers.len() {
             self.schedule_arrival(customer);
--- a/crates/dataplane/src/call.rs
+++ b/crates/dataplane/src/call.rs
@@ -113,6 +113,7 @@
     if !routes.overload_control {
         return NESTED_RANK;
     }
+    // The first rank of each priority is the one for nested calls.
     let is_nested = parent_rank % RANKS_PER_PRIORITY == ROUTE_BASE_RANK % RANKS_PER_PRIORITY;
     if is_nested {
         return parent_rank;
@@ -301,7 +302,7 @@
     pub(crate) attempt_kind: AttemptKind,
     /// Whether the route table calls for overload control.
     pub(crate) overload_control: bool,
-    /// As whose the call shares the target, if there are customers.
+    /// Customer for whose share of the target the call counts, if the route table has customers.
     pub(crate) holder: Option<ShareHolder<'a>>,
 }
 
--- a/crates/dataplane/src/caller.rs
+++ b/crates/dataplane/src/caller.rs
@@ -87,7 +87,7 @@
     pub(crate) routes_version: Option<u64>,
     /// Whether those routes have customers, so that the credentials were read.
     pub(crate) has_customers: bool,
-    /// As whose the call shares a full service, if there are customers.
+    /// Customer for whose share of a full service the call counts, if the route table has customers.
     pub(crate) holder: Option<ShareHolder<'a>>,
 }
 
--- a/crates/dataplane/src/candidates.rs
+++ b/crates/dataplane/src/candidates.rs
@@ -109,7 +109,8 @@
         if let Some(entries) = self.entries.get(&self.key_buffer) {
             return Rc::clone(entries);
         }
-        // Versions are counted in each view, so that it is known how long each was there before an order.
+        // Versions are counted in each view, also without a rollout, so that for a later order it is
+        // known how long each version has been present.
         let versions = self.versions(view, key.service);
         let entries: Rc<[TargetEntry]> = Rc::from(build_entries(view, own, key, versions));
         self.entries
--- a/crates/dataplane/src/entry.rs
+++ b/crates/dataplane/src/entry.rs
@@ -21,7 +21,7 @@
 use crate::gate::Slot;
 use crate::plane::DataPlane;
 
-/// Returns whether nested calls of earlier calls of the kind were refused, so that this one may not run.
+/// Decides whether a call is refused since nested calls of earlier calls of its kind were refused.
 pub(crate) fn refuses_for_nested_calls(plane: &DataPlane, call: &AdmissionRequest<'_>) -> bool {
     if !call.overload_control {
         return false;
@@ -30,8 +30,8 @@
     !plane.overload.may_run(call.kind, call.holder, random_ratio)
 }
 
-/// Waits for a slot. If the customer was served its share, the call waits behind the others of its rank, and
-/// only while few calls wait.
+/// Waits for a slot of the local target. If the customer was served its share, the call waits behind the
+/// others of its rank, and only while few calls wait.
 pub(crate) async fn enter<'a>(
     plane: &'a DataPlane,
     call: &AdmissionRequest<'_>,
@@ -58,6 +58,7 @@
     };
     let entered_at = Instant::now();
     let entered = plane.gate.enter(&view, limits).await;
+    // Refusals for other reasons don't show whether the customer was served its share.
     if let (Some(holder), Ok(_) | Err(NotRunReason::Overloaded | NotRunReason::Expired)) =
         (call.holder, &entered)
     {
--- a/crates/dataplane/src/gate.rs
+++ b/crates/dataplane/src/gate.rs
@@ -108,7 +108,8 @@
             return LoadReport::default();
         };
         let now = Instant::now();
-        // Behind all calls of the rank, as a caller doesn't know whether the call is above a share.
+        // Behind all calls of the rank, since this node doesn't know whether the next caller's customer is
+        // above its share.
         let wait = admission.expected_wait(queue_rank(rank, true), now);
         LoadReport {
             busy_ratio: admission.busy_ratio(now),
--- a/crates/dataplane/src/offers.rs
+++ b/crates/dataplane/src/offers.rs
@@ -140,7 +140,7 @@
         Err(SendFailure::Late) => {
             return Offered::Refused(AttemptResult::not_sent(NotRunReason::Expired));
         }
-        // A connection that was kept may have ended just now. If the node did, too, the call finds out.
+        // An idle connection may have been closed just now. If the node has ended, the call finds out.
         Err(SendFailure::Broken(_) | SendFailure::TooLarge) => return Offered::Accepted(None),
     };
     match answer.header(headers::OUTCOME) {
@@ -149,8 +149,9 @@
     }
 }
 
-/// Returns the pace that the answer to an offer states. With one at which the body would arrive too late,
-/// the call had better go elsewhere: a faster one would take more of the peer's link than it grants.
+/// Returns the pace that the answer to an offer states. If the body would arrive too late at this pace, the
+/// attempt is refused so that the call can go elsewhere: a faster one would take more of the link than
+/// the peer grants.
 fn take_pace(worker: &Worker, call: &Call<'_>, entry: &TargetEntry, answer: &Answer) -> Offered {
     let stated = answer
         .header(headers::OFFER_PACE)
--- a/crates/dataplane/src/overload.rs
+++ b/crates/dataplane/src/overload.rs
@@ -110,7 +110,7 @@
             .record(holder, accepted, now);
     }
 
-    /// Returns when a caller should come back whose call targets of `service` refused.
+    /// Returns the time after which a caller should try again whose call targets of `service` refused.
     pub(crate) fn retry_after(
         &self,
         service: &str,
@@ -193,8 +193,8 @@
     }
 }
 
-/// Returns as whose the calls of a customer share a service, if `routes` hold customers. Those without one
-/// share as one customer without a name.
+/// Returns the customer for whose share of a service calls count, if `routes` hold customers. All calls
+/// without a customer count for one that has no name.
 pub(crate) fn share_holder<'a>(
     routes: &RouteIndex,
     customer: Option<&'a str>,
--- a/crates/dataplane/src/proxy.rs
+++ b/crates/dataplane/src/proxy.rs
@@ -306,7 +306,7 @@
 }
 
 /// Counts a call at its throttle on drop: when it ends, when its deadline passes during an attempt, or when
-/// its caller leaves.
+/// its caller disconnects.
 struct CountedCall<'a> {
     worker: &'a Worker,
     call: &'a Call<'a>,
--- a/crates/dataplane/src/routed.rs
+++ b/crates/dataplane/src/routed.rs
@@ -111,7 +111,8 @@
     let parent = caller.parent_call.as_ref();
     if let Some(parent) = parent {
         rule.rank = nested_rank_of(&view.routes, parent.rank);
-        // Under overload a parent that waits long for the answer takes its slot from other calls.
+        // The parent's run waits for the answer anyway, so that the route's own prompt time does not apply.
+        // It does under overload control: there a waiting parent keeps its slot from other calls.
         if !rule.overload_control {
             rule.prompt_ms = Some(route.budget_ms);
         }
--- a/crates/dataplane/src/running_calls.rs
+++ b/crates/dataplane/src/running_calls.rs
@@ -29,7 +29,7 @@
     pub(crate) attempt_kind: AttemptKind,
     /// Customer to whom the call belongs, if any.
     pub(crate) customer: Option<Arc<str>>,
-    /// Rank of the call.
+    /// Rank of the call in queues, from which those of its nested calls follow.
     pub(crate) rank: u32,
     /// Whether a nested call of it was refused for overload. All copies share it.
     nested_refused: Arc<AtomicBool>,
@@ -106,8 +106,9 @@
     }
 
     /// Returns the call with the id, or `None` if the target does not run it. Of several calls with the
-    /// id it is the latest, and one that was given up only if all were. If they belong to different
-    /// customers, it is none, since a nested call must not count for a customer that did not cause it.
+    /// id, returns the latest that was not given up, or the latest if all were. Returns `None` if they
+    /// belong to different customers, since a nested call must not count for a customer that did not
+    /// cause it.
     pub(crate) fn get(&self, request_id: &str, now: Instant) -> Option<RunningCall> {
         let inner = self.lock();
         let mut found: Option<&RunningCall> = None;
--- a/crates/routing/src/least_work.rs
+++ b/crates/routing/src/least_work.rs
@@ -51,7 +51,7 @@
 /// between zones, which therefore stay in their zone.
 const REFUSED_LOSS: f64 = 0.7;
 
-/// Number of targets after whose refusals a call is refused.
+/// Number of refusals by targets after which the data plane refuses a call.
 const REFUSED_TRY_COUNT: usize = 2;
 
 /// Number of targets of one distance that are compared for a call.
@@ -115,7 +115,8 @@
         expected.ran_ms + expected.wait_ms + path_ms
     }
 
-    /// Returns the chance that the call is refused if its tries that are left go as far as the candidate.
+    /// Returns the probability that the call is refused if all targets that it may still try are at the
+    /// candidate's distance.
     fn refused_chance(&self, candidate: &Candidate<'_>) -> f64 {
         let kind = self.call.kind;
         let ratio = self.loads.refused_ratio(kind, candidate.distance, self.now);
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -127,7 +127,7 @@
     /// Moving average of the calls per slot that all targets report.
     reported_busy_ratio: f64,
     costs: CostModel,
-    /// Refusals by kind.
+    /// Recent refusals for overload, by request kind.
     refusals: FastMap<String, Refusals>,
 }
 
@@ -317,7 +317,7 @@
         }
     }
 
-    /// Returns the share of the calls of `kind` that targets at `distance` refuse.
+    /// Returns the share of recent calls of `kind` that targets at `distance` refused for overload.
     pub fn refused_ratio(&self, kind: &str, distance: Distance, now: Instant) -> f64 {
         self.refusals
             .get(kind)
--- a/crates/routing/src/load/refusals.rs
+++ b/crates/routing/src/load/refusals.rs
@@ -7,14 +7,14 @@
 
 use crate::picker::Distance;
 
-/// Half-life of the counts. Room that others leave at a distance is found within about this time.
+/// Half-life of the counts. Calls return to targets that have room again within about this time.
 const HALF_LIFE: Duration = Duration::from_millis(700);
 
 /// Calls that are assumed to have been accepted before the first one, so that a single refusal does not
 /// move calls to another zone.
 const ASSUMED_ACCEPTED_COUNT: f64 = 2.0;
 
-/// Number of distances.
+/// Number of values of [`Distance`].
 const DISTANCE_COUNT: usize = 4;
 
 #[derive(Clone, Copy, Debug)]
@@ -44,7 +44,7 @@
         count.counted_at = now;
     }
 
-    /// Returns the share of calls that targets at `distance` refuse.
+    /// Returns the share of recent calls that targets at `distance` refused.
     pub(super) fn ratio(&self, distance: Distance, now: Instant) -> f64 {
         let Some(count) = self.counts[distance as usize] else {
             return 0.0;
--- a/crates/testbed/src/site/store.rs
+++ b/crates/testbed/src/site/store.rs
@@ -189,8 +189,8 @@
         *self.wrong_era.borrow_mut() = text.map(str::to_owned);
     }
 
-    /// Drops all records of the operator's topic but the newest, which gets a new offset. Orders of
-    /// rollouts can still be read by their keys.
+    /// Drops all records of the operator's topic but the newest configuration, which gets a new offset.
+    /// Orders of rollouts can still be read by their keys.
     pub fn truncate_history(&self) {
         let mut topics = self.topics.borrow_mut();
         if let Some(topic) = topics.get_mut(OPERATOR_TOPIC) {
--- a/crates/testbed/src/site/topic.rs
+++ b/crates/testbed/src/site/topic.rs
@@ -3,12 +3,13 @@
 /// Beginning of the keys of rollout orders.
 const ORDER_PREFIX: &[u8] = b"rollout/";
 
+/// Records of a topic. Each is the length of its key in one byte, the key and the value.
 #[derive(Clone, Default)]
 pub(super) struct Topic {
     /// Offset of the oldest record.
     pub(super) first_offset: u64,
     pub(super) records: Vec<Vec<u8>>,
-    /// Offsets and records of orders whose part of the history was dropped.
+    /// Offsets and records of rollout orders that were dropped from `records`.
     orders: Vec<(u64, Vec<u8>)>,
 }
 
@@ -36,8 +37,8 @@
             })
     }
 
-    /// Drops all records but the newest, which gets a new offset. Orders of rollouts can still be read
-    /// by their keys.
+    /// Drops all records but the newest that is not an order of a rollout, which gets a new offset. The
+    /// orders can still be read by their keys.
     pub(super) fn truncate(&mut self) {
         // `/log-newest` still returns the newest record. A reader that continues from its old
         // offset gets 410, even at the end of the topic.
--- a/crates/testbed/src/site/wire.rs
+++ b/crates/testbed/src/site/wire.rs
@@ -72,8 +72,10 @@
 /// Pause between two tries to bind a reserved port.
 const BIND_PAUSE: Duration = Duration::from_millis(2);
 
-/// Longest time until a connection that the node has closed is noticed, and pause between two looks.
+/// Longest time until it is noticed that the node has closed a connection.
 const CLOSE_MAX: Duration = Duration::from_millis(3);
+
+/// Pause between two checks whether a connection was closed.
 const CLOSE_PAUSE: Duration = Duration::from_millis(1);
 
 /// Step by which [`WireFault::CutAnywhere`] moves, in thousandths of an answer.
@@ -152,7 +154,7 @@
 
     async fn serve_and_count(self: Rc<Self>, downstream: TcpStream) {
         if !self.has_room().await {
-            // A connection by which a node looks whether the back end accepts any carries no request.
+            // A connection by which a node only checks that the back end accepts any carries no request.
             let peeked = tokio::time::timeout(CLOSE_MAX, downstream.peek(&mut [0])).await;
             if matches!(peeked, Ok(Ok(1))) {
                 self.reset_count.set(self.reset_count.get() + 1);
@@ -165,8 +167,8 @@
         self.connection_count.set(self.connection_count.get() - 1);
     }
 
-    /// Returns whether one more connection may be open. Another one that closes at the same time may be
-    /// noticed a moment later.
+    /// Returns whether one more connection may be open. Waits for up to [`CLOSE_MAX`], since it may take
+    /// that long to notice that another one was closed.
     async fn has_room(&self) -> bool {
         let deadline = Instant::now() + CLOSE_MAX;
         while self.connection_count.get() >= self.connection_max_count.get() {
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -69,7 +69,7 @@
 /// Time within which a node must end after SIGTERM.
 const SHUTDOWN_GRACE: Duration = Duration::from_secs(6);
 
-/// What a soak covers beside its faults. Neither changes the sequences of the faults of a seed.
+/// Optional parts of a soak besides its faults. They don't change the sequences of faults of a seed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Scenarios {
     /// Callers have API keys, some of which the operator removes, and one customer sends several times
@@ -213,6 +213,7 @@
         caller.with_key(customers::KEPT_KEY)
     }
 
+    /// Returns the configuration, with customers if the soak has them.
     fn config(&self, version: u32, reads_prefix: &str) -> serde_json::Value {
         match &self.customers {
             Some(customers) => customers.config(version, reads_prefix),
@@ -220,6 +221,7 @@
         }
     }
 
+    /// Returns the time after which no fault of the seed's sequences begins.
     fn last_fault_at(&self) -> Instant {
         self.ends_at - QUIET_PERIOD - SHUTDOWN_GRACE
     }
--- a/crates/testbed/src/soak/customers.rs
+++ b/crates/testbed/src/soak/customers.rs
@@ -29,10 +29,10 @@
 pub(super) const LIMITED_CUSTOMER: &str = "over";
 pub(super) const LIMITED_KEY: &str = "key-with-a-limit";
 
-/// Limit of that customer.
+/// Limit of [`LIMITED_CUSTOMER`].
 pub(super) const RATE_PER_S: f64 = 40.0;
 
-/// Time after the acknowledgement of a version within which it is in force on all nodes in touch.
+/// Time after the acknowledgement of a version within which it is in force on all nodes that reach the store.
 pub(super) const APPLY_MAX: Duration = Duration::from_secs(3);
 
 /// Number of keys that are removed one after the other.
@@ -41,7 +41,7 @@
 /// Pause between two requests of the callers with these keys at one host.
 const KEYED_CALL_PAUSE: Duration = Duration::from_millis(15);
 
-/// Customers of the configuration. They lose their keys in turn.
+/// Customers of the configuration. The keys of one of them are removed in turn.
 #[derive(Default)]
 pub(super) struct Customers {
     /// When the store acknowledged the removal of each key that is gone.
--- a/crates/testbed/src/soak/rollouts.rs
+++ b/crates/testbed/src/soak/rollouts.rs
@@ -32,15 +32,18 @@
 /// Delay of a bad version that is slow, several times the usual run time.
 const BAD_SLOW_MS: u64 = 100;
 
-/// Share and number of requests that a bad version may get, as settings of nodes have them.
+/// Share and number of requests that a bad version may get, as `expose_share` and `expose_slack` in the
+/// settings of nodes.
 const EXPOSE_SHARE: f64 = 0.1;
 const EXPOSE_SLACK: f64 = 50.0;
 
-/// Time after this number of bad answers from which on a bad version must get no request.
+/// Time within which a bad version must be rolled back, from its [`BAD_ANSWER_COUNT`]th bad answer on.
 const ROLLBACK_MAX: Duration = Duration::from_secs(5);
+
+/// Number of bad answers after which a version must be rolled back.
 const BAD_ANSWER_COUNT: usize = 50;
 
-/// How the new version is.
+/// Behaviour of the new version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Quality {
     Good,
--- a/crates/testbed/tests/full_targets.rs
+++ b/crates/testbed/tests/full_targets.rs
@@ -32,7 +32,7 @@
 /// Number of hosts. Each service has half of them.
 const HOST_COUNT: usize = 4;
 
-/// Delay and run time of each request at a back end, in milliseconds.
+/// Delay that is added to each request at a back end, and the run time that results, in milliseconds.
 const SLOW_MS: u64 = 185;
 const RUN_MS: u64 = 200;
 
@@ -45,8 +45,8 @@
 /// Time after which a configuration is in force and back ends have closed the connections of the start.
 const SETTLE: Duration = Duration::from_millis(5_000);
 
-/// Lull after which idle connections are too old for requests that must not run twice, but not for others.
-const LULL: Duration = Duration::from_millis(1_000);
+/// Pause after which idle connections are too old for requests that must not run twice, but not for others.
+const IDLE_PERIOD: Duration = Duration::from_millis(1_000);
 
 /// Time for which callers wait for an answer.
 const CALLER_DEADLINE: Duration = Duration::from_millis(1_000);
@@ -176,7 +176,7 @@
 }
 
 /// Guards against idle connections that are kept beside those that calls open: after a burst that used
-/// each slot and a lull, the next orders use new connections.
+/// each slot and a pause, the next orders use new connections.
 #[ntex::test]
 async fn idle_connections_of_a_burst_leave_room_for_later_calls() {
     let site = start_site("full-idle", &config(2, "/reads/")).await;
@@ -186,7 +186,7 @@
         for result in futures::future::join_all(calls).await {
             assert_eq!(result.status, 200, "{result:?} of {count}");
         }
-        tokio::time::sleep(LULL).await;
+        tokio::time::sleep(IDLE_PERIOD).await;
     }
     assert_eq!(reset_counts(&site), [0; HOST_COUNT]);
 }
--- a/crates/testbed/tests/refusals.rs
+++ b/crates/testbed/tests/refusals.rs
@@ -27,8 +27,8 @@
 
 const IN_TIME_SHARE: f64 = 0.95;
 
-/// Time that a request runs in addition to that of the stand-in, in milliseconds. With it the two back
-/// ends of the reads complete 160 requests a second.
+/// Time by which each request runs longer than usual, in milliseconds. With it the two back ends of the
+/// reads complete 160 requests a second.
 const SLOW_MS: u64 = 135;
 
 /// Pause between two requests of the customer without a limit at each host; together they send twice what
@@ -40,8 +40,10 @@
 
 const LIMIT_PER_S: f64 = 20.0;
 
-/// Time that the load lasts before refusals are measured, and while they are.
+/// Time of load before refusals are measured.
 const WARM_UP: Duration = Duration::from_secs(3);
+
+/// Time of load while refusals are measured.
 const MEASURED: Duration = Duration::from_secs(5);
 
 /// Starts a caller of a customer at a host, with a request in each `period`.
