--- a/crates/dataplane/src/explain.rs
+++ b/crates/dataplane/src/explain.rs
@@ -27,16 +27,16 @@
     Value, //
 };
 
-use crate::call::{
-    priority_of,
-    rank_of,
-    Rule, //
-};
+use crate::call::Rule;
 use crate::pick::{
     build_candidates,
     entries,
     route_picker, //
 };
+use crate::rank::{
+    priority_of,
+    rank_of, //
+};
 use crate::worker::Worker;
 
 /// A request that an operator asks about.
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -35,6 +35,7 @@
 mod pick;
 mod plane;
 mod proxy;
+mod rank;
 mod record;
 mod retry;
 mod routed;
--- a/crates/dataplane/src/routed.rs
+++ b/crates/dataplane/src/routed.rs
@@ -10,8 +10,6 @@
 
 use crate::attempts::is_overload_refusal;
 use crate::call::{
-    nested_rank_of,
-    rank_of,
     AttemptKind,
     Outcome,
     Rule, //
@@ -32,6 +30,10 @@
     Incoming,
     ServedCall, //
 };
+use crate::rank::{
+    nested_rank_of,
+    rank_of, //
+};
 use crate::running_calls::RunningCall;
 use crate::worker::Worker;
 
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -25,7 +25,6 @@
     ExpectedCall,
     RunCost, //
 };
-use crate::picker::Distance;
 
 /// Shortest time for which a load report counts; its weight falls linearly to 0.
 const REPORT_TTL_MIN: Duration = Duration::from_millis(500);
@@ -300,30 +299,6 @@
         self.load(target, now).refused_until = now + REFUSED_HOLD;
     }
 
-    /// Records whether a target at `distance` refused a call of `kind` for overload.
-    pub fn record_admission(
-        &mut self,
-        kind: &str,
-        distance: Distance,
-        refused: bool,
-        now: Instant,
-    ) {
-        if let Some(refusals) = self.refusals.get_mut(kind) {
-            refusals.record(distance, refused, now);
-        } else if refused {
-            let mut refusals = Refusals::default();
-            refusals.record(distance, refused, now);
-            self.refusals.insert(kind.to_owned(), refusals);
-        }
-    }
-
-    /// Returns the share of recent calls of `kind` that targets at `distance` refused for overload.
-    pub fn refused_ratio(&self, kind: &str, distance: Distance, now: Instant) -> f64 {
-        self.refusals
-            .get(kind)
-            .map_or(0.0, |refusals| refusals.ratio(distance, now))
-    }
-
     /// Returns whether the target, or the path to it, refused a call recently.
     pub fn has_recent_refusal(&self, target: &NodeId, now: Instant) -> bool {
         self.loads
--- a/crates/routing/src/load/refusals.rs
+++ b/crates/routing/src/load/refusals.rs
@@ -5,6 +5,7 @@
     Instant, //
 };
 
+use super::LoadTracker;
 use crate::picker::Distance;
 
 /// Half-life of the counts. Calls return to targets that have room again within about this time.
@@ -60,3 +61,29 @@
         0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
     }
 }
+
+impl LoadTracker {
+    /// Records whether a target at `distance` refused a call of `kind` for overload.
+    pub fn record_admission(
+        &mut self,
+        kind: &str,
+        distance: Distance,
+        refused: bool,
+        now: Instant,
+    ) {
+        if let Some(refusals) = self.refusals.get_mut(kind) {
+            refusals.record(distance, refused, now);
+        } else if refused {
+            let mut refusals = Refusals::default();
+            refusals.record(distance, refused, now);
+            self.refusals.insert(kind.to_owned(), refusals);
+        }
+    }
+
+    /// Returns the share of recent calls of `kind` that targets at `distance` refused for overload.
+    pub fn refused_ratio(&self, kind: &str, distance: Distance, now: Instant) -> f64 {
+        self.refusals
+            .get(kind)
+            .map_or(0.0, |refusals| refusals.ratio(distance, now))
+    }
+}
