Rate limits and rollouts: clearer comments and names of private items

The reported usage of a coordinator's bucket no longer has the name of a node's usage. The doc comment of the level that clears a route stated 20 answers; by the long test it takes some 40.

--- a/crates/control/src/mesh/limits.rs
+++ b/crates/control/src/mesh/limits.rs
@@ -41,7 +41,8 @@
 /// The same for a node with configured peers. They may be out of reach at its start.
 const ALONE_AFTER_WITH_PEERS: Duration = Duration::from_secs(60);
 
-/// Time after its start from which on a node has the current route table, so that a first limit is a new one.
+/// Time after its start within which a node gets the current route table. A first limit that it sees later
+/// has just come into force.
 const CURRENT_AFTER: Duration = Duration::from_secs(5);
 
 /// Shortest time between two log lines about one customer, so that one at its limit does not flood the
--- a/crates/control/src/rollout_agent.rs
+++ b/crates/control/src/rollout_agent.rs
@@ -56,10 +56,10 @@
 /// Timeout of one report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Pause before a node that took no report is contacted again.
+/// First pause before a node that took no report is contacted again.
 const REDIAL_FIRST_MS: u64 = 200;
 
-/// Longest such pause. A node of a build without rollouts closes each connection.
+/// Longest such pause. A node of an earlier build, which has no rollouts, closes each connection.
 const REDIAL_MAX_MS: u64 = 3_000;
 
 /// Pause of the node that decides between two checks whether the log has to be asked.
--- a/crates/control/tests/rollouts.rs
+++ b/crates/control/tests/rollouts.rs
@@ -143,7 +143,8 @@
     LocalSet::new().run_until(run).await;
 }
 
-/// Accepts connections and closes them, as a node of a build without rollouts does on a report.
+/// Accepts connections and closes them, as a node of an earlier build, which has no rollouts, does
+/// on a report.
 /// Returns the address and the number of connections.
 async fn start_closing_peer() -> (String, Rc<Cell<usize>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/crates/rate-limit/src/bounds.rs
+++ b/crates/rate-limit/src/bounds.rs
@@ -13,7 +13,8 @@
 /// late.
 const RESERVE_SLACK_RATIO: f64 = 0.05;
 
-/// Standard deviations that the sum of independent draws at all nodes keeps from what is permitted.
+/// Number of standard deviations by which the mean sum of independent random draws at all nodes stays
+/// below what is permitted.
 const DRAW_DEVIATION_COUNT: f64 = 4.0;
 
 /// Largest rate and burst; higher ones count as this.
@@ -61,7 +62,8 @@
     }
 
     /// Returns the ratio of `node_count` nodes that may each admit a request in a window without knowing of
-    /// the others. The number of those that draw one at random varies.
+    /// the others. Nodes decide by independent random draws, so that the mean of the sum has to stay below
+    /// what is permitted.
     pub(crate) fn one_ratio(&self, limit: &CustomerLimit, node_count: f64) -> f64 {
         let permitted = self.permitted_count(limit);
         if permitted >= node_count {
--- a/crates/rate-limit/src/bucket.rs
+++ b/crates/rate-limit/src/bucket.rs
@@ -20,14 +20,15 @@
 /// request to the answer that takes it into account, or the ratio oscillates.
 const BALANCE_TIME: Duration = Duration::from_millis(600);
 
-/// Demand as a multiple of the limit from which on a customer is watched. Smaller ones exceed the limit slowly.
+/// Demand as a multiple of the limit from which on a customer is watched: nodes report more often, so
+/// that the coordinator limits it in time. A smaller demand exceeds the limit slowly.
 const WATCHED_RATIO: f64 = 1.5;
 
 /// Largest debt that the loss of nodes may leave, as time at the limit. Nodes that change their
 /// coordinator are lost too, so that the loss is an estimate.
 const LOSS_DEBT_MAX: Duration = Duration::from_millis(200);
 
-/// Shortest time between two reports that is taken as such, in seconds.
+/// Shortest time between two reports, in seconds; shorter ones count as this.
 const ELAPSED_MIN_S: f64 = 0.05;
 
 /// Mean time from a report to its coordinator.
@@ -46,7 +47,7 @@
 
 /// Requests of a customer in one report.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Usage {
+pub(crate) struct ReportedUsage {
     pub(crate) arrival_count: f64,
     pub(crate) admitted_count: f64,
     /// Time since the report before, within which the requests arrived.
@@ -64,13 +65,15 @@
     capacity: f64,
     /// Tokens; negative while nodes have admitted more than the limit allows.
     balance: f64,
-    /// Tokens if all arrivals had been admitted, down to what tells that they exceed the limit.
+    /// Tokens that would be left if all arrivals had been admitted. It falls no lower than twice the debt
+    /// that the delay of reports explains, which is enough to tell that the limit is exceeded.
     arrival_balance: f64,
     demand_per_s: f64,
-    /// Sum of the spans of the reported requests, averaged as the demand.
+    /// The demand weighted by the spans of its reports. Divided by the demand it gives their mean span.
     demand_span: f64,
-    /// Most requests in one report, as it would be after the usual time, decreasing as the demand.
-    lump_count: f64,
+    /// Largest number of requests in one report, scaled to the usual time between reports. It decays as
+    /// the demand does.
+    largest_count: f64,
     advanced_at: Instant,
 }
 
@@ -89,7 +92,7 @@
             arrival_balance: 0.0,
             demand_per_s: 0.0,
             demand_span: 0.0,
-            lump_count: 0.0,
+            largest_count: 0.0,
             advanced_at: now,
         };
         let Some(known) = known else {
@@ -101,7 +104,7 @@
         bucket.arrival_balance = (known.arrival_balance + added).clamp(-capacity, capacity);
         bucket.demand_per_s = known.demand_per_s;
         bucket.demand_span = known.demand_span;
-        bucket.lump_count = known.lump_count;
+        bucket.largest_count = known.largest_count;
         bucket.advanced_at = known.advanced_at;
         bucket
     }
@@ -117,7 +120,8 @@
         *self = Self::new(self.limit, self.capacity, None, now);
     }
 
-    /// Adds what the time since the last call yields to a coordinator with that share of the limit.
+    /// Adds the tokens for the time since the last call. `share` is the part of the limit that this
+    /// coordinator grants.
     pub(crate) fn advance(&mut self, share: f64, now: Instant) {
         let elapsed_s = now
             .saturating_duration_since(self.advanced_at)
@@ -128,18 +132,18 @@
         let kept_ratio = (-elapsed_s / self.demand_time_s()).exp();
         self.demand_per_s *= kept_ratio;
         self.demand_span *= kept_ratio;
-        self.lump_count *= kept_ratio;
+        self.largest_count *= kept_ratio;
         self.advanced_at = now;
     }
 
     /// Counts the requests of a report. The debt is bounded to what the limit yields within `debt_time`.
-    pub(crate) fn draw(&mut self, usage: &Usage, debt_time: Duration) {
+    pub(crate) fn draw(&mut self, usage: &ReportedUsage, debt_time: Duration) {
         let debt_max = self.limit.rate_per_s * debt_time.as_secs_f64();
         let demand_per_s = usage.arrival_count / self.demand_time_s();
         self.demand_per_s += demand_per_s;
         self.demand_span += demand_per_s * usage.span_s;
-        let lump_count = usage.arrival_count * usage.span_s / usage.elapsed_s.max(ELAPSED_MIN_S);
-        self.lump_count = self.lump_count.max(lump_count);
+        let largest_count = usage.arrival_count * usage.span_s / usage.elapsed_s.max(ELAPSED_MIN_S);
+        self.largest_count = self.largest_count.max(largest_count);
         if usage.is_by_own_share {
             return;
         }
@@ -151,8 +155,8 @@
         self.arrival_balance = arrival_balance.max(floor.min(self.arrival_balance));
     }
 
-    /// Adjusts the balances to a changed share of the nodes, the lost part of which was granted to others
-    /// for `overgranted_s`.
+    /// Adjusts the balances to a changed share of the nodes that report. The share of lost nodes was
+    /// granted to the others for `overgranted_s`, scaled to the whole limit.
     pub(crate) fn change_share(&mut self, share: f64, next_share: f64, overgranted_s: f64) {
         let lost_share = (share - next_share).max(0.0);
         let gained_share = (next_share - share).max(0.0);
@@ -178,6 +182,7 @@
         self.demand_per_s > granted_per_s.max(watched_per_s)
     }
 
+    /// Returns the rate that is granted: that of the limit, and the balance spread over [`BALANCE_TIME`].
     fn granted_per_s(&self, share: f64) -> f64 {
         self.limit.rate_per_s * share + self.balance / BALANCE_TIME.as_secs_f64()
     }
@@ -207,14 +212,15 @@
         ))
     }
 
-    /// Returns the debt of a customer that is within its limit. The bucket is full while requests are on
-    /// their way, so that it does not gain what is due to the customer in this time: half of the time
-    /// between reports on average, with a deviation that is smaller the more reports hold the requests.
+    /// Returns the largest debt of a customer that keeps its limit. A full bucket gains nothing while
+    /// requests wait for the next report, so that the customer seems to owe what the limit yields in this
+    /// time. That is half of the time between reports on average, and all of it if one report holds the
+    /// requests.
     fn delayed_count(&self) -> f64 {
         let (mut span_s, mut concentration) = (0.0, 0.0);
         if self.demand_span > 0.0 {
             span_s = self.demand_span / self.demand_per_s;
-            concentration = (self.lump_count / self.demand_span).min(1.0);
+            concentration = (self.largest_count / self.demand_span).min(1.0);
         }
         let delay_s = span_s * (1.0 + concentration.sqrt()) / 2.0 + TRANSIT_TIME.as_secs_f64();
         let reserve_count = self.capacity - self.limit.burst_count;
--- a/crates/rate-limit/src/coordinator.rs
+++ b/crates/rate-limit/src/coordinator.rs
@@ -14,7 +14,7 @@
 };
 use crate::bucket::{
     Bucket,
-    Usage, //
+    ReportedUsage, //
 };
 use crate::message::{
     UsageAnswer,
@@ -34,8 +34,8 @@
 /// Number of its periods after which a node that did not report is not granted its share any more.
 const MISSED_PERIOD_COUNT: u32 = 3;
 
-/// The same after which a busy node is late, so that its part of the demand is unknown. Others may have
-/// become quiet and report less often.
+/// Number of its periods after which a busy node is late, so that its part of the demand is unknown. A
+/// node that was not busy may have no requests and report less often.
 const LATE_PERIOD_COUNT: f64 = 1.8;
 
 /// Ratio of the nodes that must report in time for the demand to be known as a whole. One message in 100
@@ -52,12 +52,12 @@
 /// Largest number of a report that may be the first one to this coordinator since the node's start.
 const FIRST_REPORT_MAX: u64 = 4;
 
-/// Number up to which a report comes from a node that began to report less than 2 s before.
+/// Largest number of a report of a young node, which began to report less than 2 s before.
 const YOUNG_REPORT_MAX: u64 = 12;
 
-/// Ratio of the reporting nodes that must have begun to report to this coordinator for a new limit, or a
-/// site that has just started, to be told from a change of the coordinator. All demand since the begin is
-/// then known without a [`WARM_UP`].
+/// Ratio of the reporting nodes that must be young for this to be a start of all nodes or of the first
+/// limits. After a mere change of the coordinator most nodes are not. At a start all demand is known
+/// without a [`WARM_UP`].
 const YOUNG_RATIO: f64 = 0.9;
 
 /// Interval at which the nodes that report are counted.
@@ -73,6 +73,7 @@
     reported_at: Instant,
     /// When the last report that was not a repeated one was merged.
     counted_at: Instant,
+    /// When the node is late, unless it reports before.
     late_at: Instant,
     expected_until: Instant,
 }
@@ -154,7 +155,7 @@
         let known = known.filter(|known| known.epoch == report.epoch);
         let is_repeated = known.is_some_and(|known| known.sequence >= report.sequence);
         let counted_at = known.map_or(now, |known| known.counted_at);
-        // A node that reports more often for a moment will do so less often again.
+        // A node may report more often than its period for a short time.
         let elapsed_s = now.saturating_duration_since(counted_at).as_secs_f64();
         let span_s = elapsed_s.max(period.as_secs_f64());
         let expected_until = now + period * MISSED_PERIOD_COUNT;
@@ -181,7 +182,7 @@
                 continue;
             };
             bucket.advance(self.share, now);
-            let usage = Usage {
+            let usage = ReportedUsage {
                 arrival_count: f64::from(count.1),
                 admitted_count: f64::from(count.2),
                 span_s,
--- a/crates/rate-limit/src/local_bucket.rs
+++ b/crates/rate-limit/src/local_bucket.rs
@@ -16,8 +16,8 @@
 /// Longest time for which a node repays what it admitted beyond its share.
 const DEBT_MAX: Duration = Duration::from_secs(5);
 
-/// When a node without a coordinator admits one request beyond its bucket, whose part of a token would
-/// refuse most requests of customers with a small limit.
+/// When a node without a coordinator admits one request beyond its bucket. A node's share of a small limit
+/// is a fraction of a token, by which alone most requests would be refused.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Exception {
     /// Never: what others admit takes up the rest of what is permitted.
@@ -36,7 +36,7 @@
     pub(crate) capacity: f64,
     /// Time after which a node that could not admit a request by its part of a token draws again.
     redraw_after: Duration,
-    /// Ratio of the draws that admit one request, whatever the bucket holds.
+    /// Probability with which a random draw allows one request, whatever the bucket holds.
     one_ratio: f64,
 }
 
@@ -76,7 +76,7 @@
     /// Part of a token with which a request is admitted, drawn at random, so that shares below one
     /// token add up over the nodes.
     threshold: f64,
-    /// Whether one request is admitted beyond the bucket.
+    /// Whether the last random draw allows one request, whatever the bucket holds.
     allows_one: bool,
     redraw_at: Instant,
 }
@@ -122,7 +122,7 @@
     /// Takes a token for an admitted request.
     pub(crate) fn draw(&mut self, share: &Share, random_ratio: f64, now: Instant) {
         if self.allows_one {
-            // The window permits this request, so that it leaves no debt.
+            // The bounds permit this request beyond the share, so that it leaves no debt.
             self.balance = self.balance.min((self.balance - 1.0).max(0.0));
         } else {
             let debt_max = (share.rate_per_s * DEBT_MAX.as_secs_f64()).max(2.0);
--- a/crates/rate-limit/src/usage_meter.rs
+++ b/crates/rate-limit/src/usage_meter.rs
@@ -50,11 +50,11 @@
 /// Period of the reports of a node that has just begun to report, until the first answer.
 const START_PERIOD: Duration = Duration::from_millis(100);
 
-/// Time for which a node reports this often too when a customer is watched.
+/// Time for which a node reports every [`START_PERIOD`] after an answer that says that a customer is watched.
 const WATCH_TIME: Duration = Duration::from_millis(800);
 
-/// Shortest time between two such times, so that a customer at its limit does not raise the bytes of reports for
-/// long.
+/// Shortest time from one such phase to the next, so that a customer that stays near its limit does not
+/// raise the traffic of reports for long.
 const WATCH_EVERY: Duration = Duration::from_secs(5);
 
 /// Longest time for which a running node waits for the first answer after the first limit came into force.
@@ -112,7 +112,7 @@
     first_report_at: Option<Instant>,
     /// Since when requests have been decided without a coordinator.
     isolated_since: Option<Instant>,
-    /// Until when requests are admitted without a coordinator, since the limits are new.
+    /// Until when all requests are admitted without a coordinator, after the first limits came into force.
     unlimited_until: Option<Instant>,
     /// When the node last began to report more often for a customer that is watched.
     watched_at: Option<Instant>,
@@ -241,7 +241,7 @@
         }
     }
 
-    /// Returns whether the node has begun to watch within the last `time`.
+    /// Returns whether the node began to report more often for a watched customer within the last `time`.
     fn has_watched(&self, time: Duration, now: Instant) -> bool {
         self.watched_at
             .is_some_and(|at| now.saturating_duration_since(at) < time)
@@ -253,6 +253,7 @@
             .is_none_or(|first| now.saturating_duration_since(first) < START_TIME)
     }
 
+    /// Returns the period of the reports to the coordinator of rank `slot` if that of rank `lead` decides.
     fn period_with_lead(&self, slot: usize, lead: usize) -> Duration {
         let has_news = self.has_news.get(slot).is_some_and(|news| *news);
         let was_busy = self.was_busy.get(slot).is_some_and(|busy| *busy);
--- a/crates/rate-limit/tests/common/mod.rs
+++ b/crates/rate-limit/tests/common/mod.rs
@@ -62,6 +62,7 @@
         node: usize,
         group: u32,
     },
+    /// The first limits come into force at the node.
     Begin(usize),
 }
 
--- a/crates/rate-limit/tests/within_the_limit/mod.rs
+++ b/crates/rate-limit/tests/within_the_limit/mod.rs
@@ -25,7 +25,7 @@
 /// When all nodes have an answer of a coordinator, in milliseconds.
 const BEGUN_MS: u64 = 3_000;
 
-/// Time for which customers send their bursts, in milliseconds.
+/// Time for which the simulation goes on after customers have begun to send their bursts, in milliseconds.
 const DURATION_MS: u64 = 15_000;
 
 fn limit((rate_per_s, burst_count): (f64, f64)) -> CustomerLimit {
@@ -95,7 +95,7 @@
     customers
 }
 
-/// Asserts that at most two requests of each customer were refused below the limit in the first seconds.
+/// Asserts that at most two requests of each customer were refused below the limit within [`BEGUN_MS`].
 fn assert_begun(sim: &Sim, from_ms: u64, what: &str) {
     for customer in &sim.customers {
         let to_ms = from_ms + BEGUN_MS;
--- a/crates/rollout/src/excluded.rs
+++ b/crates/rollout/src/excluded.rs
@@ -11,8 +11,8 @@
 /// Largest number of versions, which bounds the size of messages. Those of the latest orders are kept.
 const VERSION_MAX_COUNT: usize = 8;
 
-/// Versions, each with the offset of its last order. Which ones are kept depends on the offsets alone,
-/// so that nodes which learn of them in different orders keep the same ones.
+/// Versions, each with the offset of its last order. Which ones are kept depends on the offsets and
+/// names alone, so that all nodes keep the same ones, in whatever sequence they learn of them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ExcludedVersions(BTreeMap<String, Offset>);
 
--- a/crates/rollout/src/probe.rs
+++ b/crates/rollout/src/probe.rs
@@ -14,33 +14,34 @@
 use crate::order::ExposureLimits;
 use crate::tally::Tally;
 
-/// Share of the new version during the trial under load. It shows a fault in the time in which the
-/// answers arrive, some 0.5 s, for less exposure than a share that rises on.
+/// Share of the new version during the trial under load. A fault under load shows as soon as answers
+/// arrive, after some 0.5 s, while fewer calls are exposed to it than by a share that rises further.
 const TRIAL_SHARE: f64 = 0.3;
 
-/// Part of the canary's share after the trial, which has shown more runs.
+/// Part of the canary's share that is kept after the trial, which has exposed more calls.
 const AFTER_TRIAL_PART: f64 = 0.5;
 
 /// Share of the new version on a route in focus. With 50 calls a second of the route it shows 30 runs a
 /// second, which clear or confirm a failure within 2 s.
 const FOCUS_SHARE: f64 = 0.6;
 
-/// Score, as a part of the limit, from which a route is suspect. One failure gives 0.3.
+/// Score, as a part of the limit, from which a route is suspect. One failure gives about 0.3.
 const SUSPECT_LEVEL: f64 = 0.2;
 
-/// Score below which a suspect route is cleared, some 20 answers after a failure.
+/// Score below which a suspect route is cleared, some 40 answers after a failure.
 const CLEARED_LEVEL: f64 = 0.1;
 
-/// Part of the slack that the focus may take. The rest is for runs that are not reported yet.
+/// Part of [`ExposureLimits::slack_count`] that the focus may take. The rest is for runs that are not
+/// reported yet.
 const SLACK_PART: f64 = 0.9;
 
-/// Shortest trial. Runs that end later count as well.
+/// Shortest duration of a trial. Runs that end later count as well.
 const TRIAL_MIN: Duration = Duration::from_millis(500);
 
-/// Trial if few runs end.
+/// Duration of a trial in which few runs end.
 pub(crate) const TRIAL_USUAL: Duration = Duration::from_millis(1_400);
 
-/// Longest trial, if its runs make the version suspect.
+/// Longest duration of a trial, if its runs make the version suspect.
 const TRIAL_MAX: Duration = Duration::from_millis(2_000);
 
 /// Number of runs of the new version after which the trial need not last longer.
@@ -49,27 +50,27 @@
 /// Score from which the trial lasts longer.
 const LONG_TRIAL_LEVEL: f64 = 0.15;
 
-/// Whether the version was tried under load.
+/// Progress of the trial under load, which gives the new version a larger share for a short time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Trial {
-    /// Not yet.
+    /// It has not begun.
     #[default]
     Pending,
-    /// The trial is under way.
+    /// It is under way.
     Running,
-    /// It was.
+    /// It has ended.
     Ended,
 }
 
 /// What the node that decides asks of the canary.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Probe {
-    /// Number of the choice; a later one outweighs an earlier one.
+    /// Number of the probe; a later one outweighs an earlier one.
     pub number: u64,
     /// Trial under load.
     pub trial: Trial,
-    /// Route in focus, if there is one.
+    /// Route that gets a larger share of the new version, if there is one.
     pub focus: Option<String>,
 }
 
@@ -77,7 +78,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TrialStart {
     pub(crate) at: Instant,
-    /// Runs of the new version that the node knew.
+    /// Runs of the new version that the node knew at the start.
     pub(crate) run_count: u64,
 }
 
@@ -94,7 +95,7 @@
         }
     }
 
-    /// Returns the next choice by the evidence, if it differs. `trial` is what follows for the trial.
+    /// Returns the next probe by the evidence, if it differs. `trial` is the next state of the trial.
     pub(crate) fn next(
         &self,
         tally: &Tally,
@@ -133,7 +134,7 @@
 
 impl TrialStart {
     /// Returns whether the trial is over and showed few runs.
-    pub(crate) fn has_ended_thin(&self, tally: &Tally, now: Instant) -> bool {
+    pub(crate) fn has_ended_with_few_runs(&self, tally: &Tally, now: Instant) -> bool {
         now >= self.at + TRIAL_USUAL && self.has_ended(tally, now)
     }
 
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -44,22 +44,23 @@
 /// Part of the duration after which the share rises.
 const RISE_AT_PART: f64 = 0.7;
 
-/// Number of runs of the new version after which the share rises then. With fewer ones it rises as late
-/// as it may.
+/// Number of runs of the new version with which the share rises after [`RISE_AT_PART`]. With fewer ones
+/// it rises as late as it may.
 const RISE_RUN_COUNT: u64 = 180;
 
 /// Time for the rise, the hold and the record in the log, with a margin for repeated appends.
 const COMPLETION_TIME: Duration = Duration::from_millis(2_700);
 
-/// Largest part of the duration for that.
+/// Largest part of the duration that [`COMPLETION_TIME`] may take, if the duration is short.
 const COMPLETION_PART: f64 = 0.7;
 
 /// Scores of failures and of slow runs, as parts of their limits, from which on the version is in doubt
 /// when the share has to rise: the rise is delayed while there is time, and then the version is stopped.
-/// One failure gives 0.3, and further answers clear it.
+/// One failure gives about 0.3, and further answers clear it.
 const DOUBT_LEVELS: (f64, f64) = (0.35, 0.6);
 
-/// The same at the end of a trial with few runs. Any version may fail twice in a short time.
+/// The same scores at the end of a trial with few runs, after which the version is stopped at once. That
+/// of failures is higher, since any version may fail twice in a short time.
 const TRIAL_DOUBT_LEVELS: (f64, f64) = (0.8, 0.42);
 
 /// Longest age of the last answer of the log with which the share may rise.
@@ -242,7 +243,8 @@
             }
             // Clean runs after the trial say nothing about the version under load.
             Phase::Canary
-                if self.has_thin_trial_ended(now) && self.is_in_doubt(TRIAL_DOUBT_LEVELS) =>
+                if self.has_trial_ended_with_few_runs(now)
+                    && self.is_in_doubt(TRIAL_DOUBT_LEVELS) =>
             {
                 Some(Phase::Stopped)
             }
@@ -261,7 +263,7 @@
         }
     }
 
-    /// Returns what the canary is asked next. Only the node that decides asks.
+    /// Returns the next probe, if it differs. Only the node that decides calls this.
     pub(crate) fn next_probe(
         &mut self,
         limits: &ExposureLimits,
@@ -275,11 +277,11 @@
         self.probe.next(&self.tally, limits, trial)
     }
 
+    /// Returns the next state of the trial, and records its start and the number of its runs.
     fn next_trial(&mut self, now: Instant) -> Trial {
         match self.probe.trial {
             Trial::Pending => {
-                let is_due = now >= self.trial_at();
-                if is_due {
+                if now >= self.trial_at() {
                     Trial::Running
                 } else {
                     Trial::Pending
@@ -301,12 +303,12 @@
         }
     }
 
-    /// Returns whether the trial under load is over, not yet marked as ended, and showed few runs. With
-    /// many ones the sequential tests decide.
-    fn has_thin_trial_ended(&self, now: Instant) -> bool {
+    /// Returns whether the trial under load is over, not yet marked as ended, and showed few runs. If it
+    /// showed many, the sequential tests decide.
+    fn has_trial_ended_with_few_runs(&self, now: Instant) -> bool {
         let start = self.trial_start.as_ref();
         let is_running = self.probe.trial == Trial::Running;
-        is_running && start.is_some_and(|start| start.has_ended_thin(&self.tally, now))
+        is_running && start.is_some_and(|start| start.has_ended_with_few_runs(&self.tally, now))
     }
 
     /// Returns when the version is tried under load; later if a route is in focus.
@@ -328,15 +330,17 @@
     /// follows the record that the rollout is running, of which this node may not have heard.
     pub(crate) fn owns_status(&self, state: StatusState, offset: Offset) -> bool {
         let earlier = self.earlier_status_at;
-        // The log gives offsets out again when it goes back to an older copy.
-        let is_later = earlier.is_some_and(|earlier| earlier.era() == offset.era());
-        if is_later && earlier >= Some(offset) {
+        // Offsets of different eras can't be compared: a log that goes back to an older copy gives the
+        // same offsets out again.
+        let is_comparable = earlier.is_some_and(|earlier| earlier.era() == offset.era());
+        if is_comparable && earlier >= Some(offset) {
             return false;
         }
         if self.recorded || state == StatusState::Running {
             return true;
         }
-        !self.replaces_open && (is_later || !self.fresh)
+        // A comparable record is later here.
+        !self.replaces_open && (is_comparable || !self.fresh)
     }
 
     /// Returns whether the log should be asked, so that the share may rise.
--- a/crates/rollout/src/slow.rs
+++ b/crates/rollout/src/slow.rs
@@ -12,7 +12,8 @@
 use crate::evidence::RouteEvidence;
 
 /// Tests of run times. The second finds a small part of much slower runs sooner, as few runs of the old
-/// version take that long; the first is for services whose callers give up before.
+/// version take that long. The first is for services whose callers give up before a run counts as slow
+/// by the second.
 pub(crate) const SLOW_TESTS: [SlowTest; 2] = [
     SlowTest {
         bin_count: 3,
@@ -41,15 +42,17 @@
 /// Test of the share of slow runs.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SlowTest {
-    /// Number of bins above the median of the old version from which a run is slow: 3 are 2.8 times.
+    /// Number of bins above the median of the old version from which a run is slow: 3 bins are 2.8
+    /// times the median, 4 are 4 times.
     pub(crate) bin_count: u8,
     /// Added to the old version's share of slow runs, since targets differ in speed.
     margin: f64,
-    /// Score of a bad version. It is higher than of failures, as slow runs of one target come in groups.
+    /// Score at which the version counts as bad after up to 150 runs. It is higher than for failures, as
+    /// slow runs of one target come in groups.
     limit: f64,
-    /// Growth of the limit with the logarithm of the number of runs beyond 150.
+    /// Growth of the limit with the logarithm of the number of runs as a multiple of 150.
     limit_growth: f64,
-    /// Added to the margin by 400 runs.
+    /// Added to the margin in proportion to the number of runs, up to 400 of them.
     margin_growth: f64,
 }
 
@@ -59,7 +62,8 @@
     cusum: Cusum,
     /// Slow runs by node since the score was last zero.
     slow_counts: FastMap<NodeId, u64>,
-    /// Part of the score that the slow runs make up which the node with most of them has beyond others.
+    /// Part of the score from those slow runs that the node with most of them has beyond the mean of the
+    /// others.
     surplus: f64,
 }
 
@@ -90,8 +94,8 @@
         self.surplus = test.hit_level((most as f64 - usual).max(0.0));
     }
 
-    /// Returns the score. The target with most slow runs counts with as many as the others have, since
-    /// any target is slow for a while.
+    /// Returns the score. The target with most slow runs counts with as many as the others have on
+    /// average, since any target may be slow for a while.
     pub(crate) fn level(&self) -> f64 {
         self.cusum.level() - self.surplus
     }
--- a/crates/rollout/src/versions.rs
+++ b/crates/rollout/src/versions.rs
@@ -122,6 +122,7 @@
         chosen
     }
 
+    /// Chooses by the phase of the rollout alone. The mask is empty if no target of such a version is left.
     fn choose_by_phase(
         &self,
         rollout: &Rollout,
@@ -157,8 +158,8 @@
     }
 
     /// Returns the versions of a call for which the phase of the rollout leaves none: those of earlier
-    /// orders. A version that was stopped is served only after a time, if there is no other: a node that
-    /// is cut off from the others must not send it the calls that they spared it.
+    /// orders. If there are none either, a version that was stopped gets calls only after a time, since a
+    /// node that is cut off from the others may see no targets but those of the stopped version.
     fn widen(&self, rollout: &Rollout, now: Instant) -> VersionMask {
         let new = self.mask_of(&rollout.order().target_version);
         let excluded = self.all() & !new;
--- a/crates/rollout/tests/versions.rs
+++ b/crates/rollout/tests/versions.rs
@@ -194,8 +194,8 @@
     }
 }
 
-/// Returns a book in which the versions `b1` to `bN` were ordered one after the other, in the offsets from
-/// `first_offset` on, and then `v9` at offset 100.
+/// Returns a book in which the versions `b{first}` to `b{last}` were ordered one after the other, each at
+/// the offset of its number, and then `v9` at offset 100.
 fn book_after(first: u64, last: u64, now: Instant) -> RolloutBook {
     let mut book = RolloutBook::default();
     for index in first..=last {
