--- a/crates/control/src/mesh/limits.rs
+++ b/crates/control/src/mesh/limits.rs
@@ -65,7 +65,7 @@
     routes_version: Option<u64>,
     names: FastMap<u32, String>,
     has_limits: bool,
-    /// When a first limit is taken for a new one.
+    /// From when on a first limit is taken for one that has just come into force.
     current_at: Option<Instant>,
     logged: FastMap<u32, LoggedState>,
     logged_lead: Option<String>,
--- a/crates/control/src/mesh/rollouts.rs
+++ b/crates/control/src/mesh/rollouts.rs
@@ -52,7 +52,7 @@
     own_sequence: Mutex<u64>,
     changes: watch::Sender<u64>,
     /// Whether any rollout is known.
-    is_known: AtomicBool,
+    has_rollouts: AtomicBool,
 }
 
 impl Default for RolloutFeed {
@@ -63,7 +63,7 @@
             progress: Mutex::default(),
             own_sequence: Mutex::default(),
             changes: watch::Sender::new(0),
-            is_known: AtomicBool::new(false),
+            has_rollouts: AtomicBool::new(false),
         }
     }
 }
@@ -84,7 +84,7 @@
 
     /// Returns whether any rollout is known, without a lock.
     pub fn has_rollouts(&self) -> bool {
-        self.rollout_feed.is_known.load(Ordering::Acquire)
+        self.rollout_feed.has_rollouts.load(Ordering::Acquire)
     }
 
     /// Returns a watch that changes whenever a rollout does.
@@ -351,7 +351,9 @@
     }
 
     fn notify_rollouts(&self) {
-        self.rollout_feed.is_known.store(true, Ordering::Release);
+        self.rollout_feed
+            .has_rollouts
+            .store(true, Ordering::Release);
         self.rollout_feed.changes.send_modify(|count| *count += 1);
     }
 
--- a/crates/rate-limit/src/bucket.rs
+++ b/crates/rate-limit/src/bucket.rs
@@ -188,9 +188,9 @@
     }
 
     /// Returns how the customer is limited, if it is. `is_whole` says whether nearly all nodes report in
-    /// time. If they do, a customer is not limited before its requests have exceeded the limit, since
-    /// the demand still holds bursts that were paid for. If not, its unknown requests at the others may
-    /// exceed it already.
+    /// time. If they do, a customer with a demand of up to [`BURST_DEMAND_RATIO`] is not limited before its
+    /// requests have exceeded the limit, since the demand still holds bursts for which it had tokens. If
+    /// not, its unknown requests at the others may exceed it already.
     pub(crate) fn verdict(&self, code: u32, share: f64, is_whole: bool) -> Option<LimitedCustomer> {
         let rate_per_s = self.limit.rate_per_s;
         let granted_per_s = self.granted_per_s(share);
--- a/crates/rate-limit/src/coordinator.rs
+++ b/crates/rate-limit/src/coordinator.rs
@@ -87,7 +87,7 @@
     member_count: usize,
     share: f64,
     is_warm: bool,
-    /// Whether nearly all nodes have reported in time, or all are new.
+    /// Whether the demand is known as a whole: nearly all nodes have reported in time, or are young.
     is_whole: bool,
     recounted_at: Option<Instant>,
     last_report_at: Option<Instant>,
--- a/crates/rate-limit/src/local_bucket.rs
+++ b/crates/rate-limit/src/local_bucket.rs
@@ -22,8 +22,9 @@
 pub(crate) enum Exception {
     /// Never: what others admit takes up the rest of what is permitted.
     Never,
-    /// The node has just begun. Its coordinators begin with empty buckets.
-    AtBegin,
+    /// The node has just started, or the first limits have come into force. The buckets of its
+    /// coordinators are empty then.
+    AtStart,
     /// The node has had no coordinator for a window, so that all it admitted within the last one was by its
     /// own share.
     InIsolation,
@@ -57,7 +58,7 @@
             redraw_after: bounds.window,
             one_ratio: match exception {
                 // One draw decides on the token of the bucket and on the one beyond it.
-                Exception::AtBegin if capacity < 1.0 => {
+                Exception::AtStart if capacity < 1.0 => {
                     capacity + bounds.spare_ratio(&limit, node_count)
                 }
                 Exception::InIsolation => bounds.one_ratio(&limit, node_count),
--- a/crates/rate-limit/src/usage_meter.rs
+++ b/crates/rate-limit/src/usage_meter.rs
@@ -59,7 +59,7 @@
 
 /// Longest time for which a running node waits for the first answer after the first limit came into force.
 /// A limit need not bind before a window has passed.
-const BEGIN_TIME: Duration = Duration::from_millis(1_500);
+const FIRST_ANSWER_TIME: Duration = Duration::from_millis(1_500);
 
 /// Time after a report for which its answer is valid. A customer that suddenly sends several times its
 /// limit is not held back for as long as that if all coordinators are lost in the same moment.
@@ -103,7 +103,7 @@
     answers: [Answer; COORDINATOR_COUNT],
     /// Whether requests have arrived since the last report.
     has_news: [bool; COORDINATOR_COUNT],
-    /// Whether the last report was one of a busy node.
+    /// Whether the last report showed a busy node, see [`UsageReport::is_busy`].
     was_busy: [bool; COORDINATOR_COUNT],
     feeds: FastMap<String, ReportFeed>,
     /// Highest number of all reports. A new feed continues after it, so that its reports do not count as
@@ -146,7 +146,7 @@
         let member_count = self.member_count;
         *self = Self::new(self.bounds, seed);
         self.member_count = member_count;
-        self.unlimited_until = Some(now + BEGIN_TIME);
+        self.unlimited_until = Some(now + FIRST_ANSWER_TIME);
     }
 
     /// Sets the bounds within which limits have to hold.
@@ -233,7 +233,7 @@
     /// Returns the period of the reports to the coordinator of rank `slot`.
     pub fn report_period(&self, slot: usize, now: Instant) -> Duration {
         match self.lead(now) {
-            None if self.is_beginning(now) => START_PERIOD.mul_f64(self.period_factor()),
+            None if self.has_just_started(now) => START_PERIOD.mul_f64(self.period_factor()),
             Some(lead) if lead == slot && self.has_watched(WATCH_TIME, now) => {
                 START_PERIOD.mul_f64(self.period_factor())
             }
@@ -247,8 +247,8 @@
             .is_some_and(|at| now.saturating_duration_since(at) < time)
     }
 
-    /// Returns whether the node has not reported yet, or begun to a short time ago.
-    fn is_beginning(&self, now: Instant) -> bool {
+    /// Returns whether the node has not reported yet, or sent its first report less than [`START_TIME`] ago.
+    fn has_just_started(&self, now: Instant) -> bool {
         self.first_report_at
             .is_none_or(|first| now.saturating_duration_since(first) < START_TIME)
     }
@@ -275,7 +275,7 @@
     /// Returns the next report to `coordinator`, which is of rank `slot`.
     pub fn report(&mut self, slot: usize, coordinator: &str, now: Instant) -> UsageReport {
         self.first_report_at.get_or_insert(now);
-        let has_just_started = self.is_beginning(now);
+        let has_just_started = self.has_just_started(now);
         // Until the first answer the node reports more often than it states.
         let assumed_lead = if has_just_started { 0 } else { slot };
         let period = self.period_with_lead(slot, self.lead(now).unwrap_or(assumed_lead));
@@ -368,8 +368,8 @@
         if now.saturating_duration_since(since) >= self.bounds.window {
             return Exception::InIsolation;
         }
-        match self.is_beginning(now) {
-            true => Exception::AtBegin,
+        match self.has_just_started(now) {
+            true => Exception::AtStart,
             false => Exception::Never,
         }
     }
--- a/crates/rate-limit/src/verdict.rs
+++ b/crates/rate-limit/src/verdict.rs
@@ -38,7 +38,9 @@
 /// What a coordinator says about a customer above its limit.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Verdict {
+    /// Ratio of its requests that are admitted.
     pub(crate) ratio: f64,
+    /// Shortest time after which a refused request may come back.
     wait: Duration,
 }
 
--- a/crates/rate-limit/tests/common/node.rs
+++ b/crates/rate-limit/tests/common/node.rs
@@ -15,6 +15,7 @@
     pub(super) joined_ms: u64,
     /// When the limits come into force at the node.
     pub(super) begun_ms: u64,
+    /// Nodes of different groups can't reach each other.
     pub(super) group: u32,
     /// Group as the failure detector of the mesh sees it.
     pub(super) seen_group: u32,
