--- a/crates/dataplane/src/attempt.rs
+++ b/crates/dataplane/src/attempt.rs
@@ -5,7 +5,6 @@
     Instant, //
 };
 
-use figway_admission::Treatment;
 use figway_control::RouteConfirmation;
 use figway_http::{
     Answer,
@@ -84,14 +83,7 @@
     } else {
         forward_to_peer(worker, call, entry, attempt_kind).await
     };
-    let treatment = treatment_of(&result.outcome);
-    call.end_attempt(treatment);
-    if call.rule.overload_control && treatment != Treatment::Failed {
-        let refused = treatment == Treatment::Refused;
-        plane
-            .loads()
-            .record_admission(call.rule.name, entry.distance, refused, Instant::now());
-    }
+    call.end_attempt(treatment_of(&result.outcome));
     let took = in_flight.finish();
     record_result(plane, call, entry, &result, took);
     call.steps.borrow_mut().push(Step::Ended {
--- a/crates/dataplane/src/routed.rs
+++ b/crates/dataplane/src/routed.rs
@@ -113,11 +113,8 @@
     let parent = caller.parent_call.as_ref();
     if let Some(parent) = parent {
         rule.rank = nested_rank_of(&view.routes, parent.rank);
-        // The parent's run waits for the answer anyway, so that the route's own prompt time does not apply.
-        // It does under overload control: there a waiting parent keeps its slot from other calls.
-        if !rule.overload_control {
-            rule.prompt_ms = Some(route.budget_ms);
-        }
+        // The parent's run waits for the answer, so the route's own prompt time does not apply.
+        rule.prompt_ms = Some(route.budget_ms);
         if customers.is_some() {
             let deadline = incoming.deadline.unwrap_or(parent.deadline);
             incoming.deadline = Some(deadline.min(parent.deadline));
--- a/crates/routing/src/least_work.rs
+++ b/crates/routing/src/least_work.rs
@@ -47,13 +47,6 @@
 /// least work is picked.
 const LATENCY_WEIGHT: f64 = 0.3;
 
-/// Fraction of a call's worth that is lost if it is refused. It is below the bounded price of large bodies
-/// between zones, which therefore stay in their zone.
-const REFUSED_LOSS: f64 = 0.7;
-
-/// Number of refusals by targets after which the data plane refuses a call.
-const REFUSED_TRY_COUNT: usize = 2;
-
 /// Number of targets of one distance that are compared for a call.
 const SAMPLE_COUNT: usize = 4;
 
@@ -115,15 +108,6 @@
         expected.ran_ms + expected.wait_ms + path_ms
     }
 
-    /// Returns the probability that the call is refused if all targets that it may still try are at the
-    /// candidate's distance.
-    fn refused_chance(&self, candidate: &Candidate<'_>) -> f64 {
-        let kind = self.call.kind;
-        let ratio = self.loads.refused_ratio(kind, candidate.distance, self.now);
-        let left_count = REFUSED_TRY_COUNT.saturating_sub(self.excluded.len());
-        ratio.powi(left_count.max(1) as i32)
-    }
-
     /// Returns the calls that the candidate completes in a given time.
     fn throughput(&self, candidate: &Candidate<'_>) -> f64 {
         let factor = self.loads.factor(candidate.node_id, self.now);
@@ -159,7 +143,6 @@
         let price = self.prices.price(candidate.distance, costed.body_bytes);
         LATE_LOSS * late
             + UNANSWERED_LOSS * unanswered
-            + REFUSED_LOSS * costed.refused_chance(candidate)
             + FAILED_LOSS * expected.failed_ratio
             + bounded_price(price)
             + LATENCY_WEIGHT * ((expected_ms - expected.ran_ms) / prompt_ms.max(1.0)).min(1.0)
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -2,7 +2,6 @@
 //! the latencies that it measures, and recent refusals by the target or on the path to it.
 
 mod kinds;
-mod refusals;
 mod work;
 
 use std::time::{
@@ -20,7 +19,6 @@
 };
 
 use self::kinds::KindStats;
-use self::refusals::Refusals;
 pub use self::work::{
     ExpectedCall,
     RunCost, //
@@ -126,8 +124,6 @@
     /// Moving average of the calls per slot that all targets report.
     reported_busy_ratio: f64,
     costs: CostModel,
-    /// Recent refusals for overload, by request kind.
-    refusals: FastMap<String, Refusals>,
 }
 
 impl LoadTracker {
