--- a/crates/admission/src/customer_throttle.rs
+++ b/crates/admission/src/customer_throttle.rs
@@ -20,9 +20,9 @@
 
 impl CustomerThrottle {
     /// Creates a throttle that lets `headroom_ratio` calls through for each one that was accepted.
-    pub fn new(headroom_ratio: f64, now: Instant) -> Self {
+    pub fn new(headroom_ratio: f64, ignored_count: f64, now: Instant) -> Self {
         Self {
-            throttle: Throttle::new(headroom_ratio, now),
+            throttle: Throttle::new(headroom_ratio, ignored_count, now),
             shares: Shares::new(now),
         }
     }
--- a/crates/admission/src/throttle.rs
+++ b/crates/admission/src/throttle.rs
@@ -14,10 +14,6 @@
 /// is room again, so that a peak of some seconds is not followed by as many of needless refusals.
 const HALF_LIFE: Duration = Duration::from_millis(400);
 
-/// Count of recent refusals up to which no call is refused here. Single refusals also come from targets
-/// that are full by chance while others have room.
-const REFUSED_MIN_COUNT: f64 = 2.0;
-
 /// Longest time after which a caller is told to try again.
 const RETRY_AFTER_MAX: Duration = Duration::from_millis(800);
 
@@ -29,16 +25,20 @@
 pub struct Throttle {
     /// Calls let through for each call that was accepted.
     headroom_ratio: f64,
+    /// Count of recent refusals up to which no call is refused here.
+    ignored_count: f64,
     asked_count: f64,
     accepted_count: f64,
     counted_at: Instant,
 }
 
 impl Throttle {
-    /// Creates a throttle that lets `headroom_ratio` calls through for each one that was accepted.
-    pub fn new(headroom_ratio: f64, now: Instant) -> Self {
+    /// Creates a throttle that lets `headroom_ratio` calls through for each one that was accepted. It refuses
+    /// none until it has counted more than `ignored_count` refusals.
+    pub fn new(headroom_ratio: f64, ignored_count: f64, now: Instant) -> Self {
         Self {
             headroom_ratio,
+            ignored_count,
             asked_count: 0.0,
             accepted_count: 0.0,
             counted_at: now,
@@ -50,7 +50,7 @@
         let decay = self.decay(now);
         let asked_count = self.asked_count * decay;
         let accepted_count = self.accepted_count * decay;
-        if asked_count - accepted_count <= REFUSED_MIN_COUNT {
+        if asked_count - accepted_count <= self.ignored_count {
             return 0.0;
         }
         let let_through_count = accepted_count * self.headroom_ratio;
--- a/crates/admission/tests/customer_throttle.rs
+++ b/crates/admission/tests/customer_throttle.rs
@@ -30,7 +30,7 @@
 #[test]
 fn calls_of_a_small_customer_may_arrive_close_together() {
     let now = Instant::now();
-    let mut throttle = CustomerThrottle::new(1.5, now);
+    let mut throttle = CustomerThrottle::new(1.5, 2.0, now);
     let now = overload(&mut throttle, now);
     for _ in 0..3 {
         assert!(throttle.try_call(Some(holder("small")), 0.0, now).is_ok());
@@ -46,7 +46,7 @@
 #[test]
 fn calls_without_a_customer_are_refused_alike() {
     let now = Instant::now();
-    let mut throttle = CustomerThrottle::new(1.5, now);
+    let mut throttle = CustomerThrottle::new(1.5, 2.0, now);
     for _ in 0..20 {
         throttle.record(None, false, now);
     }
--- a/crates/admission/tests/overload.rs
+++ b/crates/admission/tests/overload.rs
@@ -85,7 +85,7 @@
                 overload_control: controlled,
             })
         };
-        let throttles = |count: usize, ratio: f64| vec![Throttle::new(ratio, now); count];
+        let throttles = |count: usize, ratio: f64| vec![Throttle::new(ratio, 2.0, now); count];
         Self {
             controlled,
             random: seed,
--- a/crates/admission/tests/shares/simulation.rs
+++ b/crates/admission/tests/shares/simulation.rs
@@ -125,7 +125,7 @@
             started_at: now,
             events: BinaryHeap::new(),
             event_count: 0,
-            nodes: vec![CustomerThrottle::new(1.5, now); NODE_COUNT],
+            nodes: vec![CustomerThrottle::new(1.5, 2.0, now); NODE_COUNT],
             targets: (0..TARGET_COUNT).map(|_| target()).collect(),
             calls: Vec::new(),
             open: FastMap::default(),
--- a/crates/admission/tests/throttle.rs
+++ b/crates/admission/tests/throttle.rs
@@ -11,6 +11,9 @@
 /// Calls let through for each one that was accepted.
 const HEADROOM_RATIO: f64 = 1.5;
 
+/// Refusals after which no call is refused yet.
+const IGNORED_COUNT: f64 = 2.0;
+
 /// Random numbers from 0 to 1 with a fixed seed.
 struct Random(u64);
 
@@ -53,7 +56,7 @@
 #[test]
 fn nothing_is_refused_while_all_calls_are_accepted() {
     let mut now = Instant::now();
-    let mut throttle = Throttle::new(HEADROOM_RATIO, now);
+    let mut throttle = Throttle::new(HEADROOM_RATIO, IGNORED_COUNT, now);
     let let_through = offer(&mut throttle, &mut Random(1), (50, 100.0), 5, &mut now);
     assert_eq!(let_through, 50);
 }
@@ -63,7 +66,7 @@
 #[test]
 fn targets_hear_little_more_than_they_accept() {
     let mut now = Instant::now();
-    let mut throttle = Throttle::new(HEADROOM_RATIO, now);
+    let mut throttle = Throttle::new(HEADROOM_RATIO, IGNORED_COUNT, now);
     let let_through = offer(&mut throttle, &mut Random(2), (200, 50.0), 6, &mut now);
     assert!((50..=85).contains(&let_through), "{let_through}");
 }
@@ -72,7 +75,7 @@
 #[test]
 fn calls_pass_again_soon_after_the_targets_have_room() {
     let mut now = Instant::now();
-    let mut throttle = Throttle::new(HEADROOM_RATIO, now);
+    let mut throttle = Throttle::new(HEADROOM_RATIO, IGNORED_COUNT, now);
     offer(&mut throttle, &mut Random(3), (200, 20.0), 5, &mut now);
     let let_through = offer(&mut throttle, &mut Random(4), (200, 400.0), 4, &mut now);
     assert!(let_through >= 190, "{let_through}");
@@ -82,7 +85,7 @@
 #[test]
 fn a_single_refusal_does_not_close_the_throttle() {
     let now = Instant::now();
-    let mut throttle = Throttle::new(HEADROOM_RATIO, now);
+    let mut throttle = Throttle::new(HEADROOM_RATIO, IGNORED_COUNT, now);
     throttle.record(true, now);
     throttle.record(false, now);
     assert!(throttle.refused_ratio(now) < 0.5);
@@ -94,7 +97,7 @@
 #[test]
 fn refused_callers_are_told_to_come_back_at_different_times() {
     let mut now = Instant::now();
-    let mut throttle = Throttle::new(HEADROOM_RATIO, now);
+    let mut throttle = Throttle::new(HEADROOM_RATIO, IGNORED_COUNT, now);
     let mut random = Random(5);
     offer(&mut throttle, &mut random, (200, 20.0), 3, &mut now);
     let mut hints = Vec::new();
@@ -113,7 +116,7 @@
 #[test]
 fn few_refusals_after_a_quiet_period_refuse_no_call() {
     let now = Instant::now();
-    let mut throttle = Throttle::new(HEADROOM_RATIO, now);
+    let mut throttle = Throttle::new(HEADROOM_RATIO, IGNORED_COUNT, now);
     throttle.record(false, now);
     throttle.record(false, now);
     assert_eq!(throttle.refused_ratio(now), 0.0);
--- a/crates/dataplane/src/overload.rs
+++ b/crates/dataplane/src/overload.rs
@@ -21,6 +21,10 @@
 /// busy and finds out when there is room again.
 const SERVICE_HEADROOM_RATIO: f64 = 1.5;
 
+/// Count of recent refusals of small requests up to which none is refused here. Single refusals also come
+/// from targets that are full by chance while others have room.
+const IGNORED_REFUSAL_COUNT: f64 = 2.0;
+
 /// Calls that are let through to the local target for each one whose nested calls were served. It is
 /// less, since a call whose nested calls are refused has held a slot for nothing.
 const NESTED_HEADROOM_RATIO: f64 = 1.25;
@@ -39,6 +43,19 @@
     pub(crate) has_large_body: bool,
 }
 
+impl CallClass {
+    /// Creates the throttle of the class. A large body is refused since a link is full, which each refusal
+    /// shows.
+    fn new_throttle(self, now: Instant) -> CustomerThrottle {
+        let ignored_count = if self.has_large_body {
+            0.0
+        } else {
+            IGNORED_REFUSAL_COUNT
+        };
+        CustomerThrottle::new(SERVICE_HEADROOM_RATIO, ignored_count, now)
+    }
+}
+
 /// Outcomes of calls to one service.
 #[derive(Default)]
 struct ServiceState {
@@ -106,7 +123,7 @@
         state
             .throttles
             .entry(class)
-            .or_insert_with(|| CustomerThrottle::new(SERVICE_HEADROOM_RATIO, now))
+            .or_insert_with(|| class.new_throttle(now))
             .record(holder, accepted, now);
     }
 
@@ -170,7 +187,7 @@
             Some(throttle) => throttle.record(holder, nested_served, now),
             None if nested_served => {}
             None => {
-                let mut throttle = CustomerThrottle::new(NESTED_HEADROOM_RATIO, now);
+                let mut throttle = CustomerThrottle::new(NESTED_HEADROOM_RATIO, 0.0, now);
                 throttle.record(holder, false, now);
                 inner.nested.insert(kind.to_owned(), throttle);
             }
