--- a/crates/admission/src/shares.rs
+++ b/crates/admission/src/shares.rs
@@ -11,9 +11,8 @@
 
 use figway_types::stable_hash;
 
-/// Half-life of the counts: 1 call a second has a count of about 2. With 3 s a surge is noticed so late that
-/// a customer that asks for more than its share got 0.74 of it in the first 6 s; with 1 s small customers
-/// get less.
+/// Half-life of the counts: 1 call a second has a count of about 2. With a longer one a surge takes shares of
+/// others until it is noticed; with a shorter one customers with few calls are not known.
 const HALF_LIFE: Duration = Duration::from_millis(1500);
 
 /// Count of calls from which on a customer is held to its own share at the callers' nodes. Customers with
