--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,29 @@
+//! Stand-ins and cases of the second review. Usage: `review-2 CASE`. A case ends with 1 if the rule was
+//! broken, 0 if it held and 2 if it could not run. `TROUBLE=0` leaves the disruption out, and `RECORD`
+//! names the file for the record.
+
+mod backend;
+mod endless_answers;
+mod http;
+mod relay;
+mod store;
+mod world;
+
+/// Result of a case that ran: whether the rule was broken.
+pub type Verdict = Result<bool, String>;
+
+fn main() {
+    let name = std::env::args().nth(1).unwrap_or_default();
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let verdict = match name.as_str() {
+        "endless-answers" => endless_answers::run(trouble),
+        _ => Err(format!("unknown case {name:?}")),
+    };
+    match verdict {
+        Ok(broken) => std::process::exit(i32::from(broken)),
+        Err(why) => {
+            eprintln!("the case could not run: {why}");
+            std::process::exit(2);
+        }
+    }
+}
