--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod backend;
 mod endless_answers;
 mod http;
+mod late_heartbeat;
 mod relay;
 mod store;
 mod world;
@@ -17,6 +18,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match name.as_str() {
         "endless-answers" => endless_answers::run(trouble),
+        "late-heartbeat" => late_heartbeat::run(trouble),
         _ => Err(format!("unknown case {name:?}")),
     };
     match verdict {
