--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,7 @@
 mod endless_answers;
 mod http;
 mod late_heartbeat;
+mod moved_store;
 mod relay;
 mod store;
 mod world;
@@ -19,6 +20,7 @@
     let verdict = match name.as_str() {
         "endless-answers" => endless_answers::run(trouble),
         "late-heartbeat" => late_heartbeat::run(trouble),
+        "moved-store" => moved_store::run(trouble),
         _ => Err(format!("unknown case {name:?}")),
     };
     match verdict {
