--- a/review/standins-2/endless_answers.rs
+++ b/review/standins-2/endless_answers.rs
@@ -74,7 +74,8 @@
             }));
     }
     let attempts = Arc::new(Mutex::new(Vec::new()));
-    let until = Instant::now() + LOAD_TIME;
+    let judged_from = Instant::now();
+    let until = judged_from + LOAD_TIME;
     let mut clients = Vec::new();
     for (machine, place) in world.machines.iter().enumerate() {
         for client in 0..10 {
@@ -116,17 +117,7 @@
     for client in clients {
         client.join().expect("a client does not panic");
     }
-    for machine in &world.machines {
-        for run in machine
-            .backend
-            .runs
-            .lock()
-            .expect("no holder panics")
-            .iter()
-        {
-            record.line(&format!("ran {} at {}", run.id, machine.backend.id));
-        }
-    }
+    world.record_runs(judged_from);
     let attempts = attempts.lock().expect("no holder panics");
     for machine in 0..world.machines.len() {
         for service in 0..SERVICES.len() {
--- a/review/standins-2/late_heartbeat.rs
+++ b/review/standins-2/late_heartbeat.rs
@@ -97,6 +97,7 @@
     for client in clients {
         client.join().expect("a client does not panic");
     }
+    world.record_runs(judged_from);
     let sent = sent.lock().expect("no holder panics");
     let mut late_count = 0;
     for run in backend.runs.lock().expect("no holder panics").iter() {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -17,12 +17,15 @@
 fn main() {
     let name = std::env::args().nth(1).unwrap_or_default();
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let verdict = match name.as_str() {
+    let run = || match name.as_str() {
         "endless-answers" => endless_answers::run(trouble),
         "late-heartbeat" => late_heartbeat::run(trouble),
         "moved-store" => moved_store::run(trouble),
         _ => Err(format!("unknown case {name:?}")),
     };
+    // A stand-in that panics could not run the case.
+    let verdict =
+        std::panic::catch_unwind(run).unwrap_or_else(|_| Err("a stand-in panicked".to_owned()));
     match verdict {
         Ok(broken) => std::process::exit(i32::from(broken)),
         Err(why) => {
--- a/review/standins-2/moved_store.rs
+++ b/review/standins-2/moved_store.rs
@@ -68,6 +68,7 @@
         }
         std::thread::sleep(Duration::from_millis(100));
     }
+    world.record_runs(acknowledged_at);
     for machine in &mut world.machines {
         if let Some(status) = machine.ended() {
             record.line(&format!("{} has ended: {status}", machine.name));
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -264,6 +264,29 @@
     }
 }
 
+impl World {
+    /// Records each request that a back end began to run, with the time since `since`.
+    pub fn record_runs(&self, since: Instant) {
+        for machine in &self.machines {
+            for run in machine
+                .backend
+                .runs
+                .lock()
+                .expect("no holder panics")
+                .iter()
+            {
+                let at = run.at.saturating_duration_since(since);
+                self.record.line(&format!(
+                    "ran {} at {}, {} ms after the start of the judged time",
+                    run.id,
+                    machine.backend.id,
+                    at.as_millis()
+                ));
+            }
+        }
+    }
+}
+
 impl Drop for World {
     fn drop(&mut self) {
         for machine in &mut self.machines {
