Record the end of a run in the platform's log before it is acknowledged

What callers saw: a back end deregisters, its node acknowledges that, and all nodes are killed.

Cause: an acknowledged end of a run lay in the memory of the nodes only, two peers of it at least. After the loss of all of them nobody knew it, and a node that starts took an announcement at face value after 0.8 s.

Change: the node beside a target records the end of its run in the keyed topic keyed.figway-ending-runs, one record a run, and acknowledges once two peers and the log hold it. A process that starts reads the topic, unless all start for the first time, and believes an announcement when it has read it, or when peers tell that know all ends: the handshake says so, since after a kill of all nodes an introduction alone proves nothing. Until then heartbeats that say ready get 503, for 10 s at most. A later era of the log makes the node record its target's ends again. The node of the first rank removes expired records.

--- a/crates/control/src/dial.rs
+++ b/crates/control/src/dial.rs
@@ -118,6 +118,7 @@
         member: members.own().clone(),
         ending_runs,
         holds_ending_runs: true,
+        knows_recorded_runs: mesh.knows_recorded_runs(),
     }
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod codec;
 mod contact;
 mod dial;
+mod ending_run_log;
 mod lease_hub;
 mod limit_reports;
 mod link;
--- a/crates/control/src/mesh.rs
+++ b/crates/control/src/mesh.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod ending_runs;
 mod feed;
+mod introductions;
 mod limits;
 mod lost;
 mod news;
@@ -12,6 +13,7 @@
 mod report;
 mod rollouts;
 mod routes;
+mod run_records;
 
 use std::net::IpAddr;
 use std::sync::atomic::{
@@ -48,6 +50,7 @@
 
 use self::ending_runs::RunFeed;
 use self::feed::FeedProgress;
+use self::introductions::Introductions;
 use self::limits::LimitState;
 use self::own_target::OwnTargetNews;
 use self::report::{
@@ -55,6 +58,7 @@
     log_verdict, //
 };
 use self::rollouts::RolloutFeed;
+use self::run_records::RunRecords;
 use crate::meter::ControlMeter;
 use crate::records::RecentRecords;
 use crate::route_history::RouteHistory;
@@ -105,6 +109,8 @@
     /// Number of the last crash report that this node observed itself.
     own_report: Mutex<u64>,
     run_feed: RunFeed,
+    run_records: RunRecords,
+    introductions: Introductions,
     own_target_news: OwnTargetNews,
     rollout_feed: RolloutFeed,
     view: ArcSwap<View>,
@@ -148,7 +154,9 @@
             report_progress: Mutex::default(),
             feed_epoch: mix(seed),
             own_report: Mutex::default(),
-            run_feed: RunFeed::new(now),
+            run_feed: RunFeed::default(),
+            run_records: RunRecords::default(),
+            introductions: Introductions::new(now),
             own_target_news: OwnTargetNews::default(),
             rollout_feed: RolloutFeed::default(),
             view: ArcSwap::default(),
--- a/crates/control/src/mesh/ending_runs.rs
+++ b/crates/control/src/mesh/ending_runs.rs
@@ -2,15 +2,11 @@
 //! node acknowledged.
 //!
 //! A node that starts again knows nothing of what its predecessor acknowledged. So an
-//! acknowledgement waits until peers hold the report too, peers tell a node with their first message
-//! what they know of the target beside it, and the node waits for that message before it believes an
-//! announcement.
+//! acknowledgement waits until peers and the platform's log hold the report too, and the node waits
+//! for one of them before it believes an announcement.
 
 use std::sync::Mutex;
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::time::Instant;
 
 use figway_membership::{
     is_replicated,
@@ -21,8 +17,6 @@
     EndingRun,
     FastMap,
     FastSet,
-    Member,
-    MemberState,
     NodeId,
     RunStage,
     Target, //
@@ -34,21 +28,14 @@
 use crate::rpc::{
     FeedAck,
     FeedRange,
-    Gossip,
-    Hello, //
+    Gossip, //
 };
 
 /// Largest number of runs in one message.
 const RUN_MAX_COUNT: usize = 64;
 
-/// Longest wait of a node that has just started for its first peers. Its target gives an announcement
-/// up after 1 s.
-const INTRODUCTION_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Number of peers that a node that has just started waits for.
-const INTRODUCTION_COUNT: usize = 2;
-
 /// Feed of ending runs to and from the peers.
+#[derive(Default)]
 pub(super) struct RunFeed {
     progress: Mutex<FastMap<NodeId, FeedProgress>>,
     /// Number of the last run that this node ended itself.
@@ -57,23 +44,6 @@
     acks: watch::Sender<u64>,
     /// Changes whenever a peer told something new of the target beside this node.
     own_changes: watch::Sender<u64>,
-    /// Peers that have introduced themselves by a handshake, and whether their build holds ending runs.
-    introduced: watch::Sender<FastMap<NodeId, bool>>,
-    /// Time until which announcements wait for introductions.
-    introductions_until: Instant,
-}
-
-impl RunFeed {
-    pub(super) fn new(now: Instant) -> Self {
-        Self {
-            progress: Mutex::default(),
-            own_sequence: Mutex::default(),
-            acks: watch::Sender::new(0),
-            own_changes: watch::Sender::new(0),
-            introduced: watch::Sender::default(),
-            introductions_until: now + INTRODUCTION_TIMEOUT,
-        }
-    }
 }
 
 /// Runs for a peer, with their place among those that this node knows.
@@ -100,6 +70,7 @@
         let mut own_sequence = self.run_feed.own_sequence.lock().expect("no holder panics");
         *own_sequence = sequence;
         drop(own_sequence);
+        self.run_records.request();
         self.notify_member_changes();
     }
 
@@ -126,6 +97,21 @@
         self.run_feed.own_changes.subscribe()
     }
 
+    /// Waits until the end of this node, or of all nodes at once, would not lose what is known of the
+    /// end of the instance beside this node. Returns whether that is so at the deadline.
+    pub async fn wait_until_kept(&self, instance: &str, deadline: Instant) -> bool {
+        let replicated = self.wait_until_replicated(instance, deadline);
+        let recorded = self.wait_until_recorded(instance, deadline);
+        let (is_replicated, is_recorded) = tokio::join!(replicated, recorded);
+        if !is_replicated || !is_recorded {
+            log::warn!(
+                "end of a run is not kept yet instance={instance} replicated={is_replicated} \
+                 recorded={is_recorded}"
+            );
+        }
+        is_replicated && is_recorded
+    }
+
     /// Waits until enough peers hold what is known of the end of the instance beside this node. Returns
     /// whether at least one holds it at the deadline, or no peer could hold it.
     pub async fn wait_until_replicated(&self, instance: &str, deadline: Instant) -> bool {
@@ -145,34 +131,6 @@
         }
     }
 
-    /// Waits until peers have told what they know of the target beside this node, but not longer than
-    /// shortly after the start of the process.
-    pub async fn wait_for_introductions(&self) {
-        let mut introduced = self.run_feed.introduced.subscribe();
-        loop {
-            let introduced_count = introduced.borrow_and_update().len();
-            let other_count = self.members().present_count() - 1;
-            if introduced_count > 0 && introduced_count >= INTRODUCTION_COUNT.min(other_count) {
-                return;
-            }
-            let until = self.run_feed.introductions_until;
-            let changed = tokio::time::timeout_at(until.into(), introduced.changed()).await;
-            if changed.is_err() {
-                return;
-            }
-        }
-    }
-
-    /// Merges the handshake message of a peer.
-    pub(crate) fn merge_hello(&self, hello: &Hello) {
-        let peer = &hello.member.node_id;
-        self.merge_ending_runs(peer, &hello.ending_runs);
-        self.merge_members(std::slice::from_ref(&hello.member));
-        self.run_feed.introduced.send_modify(|introduced| {
-            introduced.insert(peer.clone(), hello.holds_ending_runs);
-        });
-    }
-
     /// Returns the ending runs for a peer, and counts them as sent.
     pub(super) fn ending_runs_for(&self, receiver: &NodeId) -> RunNews {
         if !self.holds_ending_runs(receiver) {
@@ -220,7 +178,7 @@
         self.lacks_runs_up_to(peer, own_sequence)
     }
 
-    fn merge_ending_runs(&self, sender: &NodeId, reports: &[EndingRun]) {
+    pub(super) fn merge_ending_runs(&self, sender: &NodeId, reports: &[EndingRun]) {
         if reports.is_empty() {
             return;
         }
@@ -239,6 +197,7 @@
         self.notify_member_changes();
         if own_changed {
             self.run_feed.own_changes.send_modify(|count| *count += 1);
+            self.run_records.request();
         }
     }
 
@@ -264,32 +223,6 @@
         is_replicated(members.own(), members.members(), holders)
     }
 
-    /// Returns whether a peer could hold a report: one that is linked and of a build that does, or one
-    /// that is known but out of reach.
-    fn has_possible_holder(&self) -> bool {
-        let members = self.members();
-        let own_id = &members.own().node_id;
-        let is_peer =
-            |member: &Member| member.node_id != *own_id && member.state != MemberState::Left;
-        let introduced = self.run_feed.introduced.borrow();
-        let mut has_earlier_build = false;
-        let mut has_peer = false;
-        for member in members.members().filter(|member| is_peer(member)) {
-            has_peer = true;
-            match introduced.get(&member.node_id) {
-                Some(true) => return true,
-                Some(false) => has_earlier_build = true,
-                None => {}
-            }
-        }
-        has_peer && !has_earlier_build
-    }
-
-    /// Returns whether the peer's build holds ending runs. An earlier one would never acknowledge any.
-    fn holds_ending_runs(&self, peer: &NodeId) -> bool {
-        self.run_feed.introduced.borrow().get(peer) == Some(&true)
-    }
-
     /// Returns whether the peer should be sent runs up to `sequence` and was not yet.
     fn lacks_runs_up_to(&self, peer: &NodeId, sequence: u64) -> bool {
         let all = self.run_feed.progress.lock().expect("no holder panics");
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -9,6 +9,7 @@
 
 use anyhow::Context as _;
 use figway_log_client::{
+    EndingRunLog,
     LogService,
     RouteSource,
     StatusLog, //
@@ -38,6 +39,11 @@
     dial,
     peer_timeout_context, //
 };
+use crate::ending_run_log::{
+    record_ending_runs,
+    remove_expired_runs,
+    restore_ending_runs, //
+};
 use crate::lease_hub::follow_hub;
 use crate::limit_reports::report_usage;
 use crate::link::{
@@ -77,6 +83,8 @@
     routes: Option<Rc<dyn RouteSource>>,
     statuses: Option<Rc<dyn StatusLog>>,
     exposure_limits: ExposureLimits,
+    ending_runs: Option<Rc<dyn EndingRunLog>>,
+    first_start: bool,
     peers: Vec<String>,
     plan: LinkPlan,
     retention_ms: u64,
@@ -101,6 +109,8 @@
             routes: None,
             statuses: None,
             exposure_limits: ExposureLimits::default(),
+            ending_runs: None,
+            first_start: false,
             peers: Vec::new(),
             plan: LinkPlan {
                 counts: LinkCounts {
@@ -131,6 +141,18 @@
         self
     }
 
+    /// Sets the log of the runs of targets that have begun to end.
+    pub fn ending_runs(mut self, log: Rc<dyn EndingRunLog>) -> Self {
+        self.ending_runs = Some(log);
+        self
+    }
+
+    /// Sets whether all nodes start for the first time, so that the log holds nothing of before.
+    pub fn first_start(mut self, first_start: bool) -> Self {
+        self.first_start = first_start;
+        self
+    }
+
     /// Sets the control addresses of the peers that the node tries first when it joins.
     pub fn peers(mut self, peers: &[String]) -> Self {
         self.peers = peers.to_vec();
@@ -203,6 +225,18 @@
         let control_ip = Some(address.ip()).filter(|ip| !ip.is_unspecified());
         let mesh = Mesh::new(&self.cluster, self.own, control_ip, self.seed);
         mesh.set_limit_bounds(self.limit_bounds, has_peers);
+        if let Some(ending_runs) = self.ending_runs {
+            mesh.set_run_log(!self.first_start);
+            spawn_local(restore_ending_runs(
+                Arc::clone(&mesh),
+                Rc::clone(&ending_runs),
+            ));
+            spawn_local(record_ending_runs(
+                Arc::clone(&mesh),
+                Rc::clone(&ending_runs),
+            ));
+            spawn_local(remove_expired_runs(Arc::clone(&mesh), ending_runs));
+        }
         let start_at = Instant::now() + mesh.jitter(self.start_spread);
         let batchers = Rc::new(ClaimBatchers::start(
             &mesh,
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -52,6 +52,14 @@
     /// Whether the sender keeps ending runs that it is told; earlier builds don't.
     #[serde(default)]
     pub holds_ending_runs: bool,
+    /// Whether the sender knows all ends of runs that were acknowledged before it started. Earlier
+    /// builds don't say; they are taken to know.
+    #[serde(default = "knows_recorded_runs_default")]
+    pub knows_recorded_runs: bool,
+}
+
+fn knows_recorded_runs_default() -> bool {
+    true
 }
 
 /// Long poll that is always in flight on a link. The receiver answers as soon as it has an update
--- a/crates/control/tests/ending_runs.rs
+++ b/crates/control/tests/ending_runs.rs
@@ -76,11 +76,11 @@
 async fn a_node_without_peers_believes_its_target_after_a_short_wait() {
     let mesh = mesh_with(&[]);
     let started_at = Instant::now();
-    mesh.wait_for_introductions().await;
+    assert!(mesh.wait_until_informed().await);
     assert!(started_at.elapsed() < INFORM_MAX);
     // The wait belongs to the start of the process.
     let asked_at = Instant::now();
-    mesh.wait_for_introductions().await;
+    assert!(mesh.wait_until_informed().await);
     assert!(asked_at.elapsed() < WAIT);
 }
 
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -85,9 +85,9 @@
 /// never be followed by a newer run.
 const STARTED_AT_MAX_MS: u64 = 7_258_118_400_000;
 
-/// Longest wait for peers to hold that the target is leaving. The target gives its message up after
-/// 1 s.
-const REPLICATION_TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest wait until peers and the log hold that the target is leaving. The target gives its message
+/// up after 1 s.
+const KEEP_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Time after the node's start for which requests that name an unknown parent are let through. Calls that
 /// the target began before end within it.
@@ -193,7 +193,7 @@
     }
 
     /// Records an announcement of the local target. One that says that the target is draining returns
-    /// only once peers hold that too.
+    /// only once peers and the platform's log hold that too.
     ///
     /// # Errors
     ///
@@ -202,12 +202,13 @@
         &self,
         announcement: &Announcement,
     ) -> Result<AnnounceOutcome, String> {
-        let replicate_until = Instant::now() + REPLICATION_TIMEOUT;
+        let kept_until = Instant::now() + KEEP_TIMEOUT;
         let target = &announcement.target;
         self.check_target(target)?;
-        if target.is_identified() {
-            // Peers may know that the run is ending, if this node has forgotten that.
-            self.mesh.wait_for_introductions().await;
+        // The run may be ending, which the process before this one knew.
+        let needs_knowledge = target.is_identified() && !target.draining;
+        if needs_knowledge && !self.mesh.wait_until_informed().await {
+            return Ok(AnnounceOutcome::Uninformed);
         }
         let known_target = self.mesh.members().own().target.clone();
         if known_target.is_none_or(|known| known.instance != target.instance) {
@@ -227,20 +228,16 @@
                 self.report_run_end(&replaced, RunEndEvidence::Replaced);
             }
         }
-        if target.draining && !self.is_end_replicated(target, replicate_until).await {
+        if target.draining && !self.is_end_kept(target, kept_until).await {
             return Ok(AnnounceOutcome::Unconfirmed);
         }
         Ok(outcome)
     }
 
-    /// Returns whether peers hold by `deadline` that the run of the target is ending, so that the end
-    /// of this node loses nothing.
-    async fn is_end_replicated(&self, target: &Target, deadline: Instant) -> bool {
-        !target.is_identified()
-            || self
-                .mesh
-                .wait_until_replicated(&target.instance, deadline)
-                .await
+    /// Returns whether it is kept by `deadline` that the run of the target is ending, so that the end
+    /// of all nodes loses nothing.
+    async fn is_end_kept(&self, target: &Target, deadline: Instant) -> bool {
+        !target.is_identified() || self.mesh.wait_until_kept(&target.instance, deadline).await
     }
 
     fn check_target(&self, target: &Target) -> Result<(), String> {
@@ -282,7 +279,8 @@
     }
 
     /// Records that an instance of the target has left permanently. `started_at_ms` is its start
-    /// time in Unix milliseconds, 0 if unknown. Returns whether peers hold that too.
+    /// time in Unix milliseconds, 0 if unknown. Returns whether peers and the platform's log hold that
+    /// too.
     ///
     /// # Errors
     ///
@@ -292,14 +290,11 @@
         instance: &str,
         started_at_ms: u64,
     ) -> Result<bool, String> {
-        let replicate_until = Instant::now() + REPLICATION_TIMEOUT;
+        let kept_until = Instant::now() + KEEP_TIMEOUT;
         check_started_at(started_at_ms)?;
         self.target_watch
             .record_departure(&self.mesh, instance, started_at_ms);
-        Ok(self
-            .mesh
-            .wait_until_replicated(instance, replicate_until)
-            .await)
+        Ok(self.mesh.wait_until_kept(instance, kept_until).await)
     }
 
     /// Returns a watch of the phase, which tells servers how to handle their connections.
--- a/crates/dataplane/src/target_watch.rs
+++ b/crates/dataplane/src/target_watch.rs
@@ -34,8 +34,10 @@
     Accepted,
     /// A newer announcement or a departure was recorded before.
     Stale,
-    /// The target is leaving, which no peer holds yet, so that a restart of this node could lose it.
+    /// The target is leaving, which peers or the log don't hold yet, so that it could be lost.
     Unconfirmed,
+    /// This node has started again and doesn't know yet whether the target had left.
+    Uninformed,
 }
 
 /// Latest accepted announcement.
--- a/crates/figway/src/control_plane.rs
+++ b/crates/figway/src/control_plane.rs
@@ -142,10 +142,13 @@
                 true => FIRST_START_SPREAD,
             };
             let statuses = Rc::clone(&store);
+            let ending_runs = Rc::clone(&store);
             ControlBuilder::new(&settings.cluster, own_member, log)
                 .routes(store)
                 .limit_bounds(limit_bounds(platform))
                 .rollouts(statuses, exposure_limits(platform))
+                .ending_runs(ending_runs)
+                .first_start(platform.first_start)
                 .start_spread(start_spread)
         }
     };
--- a/crates/log-client/src/lib.rs
+++ b/crates/log-client/src/lib.rs
@@ -3,6 +3,7 @@
 //! The control plane uses the log only through the trait [`LogService`], and the operator's route
 //! tables only through [`RouteSource`].
 
+mod ending_runs;
 mod http;
 mod rollouts;
 
@@ -19,6 +20,10 @@
     Serialize, //
 };
 
+pub use ending_runs::{
+    EndingRunLog,
+    EndingRunPage, //
+};
 pub use http::HttpLog;
 pub use rollouts::{
     OrderRecord,
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod crash;
 pub(crate) mod customers;
+pub(crate) mod leaving;
 pub(crate) mod raw;
 
 use std::path::PathBuf;
@@ -244,3 +245,14 @@
     drop(node);
     site.hosts[index].start_node().unwrap();
 }
+
+/// Kills the nodes of all hosts before it starts any of them again.
+pub(crate) fn restart_all_nodes(site: &mut Site) {
+    for host in &mut site.hosts {
+        let node = host.node.take().unwrap();
+        node.signal(Signal::Kill).unwrap();
+    }
+    for host in &mut site.hosts {
+        host.start_node().unwrap();
+    }
+}
