Tests of leavings while the store is in trouble and of the recorded runs

The stand-in for the store drops keys without a value, answers with pages of 500 keys, and can refuse requests for the topic of ending runs alone.

--- a/crates/control/src/ending_run_log.rs
+++ b/crates/control/src/ending_run_log.rs
@@ -142,7 +142,11 @@
 }
 
 /// Removes the expired records, if there are any.
-pub(crate) async fn remove_expired(log: &dyn EndingRunLog) -> Result<(), String> {
+///
+/// # Errors
+///
+/// Why the log could not be read or written.
+pub async fn remove_expired(log: &dyn EndingRunLog) -> Result<(), String> {
     let page = log
         .read_ending_runs(Instant::now() + REQUEST_TIMEOUT_MAX)
         .await
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -35,6 +35,7 @@
     ClaimBatch,
     ClaimTable, //
 };
+pub use ending_run_log::remove_expired;
 pub use link::LinkPlan;
 pub use mesh::{
     Mesh,
--- a/crates/testbed/src/site/store.rs
+++ b/crates/testbed/src/site/store.rs
@@ -38,6 +38,12 @@
 /// Topic to which nodes write the states of rollouts.
 const STATUS_TOPIC: &str = "keyed.status";
 
+/// Topic to which nodes write the ends of runs of their back ends.
+const ENDING_RUN_TOPIC: &str = "keyed.figway-ending-runs";
+
+/// Largest number of keys in one answer.
+const PAGE_MAX_COUNT: usize = 500;
+
 /// Copy of the store's topics at one time.
 pub struct StoreCopy {
     topics: BTreeMap<String, Topic>,
@@ -58,6 +64,8 @@
     pub down: bool,
     /// Whether appends take effect but are never answered.
     pub drops_answers: bool,
+    /// Whether requests for the topic of ending runs are answered with 503 and have no effect.
+    pub ending_runs_down: bool,
     /// Delay before each request is processed, in milliseconds.
     pub slow_ms: u64,
 }
@@ -69,6 +77,7 @@
     append_signal: watch::Sender<u64>,
     faults: Cell<StoreFaults>,
     request_count: Cell<u64>,
+    append_count: Cell<u64>,
     /// Number of times that the store was restored from a copy, plus 1.
     era: Cell<u64>,
     /// Text that answers name instead of the era, if any.
@@ -89,6 +98,7 @@
             append_signal: watch::Sender::new(0),
             faults: Cell::default(),
             request_count: Cell::new(0),
+            append_count: Cell::new(0),
             era: Cell::new(1),
             wrong_era: RefCell::default(),
             phase: RefCell::default(),
@@ -114,6 +124,11 @@
         self.request_count.get()
     }
 
+    /// Returns how many requests of nodes to append records took effect.
+    pub fn append_count(&self) -> u64 {
+        self.append_count.get()
+    }
+
     /// Appends a configuration as the operator does. It counts as acknowledged when this returns.
     pub fn publish(&self, config: &Value) {
         self.append_operator_record("config", config.to_string().as_bytes());
@@ -122,10 +137,15 @@
     /// Appends a record with any key and value to the operator's topic. The key is at most 255
     /// bytes long.
     pub fn append_operator_record(&self, key: &str, value: &[u8]) {
+        self.append_keyed_record(OPERATOR_TOPIC, key, value);
+    }
+
+    /// Appends a record to a keyed topic, as any writer may. The key is at most 255 bytes long.
+    pub fn append_keyed_record(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![key.len() as u8];
         record.extend_from_slice(key.as_bytes());
         record.extend_from_slice(value);
-        self.append(OPERATOR_TOPIC, vec![record]);
+        self.append(topic, vec![record]);
     }
 
     /// Orders a rollout of `service` as the operator does.
@@ -158,6 +178,14 @@
         states
     }
 
+    /// Returns the number of runs whose end is recorded.
+    pub fn ending_run_count(&self) -> usize {
+        let topics = self.topics.borrow();
+        topics
+            .get(ENDING_RUN_TOPIC)
+            .map_or(0, |topic| topic.newest_records().len())
+    }
+
     /// Appends a record of figway's own topics, as a node does that knows the era.
     pub fn append_own_record(&self, topic: &str, body: &str) {
         let appended_at_ms = SystemTime::now()
@@ -235,6 +263,9 @@
         }
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
         let name = query_value(query, "topic").unwrap_or("").to_owned();
+        if faults.ending_runs_down && name == ENDING_RUN_TOPIC {
+            return Answer::of_status(503);
+        }
         match path {
             "/log-append" => {
                 let as_of = query_value(query, "asOf").and_then(|end| end.parse().ok());
@@ -242,6 +273,7 @@
                 if as_of.is_some_and(|as_of: u64| as_of != end) {
                     return Answer::of_json(412, json!({ "end": end }).to_string());
                 }
+                self.append_count.set(self.append_count.get() + 1);
                 let (offset, end) = self.append(&name, decode_records(&request.body));
                 if faults.drops_answers {
                     std::future::pending::<()>().await;
@@ -249,7 +281,7 @@
                 Answer::of_json(200, json!({ "offset": offset, "end": end }).to_string())
             }
             "/log-read" => self.read(&name, query).await,
-            "/log-newest" => self.newest(&name),
+            "/log-newest" => self.newest(&name, query_value(query, "after").unwrap_or("")),
             _ => Answer::of_status(404),
         }
     }
@@ -299,24 +331,30 @@
         Some(answer)
     }
 
-    /// Returns the answer with the newest record of each key in the topic.
-    fn newest(&self, name: &str) -> Answer {
+    /// Returns the answer with the newest record of each key in the topic that follows `after`.
+    fn newest(&self, name: &str, after: &str) -> Answer {
         let topics = self.topics.borrow();
-        let mut items = BTreeMap::new();
-        let mut end = 0;
-        if let Some(topic) = topics.get(name) {
-            end = topic.end_offset();
-            for (offset, key, value) in topic.keyed_records() {
-                let value = base64::engine::general_purpose::STANDARD.encode(value);
-                let key = String::from_utf8_lossy(key).into_owned();
-                items.insert(
-                    key.clone(),
-                    json!({ "key": key, "value": value, "offset": offset }),
-                );
-            }
+        let Some(topic) = topics.get(name) else {
+            return Answer::of_json(
+                200,
+                json!({ "items": [], "hasMore": false, "end": 0 }).to_string(),
+            );
+        };
+        let newest = topic.newest_records();
+        let mut following = newest
+            .iter()
+            .filter(|(key, _)| **key > after.as_bytes())
+            .peekable();
+        let mut items = Vec::new();
+        for (key, (offset, value)) in following.by_ref().take(PAGE_MAX_COUNT) {
+            items.push(json!({
+                "key": String::from_utf8_lossy(key),
+                "value": base64::engine::general_purpose::STANDARD.encode(value),
+                "offset": offset,
+            }));
         }
-        let items: Vec<Value> = items.into_values().collect();
-        let body = json!({ "items": items, "hasMore": false, "end": end });
+        let has_more = following.peek().is_some();
+        let body = json!({ "items": items, "hasMore": has_more, "end": topic.end_offset() });
         Answer::of_json(200, body.to_string())
     }
 }
--- a/crates/testbed/src/site/topic.rs
+++ b/crates/testbed/src/site/topic.rs
@@ -1,5 +1,7 @@
 //! Records of one topic of the store.
 
+use std::collections::BTreeMap;
+
 /// Beginning of the keys of rollout orders.
 const ORDER_PREFIX: &[u8] = b"rollout/";
 
@@ -23,8 +25,19 @@
         (self.first_offset..).zip(&self.records)
     }
 
+    /// Returns offset and value of the newest record of each key. A key whose newest record has no value
+    /// is dropped.
+    pub(super) fn newest_records(&self) -> BTreeMap<&[u8], (u64, &[u8])> {
+        let mut newest = BTreeMap::new();
+        for (offset, key, value) in self.keyed_records() {
+            newest.insert(key, (offset, value));
+        }
+        newest.retain(|_, (_, value)| !value.is_empty());
+        newest
+    }
+
     /// Returns offset, key and value of each record that can be read by its key, from the oldest on.
-    pub(super) fn keyed_records(&self) -> impl Iterator<Item = (u64, &[u8], &[u8])> {
+    fn keyed_records(&self) -> impl Iterator<Item = (u64, &[u8], &[u8])> {
         let orders = self.orders.iter().map(|(offset, record)| (*offset, record));
         orders
             .chain(self.records_with_offsets())
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -284,6 +284,7 @@
                     down: fault == Fault::StoreDown,
                     drops_answers: fault == Fault::StoreLosesAnswers,
                     slow_ms: if fault == Fault::SlowStore { 300 } else { 0 },
+                    ..StoreFaults::default()
                 });
                 let began_at = Instant::now();
                 tokio::time::sleep(duration).await;
--- a/crates/testbed/tests/common/leaving.rs
+++ b/crates/testbed/tests/common/leaving.rs
@@ -20,6 +20,9 @@
 /// Longest time from the first heartbeat of a new run to its first request.
 pub(crate) const RETURN_MAX: Duration = Duration::from_secs(2);
 
+/// Longest time until a leaving is acknowledged while nothing is out of order.
+pub(crate) const ACK_MAX: Duration = Duration::from_secs(4);
+
 /// How a back end leaves.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Leaving {
@@ -44,6 +47,15 @@
     late_sequence
 }
 
+/// Sends the deregistration until it is acknowledged, at most for `ACK_MAX`.
+pub(crate) async fn deregister_until_acknowledged(backend: &Backend) {
+    let deadline = Instant::now() + ACK_MAX;
+    while !backend.deregister().await {
+        assert!(Instant::now() < deadline, "it was not acknowledged");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+}
+
 /// Sends a heartbeat that says ready until the node acknowledges it, at most for 2 s.
 pub(crate) async fn deliver_late_heartbeat(backend: &Backend, sequence: u64) {
     let deadline = Instant::now() + Duration::from_secs(2);
