--- a/crates/testbed/src/cmd/mod.rs
+++ b/crates/testbed/src/cmd/mod.rs
@@ -73,6 +73,8 @@
             optional --customers
             /// Rolls out a good or a bad version of a service.
             optional --rollouts
+            /// Kill all nodes at once, some times, shortly after a back end has left.
+            optional --kill-all
         }
         /// Measures how state size, bytes and processor time of the control plane grow with the
         /// number of services and members.
--- a/crates/testbed/src/cmd/soak.rs
+++ b/crates/testbed/src/cmd/soak.rs
@@ -23,6 +23,7 @@
         let scenarios = Scenarios {
             customers: self.customers,
             rollouts: self.rollouts,
+            kills_all: self.kill_all,
         };
         let mut failed = false;
         for seed in first_seed..first_seed + self.count.unwrap_or(1) {
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -27,6 +27,7 @@
 
 use self::crashing::CrashingRequest;
 use self::customers::Customers;
+use self::departures::Killed;
 use self::fault::{
     Fault,
     FAULTS, //
@@ -77,6 +78,8 @@
     pub customers: bool,
     /// A new version of a service is rolled out.
     pub rollouts: bool,
+    /// All nodes are killed at once, some times, shortly after a back end has left.
+    pub kills_all: bool,
 }
 
 /// Result of a soak.
@@ -196,6 +199,10 @@
         let rollout = Rc::clone(&soak).roll_out(mix(seed ^ (3 << 32)));
         tasks.push(tokio::task::spawn_local(rollout));
     }
+    if scenarios.kills_all {
+        let kills = Rc::clone(&soak).kill_all_nodes(mix(seed ^ (4 << 32)));
+        tasks.push(tokio::task::spawn_local(kills));
+    }
     for task in tasks {
         task.await?;
     }
@@ -326,8 +333,10 @@
             }
             Fault::CrashingRequest => self.send_crashing_request(seed).await,
             Fault::LargeBodies => self.send_large_bodies(index, seed).await,
-            Fault::DepartBackend => self.depart(index, &backend, duration, false).await,
-            Fault::DepartBackendAndKillNode => self.depart(index, &backend, duration, true).await,
+            Fault::DepartBackend => self.depart(index, &backend, duration, Killed::None).await,
+            Fault::DepartBackendAndKillNode => {
+                self.depart(index, &backend, duration, Killed::Own).await
+            }
             Fault::RestoreStore => {
                 let (copy, copied_at) = (store.copy(), Instant::now());
                 tokio::time::sleep(duration * 3).await;
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -14,6 +14,7 @@
     let scenarios = Scenarios {
         customers: true,
         rollouts: true,
+        kills_all: false,
     };
     let report = soak(606, Duration::from_secs(18), scenarios).await.unwrap();
     assert!(
