Count open connections against the memory of bodies

Now each accepted connection counts 12 KB as long as it is open, whether or not they are free, so that bodies leave room for it; large bodies also leave the share of small ones beside the connections.

--- a/crates/http/src/memory.rs
+++ b/crates/http/src/memory.rs
@@ -1,4 +1,5 @@
-//! Budget of the memory in which a process holds bodies for others.
+//! Budget of the memory in which a process holds bodies for others. Connections take theirs out of it
+//! too, so that bodies leave room for them.
 
 use std::sync::{
     Arc,
@@ -11,6 +12,9 @@
 /// Size up to which a body is small, in bytes.
 const SMALL_BODY_BYTES: usize = 64 * 1_024;
 
+/// Memory that an open connection takes, with its buffers and its task, in bytes.
+const CONNECTION_BYTES: usize = 12 * 1_024;
+
 /// The share of the budget that only small bodies can take is one part in this many.
 const SMALL_SHARE_DIVISOR: usize = 16;
 
@@ -29,6 +33,7 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct HeldBytes {
+    connection_bytes: usize,
     small_bytes: usize,
     large_bytes: usize,
 }
@@ -44,7 +49,7 @@
     }
 
     fn total_bytes(&self) -> usize {
-        self.small_bytes + self.large_bytes
+        self.connection_bytes + self.small_bytes + self.large_bytes
     }
 }
 
@@ -82,6 +87,14 @@
         }
     }
 
+    /// Counts an open connection, whether or not its memory is free.
+    pub(crate) fn begin_connection(&self) -> ConnectionMemory {
+        self.lock().connection_bytes += CONNECTION_BYTES;
+        ConnectionMemory {
+            budget: self.clone(),
+        }
+    }
+
     /// Reserves `len` bytes as soon as they are free; `None` if they never can be.
     pub(crate) async fn reserve(&self, len: usize) -> Option<Reservation> {
         if !self.can_hold(len) {
@@ -103,7 +116,10 @@
             return false;
         };
         *held.of_size(len) += len;
-        total_bytes <= self.0.max_bytes && held.large_bytes <= self.0.large_max_bytes
+        // Connections must not take the share of small bodies, so they count as large ones do.
+        let large_bytes = held.connection_bytes + held.large_bytes;
+        let leaves_small_share = len <= SMALL_BODY_BYTES || large_bytes <= self.0.large_max_bytes;
+        total_bytes <= self.0.max_bytes && leaves_small_share
     }
 
     fn lock(&self) -> MutexGuard<'_, HeldBytes> {
@@ -111,6 +127,19 @@
     }
 }
 
+/// Memory of an open connection, which counts until this is dropped.
+#[derive(Debug)]
+pub(crate) struct ConnectionMemory {
+    budget: MemoryBudget,
+}
+
+impl Drop for ConnectionMemory {
+    fn drop(&mut self) {
+        self.budget.lock().connection_bytes -= CONNECTION_BYTES;
+        self.budget.0.freed.notify_waiters();
+    }
+}
+
 /// Bytes of a budget that are taken until the reservation is dropped.
 #[derive(Debug)]
 pub(crate) struct Reservation {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -42,7 +42,10 @@
     BusyConnections,
     BusyGuard, //
 };
-use crate::memory::MemoryBudget;
+use crate::memory::{
+    ConnectionMemory,
+    MemoryBudget, //
+};
 use crate::message::{
     Answer,
     Request, //
@@ -107,7 +110,7 @@
         Answer::of_status(503)
     }
 
-    /// Returns the budget from which the bodies of requests take their memory.
+    /// Returns the budget from which connections and the bodies of requests take their memory.
     fn memory(&self) -> MemoryBudget {
         MemoryBudget::unlimited()
     }
@@ -147,6 +150,7 @@
                     handler: Rc::clone(&handler),
                     phase: phase.clone(),
                     config: config.clone(),
+                    _memory: handler.memory().begin_connection(),
                 };
                 tokio::task::spawn_local(connection.run(stream));
             }
@@ -162,6 +166,7 @@
     pub(crate) handler: Rc<dyn Handler>,
     pub(crate) phase: watch::Receiver<ServerPhase>,
     config: SharedCfg,
+    _memory: ConnectionMemory,
 }
 
 impl Connection {
