--- a/crates/testbed/tests/endless_answers.rs
+++ b/crates/testbed/tests/endless_answers.rs
@@ -11,12 +11,20 @@
 
 use figway_testbed::process::Usage;
 use figway_testbed::site::caller::CallResult;
-use figway_testbed::site::endless::ENDLESS_PARTS;
+use figway_testbed::site::endless::{
+    EndlessPart,
+    ENDLESS_PARTS, //
+};
 use figway_testbed::site::wire::WireFault;
 use figway_testbed::site::{
     Site,
     MEMORY_MAX_MB, //
 };
+use tokio::io::{
+    AsyncReadExt as _,
+    AsyncWriteExt as _, //
+};
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use crate::common::wait_site_ready;
@@ -30,6 +38,12 @@
 /// Time after its timeout within which a call must have its answer.
 const ANSWER_MAX: Duration = Duration::from_millis(500);
 
+/// Number of connections that clients keep open at one host.
+const CONNECTION_COUNT: usize = 3_000;
+
+/// Request on each of these connections, which no route matches.
+const REQUEST: &[u8] = b"GET /none HTTP/1.1\r\nhost: site.example\r\n\r\n";
+
 /// Number of callers of each service at each host.
 const CALLER_COUNT: usize = 10;
 
@@ -69,6 +83,16 @@
     results
 }
 
+/// Asserts that the nodes have stayed within their memory.
+fn assert_within_memory(site: &Site, what: &dyn std::fmt::Debug) {
+    for host in &site.hosts {
+        let usage = Usage::of(host.node.as_ref().unwrap()).unwrap();
+        let peak_bytes = usage.peak_resident_bytes;
+        println!("{what:?} {}: peak of {peak_bytes} bytes", host.name);
+        assert!(peak_bytes <= MEMORY_MAX_MB * 1_000_000);
+    }
+}
+
 /// Guards against a back end that holds the thread of the node beside it, so that callers of other
 /// services wait, and against bytes that fill the node's memory.
 #[ntex::test]
@@ -88,11 +112,27 @@
         // The back ends of this service are sound.
         let served_count = orders.iter().filter(|(call, _)| call.status == 200).count();
         assert_eq!(served_count, orders.len(), "{part:?}");
-        for host in &site.hosts {
-            let usage = Usage::of(host.node.as_ref().unwrap()).unwrap();
-            let peak_bytes = usage.peak_resident_bytes;
-            println!("{part:?} {}: peak of {peak_bytes} bytes", host.name);
-            assert!(peak_bytes <= MEMORY_MAX_MB * 1_000_000);
-        }
+        assert_within_memory(&site, &part);
+    }
+}
+
+/// Guards against bodies without end that fill the memory beside many open connections of clients.
+#[ntex::test]
+async fn bodies_without_end_leave_room_for_the_connections_of_clients() {
+    let site = Site::start("endless-connections", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    let mut connections = Vec::new();
+    for _ in 0..CONNECTION_COUNT {
+        let address = &site.hosts[0].caller_address;
+        let mut connection = TcpStream::connect(address).await.unwrap();
+        // A connection that has carried a request takes more memory than one that has not.
+        connection.write_all(REQUEST).await.unwrap();
+        assert!(connection.read(&mut [0; 1_024]).await.unwrap() > 0);
+        connections.push(connection);
+    }
+    for part in [EndlessPart::Chunks, EndlessPart::UnframedBody] {
+        site.hosts[0].wire.fault.set(WireFault::Endless(part));
+        results_of(start_callers(&site, "GET", "/reads/1")).await;
+        assert_within_memory(&site, &part);
     }
 }
