--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -6,12 +6,8 @@
 use std::net::IpAddr;
 use std::ops::RangeInclusive;
 use std::rc::Rc;
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::time::Duration;
 
-use figway_types::FastMap;
 use futures::future::LocalBoxFuture;
 use http_body_util::BodyExt as _;
 use hyper::body::{
@@ -19,14 +15,10 @@
     Bytes,
     Incoming, //
 };
-use hyper::client::conn::http1::{
-    self,
-    SendRequest, //
-};
+use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 
 use crate::answer_stream::{
     AnswerStream,
@@ -38,6 +30,10 @@
 };
 use crate::header_names::HeaderNames;
 use crate::headers::Headers;
+use crate::idle_connections::{
+    Connection,
+    IdleConnections, //
+};
 use crate::memory::MemoryBudget;
 use crate::message::{
     Answer,
@@ -47,12 +43,8 @@
     Transport, //
 };
 use crate::outbound::build_request;
-use crate::paced_body::PacedBody;
 use crate::socket;
 
-/// Fraction of a server's announced keep-alive timeout during which its connection is reused.
-const KEEP_ALIVE_RATIO: f64 = 0.6;
-
 /// Time for which a connection must stay open before its server counts as accepting. The listener of
 /// a process that is ending may still accept connections.
 const ACCEPT_SETTLE: Duration = Duration::from_millis(50);
@@ -79,33 +71,9 @@
     pub local_ip: Option<IpAddr>,
 }
 
-/// Aborts the task that drives a connection when dropped, which closes the connection.
-struct DriverTask(JoinHandle<()>);
-
-impl Drop for DriverTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-struct Connection {
-    sender: SendRequest<PacedBody>,
-    allowance: Rc<ReadAllowance>,
-    _driver: DriverTask,
-}
-
-struct IdleConnection {
-    connection: Connection,
-    idle_since: Instant,
-    expires_at: Instant,
-    /// Value of the echo header in the last exchange. A late duplicate of its answer could not be told
-    /// from the answer to a request with the same value.
-    last_echo: Option<String>,
-}
-
 /// HTTP client with a pool of idle connections for each address.
 pub struct HttpClient {
-    pool: RefCell<FastMap<String, Vec<IdleConnection>>>,
+    idle: IdleConnections,
     names: RefCell<HeaderNames>,
     limits: ClientLimits,
     memory: MemoryBudget,
@@ -115,7 +83,7 @@
     /// Returns a client with an empty pool and no limit for the memory of all answers together.
     pub fn new(limits: ClientLimits) -> Self {
         Self {
-            pool: RefCell::default(),
+            idle: IdleConnections::new(limits),
             names: RefCell::default(),
             limits,
             memory: MemoryBudget::unlimited(),
@@ -128,65 +96,6 @@
         self
     }
 
-    fn take_idle(&self, outbound: &OutboundRequest<'_>) -> Option<Connection> {
-        let now = Instant::now();
-        let mut pool = self.pool.borrow_mut();
-        let list = pool.get_mut(outbound.address)?;
-        let echo = outbound.echo();
-        let idle_max_ms = if outbound.idempotent {
-            self.limits.idle_max_ms
-        } else {
-            self.limits.non_idempotent_idle_max_ms
-        };
-        let idle_since_min = now.checked_sub(Duration::from_millis(idle_max_ms));
-        while let Some(idle) = list.pop() {
-            if idle.expires_at <= now || !idle.connection.sender.is_ready() {
-                continue;
-            }
-            if echo.is_some() && idle.last_echo.as_deref() == echo {
-                continue;
-            }
-            if idle_since_min.is_some_and(|min| idle.idle_since < min) {
-                // The list is sorted by `idle_since`, so all remaining connections have been idle
-                // for longer. They stay in the pool, since idempotent requests can still use them.
-                list.push(idle);
-                return None;
-            }
-            return Some(idle.connection);
-        }
-        None
-    }
-
-    fn return_to_pool(
-        &self,
-        outbound: &OutboundRequest<'_>,
-        connection: Connection,
-        answer: &Answer,
-    ) {
-        if connection.sender.is_closed() || has_connection_close(&answer.headers) {
-            return;
-        }
-        let now = Instant::now();
-        let idle_max = Duration::from_millis(self.limits.idle_max_ms);
-        let idle = IdleConnection {
-            connection,
-            idle_since: now,
-            expires_at: now
-                + server_keep_alive(&answer.headers).map_or(idle_max, |limit| limit.min(idle_max)),
-            last_echo: outbound.echo().map(str::to_owned),
-        };
-        let address = outbound.address;
-        let mut pool = self.pool.borrow_mut();
-        if !pool.contains_key(address) {
-            pool.insert(address.to_owned(), Vec::new());
-        }
-        let list = pool.get_mut(address).expect("the entry was just inserted");
-        list.push(idle);
-        if list.len() > self.limits.idle_max_count {
-            list.remove(0);
-        }
-    }
-
     /// Connects within the limit; `None` if that takes longer.
     async fn connect_in_time(&self, address: &str) -> Option<std::io::Result<TcpStream>> {
         let connect_max = Duration::from_millis(self.limits.connect_max_ms);
@@ -214,16 +123,12 @@
                 log::debug!("connection ended: {error}");
             }
         });
-        Ok(Connection {
-            sender,
-            allowance,
-            _driver: DriverTask(driver),
-        })
+        Ok(Connection::new(sender, allowance, driver))
     }
 
     async fn exchange(&self, outbound: &OutboundRequest<'_>) -> Result<Answer, SendFailure> {
         let mut request = build_request(outbound, &mut self.names.borrow_mut())?;
-        while let Some(mut connection) = self.take_idle(outbound) {
+        while let Some(mut connection) = self.idle.take(outbound) {
             connection.allowance.begin_head();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return self.read_answer(outbound, connection, response).await,
@@ -283,7 +188,7 @@
             headers,
             body,
         };
-        self.return_to_pool(outbound, connection, &answer);
+        self.idle.put(outbound, connection, &answer);
         answer.headers.retain_end_to_end();
         Ok(answer)
     }
@@ -383,23 +288,3 @@
 fn too_large(_: BodyError) -> SendFailure {
     SendFailure::TooLarge
 }
-
-fn has_connection_close(headers: &Headers) -> bool {
-    headers
-        .get("connection")
-        .is_some_and(|value| value.to_ascii_lowercase().contains("close"))
-}
-
-/// Returns for how long an idle connection can be reused, given the `timeout` of the server's
-/// `keep-alive` header. The result includes a safety margin.
-fn server_keep_alive(headers: &Headers) -> Option<Duration> {
-    let value = headers.get("keep-alive")?;
-    for part in value.split(',') {
-        let Some(seconds) = part.trim().strip_prefix("timeout=") else {
-            continue;
-        };
-        let seconds: u64 = seconds.parse().ok()?;
-        return Some(Duration::from_secs(seconds).mul_f64(KEEP_ALIVE_RATIO));
-    }
-    None
-}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,6 +11,7 @@
 mod client;
 mod header_names;
 mod headers;
+mod idle_connections;
 mod memory;
 mod message;
 mod outbound;
