--- a/crates/control/src/ending_run_log.rs
+++ b/crates/control/src/ending_run_log.rs
@@ -19,8 +19,11 @@
 /// Timeout of the first request. Each further one gets twice as long, as a slow log may need it.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Longest timeout of a request.
-const REQUEST_TIMEOUT_MAX: Duration = Duration::from_secs(4);
+/// Number of requests after which the timeout grows no more.
+const TIMEOUT_DOUBLING_MAX_COUNT: u32 = 2;
+
+/// Timeout of a request of the task that removes records, which nobody waits for.
+const REMOVE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// First pause after a request that failed, in milliseconds.
 const RETRY_FIRST_MS: u64 = 100;
@@ -33,23 +36,23 @@
 
 /// Deadlines and pauses of a request that is made until it succeeds.
 struct Attempts {
-    timeout: Duration,
+    attempt_count: u32,
     backoff: Backoff,
 }
 
 impl Attempts {
     fn new(mesh: &Mesh) -> Self {
         Self {
-            timeout: REQUEST_TIMEOUT,
+            attempt_count: 0,
             backoff: Backoff::new(RETRY_FIRST_MS, RETRY_MAX_MS, mesh.random()),
         }
     }
 
     /// Returns the deadline of the next request.
     fn next_deadline(&mut self) -> Instant {
-        let deadline = Instant::now() + self.timeout;
-        self.timeout = (self.timeout * 2).min(REQUEST_TIMEOUT_MAX);
-        deadline
+        let factor = 1 << self.attempt_count.min(TIMEOUT_DOUBLING_MAX_COUNT);
+        self.attempt_count += 1;
+        Instant::now() + REQUEST_TIMEOUT * factor
     }
 
     /// Waits until the next request is due.
@@ -148,7 +151,7 @@
 /// Why the log could not be read or written.
 pub async fn remove_expired(log: &dyn EndingRunLog) -> Result<(), String> {
     let page = log
-        .read_ending_runs(Instant::now() + REQUEST_TIMEOUT_MAX)
+        .read_ending_runs(Instant::now() + REMOVE_TIMEOUT)
         .await
         .map_err(|error| error.to_string())?;
     let mut expired = page.runs;
@@ -157,7 +160,7 @@
         return Ok(());
     }
     log::info!("expired ending runs removed count={}", expired.len());
-    log.remove_ending_runs(&expired, Instant::now() + REQUEST_TIMEOUT_MAX)
+    log.remove_ending_runs(&expired, Instant::now() + REMOVE_TIMEOUT)
         .await
         .map_err(|error| error.to_string())
 }
--- a/crates/control/src/mesh/run_records.rs
+++ b/crates/control/src/mesh/run_records.rs
@@ -27,8 +27,12 @@
     Read,
 }
 
-/// Run of the own target: its instance and its start, in Unix milliseconds.
-type RunKey = (String, u64);
+/// Run of the own target.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct RunKey {
+    instance: String,
+    started_at_ms: u64,
+}
 
 /// Ending runs of the own target that the log holds.
 pub(super) struct RunRecords {
@@ -91,7 +95,10 @@
 }
 
 fn key_of(run: &EndingRun) -> RunKey {
-    (run.instance.clone(), run.started_at_ms)
+    RunKey {
+        instance: run.instance.clone(),
+        started_at_ms: run.started_at_ms,
+    }
 }
 
 impl Mesh {
