Record a deferred heartbeat as soon as its node knows what was acknowledged

The newest such announcement is kept and recorded when the node is informed. a_heartbeat_that_came_before_its_node_knew_any_peer_puts_its_back_end_in_ service failed with the binary before (no request within 15 s) and passes. A first form of the test failed before and after, since its heartbeat had met the killed process; it asks for the node's log line now.

--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -208,6 +208,7 @@
         // The run may be ending, which the process before this one knew.
         let needs_knowledge = target.is_identified() && !target.draining;
         if needs_knowledge && !self.mesh.wait_until_informed().await {
+            self.target_watch.defer(announcement);
             return Ok(AnnounceOutcome::Uninformed);
         }
         let known_target = self.mesh.members().own().target.clone();
@@ -336,6 +337,22 @@
         }
     }
 
+    /// Records the announcement that came before this node knew whether its target had left, as soon as
+    /// it knows. A target that is there need not announce itself again.
+    pub async fn record_deferred_announcement(self: Arc<Self>) {
+        while !self.mesh.wait_until_informed().await {}
+        let Some(announcement) = self.target_watch.take_deferred() else {
+            return;
+        };
+        match self.record_announcement(&announcement).await {
+            Ok(outcome) => log::info!(
+                "deferred announcement recorded instance={} outcome={outcome:?}",
+                announcement.target.instance
+            ),
+            Err(why) => log::warn!("deferred announcement refused why={why}"),
+        }
+    }
+
     /// Marks the local target as lost when its announcements stop. Runs until the process ends.
     pub async fn watch_target(self: Arc<Self>) {
         let suspect_run = || self.run_watch.suspect(DoubtCause::Missing);
--- a/crates/dataplane/src/target_watch.rs
+++ b/crates/dataplane/src/target_watch.rs
@@ -61,6 +61,8 @@
 /// Announcement state of the local target.
 pub(crate) struct TargetWatch {
     state: Mutex<WatchState>,
+    /// Newest announcement that came before this node knew whether the target had left.
+    deferred: Mutex<Option<Announcement>>,
     announce_every: Duration,
 }
 
@@ -69,6 +71,7 @@
     pub(crate) fn new(announce_every: Duration) -> Self {
         Self {
             state: Mutex::default(),
+            deferred: Mutex::default(),
             announce_every,
         }
     }
@@ -123,6 +126,22 @@
         AnnounceOutcome::Accepted
     }
 
+    /// Keeps an announcement until this node knows whether the target had left, unless a newer one is
+    /// kept.
+    pub(crate) fn defer(&self, announcement: &Announcement) {
+        let order = |other: &Announcement| (other.target.started_at_ms, other.sequence);
+        let mut deferred = self.deferred.lock().expect("no holder panics");
+        let is_older = |kept: &Announcement| order(kept) < order(announcement);
+        if deferred.as_ref().is_none_or(is_older) {
+            *deferred = Some(announcement.clone());
+        }
+    }
+
+    /// Takes the announcement that was kept, if any.
+    pub(crate) fn take_deferred(&self) -> Option<Announcement> {
+        self.deferred.lock().expect("no holder panics").take()
+    }
+
     /// Records that an answer of the target stated that it is leaving. It then drains until its next
     /// run.
     pub(crate) fn record_leaving(&self, mesh: &Mesh, leaving: &TargetState) {
--- a/crates/figway/src/cmd/node.rs
+++ b/crates/figway/src/cmd/node.rs
@@ -133,6 +133,7 @@
         );
     }
     tokio::task::spawn_local(Arc::clone(&data_plane).watch_target());
+    tokio::task::spawn_local(Arc::clone(&data_plane).record_deferred_announcement());
     tokio::task::spawn_local(Rc::clone(&worker).watch_target_run());
     tokio::task::spawn_local(Arc::clone(&data_plane).dispatch_turns());
     tokio::task::spawn_local(Arc::clone(&data_plane).watch_stalls());
--- a/crates/testbed/tests/departures_store.rs
+++ b/crates/testbed/tests/departures_store.rs
@@ -9,6 +9,7 @@
     Instant, //
 };
 
+use figway_testbed::process::Signal;
 use figway_testbed::relay::LinkState;
 use figway_testbed::site::backend::Backend;
 use figway_testbed::site::store::StoreFaults;
@@ -37,6 +38,9 @@
 /// Longest time until a node has recorded again what the store lost.
 const RESTORE_MAX: Duration = Duration::from_secs(5);
 
+/// Line in the log of a node that does not know whether its back end had left.
+const REFUSED_HEARTBEAT: &str = "heartbeat not acknowledged";
+
 /// Asserts that a back end that has left stays unused after all nodes were killed.
 async fn assert_unused_after_kill_of_all(site: &mut Site, backend: &Backend, late_sequence: u64) {
     restart_all_nodes(site);
@@ -165,3 +169,33 @@
     let ready = Rc::clone(&site.hosts[0].backend);
     assert_in_service_again(&site, &ready).await;
 }
+
+/// Guards against a ready back end that waits for its next heartbeat, since its node had just started
+/// without the store and knew no peer yet when the last one came.
+#[ntex::test]
+async fn a_heartbeat_that_came_before_its_node_knew_any_peer_puts_its_back_end_in_service() {
+    let mut site = Site::start("ready-deferred", 4).await.unwrap();
+    wait_site_ready(&site).await;
+    let ready = Rc::clone(&site.hosts[0].backend);
+    ready.heartbeat_paused.set(true);
+    site.hosts[0].store_link.set_link_state(LinkState {
+        blocked: true,
+        ..LinkState::default()
+    });
+    signal_others(&site, Signal::Stop);
+    restart_node(&mut site, 0).await;
+    let restarted_at = Instant::now();
+    while !site.hosts[0].log().unwrap().contains(REFUSED_HEARTBEAT) {
+        assert!(restarted_at.elapsed() < RECOVERY_MAX, "none is refused");
+        ready.send_heartbeat().await;
+    }
+    signal_others(&site, Signal::Continue);
+    assert_in_service_again(&site, &ready).await;
+}
+
+/// Sends a signal to all nodes but the first.
+fn signal_others(site: &Site, signal: Signal) {
+    for host in &site.hosts[1..] {
+        host.node.as_ref().unwrap().signal(signal).unwrap();
+    }
+}
