--- /dev/null
+++ b/review/standins-3/site.rs
@@ -0,0 +1,637 @@
+//! Stand-ins of a small site on loopback addresses: the platform's store, machines with a node and
+//! a back end, and clients. Only the standard library is used.
+
+use std::collections::HashMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// What happened, with times, for `record.txt`.
+#[derive(Clone)]
+pub struct Record(Arc<(Instant, Mutex<File>)>);
+
+impl Record {
+    pub fn create(path: &Path) -> Self {
+        let file = File::create(path).expect("record.txt can be written");
+        Record(Arc::new((Instant::now(), Mutex::new(file))))
+    }
+
+    pub fn line(&self, text: impl AsRef<str>) {
+        let at = self.0 .0.elapsed().as_secs_f64();
+        let _ = writeln!(self.0 .1.lock().unwrap(), "{at:8.3} {}", text.as_ref());
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    /// Request line or status line.
+    pub first: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    pub fn method(&self) -> &str {
+        self.first.split(' ').next().unwrap_or("")
+    }
+
+    pub fn target(&self) -> &str {
+        self.first.split(' ').nth(1).unwrap_or("")
+    }
+
+    pub fn query(&self, name: &str) -> Option<String> {
+        let query = self.target().split_once('?')?.1;
+        for pair in query.split('&') {
+            if let Some((key, value)) = pair.split_once('=') {
+                if key == name {
+                    return Some(value.to_owned());
+                }
+            }
+        }
+        None
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// Reads one message; `None` at the end of the connection.
+pub fn read_message(reader: &mut impl BufRead) -> std::io::Result<Option<Message>> {
+    let mut line = String::new();
+    if reader.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    let mut message = Message { first: line.trim_end().to_owned(), ..Message::default() };
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
+        let line = line.trim_end();
+        if line.is_empty() {
+            break;
+        }
+        if let Some((name, value)) = line.split_once(':') {
+            message.headers.push((name.trim().to_owned(), value.trim().to_owned()));
+        }
+    }
+    if message.header("transfer-encoding").is_some_and(|v| v.contains("chunked")) {
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line)?;
+            let len = usize::from_str_radix(line.trim().split(';').next().unwrap_or("0"), 16)
+                .unwrap_or(0);
+            let mut part = vec![0; len + 2];
+            reader.read_exact(&mut part)?;
+            if len == 0 {
+                break;
+            }
+            message.body.extend_from_slice(&part[..len]);
+        }
+    } else if let Some(len) = message.header("content-length").and_then(|v| v.parse().ok()) {
+        let mut body: Vec<u8> = vec![0; len];
+        reader.read_exact(&mut body)?;
+        message.body = body;
+    }
+    Ok(Some(message))
+}
+
+pub fn answer(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n", body.len());
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+/// Serves connections on `address`, each on a thread of its own. `handle` returns the bytes of the
+/// answer, or `None` to close the connection without one.
+pub fn serve(
+    address: &str,
+    handle: impl Fn(&Message) -> Option<Vec<u8>> + Send + Sync + 'static,
+) {
+    let listener = TcpListener::bind(address).unwrap_or_else(|e| panic!("{address}: {e}"));
+    let handle = Arc::new(handle);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let handle = Arc::clone(&handle);
+            thread::spawn(move || {
+                let _ = stream.set_nodelay(true);
+                let Ok(mut writer) = stream.try_clone() else { return };
+                let mut reader = BufReader::new(stream);
+                while let Ok(Some(request)) = read_message(&mut reader) {
+                    let Some(bytes) = handle(&request) else { return };
+                    if writer.write_all(&bytes).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
+
+const BASE64: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+fn base64(bytes: &[u8]) -> String {
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let n = u32::from(chunk[0]) << 16
+            | u32::from(*chunk.get(1).unwrap_or(&0)) << 8
+            | u32::from(*chunk.get(2).unwrap_or(&0));
+        for i in 0..4 {
+            if i <= chunk.len() {
+                text.push(BASE64[(n >> (18 - 6 * i) & 63) as usize] as char);
+            } else {
+                text.push('=');
+            }
+        }
+    }
+    text
+}
+
+#[derive(Default)]
+struct Topics(HashMap<String, Vec<Vec<u8>>>);
+
+/// The platform's store, as far as the system uses it. Nothing expires within the time of a case.
+pub struct Store {
+    topics: Mutex<Topics>,
+    changed: Condvar,
+    pub address: String,
+}
+
+impl Store {
+    pub fn start(address: &str) -> Arc<Self> {
+        let store = Arc::new(Store {
+            topics: Mutex::default(),
+            changed: Condvar::new(),
+            address: address.to_owned(),
+        });
+        let served = Arc::clone(&store);
+        serve(address, move |request| Some(served.handle(request)));
+        store
+    }
+
+    /// Appends a record to a keyed topic, as the operator does.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value);
+        self.topics.lock().unwrap().0.entry(topic.to_owned()).or_default().push(record);
+        self.changed.notify_all();
+    }
+
+    fn handle(&self, request: &Message) -> Vec<u8> {
+        let topic = request.query("topic").unwrap_or_default();
+        let path = request.target().split('?').next().unwrap_or("");
+        match (request.method(), path) {
+            ("POST", "/log-append") => self.append(request, &topic),
+            ("GET", "/log-read") => self.read(request, &topic),
+            ("GET", "/log-newest") => self.newest(request, &topic),
+            _ => answer(404, &[], b""),
+        }
+    }
+
+    fn append(&self, request: &Message, topic: &str) -> Vec<u8> {
+        let mut topics = self.topics.lock().unwrap();
+        let records = topics.0.entry(topic.to_owned()).or_default();
+        let offset = records.len();
+        if let Some(as_of) = request.query("asOf") {
+            if as_of != offset.to_string() {
+                return answer(412, &[], format!("{{\"end\":{offset}}}").as_bytes());
+            }
+        }
+        let mut rest = &request.body[..];
+        while rest.len() >= 4 {
+            let len = u32::from_be_bytes(rest[..4].try_into().unwrap()) as usize;
+            records.push(rest[4..4 + len].to_vec());
+            rest = &rest[4 + len..];
+        }
+        let end = records.len();
+        drop(topics);
+        self.changed.notify_all();
+        thread::sleep(Duration::from_millis(4));
+        answer(200, &[], format!("{{\"offset\":{offset},\"end\":{end}}}").as_bytes())
+    }
+
+    fn read(&self, request: &Message, topic: &str) -> Vec<u8> {
+        let from: usize = request.query("from").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let wait: u64 = request.query("waitMs").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait);
+        let mut topics = self.topics.lock().unwrap();
+        loop {
+            let records = topics.0.entry(topic.to_owned()).or_default();
+            let left = until.saturating_duration_since(Instant::now());
+            if records.len() > from || left.is_zero() {
+                let mut body = (records.len() as u64).to_be_bytes().to_vec();
+                body.extend_from_slice(&0_u64.to_be_bytes());
+                for record in records.iter().skip(from) {
+                    body.extend_from_slice(&(record.len() as u32).to_be_bytes());
+                    body.extend_from_slice(record);
+                }
+                drop(topics);
+                thread::sleep(Duration::from_millis(4));
+                return answer(200, &[], &body);
+            }
+            topics = self.changed.wait_timeout(topics, left).unwrap().0;
+        }
+    }
+
+    fn newest(&self, _: &Message, topic: &str) -> Vec<u8> {
+        let mut topics = self.topics.lock().unwrap();
+        let records = topics.0.entry(topic.to_owned()).or_default();
+        let mut newest: HashMap<&[u8], (usize, &[u8])> = HashMap::new();
+        for (offset, record) in records.iter().enumerate() {
+            let (key, value) = record[1..].split_at(usize::from(record[0]));
+            newest.insert(key, (offset, value));
+        }
+        let mut items = Vec::new();
+        for (key, (offset, value)) in newest {
+            if !value.is_empty() {
+                let key = String::from_utf8_lossy(key);
+                let value = base64(value);
+                items.push(format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"));
+            }
+        }
+        let end = records.len();
+        let body = format!("{{\"items\":[{}],\"hasMore\":false,\"end\":{end}}}", items.join(","));
+        drop(topics);
+        thread::sleep(Duration::from_millis(4));
+        answer(200, &[("Content-Type", "application/json")], body.as_bytes())
+    }
+}
+
+/// Fills in the template of the settings as the platform does, for the forms that it uses.
+fn fill_template(template: &str, values: &HashMap<&str, String>) -> String {
+    let mut text = String::new();
+    let mut rest = template;
+    while let Some(at) = rest.find("{{") {
+        text.push_str(&rest[..at]);
+        rest = &rest[at + 2..];
+        let end = rest.find("}}").expect("a placeholder ends");
+        let name = &rest[..end];
+        rest = &rest[end + 2..];
+        if let Some(section) = name.strip_prefix('#') {
+            let close = format!("{{{{/{section}}}}}");
+            let close_at = rest.find(&close).expect("a section ends");
+            if values.contains_key(section) {
+                text.push_str(&fill_template(&rest[..close_at], values));
+            }
+            rest = &rest[close_at + close.len()..];
+            continue;
+        }
+        match name.split_once('|') {
+            Some(("seeds", _)) => text.push_str("[]"),
+            Some((name, _)) => text.push_str(&format!("\"{}\"", values[name])),
+            None => text.push_str(values.get(name).map_or("", String::as_str)),
+        }
+    }
+    text.push_str(rest);
+    text
+}
+
+/// A run of a request at a back end.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub id: String,
+    pub instance: String,
+    pub at: Instant,
+}
+
+pub struct BackendState {
+    pub instance: Mutex<String>,
+    pub born_ms: AtomicU64,
+    pub sequence: AtomicU64,
+    pub beats: AtomicBool,
+    pub draining: AtomicBool,
+    pub runs: Mutex<Vec<Run>>,
+    pub beat_acks: AtomicU64,
+}
+
+/// A machine with a node and a back end beside it.
+pub struct Machine {
+    pub name: String,
+    pub ip: String,
+    pub zone: String,
+    pub region: String,
+    pub service: String,
+    pub backend: Arc<BackendState>,
+    pub node: Option<Child>,
+    dir: PathBuf,
+}
+
+pub const CALL_PORT: u16 = 8300;
+pub const APP_PORT: u16 = 8301;
+pub const READY_PORT: u16 = 8302;
+pub const OUTBOUND_PORT: u16 = 8304;
+pub const CONTROL_PORT: u16 = 8306;
+pub const PEER_PORT: u16 = 7620;
+pub const METRICS_PORT: u16 = 7635;
+
+pub struct SiteSpec<'a> {
+    pub dir: &'a Path,
+    pub net: String,
+    pub work_ms: u64,
+}
+
+pub struct Site {
+    pub store: Arc<Store>,
+    pub machines: Vec<Machine>,
+    pub record: Record,
+    dir: PathBuf,
+}
+
+impl Site {
+    /// Starts the store and the back ends. `machines` holds name, zone, region and service.
+    pub fn start(spec: &SiteSpec<'_>, machines: &[(&str, &str, &str, &str)], record: &Record) -> Self {
+        let store = Store::start(&format!("{}.200:8309", spec.net));
+        let mut site = Site {
+            store,
+            machines: Vec::new(),
+            record: record.clone(),
+            dir: spec.dir.to_owned(),
+        };
+        for (index, (name, zone, region, service)) in machines.iter().enumerate() {
+            let ip = format!("{}.{}", spec.net, index + 1);
+            let backend = Arc::new(BackendState {
+                instance: Mutex::new(format!("i-{:08x}", now_ms() as u32 ^ (index as u32) << 28)),
+                born_ms: AtomicU64::new(now_ms()),
+                sequence: AtomicU64::new(0),
+                beats: AtomicBool::new(true),
+                draining: AtomicBool::new(false),
+                runs: Mutex::default(),
+                beat_acks: AtomicU64::new(0),
+            });
+            start_backend(&backend, &ip, spec.work_ms);
+            start_beats(&backend, &ip, zone, service);
+            site.machines.push(Machine {
+                name: (*name).to_owned(),
+                ip,
+                zone: (*zone).to_owned(),
+                region: (*region).to_owned(),
+                service: (*service).to_owned(),
+                backend,
+                node: None,
+                dir: spec.dir.to_owned(),
+            });
+        }
+        site
+    }
+
+    pub fn start_nodes(&mut self, first_start: bool) {
+        let store = self.store.address.clone();
+        for machine in &mut self.machines {
+            machine.start_node(&store, first_start);
+        }
+    }
+
+    pub fn end(&mut self) {
+        for machine in &mut self.machines {
+            machine.kill_node();
+        }
+        let _ = &self.dir;
+    }
+
+    /// Returns all runs at all back ends.
+    pub fn runs(&self) -> Vec<Run> {
+        let mut runs = Vec::new();
+        for machine in &self.machines {
+            runs.extend(machine.backend.runs.lock().unwrap().iter().cloned());
+        }
+        runs
+    }
+
+    pub fn wait_ready(&self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        for machine in &self.machines {
+            loop {
+                let address = format!("{}:{READY_PORT}", machine.ip);
+                let ready = call(&address, "GET", "/readiness", &[], b"", Duration::from_secs(1));
+                if ready.is_ok_and(|message| message.status() == 200) {
+                    break;
+                }
+                if Instant::now() > until {
+                    return false;
+                }
+                thread::sleep(Duration::from_millis(50));
+            }
+        }
+        true
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+impl Machine {
+    pub fn start_node(&mut self, store: &str, first_start: bool) {
+        let template = std::fs::read_to_string("deploy/node.yaml.template").expect("the template");
+        let ip = &self.ip;
+        let mut values: HashMap<&str, String> = HashMap::new();
+        let mut set = |name, value: String| values.insert(name, value);
+        set("nodeName", self.name.clone());
+        set("region", self.region.clone());
+        set("zone", self.zone.clone());
+        set("ip", ip.clone());
+        set("internalPorts.0", PEER_PORT.to_string());
+        set("internalPorts.1", METRICS_PORT.to_string());
+        set("listen.inbound", format!("{ip}:{CALL_PORT}"));
+        set("listen.outbound", format!("{ip}:{OUTBOUND_PORT}"));
+        set("listen.ready", format!("{ip}:{READY_PORT}"));
+        set("listen.control", format!("{ip}:{CONTROL_PORT}"));
+        set("platform.address", store.to_owned());
+        set("platform.keep", "300s".to_owned());
+        set("service", self.service.clone());
+        set("appAddr", format!("{ip}:{APP_PORT}"));
+        set("heartbeatInterval", "1500ms".to_owned());
+        set("seeds", String::new());
+        set("firstStart", first_start.to_string());
+        set("limits.linkMbps", "1000.0".to_owned());
+        set("bounds.grace", "6s".to_owned());
+        set("bounds.retryBudgetRatio", "0.2".to_owned());
+        set("bounds.retryBudgetSlack", "58".to_owned());
+        let path = self.dir.join(format!("{}.yaml", self.name));
+        std::fs::write(&path, fill_template(&template, &values)).expect("settings can be written");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.dir.join(format!("{}.log", self.name)))
+            .expect("the log can be written");
+        let child = Command::new("target/release/figway")
+            .arg("node")
+            .env_clear()
+            .env("FIGWAY_BOOT", &path)
+            .env("FIGWAY_MEMORY_MAX_MB", "110")
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("a second handle"))
+            .stderr(log)
+            .spawn()
+            .expect("the node starts");
+        self.node = Some(child);
+    }
+
+    pub fn kill_node(&mut self) {
+        if let Some(mut node) = self.node.take() {
+            let _ = node.kill();
+            let _ = node.wait();
+        }
+    }
+
+    /// Sends a signal to the node's process.
+    pub fn signal(&self, name: &str) {
+        if let Some(node) = &self.node {
+            let id = node.id().to_string();
+            let _ = Command::new("kill").args(["-s", name, &id]).status();
+        }
+    }
+
+    pub fn node_has_ended(&mut self) -> Option<String> {
+        let node = self.node.as_mut()?;
+        node.try_wait().ok()?.map(|status| status.to_string())
+    }
+
+    pub fn outbound(&self) -> String {
+        format!("{}:{OUTBOUND_PORT}", self.ip)
+    }
+
+    pub fn control(&self) -> String {
+        format!("{}:{CONTROL_PORT}", self.ip)
+    }
+}
+
+fn start_backend(state: &Arc<BackendState>, ip: &str, work_ms: u64) {
+    let state = Arc::clone(state);
+    serve(&format!("{ip}:{APP_PORT}"), move |request| {
+        let id = request.header("x-figway-attempt-id").unwrap_or("").to_owned();
+        let own = state.instance.lock().unwrap().clone();
+        if request.target().starts_with("/health") {
+            return Some(answer(200, &[("X-Figway-Instance-Id", &own)], b""));
+        }
+        if id.is_empty() {
+            return Some(answer(400, &[("X-Figway-Not-Executed", "1")], b""));
+        }
+        let echo = ("X-Figway-Attempt-Id", id.as_str());
+        if request.header("x-figway-expected-instance").is_some_and(|other| other != own) {
+            return Some(answer(421, &[echo, ("X-Figway-Instance-Id", &own)], b""));
+        }
+        let run = Run { id: id.clone(), instance: own.clone(), at: Instant::now() };
+        state.runs.lock().unwrap().push(run);
+        thread::sleep(Duration::from_millis(work_ms));
+        let seal = format!("seal.{own}.{id}");
+        Some(answer(200, &[echo, ("X-Figway-Response-Seal", &seal)], b"done"))
+    });
+}
+
+/// Returns the body of a heartbeat.
+pub fn beat_body(service: &str, address: &str, zone: &str, state: &str, sequence: u64, born_ms: u64) -> String {
+    format!(
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
+         \"version\":\"v1\",\"slots\":12,\"state\":\"{state}\",\"coldLeft\":\"0ms\",\
+         \"sequence\":{sequence},\"born\":{born_ms}}}"
+    )
+}
+
+fn start_beats(state: &Arc<BackendState>, ip: &str, zone: &str, service: &str) {
+    let state = Arc::clone(state);
+    let (ip, zone, service) = (ip.to_owned(), zone.to_owned(), service.to_owned());
+    thread::spawn(move || loop {
+        if state.beats.load(Ordering::Relaxed) {
+            let word = if state.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
+            let sequence = state.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+            let born_ms = state.born_ms.load(Ordering::Relaxed);
+            let body = beat_body(&service, &format!("{ip}:{APP_PORT}"), &zone, word, sequence, born_ms);
+            let path = format!("/instances/{}/heartbeat", state.instance.lock().unwrap());
+            let headers = [("Content-Type", "application/json")];
+            let control = format!("{ip}:{CONTROL_PORT}");
+            let sent = call(&control, "POST", &path, &headers, body.as_bytes(), Duration::from_secs(1));
+            if sent.is_ok_and(|message| message.status() / 100 == 2) {
+                state.beat_acks.fetch_add(1, Ordering::Relaxed);
+                thread::sleep(Duration::from_millis(1500));
+                continue;
+            }
+        }
+        thread::sleep(Duration::from_millis(500));
+    });
+}
+
+/// Sends one request on a connection of its own.
+pub fn call(
+    address: &str,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    limit: Duration,
+) -> std::io::Result<Message> {
+    let until = Instant::now() + limit;
+    let target = address.parse().map_err(|_| std::io::ErrorKind::InvalidInput)?;
+    let stream = TcpStream::connect_timeout(&target, limit.min(Duration::from_secs(1)))?;
+    stream.set_nodelay(true)?;
+    let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    stream.set_read_timeout(Some(left))?;
+    let mut text = format!("{method} {path} HTTP/1.1\r\n");
+    if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
+        text.push_str(&format!("Host: {address}\r\n"));
+    }
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    if !body.is_empty() || method == "POST" {
+        text.push_str(&format!("Content-Length: {}\r\n", body.len()));
+    }
+    text.push_str("\r\n");
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    (&stream).write_all(&bytes)?;
+    let answered = read_message(&mut BufReader::new(&stream))?;
+    answered.ok_or_else(|| std::io::ErrorKind::UnexpectedEof.into())
+}
+
+/// Returns a configuration with one route a service: `(host, prefix, kind, service)`.
+pub fn config(version: u32, routes: &[(&str, &str, &str, &str)]) -> String {
+    let mut route_texts = Vec::new();
+    let mut services = std::collections::BTreeSet::new();
+    for (index, (host, prefix, kind, service)) in routes.iter().enumerate() {
+        services.insert(*service);
+        route_texts.push(format!(
+            "\"r-{index}\":{{\"host\":\"{host}\",\"pathPrefix\":\"{prefix}\",\"kind\":\"{kind}\",\
+             \"timeout\":\"1000ms\",\"targetLatency\":\"300ms\",\"priority\":1,\
+             \"service\":\"{service}\",\"maxAttempts\":2}}"
+        ));
+    }
+    let mut service_texts = Vec::new();
+    for service in services {
+        service_texts.push(format!(
+            "\"{service}\":{{\"healthPath\":\"/health\",\"maxConnections\":110,\
+             \"protocol\":\"h1\",\"tls\":false}}"
+        ));
+    }
+    format!(
+        "{{\"version\":\"{version:08x}\",\"routes\":{{{}}},\"services\":{{{}}},\
+         \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\
+         \"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"}}}}",
+        route_texts.join(","),
+        service_texts.join(",")
+    )
+}
