--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -2,6 +2,7 @@
 //! repository's root. Writes `FOLDER/record.txt`. Exits with 1 if the rule was broken, with 0 if it
 //! held and with 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
 
+mod added_machine;
 mod foreign_heartbeat;
 mod site;
 
@@ -25,6 +26,7 @@
     let dir = std::env::temp_dir().join(format!("case-{}-{}", args[1], std::process::id()));
     std::fs::create_dir_all(&dir).expect("a temporary folder");
     let verdict = match args[1].as_str() {
+        "added-machine" => added_machine::run(&dir, &record, trouble),
         "foreign-heartbeat" => foreign_heartbeat::run(&dir, &record, trouble),
         other => Verdict::NotRun(format!("there is no case {other}")),
     };
