--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -4,6 +4,7 @@
 
 mod added_machine;
 mod foreign_heartbeat;
+mod forgotten_leaving;
 mod site;
 
 use std::path::Path;
@@ -27,6 +28,7 @@
     std::fs::create_dir_all(&dir).expect("a temporary folder");
     let verdict = match args[1].as_str() {
         "added-machine" => added_machine::run(&dir, &record, trouble),
+        "forgotten-leaving" => forgotten_leaving::run(&dir, &record, trouble),
         "foreign-heartbeat" => foreign_heartbeat::run(&dir, &record, trouble),
         other => Verdict::NotRun(format!("there is no case {other}")),
     };
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -190,7 +190,10 @@
     text
 }
 
-#[derive(Default)]
+/// Records of the store at one moment.
+pub struct StoreCopy(HashMap<String, Topic>);
+
+#[derive(Clone, Default)]
 struct Topic {
     records: Vec<(Instant, Vec<u8>)>,
 }
@@ -212,6 +215,9 @@
 pub struct Store {
     topics: Mutex<HashMap<String, Topic>>,
     changed: Condvar,
+    /// Value of `Store-Era`, which rises when the store comes back from an older copy.
+    era: AtomicU64,
+    is_away: AtomicBool,
     /// Age from which on records expire, if they do.
     keep: Option<Duration>,
     pub address: String,
@@ -222,14 +228,58 @@
         let store = Arc::new(Store {
             topics: Mutex::default(),
             changed: Condvar::new(),
+            era: AtomicU64::new(1),
+            is_away: AtomicBool::new(false),
             keep,
             address: address.to_owned(),
         });
         let served = Arc::clone(&store);
-        serve(address, move |request| Some(served.handle(request)));
+        serve(address, move |request| served.serve_call(request));
         store
     }
 
+    /// Returns a copy of all records.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.topics.lock().unwrap().clone())
+    }
+
+    /// Goes away: closes the connections of all calls without an answer.
+    pub fn go_away(&self) {
+        self.is_away.store(true, Ordering::SeqCst);
+        self.changed.notify_all();
+    }
+
+    /// Comes back from an older copy. What the operator and the back ends wrote is written again.
+    pub fn come_back(&self, copy: StoreCopy) {
+        let mut topics = self.topics.lock().unwrap();
+        let operator = topics.remove("keyed.op");
+        *topics = copy.0;
+        if let Some(operator) = operator {
+            topics.insert("keyed.op".to_owned(), operator);
+        }
+        drop(topics);
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.is_away.store(false, Ordering::SeqCst);
+        self.changed.notify_all();
+    }
+
+    /// Answers a call, unless the store is away at its begin or its end.
+    fn serve_call(&self, request: &Message) -> Option<Vec<u8>> {
+        let era = self.era.load(Ordering::SeqCst);
+        if self.is_away.load(Ordering::SeqCst) {
+            return None;
+        }
+        let answer = self.handle(request);
+        if self.is_away.load(Ordering::SeqCst) || self.era.load(Ordering::SeqCst) != era {
+            return None;
+        }
+        let head_end = answer.iter().position(|byte| *byte == b'\n').unwrap_or(0) + 1;
+        let mut bytes = answer[..head_end].to_vec();
+        bytes.extend_from_slice(format!("Store-Era: {era}\r\n").as_bytes());
+        bytes.extend_from_slice(&answer[head_end..]);
+        Some(bytes)
+    }
+
     /// Appends a record to a keyed topic, as the operator does.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![key.len() as u8];
@@ -306,7 +356,8 @@
                 );
             }
             let left = until.saturating_duration_since(Instant::now());
-            if records.len() > from || left.is_zero() {
+            let ends = left.is_zero() || self.is_away.load(Ordering::SeqCst);
+            if records.len() > from || ends {
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
                 body.extend_from_slice(&(first as u64).to_be_bytes());
                 for (_, record) in records.iter().skip(from) {
