--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -4,7 +4,9 @@
 
 mod added_machine;
 mod foreign_heartbeat;
+mod forgotten_crashes;
 mod forgotten_leaving;
+mod nested_calls;
 mod site;
 
 use std::path::Path;
@@ -28,6 +30,8 @@
     std::fs::create_dir_all(&dir).expect("a temporary folder");
     let verdict = match args[1].as_str() {
         "added-machine" => added_machine::run(&dir, &record, trouble),
+        "forgotten-crashes" => forgotten_crashes::run(&dir, &record, trouble),
+        "nested-calls" => nested_calls::run(&dir, &record, trouble),
         "forgotten-leaving" => forgotten_leaving::run(&dir, &record, trouble),
         "foreign-heartbeat" => foreign_heartbeat::run(&dir, &record, trouble),
         other => Verdict::NotRun(format!("there is no case {other}")),
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -151,22 +151,28 @@
     let handle = Arc::new(handle);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let handle = Arc::clone(&handle);
-            thread::spawn(move || {
-                let _ = stream.set_nodelay(true);
-                let Ok(mut writer) = stream.try_clone() else {
-                    return;
-                };
-                let mut reader = BufReader::new(stream);
-                while let Ok(Some(request)) = read_message(&mut reader) {
-                    let Some(bytes) = handle(&request) else {
-                        return;
-                    };
-                    if writer.write_all(&bytes).is_err() {
-                        return;
-                    }
-                }
-            });
+            serve_connection(stream, Arc::clone(&handle));
+        }
+    });
+}
+
+fn serve_connection(
+    stream: TcpStream,
+    handle: Arc<impl Fn(&Message) -> Option<Vec<u8>> + Send + Sync + 'static>,
+) {
+    thread::spawn(move || {
+        let _ = stream.set_nodelay(true);
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(stream);
+        while let Ok(Some(request)) = read_message(&mut reader) {
+            let Some(bytes) = handle(&request) else {
+                return;
+            };
+            if writer.write_all(&bytes).is_err() {
+                return;
+            }
         }
     });
 }
@@ -443,13 +449,42 @@
     pub at: Instant,
 }
 
+/// A call that a back end makes of its own during each run.
+#[derive(Clone, Debug)]
+pub struct NestedCall {
+    /// `outbound` address of the machine.
+    pub outbound: String,
+    pub host: String,
+    pub path: String,
+    /// Whether the call's id is that of the run, a dot and a number. Otherwise it has a form like any
+    /// other.
+    pub names_run: bool,
+}
+
+/// Requests that end the back end which runs them.
+#[derive(Clone, Debug)]
+pub struct CrashRule {
+    pub path: String,
+    /// Time from the start of the run to the end of the back end.
+    pub after: Duration,
+    /// Time until the back end starts again.
+    pub down_for: Duration,
+}
+
 pub struct BackendState {
+    pub crash_rule: Mutex<Option<CrashRule>>,
+    /// When the back end has crashed.
+    pub crashed_at: Mutex<Vec<Instant>>,
+    is_up: AtomicBool,
     pub instance: Mutex<String>,
     pub born_ms: AtomicU64,
     pub sequence: AtomicU64,
     pub beats: AtomicBool,
     pub draining: AtomicBool,
     pub runs: Mutex<Vec<Run>>,
+    pub nested_call: Mutex<Option<NestedCall>>,
+    /// Ids and statuses of the nested calls.
+    pub nested_statuses: Mutex<Vec<(String, u16)>>,
     pub beat_acks: AtomicU64,
 }
 
@@ -533,6 +568,11 @@
             beats: AtomicBool::new(true),
             draining: AtomicBool::new(false),
             runs: Mutex::default(),
+            nested_call: Mutex::default(),
+            crash_rule: Mutex::default(),
+            crashed_at: Mutex::default(),
+            is_up: AtomicBool::new(true),
+            nested_statuses: Mutex::default(),
             beat_acks: AtomicU64::new(0),
         });
         start_backend(&backend, &ip, self.work_ms);
@@ -682,42 +722,127 @@
     }
 }
 
+/// Starts a back end. When it crashes, its connections end, and it starts again under another id.
 fn start_backend(state: &Arc<BackendState>, ip: &str, work_ms: u64) {
     let state = Arc::clone(state);
-    serve(&format!("{ip}:{APP_PORT}"), move |request| {
-        let id = request
-            .header("x-figway-attempt-id")
-            .unwrap_or("")
-            .to_owned();
-        let own = state.instance.lock().unwrap().clone();
-        if request.target().starts_with("/health") {
-            return Some(answer(200, &[("X-Figway-Instance-Id", &own)], b""));
-        }
-        if id.is_empty() {
-            return Some(answer(400, &[("X-Figway-Not-Executed", "1")], b""));
+    let address = format!("{ip}:{APP_PORT}");
+    let mut listener = TcpListener::bind(&address).unwrap_or_else(|e| panic!("{address}: {e}"));
+    thread::spawn(move || loop {
+        let handled = Arc::clone(&state);
+        let handle = move |request: &Message| handle_at_backend(&handled, request, work_ms);
+        serve_until(&listener, &state.is_up, Arc::new(handle));
+        drop(listener);
+        let rule = state.crash_rule.lock().unwrap().clone();
+        thread::sleep(rule.map_or(Duration::from_secs(2), |rule| rule.down_for));
+        let now = now_ms();
+        *state.instance.lock().unwrap() = format!("i-{now:x}");
+        state.born_ms.store(now, Ordering::SeqCst);
+        state.sequence.store(0, Ordering::SeqCst);
+        listener = TcpListener::bind(&address).unwrap_or_else(|e| panic!("{address}: {e}"));
+        state.is_up.store(true, Ordering::SeqCst);
+    });
+}
+
+/// Serves connections until `is_up` is false, and ends them then.
+fn serve_until(
+    listener: &TcpListener,
+    is_up: &AtomicBool,
+    handle: Arc<impl Fn(&Message) -> Option<Vec<u8>> + Send + Sync + 'static>,
+) {
+    listener.set_nonblocking(true).expect("a socket option");
+    let mut streams: Vec<TcpStream> = Vec::new();
+    while is_up.load(Ordering::SeqCst) {
+        let Ok((stream, _)) = listener.accept() else {
+            thread::sleep(Duration::from_millis(1));
+            continue;
+        };
+        let _ = stream.set_nonblocking(false);
+        streams.extend(stream.try_clone());
+        serve_connection(stream, Arc::clone(&handle));
+    }
+    for stream in streams {
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+fn handle_at_backend(state: &BackendState, request: &Message, work_ms: u64) -> Option<Vec<u8>> {
+    let id = request
+        .header("x-figway-attempt-id")
+        .unwrap_or("")
+        .to_owned();
+    let own = state.instance.lock().unwrap().clone();
+    if request.target().starts_with("/health") {
+        return Some(answer(200, &[("X-Figway-Instance-Id", &own)], b""));
+    }
+    if id.is_empty() {
+        return Some(answer(400, &[("X-Figway-Not-Executed", "1")], b""));
+    }
+    let echo = ("X-Figway-Attempt-Id", id.as_str());
+    if request
+        .header("x-figway-expected-instance")
+        .is_some_and(|other| other != own)
+    {
+        return Some(answer(421, &[echo, ("X-Figway-Instance-Id", &own)], b""));
+    }
+    let tenant = request.header("x-figway-tenant").unwrap_or("").to_owned();
+    let run = Run {
+        id: id.clone(),
+        tenant,
+        at: Instant::now(),
+    };
+    state.runs.lock().unwrap().push(run);
+    let crash_rule = state.crash_rule.lock().unwrap().clone();
+    if let Some(rule) = crash_rule.filter(|rule| request.target().starts_with(&rule.path)) {
+        thread::sleep(rule.after);
+        if state.is_up.swap(false, Ordering::SeqCst) {
+            state.crashed_at.lock().unwrap().push(Instant::now());
         }
-        let echo = ("X-Figway-Attempt-Id", id.as_str());
-        if request
-            .header("x-figway-expected-instance")
-            .is_some_and(|other| other != own)
-        {
-            return Some(answer(421, &[echo, ("X-Figway-Instance-Id", &own)], b""));
+        return None;
+    }
+    thread::sleep(Duration::from_millis(work_ms));
+    let nested_call = state.nested_call.lock().unwrap().clone();
+    if let Some(nested_call) = nested_call {
+        if !make_nested_call(state, &nested_call, request) {
+            let seal = format!("seal.{own}.{id}.failed");
+            let headers = [echo, ("X-Figway-Response-Seal", seal.as_str())];
+            return Some(answer(500, &headers, b"a call failed"));
         }
-        let tenant = request.header("x-figway-tenant").unwrap_or("").to_owned();
-        let run = Run {
-            id: id.clone(),
-            tenant,
-            at: Instant::now(),
-        };
-        state.runs.lock().unwrap().push(run);
-        thread::sleep(Duration::from_millis(work_ms));
-        let seal = format!("seal.{own}.{id}");
-        Some(answer(
-            200,
-            &[echo, ("X-Figway-Response-Seal", &seal)],
-            b"done",
-        ))
-    });
+    }
+    let seal = format!("seal.{own}.{id}");
+    Some(answer(
+        200,
+        &[echo, ("X-Figway-Response-Seal", &seal)],
+        b"done",
+    ))
+}
+
+/// Makes a call of the back end's own, without a key, that expires when its run does. Returns whether
+/// it was served.
+fn make_nested_call(state: &BackendState, nested: &NestedCall, run: &Message) -> bool {
+    let run_id = run.header("x-figway-attempt-id").unwrap_or("");
+    let mut statuses = state.nested_statuses.lock().unwrap();
+    let number = statuses.len() as u64 + 1;
+    let own_start = state.born_ms.load(Ordering::Relaxed) << 16;
+    let id = if nested.names_run {
+        format!("{run_id}.1")
+    } else {
+        format!("{:016x}", 0x7c00_0000_0000_0000_u64 | (own_start + number))
+    };
+    // Taken as refused until there is an answer.
+    let index = statuses.len();
+    statuses.push((id.clone(), 0));
+    drop(statuses);
+    let left_ms = run.header("x-figway-deadline-ms").unwrap_or("500");
+    let headers = [
+        ("Host", nested.host.as_str()),
+        ("X-Figway-Attempt-Id", id.as_str()),
+        ("X-Figway-Deadline-Ms", left_ms),
+    ];
+    let limit = Duration::from_millis(left_ms.parse().unwrap_or(500));
+    let sent = call(&nested.outbound, "GET", &nested.path, &headers, b"", limit);
+    let status = sent.map_or(0, |message| message.status());
+    state.nested_statuses.lock().unwrap()[index].1 = status;
+    status == 200
 }
 
 /// Returns the body of a heartbeat.
@@ -740,7 +865,7 @@
     let state = Arc::clone(state);
     let (ip, zone, service) = (ip.to_owned(), zone.to_owned(), service.to_owned());
     thread::spawn(move || loop {
-        if state.beats.load(Ordering::Relaxed) {
+        if state.beats.load(Ordering::Relaxed) && state.is_up.load(Ordering::SeqCst) {
             let word = if state.draining.load(Ordering::Relaxed) {
                 "draining"
             } else {
