--- a/review/standins-3/forgotten_crashes.rs
+++ b/review/standins-3/forgotten_crashes.rs
@@ -19,6 +19,10 @@
 
 const CRASH_AFTER: Duration = Duration::from_millis(400);
 
+/// Time between two arrivals of the first round and of later ones.
+const FIRST_GAP: Duration = Duration::from_millis(30);
+const GAP: Duration = Duration::from_millis(60);
+
 /// Time until a crashed back end starts again.
 const DOWN_FOR: Duration = Duration::from_secs(2);
 
@@ -41,8 +45,6 @@
         ("desk-a-3", "a", "north", "desk"),
         ("desk-b-3", "b", "north", "desk"),
     ];
-    let gap_ms = std::env::var("GAP_MS").ok().and_then(|v| v.parse().ok());
-    let gap = Duration::from_millis(gap_ms.unwrap_or(60));
     let mut site = Site::start(spec, &machines);
     let rule = CrashRule {
         path: PATH.to_owned(),
@@ -61,7 +63,9 @@
     }
     thread::sleep(REST);
 
-    arrive(&site, record, gap);
+    // Two arrivals at each machine, so that at least three back ends run the request before the first one
+    // crashes.
+    arrive(&site, record, 2, FIRST_GAP);
     thread::sleep(REST);
     let mut crashes: Vec<Instant> = Vec::new();
     for machine in &site.machines {
@@ -74,7 +78,7 @@
     };
 
     // The request is refused now.
-    let mut reached = arrive(&site, record, gap);
+    let mut reached = arrive(&site, record, 1, GAP);
     thread::sleep(REST);
     if trouble {
         site.end();
@@ -87,9 +91,9 @@
     }
     thread::sleep(STABILITY_WINDOW.max(REST));
     assert!(third_at.elapsed() > STABILITY_WINDOW);
-    reached += arrive(&site, record, gap);
+    reached += arrive(&site, record, 1, GAP);
     thread::sleep(REST);
-    reached += arrive(&site, record, gap);
+    reached += arrive(&site, record, 1, GAP);
     for machine in &mut site.machines {
         if let Some(status) = machine.node_has_ended() {
             return Verdict::NotRun(format!("node {} ended: {status}", machine.name));
@@ -104,12 +108,12 @@
     Verdict::Held
 }
 
-/// Lets the request come at each machine once. Returns how many of these retries reached back ends.
-fn arrive(site: &Site, record: &Record, gap: Duration) -> usize {
+/// Lets the request come at each machine some times. Returns how many of these retries reached back ends.
+fn arrive(site: &Site, record: &Record, times: usize, gap: Duration) -> usize {
     static COUNT: AtomicU64 = AtomicU64::new(0);
     let mut ids = Vec::new();
     thread::scope(|scope| {
-        for machine in &site.machines {
+        for machine in std::iter::repeat_n(&site.machines, times).flatten() {
             let number = COUNT.fetch_add(1, Ordering::Relaxed);
             let id = format!("{:016x}", 0x5a00_0000_0000_0000_u64 + number);
             ids.push(id.clone());
