--- a/review/standins-3/foreign_heartbeat.rs
+++ b/review/standins-3/foreign_heartbeat.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::site::{beat_body, call, config, now_ms, own_net, Record, Site, SiteSpec, APP_PORT};
+use crate::site::{app_address, beat_body, call, config, now_ms, own_net, Record, Site, SiteSpec};
 use crate::Verdict;
 
 const HOST: &str = "desk.example";
@@ -43,7 +43,7 @@
         for machine in &site.machines {
             let body = beat_body(
                 "probe-tool",
-                &format!("{}:{APP_PORT}", machine.ip),
+                &app_address(&machine.ip),
                 &machine.zone,
                 "ready",
                 1,
--- a/review/standins-3/forgotten_leaving.rs
+++ b/review/standins-3/forgotten_leaving.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::site::{beat_body, call, config, own_net, Record, Site, SiteSpec, APP_PORT};
+use crate::site::{app_address, beat_body, call, config, own_net, Record, Site, SiteSpec};
 use crate::Verdict;
 
 const HOST: &str = "desk.example";
@@ -67,7 +67,7 @@
     let born_ms = backend.born_ms.load(Ordering::Relaxed);
     let sequence = backend.sequence.fetch_add(1, Ordering::Relaxed) + 1;
     let control = site.machines[leaving].control();
-    let address = format!("{}:{APP_PORT}", site.machines[leaving].ip);
+    let address = app_address(&site.machines[leaving].ip);
     let late_beat = beat_body("desk", &address, "a", "ready", sequence, born_ms);
     let post = |what: &str, body: &str| {
         let path = format!("/instances/{instance}/{what}");
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -11,7 +11,7 @@
 
 use std::path::Path;
 
-use site::Record;
+use site::{Guard, Record};
 
 /// Result of a case.
 pub enum Verdict {
@@ -28,7 +28,8 @@
     record.line(format!("case={} trouble={trouble}", args[1]));
     let dir = std::env::temp_dir().join(format!("case-{}-{}", args[1], std::process::id()));
     std::fs::create_dir_all(&dir).expect("a temporary folder");
-    let verdict = match args[1].as_str() {
+    Guard::start(&dir);
+    let run = || match args[1].as_str() {
         "added-machine" => added_machine::run(&dir, &record, trouble),
         "forgotten-crashes" => forgotten_crashes::run(&dir, &record, trouble),
         "nested-calls" => nested_calls::run(&dir, &record, trouble),
@@ -36,6 +37,9 @@
         "foreign-heartbeat" => foreign_heartbeat::run(&dir, &record, trouble),
         other => Verdict::NotRun(format!("there is no case {other}")),
     };
+    let ended = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run));
+    let verdict = ended.unwrap_or_else(|_| Verdict::NotRun("a stand-in failed".to_owned()));
+    Guard::end();
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(&dir);
     } else {
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -502,13 +502,34 @@
     dir: PathBuf,
 }
 
-pub const CALL_PORT: u16 = 8300;
-pub const APP_PORT: u16 = 8301;
-pub const READY_PORT: u16 = 8302;
-pub const OUTBOUND_PORT: u16 = 8304;
-pub const CONTROL_PORT: u16 = 8306;
-pub const PEER_PORT: u16 = 7620;
-pub const METRICS_PORT: u16 = 7635;
+/// First of the ports of a run, which are free at all its addresses.
+static FIRST_PORT: OnceLock<u16> = OnceLock::new();
+
+/// Number of ports of a run.
+const PORT_COUNT: u16 = 16;
+
+const CALL_PORT: u16 = 0;
+const APP_PORT: u16 = 1;
+const READY_PORT: u16 = 2;
+const OUTBOUND_PORT: u16 = 4;
+const CONTROL_PORT: u16 = 6;
+const STORE_PORT: u16 = 9;
+const PEER_PORT: u16 = 10;
+const METRICS_PORT: u16 = 15;
+
+/// Returns the address of a port, which counts from the first of the run.
+fn address_of(ip: &str, port: u16) -> String {
+    let first = FIRST_PORT.get().expect("the ports are chosen first");
+    format!("{ip}:{}", first + port)
+}
+
+/// Returns the address of the back end at `ip`.
+pub fn app_address(ip: &str) -> String {
+    address_of(ip, APP_PORT)
+}
+
+/// Largest number of machines.
+const MACHINE_MAX_COUNT: u8 = 10;
 
 /// Name, availability zone, region and service of a machine.
 pub type MachineSpec<'a> = (&'a str, &'a str, &'a str, &'a str);
@@ -524,10 +545,60 @@
     pub bounds: Vec<(&'static str, &'static str)>,
 }
 
-/// Returns the first three numbers of loopback addresses that no other run uses.
+/// Returns the first three numbers of loopback addresses that no other run uses, and chooses ports that
+/// are free there.
 pub fn own_net() -> String {
     let id = std::process::id();
-    format!("127.{}.{}", 30 + id / 250 % 200, 1 + id % 250)
+    let net = format!("127.{}.{}", 30 + id / 250 % 200, 1 + id % 250);
+    let is_free = |first: &u16| {
+        let mut hosts = vec![200];
+        hosts.extend(1..=MACHINE_MAX_COUNT);
+        hosts.iter().all(|host| {
+            let mut ports = *first..first + PORT_COUNT;
+            ports.all(|port| TcpListener::bind(format!("{net}.{host}:{port}")).is_ok())
+        })
+    };
+    let first = (8_300..30_000).step_by(20).find(is_free);
+    let _ = FIRST_PORT.set(first.expect("there are free ports"));
+    net
+}
+
+/// Ends the nodes and removes the temporary folder if this process ends before it has done so itself.
+pub struct Guard(Mutex<Child>);
+
+static GUARD: OnceLock<Guard> = OnceLock::new();
+
+impl Guard {
+    pub fn start(dir: &Path) {
+        let script = "trap '' TERM INT HUP; nodes=' '; while read -r what id; do \
+                      case $what in add) nodes=\"$nodes$id \";; \
+                      end) nodes=$(echo \"$nodes\" | sed \"s/ $id / /\");; done) exit;; esac; done; \
+                      for id in $nodes; do kill -KILL $id; done; rm -rf -- \"$1\"";
+        let guard = Command::new("sh")
+            .args(["-c", script, "guard"])
+            .arg(dir)
+            .stdin(Stdio::piped())
+            .spawn()
+            .expect("a shell starts");
+        let _ = GUARD.set(Guard(Mutex::new(guard)));
+    }
+
+    /// Tells the guard of a node that was started (`add`), that is being ended (`end`), or that all is
+    /// done.
+    fn tell(line: &str) {
+        if let Some(guard) = GUARD.get() {
+            if let Some(input) = &mut guard.0.lock().unwrap().stdin {
+                let _ = writeln!(input, "{line}");
+            }
+        }
+    }
+
+    pub fn end() {
+        Self::tell("done 0");
+        if let Some(guard) = GUARD.get() {
+            let _ = guard.0.lock().unwrap().wait();
+        }
+    }
 }
 
 pub struct Site {
@@ -543,7 +614,10 @@
     /// Starts the store and the back ends.
     pub fn start(spec: SiteSpec<'_>, machines: &[MachineSpec<'_>]) -> Self {
         let mut site = Site {
-            store: Store::start(&format!("{}.200:8309", spec.net), spec.keep),
+            store: Store::start(
+                &address_of(&format!("{}.200", spec.net), STORE_PORT),
+                spec.keep,
+            ),
             machines: Vec::new(),
             dir: spec.dir.to_owned(),
             net: spec.net,
@@ -623,7 +697,7 @@
         let until = Instant::now() + limit;
         for machine in &self.machines {
             loop {
-                let address = format!("{}:{READY_PORT}", machine.ip);
+                let address = address_of(&machine.ip, READY_PORT);
                 let ready = call(
                     &address,
                     "GET",
@@ -661,16 +735,17 @@
         set("region", self.region.clone());
         set("zone", self.zone.clone());
         set("ip", ip.clone());
-        set("internalPorts.0", PEER_PORT.to_string());
-        set("internalPorts.1", METRICS_PORT.to_string());
-        set("listen.inbound", format!("{ip}:{CALL_PORT}"));
-        set("listen.outbound", format!("{ip}:{OUTBOUND_PORT}"));
-        set("listen.ready", format!("{ip}:{READY_PORT}"));
-        set("listen.control", format!("{ip}:{CONTROL_PORT}"));
+        let first_port = FIRST_PORT.get().expect("the ports are chosen first");
+        set("internalPorts.0", (first_port + PEER_PORT).to_string());
+        set("internalPorts.1", (first_port + METRICS_PORT).to_string());
+        set("listen.inbound", address_of(ip, CALL_PORT));
+        set("listen.outbound", address_of(ip, OUTBOUND_PORT));
+        set("listen.ready", address_of(ip, READY_PORT));
+        set("listen.control", address_of(ip, CONTROL_PORT));
         set("platform.address", store.to_owned());
         set("platform.keep", format!("{}s", self.keep.as_secs()));
         set("service", self.service.clone());
-        set("appAddr", format!("{ip}:{APP_PORT}"));
+        set("appAddr", address_of(ip, APP_PORT));
         set("heartbeatInterval", "1500ms".to_owned());
         set("seeds", String::new());
         set("firstStart", first_start.to_string());
@@ -698,12 +773,14 @@
             .stderr(log)
             .spawn()
             .expect("the node starts");
+        Guard::tell(&format!("add {}", child.id()));
         self.node = Some(child);
     }
 
     pub fn kill_node(&mut self) {
         if let Some(mut node) = self.node.take() {
             let _ = node.kill();
+            Guard::tell(&format!("end {}", node.id()));
             let _ = node.wait();
         }
     }
@@ -714,18 +791,18 @@
     }
 
     pub fn outbound(&self) -> String {
-        format!("{}:{OUTBOUND_PORT}", self.ip)
+        address_of(&self.ip, OUTBOUND_PORT)
     }
 
     pub fn control(&self) -> String {
-        format!("{}:{CONTROL_PORT}", self.ip)
+        address_of(&self.ip, CONTROL_PORT)
     }
 }
 
 /// Starts a back end. When it crashes, its connections end, and it starts again under another id.
 fn start_backend(state: &Arc<BackendState>, ip: &str, work_ms: u64) {
     let state = Arc::clone(state);
-    let address = format!("{ip}:{APP_PORT}");
+    let address = address_of(ip, APP_PORT);
     let mut listener = TcpListener::bind(&address).unwrap_or_else(|e| panic!("{address}: {e}"));
     thread::spawn(move || loop {
         let handled = Arc::clone(&state);
@@ -875,7 +952,7 @@
             let born_ms = state.born_ms.load(Ordering::Relaxed);
             let body = beat_body(
                 &service,
-                &format!("{ip}:{APP_PORT}"),
+                &address_of(&ip, APP_PORT),
                 &zone,
                 word,
                 sequence,
@@ -883,7 +960,7 @@
             );
             let path = format!("/instances/{}/heartbeat", state.instance.lock().unwrap());
             let headers = [("Content-Type", "application/json")];
-            let control = format!("{ip}:{CONTROL_PORT}");
+            let control = address_of(&ip, CONTROL_PORT);
             let sent = call(
                 &control,
                 "POST",
