Requests without a key: judge by what the target runs, not by the form of the id

Cause: a nested call was told by a dot in its id, which no page promises. Without one it was taken for a client's request and refused for want of a key; with one that named no running call, with 503.

Change: an id that names a running call still tells the parent. Without, the calls that the target runs decide (`figway_admission::ParentSearch`): a request that expires no later than one of them may be nested, and passes for no customer, with the rank of the least urgent of them, and expires with the last. 503 if it outlives them all, 401 if the target runs nothing. A node that may have lost calls in a restart lets requests without a key pass for 10 s, as before, but whatever their ids; one that starts with all others for the first time has lost none. `figway_keyless_requests{parent}` counts each decision. `figway explain` shows the ids of nested calls whatever their form.

Ruled out: to match the deadlines of the request and the run.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -9,6 +9,7 @@
 mod customer_throttle;
 mod estimate;
 mod pacer;
+mod parents;
 mod quarantine;
 mod retry_budget;
 mod run_book;
@@ -41,6 +42,11 @@
     SurvivalReport, //
 };
 pub use customer_throttle::CustomerThrottle;
+pub use parents::{
+    OpenCall,
+    ParentSearch,
+    PossibleParents, //
+};
 pub use quarantine::Quarantine;
 pub use retry_budget::RetryBudget;
 pub use run_book::{
--- /dev/null
+++ b/crates/admission/src/parents.rs
@@ -0,0 +1,81 @@
+//! Search for the parent of a request that may be nested, among the calls that the local target runs.
+//!
+//! A target that runs a call may make requests of its own. They state neither who makes them nor for which
+//! call, but they expire no later than it.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// Longest time that a nested request takes from the target to its node. The request states how long it
+/// may take, so that its deadline, as its node reads it, is later by this time.
+const NESTED_DELAY_MAX: Duration = Duration::from_millis(100);
+
+/// Call that the local target runs, or may still run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenCall {
+    /// Deadline of the call.
+    pub deadline: Instant,
+    /// Rank of the call in queues; 0 is served first.
+    pub rank: u32,
+    /// Whether the call is a retry or a hedge.
+    pub is_repeat: bool,
+}
+
+/// Calls of which one may be the parent of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PossibleParents {
+    /// Latest deadline of the calls.
+    pub deadline: Instant,
+    /// Rank of the least urgent of the calls.
+    pub rank: u32,
+    /// Share of the calls that are retries or hedges.
+    pub repeat_ratio: f64,
+}
+
+/// Result of the search for the parent of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ParentSearch {
+    /// The target runs nothing.
+    Idle,
+    /// The request expires after all calls that the target runs.
+    Outlived,
+    /// The request may be nested in one of these calls.
+    Possible(PossibleParents),
+}
+
+impl ParentSearch {
+    /// Searches `open_calls` for those in which a request with the deadline may be nested. One that states
+    /// no deadline may be nested in any.
+    pub fn among(
+        open_calls: impl Iterator<Item = OpenCall>,
+        request_deadline: Option<Instant>,
+    ) -> Self {
+        let mut found = ParentSearch::Idle;
+        let mut possible_count = 0;
+        let mut repeat_count = 0;
+        for call in open_calls {
+            let is_outlived = request_deadline
+                .is_some_and(|deadline| deadline > call.deadline + NESTED_DELAY_MAX);
+            if is_outlived {
+                if found == ParentSearch::Idle {
+                    found = ParentSearch::Outlived;
+                }
+                continue;
+            }
+            possible_count += 1;
+            repeat_count += u32::from(call.is_repeat);
+            let (deadline, rank) = match found {
+                ParentSearch::Possible(others) => (others.deadline, others.rank),
+                ParentSearch::Idle | ParentSearch::Outlived => (call.deadline, call.rank),
+            };
+            found = ParentSearch::Possible(PossibleParents {
+                deadline: deadline.max(call.deadline),
+                rank: rank.max(call.rank),
+                repeat_ratio: f64::from(repeat_count) / f64::from(possible_count),
+            });
+        }
+        found
+    }
+}
--- a/crates/customers/src/identify.rs
+++ b/crates/customers/src/identify.rs
@@ -18,18 +18,18 @@
     Invalid,
 }
 
-/// The call during which the local target made a request, as far as the request names one.
+/// The call during which the local target made a request, as far as it is known.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Parent {
-    /// The request names no call.
+    /// There is none: the local target runs no call.
     None,
-    /// The local target runs the named call, which belongs to the customer, if to any.
+    /// The request names a call that the local target runs, which belongs to the customer, if to any.
     Running(Option<Arc<str>>),
-    /// The request names a call that this node does not know.
-    Unknown {
-        /// Whether the node may have lost its knowledge of running calls in a restart.
-        restarted: bool,
-    },
+    /// The local target runs, or may run, calls in which the request can be nested. Which of them it is,
+    /// and whether the request is nested at all, is not known.
+    Possible,
+    /// The local target runs calls, but the request outlives all of them.
+    Outlived,
 }
 
 /// Result of the identification.
@@ -46,7 +46,7 @@
     },
     /// The request must be refused.
     Unauthorized(KeyRefusal),
-    /// The request is made during a call that this node does not know, and may not run.
+    /// The request may run only if it is nested, which is improbable.
     Orphaned,
 }
 
@@ -73,8 +73,9 @@
         Credentials::Invalid => Identity::Unauthorized(KeyRefusal::Malformed),
         Credentials::Absent => match parent {
             Parent::Running(Some(name)) => return Identity::Customer { name, key: None },
-            Parent::Running(None) | Parent::Unknown { restarted: true } => Identity::Anonymous,
-            Parent::Unknown { restarted: false } => Identity::Orphaned,
+            // Nobody is named by a guess.
+            Parent::Running(None) | Parent::Possible => Identity::Anonymous,
+            Parent::Outlived => Identity::Orphaned,
             Parent::None => Identity::Unauthorized(KeyRefusal::Missing),
         },
     };
--- a/crates/dataplane/src/builder.rs
+++ b/crates/dataplane/src/builder.rs
@@ -40,6 +40,9 @@
 use crate::target_watch::TargetWatch;
 use crate::trace::LogBudget;
 
+/// Time after the node's start within which calls end that the target began before it.
+const LOST_CALL_MAX: Duration = Duration::from_secs(10);
+
 /// Builds the data plane of one node.
 pub struct DataPlaneBuilder {
     mesh: Arc<Mesh>,
@@ -56,6 +59,7 @@
     transit_prices: TransitPrices,
     grace: Option<Duration>,
     memory: MemoryBudget,
+    first_start: bool,
 }
 
 impl DataPlaneBuilder {
@@ -76,6 +80,7 @@
             transit_prices: TransitPrices::default(),
             grace: None,
             memory: MemoryBudget::unlimited(),
+            first_start: false,
         }
     }
 
@@ -153,6 +158,12 @@
         self
     }
 
+    /// Sets whether all nodes of the mesh start for the first time, so that targets run nothing yet.
+    pub fn first_start(mut self, first_start: bool) -> Self {
+        self.first_start = first_start;
+        self
+    }
+
     /// Builds the data plane and registers its outcomes with the control plane.
     pub fn build(self) -> Arc<DataPlane> {
         let outcomes = Arc::new(KeyedOutcomes::new(self.remember_ms));
@@ -186,7 +197,7 @@
             default_profile: self.default_profile,
             transit_prices: self.transit_prices,
             grace: self.grace,
-            started_at: Instant::now(),
+            lost_calls_until: (!self.first_start).then(|| Instant::now() + LOST_CALL_MAX),
             mesh: self.mesh,
         })
     }
--- a/crates/dataplane/src/caller.rs
+++ b/crates/dataplane/src/caller.rs
@@ -2,16 +2,15 @@
 //! change while a call waits.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use figway_admission::ShareHolder;
 use figway_control::View;
 use figway_customers::{
     identify,
+    Credentials,
     Identity,
     KeyDigest,
-    KeyTag,
-    Parent, //
+    KeyTag, //
 };
 use figway_profile::{
     Route,
@@ -20,9 +19,12 @@
 use figway_types::NotRunReason;
 
 use crate::call::AdmissionRequest;
+use crate::parent::{
+    ParentCall,
+    ParentEvidence, //
+};
 use crate::plane::DataPlane;
 use crate::proxy::Incoming;
-use crate::running_calls::RunningCall;
 
 /// Caller of a request that is accepted.
 pub(crate) struct IdentifiedCaller {
@@ -30,8 +32,8 @@
     pub(crate) customer: Option<Arc<str>>,
     /// Digest of the key that identifies the customer.
     pub(crate) key: Option<KeyDigest>,
-    /// Call of the local target in which the request is nested.
-    pub(crate) parent_call: Option<RunningCall>,
+    /// Call of the local target in which the request is taken to be nested.
+    pub(crate) parent_call: Option<ParentCall>,
 }
 
 /// Identifies the customer of a request.
@@ -45,18 +47,35 @@
     incoming: &Incoming<'_>,
     route: &Route,
 ) -> Result<IdentifiedCaller, NotRunReason> {
-    let named_call = plane.parent_call(incoming.request_id);
-    let parent = parent_of(plane, incoming.request_id, named_call.as_ref());
     let credentials = plane.interface.credentials(incoming.request);
     let customers = view.routes.customers.as_deref();
-    let (customer, key) = match identify(customers, credentials, route.anonymous, parent) {
+    let needs_key = customers.is_some() && !route.anonymous;
+    let evidence = match plane.named_parent(incoming.request_id) {
+        Some(call) => ParentEvidence::Named(call),
+        None if needs_key && credentials == Credentials::Absent => plane.find_parent(incoming),
+        None => ParentEvidence::None,
+    };
+    if needs_key && credentials == Credentials::Absent {
+        plane.metrics.count_keyless(evidence.name());
+    }
+    let (customer, key) = match identify(
+        customers,
+        credentials,
+        route.anonymous,
+        evidence.to_parent(),
+    ) {
         Identity::Anonymous => (None, None),
         Identity::Customer { name, key } => (Some(name), key),
         Identity::Unauthorized(why) => return Err(NotRunReason::Unauthorized(why)),
         Identity::Orphaned => return Err(NotRunReason::UnknownParent),
     };
-    // A caller with a key may use any id, so that its request is not taken for a nested one.
-    let parent_call = named_call.filter(|_| key.is_none());
+    let parent_call = match evidence {
+        // A caller with a key may use any id, so that its request is not taken for a nested one.
+        _ if key.is_some() => None,
+        ParentEvidence::Named(call) => Some(ParentCall::Named(call)),
+        ParentEvidence::OneOf(calls) => Some(ParentCall::OneOf(calls)),
+        ParentEvidence::Lost | ParentEvidence::Outlived | ParentEvidence::None => None,
+    };
     Ok(IdentifiedCaller {
         customer,
         key,
@@ -64,17 +83,6 @@
     })
 }
 
-/// Returns the call during which the local target made the request, as far as the request names one.
-fn parent_of(plane: &DataPlane, request_id: &str, running: Option<&RunningCall>) -> Parent {
-    match running {
-        Some(running) => Parent::Running(running.customer.clone()),
-        None if plane.interface.parent_id(request_id).is_none() => Parent::None,
-        None => Parent::Unknown {
-            restarted: plane.may_have_lost_calls(),
-        },
-    }
-}
-
 /// Customer of a call, and how it was identified.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Caller<'a> {
@@ -155,20 +163,6 @@
 }
 
 impl DataPlane {
-    /// Returns the call that the local target was running when it made the request, or `None` if the
-    /// request does not name a running call. Of several such calls it is the innermost.
-    pub(crate) fn parent_call(&self, request_id: &str) -> Option<RunningCall> {
-        let now = Instant::now();
-        let mut id = request_id;
-        while let Some(parent_id) = self.interface.parent_id(id) {
-            if let Some(parent) = self.running.get(parent_id, now) {
-                return Some(parent);
-            }
-            id = parent_id;
-        }
-        None
-    }
-
     /// Returns whether the key of a call was removed, by the routes in force, after the caller's node
     /// identified it. A node with older routes than that one accepts the key.
     pub(crate) fn refuses_key(&self, call: &AdmissionRequest<'_>) -> bool {
--- a/crates/dataplane/src/interface.rs
+++ b/crates/dataplane/src/interface.rs
@@ -102,7 +102,7 @@
     fn request_id<'a>(&self, request: &'a Request) -> Option<&'a str>;
 
     /// Returns the id of the call that a target was running when it made a request with this id, if the
-    /// id names one.
+    /// id has the form of one that names a call. Targets need not use that form, and others may.
     fn parent_id<'a>(&self, request_id: &'a str) -> Option<&'a str>;
 
     /// Returns the credentials of the request.
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -30,6 +30,7 @@
 mod offers;
 mod operator;
 mod overload;
+mod parent;
 mod peer_targets;
 mod peers;
 mod pick;
--- a/crates/dataplane/src/metrics.rs
+++ b/crates/dataplane/src/metrics.rs
@@ -68,6 +68,14 @@
             .send();
     }
 
+    /// Counts a request that carries no key though its route needs one, by what is known of its parent.
+    pub(crate) fn count_keyless(&self, parent: &str) {
+        self.client
+            .count_with_tags("keyless_requests", 1)
+            .with_tag("parent", parent)
+            .send();
+    }
+
     /// Increments a counter.
     pub(crate) fn count(&self, name: &str) {
         self.count_by(name, 1);
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -89,10 +89,6 @@
 /// up after 1 s.
 const KEEP_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Time after the node's start for which requests that name an unknown parent are let through. Calls that
-/// the target began before end within it.
-const LOST_CALL_MAX: Duration = Duration::from_secs(10);
-
 /// Period at which a drain checks for calls in flight.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -127,7 +123,9 @@
     pub(crate) default_profile: Profile,
     pub(crate) transit_prices: TransitPrices,
     pub(crate) grace: Option<Duration>,
-    pub(crate) started_at: Instant,
+    /// Time until which the target may run calls that it began before this node started, if there can be
+    /// any.
+    pub(crate) lost_calls_until: Option<Instant>,
 }
 
 impl DataPlane {
@@ -165,11 +163,6 @@
         named.is_some_and(|named| named.route.may_repeat())
     }
 
-    /// Returns whether the target may still run calls that it began before this node started.
-    pub(crate) fn may_have_lost_calls(&self) -> bool {
-        self.started_at.elapsed() < LOST_CALL_MAX
-    }
-
     /// Returns the service of this host, which is recorded as the origin of its callers' calls.
     pub(crate) fn origin(&self) -> String {
         self.origin.lock().expect("no holder panics").clone()
--- a/crates/dataplane/src/routed.rs
+++ b/crates/dataplane/src/routed.rs
@@ -10,7 +10,6 @@
 
 use crate::attempts::is_overload_refusal;
 use crate::call::{
-    AttemptKind,
     Outcome,
     Rule, //
 };
@@ -30,11 +29,7 @@
     Incoming,
     ServedCall, //
 };
-use crate::rank::{
-    nested_rank_of,
-    rank_of, //
-};
-use crate::running_calls::RunningCall;
+use crate::rank::rank_of;
 use crate::worker::Worker;
 
 /// Serves a call addressed to a host, by the route table.
@@ -112,18 +107,18 @@
     let mut incoming = *incoming;
     let parent = caller.parent_call.as_ref();
     if let Some(parent) = parent {
-        rule.rank = nested_rank_of(&view.routes, parent.rank);
+        rule.rank = parent.nested_rank(&view.routes);
         // The parent's run waits for the answer, so the route's own prompt time does not apply.
         rule.prompt_ms = Some(route.budget_ms);
         if customers.is_some() {
-            let deadline = incoming.deadline.unwrap_or(parent.deadline);
-            incoming.deadline = Some(deadline.min(parent.deadline));
+            let expires_at = parent.deadline();
+            incoming.deadline = Some(incoming.deadline.unwrap_or(expires_at).min(expires_at));
         }
     }
     let properties = CallProperties {
         budget_ms: route.budget_ms,
         key: None,
-        parent_is_repeat: parent.is_some_and(is_repeat),
+        parent_is_repeat: parent.is_some_and(|parent| parent.is_repeat(plane.mesh.random_ratio())),
         caller: Caller {
             customer: caller.customer.as_deref(),
             key: caller.key,
@@ -140,10 +135,6 @@
     served
 }
 
-fn is_repeat(parent: &RunningCall) -> bool {
-    parent.attempt_kind != AttemptKind::First
-}
-
 /// Returns the headers of the caller that are forwarded, without credentials if there are customers.
 fn onward_headers(worker: &Worker, incoming: &Incoming<'_>, has_customers: bool) -> Headers {
     let interface = worker.plane.interface.as_ref();
--- a/crates/dataplane/src/running_calls.rs
+++ b/crates/dataplane/src/running_calls.rs
@@ -11,7 +11,11 @@
 };
 use std::time::Instant;
 
-use figway_admission::GIVEN_UP_TTL;
+use figway_admission::{
+    OpenCall,
+    ParentSearch,
+    GIVEN_UP_TTL, //
+};
 use figway_types::FastMap;
 
 use crate::call::{
@@ -26,7 +30,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RunningCall {
     /// Kind of the attempt that made the target run the call.
-    pub(crate) attempt_kind: AttemptKind,
+    attempt_kind: AttemptKind,
     /// Customer to whom the call belongs, if any.
     pub(crate) customer: Option<Arc<str>>,
     /// Rank of the call in queues, from which those of its nested calls follow.
@@ -45,6 +49,11 @@
         self.nested_refused.store(true, Ordering::Relaxed);
     }
 
+    /// Returns whether the call is a retry or a hedge.
+    pub(crate) fn is_repeat(&self) -> bool {
+        self.attempt_kind != AttemptKind::First
+    }
+
     fn is_over(&self, now: Instant) -> bool {
         self.given_up_until.is_some_and(|until| until <= now)
     }
@@ -130,6 +139,23 @@
         found.cloned()
     }
 
+    /// Searches for the calls in which a request that names none of them may be nested.
+    pub(crate) fn find_parents(
+        &self,
+        request_deadline: Option<Instant>,
+        now: Instant,
+    ) -> ParentSearch {
+        let inner = self.lock();
+        let calls = inner.by_id.values().flatten();
+        let open_calls = calls.filter(|call| !call.is_over(now));
+        let open_calls = open_calls.map(|call| OpenCall {
+            deadline: call.deadline,
+            rank: call.rank,
+            is_repeat: call.is_repeat(),
+        });
+        ParentSearch::among(open_calls, request_deadline)
+    }
+
     /// Records that the target ended the call, or that it was given up.
     fn end(&self, guard: &RunningGuard<'_>, now: Instant) {
         let mut inner = self.lock();
--- a/crates/figway/src/cmd/explain.rs
+++ b/crates/figway/src/cmd/explain.rs
@@ -83,17 +83,17 @@
                     .iter()
                     .any(|request_line| request_line.node == line.node);
             if is_about(line, &self.request) {
-                println!("  {}", format_line(line));
+                println!("  {}", format_line(line, &self.request));
             } else if is_context {
-                println!("    ({})", format_line(line));
+                println!("    ({})", format_line(line, &self.request));
             }
         }
         Ok(ExitCode::SUCCESS)
     }
 }
 
-/// Returns whether the line is about `request` or about a call that a target made to serve it. The
-/// id of such a call is the id of the request, a dot and a suffix.
+/// Returns whether the line is about `request` or about a call that a target made to serve it and whose
+/// id is the id of the request, a dot and a suffix. Nested calls with other ids can't be told.
 fn is_about(line: &Line, request: &str) -> bool {
     let Some(line_request) = line.value["request"].as_str() else {
         return false;
@@ -128,11 +128,12 @@
     Ok(())
 }
 
-fn format_line(line: &Line) -> String {
+/// Returns the line as text. It names its request if that is another than `shown`.
+fn format_line(line: &Line, shown: &str) -> String {
     let event = line.value["event"].as_str().unwrap_or("?");
     let mut text = format!("{} {} {event}", line.at_ms, line.node);
     if let Some(request) = line.value["request"].as_str() {
-        if request.contains('.') {
+        if request != shown {
             text.push_str(&format!(" request={request}"));
         }
     }
--- a/crates/figway/src/data_plane.rs
+++ b/crates/figway/src/data_plane.rs
@@ -72,6 +72,7 @@
         .interface(Box::new(PlatformInterface))
         .origin(&platform.service)
         .target_address(&platform.target_address)
+        .first_start(platform.first_start)
         .default_profile(profile);
     if let Some(every_ms) = parse_duration_ms(&platform.announce_every) {
         builder = builder.announce_every(Duration::from_millis(every_ms));
--- a/crates/testbed/src/site/mod.rs
+++ b/crates/testbed/src/site/mod.rs
@@ -47,6 +47,9 @@
 /// Memory that each node may take, in megabytes.
 pub const MEMORY_MAX_MB: u64 = 110;
 
+/// Line of the settings of nodes that start for the first time, with all others.
+const FIRST_START_LINE: &str = "  first_start: true\n";
+
 /// Serves `handler` on a free loopback port. Returns the address, and a sender that controls the
 /// phase of the server.
 ///
@@ -85,6 +88,8 @@
     pub metrics_address: String,
     settings_path: PathBuf,
     log_path: PathBuf,
+    /// Whether the node was started before.
+    has_run: bool,
     _ports: ReservedPorts,
 }
 
@@ -95,6 +100,12 @@
     ///
     /// The process can't be started or ends before it is ready.
     pub fn start_node(&mut self) -> anyhow::Result<()> {
+        if self.has_run {
+            let settings = std::fs::read_to_string(&self.settings_path)?;
+            let settings = settings.replace(FIRST_START_LINE, "");
+            std::fs::write(&self.settings_path, settings)?;
+        }
+        self.has_run = true;
         let settings = self.settings_path.display().to_string();
         let args = ["node", "--settings", settings.as_str()];
         self.node = Some(Process::start(
@@ -152,6 +163,31 @@
         name: &str,
         host_count: usize,
         link_mbps: u32,
+    ) -> anyhow::Result<Self> {
+        let settings = HostSettings {
+            link_mbps,
+            ..HostSettings::default()
+        };
+        Self::start_with(name, host_count, settings).await
+    }
+
+    /// Starts a site as [`Site::start`] does, whose settings state that all nodes start for the first time.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Site::start`].
+    pub async fn start_first(name: &str, host_count: usize) -> anyhow::Result<Self> {
+        let settings = HostSettings {
+            first_start: true,
+            ..HostSettings::default()
+        };
+        Self::start_with(name, host_count, settings).await
+    }
+
+    async fn start_with(
+        name: &str,
+        host_count: usize,
+        settings: HostSettings<'_>,
     ) -> anyhow::Result<Self> {
         let folder =
             std::env::temp_dir().join(format!("figway-site-{name}-{}", std::process::id()));
@@ -160,24 +196,13 @@
         store.publish(&config(1, "/reads/"));
         let mut hosts = Vec::new();
         for index in 0..host_count {
-            hosts.push(
-                start_host(
-                    &folder,
-                    &store,
-                    index,
-                    HostSettings {
-                        link_mbps,
-                        version: "v1",
-                    },
-                )
-                .await?,
-            );
+            hosts.push(start_host(&folder, &store, index, settings).await?);
         }
         Ok(Self {
             folder,
             store,
             hosts,
-            link_mbps,
+            link_mbps: settings.link_mbps,
         })
     }
 
@@ -200,6 +225,7 @@
         let settings = HostSettings {
             link_mbps: self.link_mbps,
             version,
+            ..HostSettings::default()
         };
         let host = start_host(&self.folder, &self.store, index, settings).await?;
         self.hosts.push(host);
@@ -219,6 +245,18 @@
     link_mbps: u32,
     /// Version of the back end.
     version: &'a str,
+    /// Whether the settings state that all nodes start for the first time.
+    first_start: bool,
+}
+
+impl Default for HostSettings<'_> {
+    fn default() -> Self {
+        Self {
+            link_mbps: 0,
+            version: "v1",
+            first_start: false,
+        }
+    }
 }
 
 async fn start_host(
@@ -227,7 +265,12 @@
     index: usize,
     host_settings: HostSettings<'_>,
 ) -> anyhow::Result<Host> {
-    let HostSettings { link_mbps, version } = host_settings;
+    let HostSettings {
+        link_mbps,
+        version,
+        first_start,
+    } = host_settings;
+    let first_start_line = if first_start { FIRST_START_LINE } else { "" };
     let service = if index.is_multiple_of(2) {
         READS
     } else {
@@ -252,7 +295,7 @@
          platform:\n  callers: 127.0.0.1:{callers}\n  ready: 127.0.0.1:{ready}\n  \
          announcements: 127.0.0.1:{announcements}\n  store: {store}\n  service: {service}\n  \
          target: {target}\n  announce_every: 500ms\n  keep: 300s\n  grace: 6s\n  \
-         retry_ratio: 0.2\n  retry_burst_count: 20\n  link_mbps: {link_mbps}\n\
+         retry_ratio: 0.2\n  retry_burst_count: 20\n  link_mbps: {link_mbps}\n{first_start_line}\
          calls:\n  body_max_bytes: 16777216\n  memory_max_mb: {MEMORY_MAX_MB}\nmetrics:\n  address: 127.0.0.1:{metrics}\n",
         store = store_link.address,
         target = wire.address,
@@ -271,6 +314,7 @@
         readiness_address: format!("127.0.0.1:{ready}"),
         metrics_address: format!("127.0.0.1:{metrics}"),
         settings_path,
+        has_run: false,
         _ports: ports,
     };
     host.start_node()?;
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -15,7 +15,7 @@
     NoService,
     /// The credentials of the request identify no customer.
     Unauthorized(KeyRefusal),
-    /// The request names a running call that this node does not know.
+    /// The request has no key, and outlives all calls in which it could be nested.
     UnknownParent,
     /// The customer is over its rate limit.
     CustomerLimited,
