Heartbeats: believe the settings' service alone, and give a run that goes on its place back

Cause: the service of a heartbeat was not compared with that of the settings, and its later start made its run the target for good; the real back end's heartbeats were dropped as late ones, with 200.

Change: a heartbeat names the service and the address of the settings, or gets 400 before anything is done with it. The order of announcements, now `figway_membership::AnnouncementOrder`, has a way back: an earlier run is the target again if the later one is lost and the earlier one announces itself twice. `heartbeat refused` is logged once a minute for each reason, ignored heartbeats of a run that goes on are a warning, and `figway_announcements{outcome}` counts all.

Ruled out: a bound on starts by the clock, since clocks step; a health check before each new run, since the first request, answered with 421, tells the same.

Also: retries among the runs that may have made an unnamed nested call are weighed without given-up runs while there are others.

--- a/crates/admission/src/parents.rs
+++ b/crates/admission/src/parents.rs
@@ -21,6 +21,8 @@
     pub rank: u32,
     /// Whether the call is a retry or a hedge.
     pub is_repeat: bool,
+    /// Whether the call was given up, so that most targets have stopped it.
+    pub is_given_up: bool,
 }
 
 /// Calls of which one may be the parent of a request.
@@ -30,7 +32,8 @@
     pub deadline: Instant,
     /// Rank of the least urgent of the calls.
     pub rank: u32,
-    /// Share of the calls that are retries or hedges.
+    /// Share of the calls that are retries or hedges. Calls that were given up count only if there are no
+    /// others.
     pub repeat_ratio: f64,
 }
 
@@ -45,6 +48,25 @@
     Possible(PossibleParents),
 }
 
+/// Number of calls, and how many of them are retries or hedges.
+#[derive(Clone, Copy, Debug, Default)]
+struct RepeatCount {
+    call_count: u32,
+    repeat_count: u32,
+}
+
+impl RepeatCount {
+    fn add(&mut self, is_repeat: bool) {
+        self.call_count += 1;
+        self.repeat_count += u32::from(is_repeat);
+    }
+
+    /// Returns the share of retries and hedges, or `None` without calls.
+    fn ratio(self) -> Option<f64> {
+        (self.call_count > 0).then(|| f64::from(self.repeat_count) / f64::from(self.call_count))
+    }
+}
+
 impl ParentSearch {
     /// Searches `open_calls` for those in which a request with the deadline may be nested. One that states
     /// no deadline may be nested in any.
@@ -53,8 +75,8 @@
         request_deadline: Option<Instant>,
     ) -> Self {
         let mut found = ParentSearch::Idle;
-        let mut possible_count = 0;
-        let mut repeat_count = 0;
+        let mut live = RepeatCount::default();
+        let mut given_up = RepeatCount::default();
         for call in open_calls {
             let is_outlived = request_deadline
                 .is_some_and(|deadline| deadline > call.deadline + NESTED_DELAY_MAX);
@@ -64,8 +86,12 @@
                 }
                 continue;
             }
-            possible_count += 1;
-            repeat_count += u32::from(call.is_repeat);
+            let counted = if call.is_given_up {
+                &mut given_up
+            } else {
+                &mut live
+            };
+            counted.add(call.is_repeat);
             let (deadline, rank) = match found {
                 ParentSearch::Possible(others) => (others.deadline, others.rank),
                 ParentSearch::Idle | ParentSearch::Outlived => (call.deadline, call.rank),
@@ -73,7 +99,7 @@
             found = ParentSearch::Possible(PossibleParents {
                 deadline: deadline.max(call.deadline),
                 rank: rank.max(call.rank),
-                repeat_ratio: f64::from(repeat_count) / f64::from(possible_count),
+                repeat_ratio: live.ratio().or(given_up.ratio()).unwrap_or(0.0),
             });
         }
         found
--- a/crates/admission/tests/parents.rs
+++ b/crates/admission/tests/parents.rs
@@ -18,6 +18,7 @@
         deadline,
         rank,
         is_repeat,
+        is_given_up: false,
     }
 }
 
@@ -61,6 +62,28 @@
     }
 }
 
+/// Guards against a retry that is not counted as one since others of its target were given up, and against
+/// one that is, though its target has long dropped it.
+#[test]
+fn calls_that_were_given_up_count_as_repeats_only_without_others() {
+    let deadline = Instant::now() + Duration::from_millis(500);
+    let given_up = |is_repeat| OpenCall {
+        is_given_up: true,
+        ..open_call(deadline, 0, is_repeat)
+    };
+    let live = |is_repeat| open_call(deadline, 0, is_repeat);
+    for (calls, expected) in [
+        (vec![given_up(false), given_up(false), live(true)], 1.0),
+        (vec![live(false), given_up(true)], 0.0),
+        (vec![given_up(true), given_up(false)], 0.5),
+    ] {
+        let ParentSearch::Possible(found) = ParentSearch::among(calls.into_iter(), None) else {
+            panic!("a call may be the parent");
+        };
+        assert_eq!(found.repeat_ratio, expected);
+    }
+}
+
 proptest! {
     #![proptest_config(fixed_seed_config(53, 256))]
 
--- a/crates/dataplane/src/builder.rs
+++ b/crates/dataplane/src/builder.rs
@@ -34,6 +34,7 @@
 use crate::overload::OverloadState;
 use crate::peer_targets::PeerTargets;
 use crate::plane::DataPlane;
+use crate::refusal_log::RefusalLog;
 use crate::retry::RetryState;
 use crate::run_watch::RunWatch;
 use crate::running_calls::RunningCalls;
@@ -108,7 +109,8 @@
         self
     }
 
-    /// Sets the service of this host, which is recorded as the origin of its callers' calls.
+    /// Sets the service of this host, which is recorded as the origin of its callers' calls, and is the
+    /// only one that announcements may name.
     pub fn origin(mut self, origin: &str) -> Self {
         self.origin = origin.to_owned();
         self
@@ -179,6 +181,7 @@
             retries: RetryState::new(self.shared_retry_burst_count),
             run_watch: RunWatch::default(),
             target_watch: TargetWatch::new(self.announce_every),
+            refusal_log: RefusalLog::default(),
             local_target: LocalTarget::default(),
             cold_start: ColdStart::default(),
             peer_targets: PeerTargets::default(),
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -38,6 +38,7 @@
 mod proxy;
 mod rank;
 mod record;
+mod refusal_log;
 mod retry;
 mod routed;
 mod run_log;
--- a/crates/dataplane/src/metrics.rs
+++ b/crates/dataplane/src/metrics.rs
@@ -76,6 +76,14 @@
             .send();
     }
 
+    /// Counts an announcement of the local target, by what became of it.
+    pub(crate) fn count_announcement(&self, outcome: &str) {
+        self.client
+            .count_with_tags("announcements", 1)
+            .with_tag("outcome", outcome)
+            .send();
+    }
+
     /// Increments a counter.
     pub(crate) fn count(&self, name: &str) {
         self.count_by(name, 1);
--- a/crates/dataplane/src/plane.rs
+++ b/crates/dataplane/src/plane.rs
@@ -49,6 +49,7 @@
 use crate::offers::BodyOffers;
 use crate::overload::OverloadState;
 use crate::peer_targets::PeerTargets;
+use crate::refusal_log::RefusalLog;
 use crate::retry::RetryState;
 use crate::run_watch::{
     DoubtCause,
@@ -104,6 +105,7 @@
     pub(crate) offers: BodyOffers,
     pub(crate) run_watch: RunWatch,
     pub(crate) target_watch: TargetWatch,
+    pub(crate) refusal_log: RefusalLog,
     pub(crate) local_target: LocalTarget,
     pub(crate) cold_start: ColdStart,
     pub(crate) peer_targets: PeerTargets,
@@ -190,19 +192,33 @@
     ///
     /// # Errors
     ///
-    /// Why the announcement is not valid: wrong address or no slots.
+    /// Why the announcement is not one of this host's target: another service or address, no slots, or an
+    /// impossible start.
     pub async fn record_announcement(
         &self,
         announcement: &Announcement,
     ) -> Result<AnnounceOutcome, String> {
+        self.check_target(&announcement.target)?;
+        let outcome = self.record_checked_announcement(announcement).await;
+        self.metrics.count_announcement(outcome.name());
+        Ok(outcome)
+    }
+
+    /// Counts a message about the local target that was refused, since another writer sent it. Returns how
+    /// many refusals for the same reason were not logged before, or `None` if this one need not be logged.
+    pub fn record_refused_announcement(&self, why: &str) -> Option<u64> {
+        self.metrics.count_announcement("refused");
+        self.refusal_log.record(why, Instant::now())
+    }
+
+    async fn record_checked_announcement(&self, announcement: &Announcement) -> AnnounceOutcome {
         let kept_until = Instant::now() + KEEP_TIMEOUT;
         let target = &announcement.target;
-        self.check_target(target)?;
         // The run may be ending, which the process before this one knew.
         let needs_knowledge = target.is_identified() && !target.draining;
         if needs_knowledge && !self.mesh.wait_until_informed().await {
             self.target_watch.defer(announcement);
-            return Ok(AnnounceOutcome::Uninformed);
+            return AnnounceOutcome::Uninformed;
         }
         let known_target = self.mesh.members().own().target.clone();
         if known_target.is_none_or(|known| known.instance != target.instance) {
@@ -223,9 +239,9 @@
             }
         }
         if target.draining && !self.is_end_kept(target, kept_until).await {
-            return Ok(AnnounceOutcome::Unconfirmed);
+            return AnnounceOutcome::Unconfirmed;
         }
-        Ok(outcome)
+        outcome
     }
 
     /// Returns whether it is kept by `deadline` that the run of the target is ending, so that the end
@@ -240,6 +256,10 @@
                 return Err(format!("the target of this host is at {expected}"));
             }
         }
+        let service = self.origin();
+        if !service.is_empty() && service != target.service {
+            return Err(format!("the target of this host runs {service}"));
+        }
         if !(1..=SLOT_MAX_COUNT).contains(&target.slot_count) {
             return Err(format!(
                 "a target has 1 to {SLOT_MAX_COUNT} slots, not {}",
--- a/crates/dataplane/src/running_calls.rs
+++ b/crates/dataplane/src/running_calls.rs
@@ -152,6 +152,7 @@
             deadline: call.deadline,
             rank: call.rank,
             is_repeat: call.is_repeat(),
+            is_given_up: call.given_up_until.is_some(),
         });
         ParentSearch::among(open_calls, request_deadline)
     }
--- a/crates/dataplane/src/target_watch.rs
+++ b/crates/dataplane/src/target_watch.rs
@@ -10,6 +10,11 @@
 };
 
 use figway_control::Mesh;
+use figway_membership::{
+    AnnouncementOrder,
+    AnnouncementVerdict,
+    LatestAnnouncement, //
+};
 use figway_types::{
     Announcement,
     RunStage,
@@ -27,6 +32,10 @@
 /// Time after the target began to leave for which queued calls still run on it.
 const LEAVE_QUEUE_MAX: Duration = Duration::from_millis(1_000);
 
+/// Of the announcements of a run that are ignored in a row, one in this many is logged as a warning,
+/// beginning with the second.
+const IGNORED_LOG_ONE_IN: u64 = 32;
+
 /// Result of recording an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnnounceOutcome {
@@ -40,18 +49,10 @@
     Uninformed,
 }
 
-/// Latest accepted announcement.
-#[derive(Clone, Debug, Default)]
-struct LatestAnnouncement {
-    instance: String,
-    started_at_ms: u64,
-    sequence: u64,
-    left: bool,
-}
-
 #[derive(Default)]
 struct WatchState {
-    latest: LatestAnnouncement,
+    order: AnnouncementOrder,
+    /// Time until which the latest run counts as present. `None` if it is lost.
     announced_until: Option<Instant>,
     leaving_since: Option<Instant>,
     /// How often the target was announced while it counted as lost.
@@ -66,6 +67,18 @@
     announce_every: Duration,
 }
 
+impl AnnounceOutcome {
+    /// Returns the name in metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            AnnounceOutcome::Accepted => "accepted",
+            AnnounceOutcome::Stale => "stale",
+            AnnounceOutcome::Unconfirmed => "unconfirmed",
+            AnnounceOutcome::Uninformed => "uninformed",
+        }
+    }
+}
+
 impl TargetWatch {
     /// Creates a watch that expects an announcement every `announce_every`.
     pub(crate) fn new(announce_every: Duration) -> Self {
@@ -91,30 +104,20 @@
         }
         let known_stage = mesh.own_run_stage(target);
         let mut state = self.state.lock().expect("no holder panics");
-        let is_departed = known_stage == Some(RunStage::Departed);
-        if is_departed || !state.latest.is_older_than(announcement) {
-            log::info!(
-                "announcement ignored instance={} started_at_ms={} sequence={} known_instance={} \
-                 known_started_at_ms={} known_sequence={} known_stage={known_stage:?}",
-                target.instance,
-                announcement.target.started_at_ms,
-                announcement.sequence,
-                state.latest.instance,
-                state.latest.started_at_ms,
-                state.latest.sequence,
-            );
+        let is_lost = state.announced_until.is_none();
+        let known = state.order.latest().clone();
+        let verdict = match known_stage {
+            Some(RunStage::Departed) => state.order.ignore(announcement),
+            Some(RunStage::Draining) | None => state.order.place(announcement, is_lost),
+        };
+        log_verdict(verdict, announcement, &known, known_stage);
+        if let AnnouncementVerdict::Ignored { .. } = verdict {
             return AnnounceOutcome::Stale;
         }
         state.run_count += u64::from(state.announced_until.is_none());
         let mut target = target.clone();
         // Announcements may be delayed, so a ready one does not undo what was known of the run.
         target.draining |= known_stage == Some(RunStage::Draining);
-        state.latest = LatestAnnouncement {
-            instance: target.instance.clone(),
-            started_at_ms: announcement.target.started_at_ms,
-            sequence: announcement.sequence,
-            left: false,
-        };
         state.announced_until = Some(now + self.announce_every * MISSED_MAX_COUNT);
         state.leaving_since = match (target.draining, state.leaving_since) {
             (false, _) => None,
@@ -174,23 +177,13 @@
     pub(crate) fn record_departure(&self, mesh: &Mesh, instance: &str, started_at_ms: u64) {
         mesh.end_own_run(instance, started_at_ms, RunStage::Departed);
         let mut state = self.state.lock().expect("no holder panics");
-        let is_other = state.latest.instance != instance && !state.latest.instance.is_empty();
-        let is_earlier = started_at_ms != 0 && started_at_ms < state.latest.started_at_ms;
-        if is_other || is_earlier {
-            log::info!(
-                "departure ignored instance={instance} known_instance={}",
-                state.latest.instance
-            );
+        let Some(known_start_ms) = state.order.leave(instance, started_at_ms) else {
+            let known = &state.order.latest().run.instance;
+            log::info!("departure ignored instance={instance} known_instance={known}");
             return;
-        }
-        state.latest.instance = instance.to_owned();
-        // This node may have started after the target, so the target can leave before it has
-        // announced itself here.
-        state.latest.started_at_ms = state.latest.started_at_ms.max(started_at_ms);
-        state.latest.left = true;
+        };
         state.announced_until = None;
         state.leaving_since.get_or_insert(Instant::now());
-        let known_start_ms = state.latest.started_at_ms;
         drop(state);
         // A departure that names no start is that of the known run.
         mesh.end_own_run(instance, known_start_ms, RunStage::Departed);
@@ -234,25 +227,46 @@
     }
 }
 
-impl LatestAnnouncement {
-    /// Returns whether the announcement is newer than this one. An instance that has left is
-    /// rejected unless its start time is later than the known one.
-    fn is_older_than(&self, announcement: &Announcement) -> bool {
-        let is_same = announcement.target.instance == self.instance;
-        if is_same && self.left && self.started_at_ms == 0 {
-            return false;
-        }
-        if announcement.target.started_at_ms != self.started_at_ms {
-            return announcement.target.started_at_ms > self.started_at_ms;
-        }
-        if announcement.target.started_at_ms == 0 {
-            return true;
-        }
-        if is_same && self.left {
-            return false;
+/// Logs what became of an announcement; `known` is the latest one before it. Of many that are ignored in a
+/// row some are logged.
+fn log_verdict(
+    verdict: AnnouncementVerdict,
+    announcement: &Announcement,
+    known: &LatestAnnouncement,
+    known_stage: Option<RunStage>,
+) {
+    let target = &announcement.target;
+    let count = match verdict {
+        AnnouncementVerdict::Latest => return,
+        AnnouncementVerdict::Overruling => {
+            log::warn!(
+                "target overruled instance={} started_at_ms={} by_instance={} by_started_at_ms={}",
+                known.run.instance,
+                known.run.started_at_ms,
+                target.instance,
+                target.started_at_ms,
+            );
+            return;
         }
-        announcement.sequence > self.sequence
-    }
+        AnnouncementVerdict::Ignored { count } => count,
+    };
+    let level = match count % IGNORED_LOG_ONE_IN {
+        // A target that has left may go on announcing itself for a while.
+        2 if known_stage != Some(RunStage::Departed) => log::Level::Warn,
+        _ if count == 1 => log::Level::Info,
+        _ => log::Level::Debug,
+    };
+    log::log!(
+        level,
+        "announcement ignored instance={} started_at_ms={} sequence={} count={count} \
+         known_instance={} known_started_at_ms={} known_sequence={} known_stage={known_stage:?}",
+        target.instance,
+        target.started_at_ms,
+        announcement.sequence,
+        known.run.instance,
+        known.run.started_at_ms,
+        known.sequence,
+    );
 }
 
 fn set_local_target(mesh: &Mesh, target: Option<&Target>, why: &str) {
--- a/crates/testbed/src/site/backend.rs
+++ b/crates/testbed/src/site/backend.rs
@@ -143,6 +143,11 @@
         Ok(backend)
     }
 
+    /// Returns the service that heartbeats name.
+    pub fn service(&self) -> &str {
+        &self.service
+    }
+
     /// Returns the address on which the back end listens.
     pub fn listen_address(&self) -> String {
         self.listen_address.borrow().clone()
@@ -263,13 +268,18 @@
     /// Sends a heartbeat with the given sequence number and state, such as one that was delayed.
     /// Returns whether the node acknowledged it.
     pub async fn send_heartbeat_of(&self, sequence: u64, draining: bool) -> bool {
-        let body = json!({
+        let body = self.heartbeat(sequence, draining);
+        self.post("heartbeat", &body).await
+    }
+
+    /// Returns the body of a heartbeat with the given sequence number and state.
+    pub fn heartbeat(&self, sequence: u64, draining: bool) -> serde_json::Value {
+        json!({
             "service": self.service, "address": *self.announced_address.borrow(), "zone": self.zone,
             "version": *self.version.borrow(), "slots": 12, "coldLeft": "0ms", "sequence": sequence,
             "state": if draining { "draining" } else { "ready" },
             "born": self.born_ms(),
-        });
-        self.post("heartbeat", &body).await
+        })
     }
 
     fn born_ms(&self) -> u64 {
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -155,6 +155,45 @@
     }
 }
 
+/// Posts a heartbeat as another writer does. Returns the status, or 0 without an answer.
+pub(crate) async fn post_heartbeat(address: &str, instance: &str, body: String) -> u16 {
+    post(address, &format!("/instances/{instance}/heartbeat"), body).await
+}
+
+/// Posts `body`. Returns the status, or 0 without an answer.
+pub(crate) async fn post(address: &str, path: &str, body: String) -> u16 {
+    let client = single_use_client(64 * 1_024);
+    let outbound = OutboundRequest {
+        address,
+        method: "POST",
+        path,
+        headers: &Headers::default(),
+        body: &body.into(),
+        body_bytes_per_s: None,
+        deadline: Instant::now() + Duration::from_secs(2),
+        echo_header: None,
+        idempotent: true,
+    };
+    client
+        .send(&outbound)
+        .await
+        .map_or(0, |answer| answer.status)
+}
+
+/// Sends requests of both services until the back end runs one, and asserts that it does in time.
+pub(crate) async fn assert_gets_work(site: &Site, backend: &Backend, within: Duration) {
+    let before = backend.run_count();
+    let deadline = Instant::now() + within;
+    while backend.run_count() == before {
+        let name = backend.instance_name();
+        assert!(Instant::now() < deadline, "{name} gets no work");
+        for index in 0..site.hosts.len() {
+            site.caller(index).call("GET", "/reads/1").await;
+            site.caller(index).call("POST", "/orders/1").await;
+        }
+    }
+}
+
 /// Returns a client for a single request, whose answer has at most `body_max_bytes` bytes.
 pub(crate) fn single_use_client(body_max_bytes: usize) -> HttpClient {
     HttpClient::new(ClientLimits {
--- a/crates/testbed/tests/odd_entries.rs
+++ b/crates/testbed/tests/odd_entries.rs
@@ -5,26 +5,19 @@
 
 mod common;
 
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::time::Duration;
 
-use figway_http::{
-    Headers,
-    OutboundRequest,
-    Transport as _, //
-};
 use figway_testbed::site::{
     config,
-    Site,
-    READS, //
+    Site, //
 };
 use serde_json::json;
 
 use crate::common::{
+    assert_gets_work,
     assert_served,
-    single_use_client,
+    post,
+    post_heartbeat,
     wait_site_ready, //
 };
 
@@ -34,30 +27,6 @@
 /// Depth of the nested entry.
 const DEEP_COUNT: usize = 20_000;
 
-/// Posts an entry as another writer does. Returns the status, or 0 without an answer.
-async fn post_heartbeat(address: &str, instance: &str, body: String) -> u16 {
-    post(address, &format!("/instances/{instance}/heartbeat"), body).await
-}
-
-async fn post(address: &str, path: &str, body: String) -> u16 {
-    let client = single_use_client(64 * 1_024);
-    let outbound = OutboundRequest {
-        address,
-        method: "POST",
-        path,
-        headers: &Headers::default(),
-        body: &body.into(),
-        body_bytes_per_s: None,
-        deadline: Instant::now() + Duration::from_secs(2),
-        echo_header: None,
-        idempotent: true,
-    };
-    client
-        .send(&outbound)
-        .await
-        .map_or(0, |answer| answer.status)
-}
-
 #[ntex::test]
 async fn an_odd_heartbeat_neither_ends_a_node_nor_takes_its_back_end_away() {
     let mut site = Site::start("odd-heartbeat", 4).await.unwrap();
@@ -65,7 +34,7 @@
     let deep = "[".repeat(DEEP_COUNT) + &"]".repeat(DEEP_COUNT);
     for host in &site.hosts {
         let entry = json!({
-            "service": READS, "address": host.wire.address, "zone": "east", "version": "v1",
+            "service": host.backend.service(), "address": host.wire.address, "zone": "east", "version": "v1",
             "slots": 12, "state": "ready", "coldLeft": "0ms", "sequence": 1,
             "born": 1_700_000_000_000_u64,
         });
@@ -99,21 +68,7 @@
         assert!(!host.node.as_mut().unwrap().has_ended(), "{}", host.name);
     }
     for host in &site.hosts {
-        let before = host.backend.runs().len();
-        for _ in 0..40 {
-            for index in 0..site.hosts.len() {
-                site.caller(index).call("GET", "/reads/1").await;
-                site.caller(index).call("POST", "/orders/1").await;
-            }
-            if host.backend.runs().len() > before {
-                break;
-            }
-        }
-        assert!(
-            host.backend.runs().len() > before,
-            "{} gets no work",
-            host.name
-        );
+        assert_gets_work(&site, &host.backend, GIVEN_UP_AFTER).await;
     }
 }
 
@@ -128,12 +83,7 @@
         let status = post(backend.announce_address(), &path, body).await;
         assert_eq!(status, 400, "{born}");
     }
-    let before = backend.runs().len();
-    let deadline = Instant::now() + GIVEN_UP_AFTER;
-    while backend.runs().len() == before {
-        assert!(Instant::now() < deadline, "the back end gets no work");
-        site.caller(0).call("GET", "/reads/1").await;
-    }
+    assert_gets_work(&site, backend, GIVEN_UP_AFTER).await;
 }
 
 #[ntex::test]
