Callers: the evidence of a parent in a function of its own

No change of behaviour. identify_caller had grown to forty lines; what is known of the parent, and its count, are now parent_evidence, and which calls it leads to is ParentEvidence::into_call.

--- a/crates/dataplane/src/caller.rs
+++ b/crates/dataplane/src/caller.rs
@@ -49,33 +49,17 @@
 ) -> Result<IdentifiedCaller, NotRunReason> {
     let credentials = plane.interface.credentials(incoming.request);
     let customers = view.routes.customers.as_deref();
-    let needs_key = customers.is_some() && !route.anonymous;
-    let evidence = match plane.named_parent(incoming.request_id) {
-        Some(call) => ParentEvidence::Named(call),
-        None if needs_key && credentials == Credentials::Absent => plane.find_parent(incoming),
-        None => ParentEvidence::None,
-    };
-    if needs_key && credentials == Credentials::Absent {
-        plane.metrics.count_keyless(evidence.name());
-    }
-    let (customer, key) = match identify(
-        customers,
-        credentials,
-        route.anonymous,
-        evidence.to_parent(),
-    ) {
+    let lacks_key = customers.is_some() && !route.anonymous && credentials == Credentials::Absent;
+    let evidence = parent_evidence(plane, incoming, lacks_key);
+    let parent = evidence.to_parent();
+    let (customer, key) = match identify(customers, credentials, route.anonymous, parent) {
         Identity::Anonymous => (None, None),
         Identity::Customer { name, key } => (Some(name), key),
         Identity::Unauthorized(why) => return Err(NotRunReason::Unauthorized(why)),
         Identity::Orphaned => return Err(NotRunReason::UnknownParent),
     };
-    let parent_call = match evidence {
-        // A caller with a key may use any id, so that its request is not taken for a nested one.
-        _ if key.is_some() => None,
-        ParentEvidence::Named(call) => Some(ParentCall::Named(call)),
-        ParentEvidence::OneOf(calls) => Some(ParentCall::OneOf(calls)),
-        ParentEvidence::Lost | ParentEvidence::Outlived | ParentEvidence::None => None,
-    };
+    // A caller with a key may use any id, so that its request is not taken for a nested one.
+    let parent_call = evidence.into_call().filter(|_| key.is_none());
     Ok(IdentifiedCaller {
         customer,
         key,
@@ -83,6 +67,20 @@
     })
 }
 
+/// Returns what is known of the parent of a request, and counts a request that lacks a key.
+fn parent_evidence(plane: &DataPlane, incoming: &Incoming<'_>, lacks_key: bool) -> ParentEvidence {
+    let evidence = match plane.named_parent(incoming.request_id) {
+        Some(call) => ParentEvidence::Named(call),
+        // Requests that need no key are not told from nested ones by their deadlines.
+        None if !lacks_key => return ParentEvidence::None,
+        None => plane.find_parent(incoming),
+    };
+    if lacks_key {
+        plane.metrics.count_keyless(evidence.name());
+    }
+    evidence
+}
+
 /// Customer of a call, and how it was identified.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Caller<'a> {
--- a/crates/dataplane/src/parent.rs
+++ b/crates/dataplane/src/parent.rs
@@ -45,6 +45,15 @@
         }
     }
 
+    /// Returns the call, or the calls, in which the request is taken to be nested.
+    pub(crate) fn into_call(self) -> Option<ParentCall> {
+        match self {
+            ParentEvidence::Named(call) => Some(ParentCall::Named(call)),
+            ParentEvidence::OneOf(calls) => Some(ParentCall::OneOf(calls)),
+            ParentEvidence::Lost | ParentEvidence::Outlived | ParentEvidence::None => None,
+        }
+    }
+
     /// Returns the parent as the identification of customers takes it.
     pub(crate) fn to_parent(&self) -> Parent {
         match self {
