Retries of unnamed nested calls: weigh the calls that expire together with them first

Cause: the share of retries among all calls that may be the parent is too low. A retry has little time left, so that its nested calls expire with it, while those of first attempts mostly end sooner.

Change: of the calls that may be the parent, those that expire within 20 ms of the request count first.

--- a/crates/admission/src/parents.rs
+++ b/crates/admission/src/parents.rs
@@ -12,6 +12,10 @@
 /// may take, so that its deadline, as its node reads it, is later by this time.
 const NESTED_DELAY_MAX: Duration = Duration::from_millis(100);
 
+/// Largest difference between the deadlines of a call and of a request for which the call is the most probable
+/// parent. Nested requests may expire sooner, but by chance few expire together with another call.
+const SAME_DEADLINE_MAX: Duration = Duration::from_millis(20);
+
 /// Call that the local target runs, or may still run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OpenCall {
@@ -25,6 +29,17 @@
     pub is_given_up: bool,
 }
 
+impl OpenCall {
+    /// Returns whether the call expires at about the same time as a request with the deadline.
+    fn expires_together(&self, request_deadline: Option<Instant>) -> bool {
+        request_deadline.is_some_and(|deadline| {
+            let later = deadline.saturating_duration_since(self.deadline);
+            let sooner = self.deadline.saturating_duration_since(deadline);
+            later.max(sooner) <= SAME_DEADLINE_MAX
+        })
+    }
+}
+
 /// Calls of which one may be the parent of a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PossibleParents {
@@ -32,8 +47,8 @@
     pub deadline: Instant,
     /// Rank of the least urgent of the calls.
     pub rank: u32,
-    /// Share of the calls that are retries or hedges. Calls that were given up count only if there are no
-    /// others.
+    /// Share of the most probable of the calls that are retries or hedges: those that expire together with
+    /// the request, then those that were not given up, then all.
     pub repeat_ratio: f64,
 }
 
@@ -75,6 +90,7 @@
         request_deadline: Option<Instant>,
     ) -> Self {
         let mut found = ParentSearch::Idle;
+        let mut expiring_together = RepeatCount::default();
         let mut live = RepeatCount::default();
         let mut given_up = RepeatCount::default();
         for call in open_calls {
@@ -86,10 +102,10 @@
                 }
                 continue;
             }
-            let counted = if call.is_given_up {
-                &mut given_up
-            } else {
-                &mut live
+            let counted = match call.is_given_up {
+                _ if call.expires_together(request_deadline) => &mut expiring_together,
+                false => &mut live,
+                true => &mut given_up,
             };
             counted.add(call.is_repeat);
             let (deadline, rank) = match found {
@@ -99,7 +115,11 @@
             found = ParentSearch::Possible(PossibleParents {
                 deadline: deadline.max(call.deadline),
                 rank: rank.max(call.rank),
-                repeat_ratio: live.ratio().or(given_up.ratio()).unwrap_or(0.0),
+                repeat_ratio: expiring_together
+                    .ratio()
+                    .or(live.ratio())
+                    .or(given_up.ratio())
+                    .unwrap_or(0.0),
             });
         }
         found
