--- a/crates/testbed/tests/common/customers.rs
+++ b/crates/testbed/tests/common/customers.rs
@@ -64,6 +64,15 @@
     runs
 }
 
+/// Waits until back ends have started `count` runs of requests with the id.
+pub(crate) async fn wait_runs(site: &Site, id: &str, count: usize) {
+    let deadline = Instant::now() + Duration::from_secs(2);
+    while runs_of(site, id).len() < count {
+        assert!(Instant::now() < deadline, "{id} runs fewer times");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Returns the customers that the one run of the request names.
 pub(crate) fn named_customers(site: &Site, id: &str) -> Vec<String> {
     let runs = runs_of(site, id);
--- a/crates/testbed/tests/nested_calls.rs
+++ b/crates/testbed/tests/nested_calls.rs
@@ -8,13 +8,12 @@
     Instant, //
 };
 
-use figway_testbed::site::Site;
-
 use crate::common::customers::{
     named_customers,
     runs_of,
     start_customer_site,
     start_parent,
+    wait_runs,
     ANN_KEY,
     BOB_KEY,
     ROUTE_TIMEOUT_MS, //
@@ -41,15 +40,6 @@
 /// Number of parents whose nested calls are refused. They fit the slots of a back end.
 const REFUSED_PARENT_COUNT: usize = 10;
 
-/// Waits until back ends have started `count` runs of requests with the id.
-async fn wait_runs(site: &Site, id: &str, count: usize) {
-    let deadline = Instant::now() + Duration::from_secs(2);
-    while runs_of(site, id).len() < count {
-        assert!(Instant::now() < deadline, "{id} runs fewer times");
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-}
-
 /// Guards against nested calls that are refused for want of a key, or belong to nobody.
 #[ntex::test]
 async fn a_nested_call_belongs_to_the_customer_of_its_parent() {
--- a/crates/testbed/tests/unnamed_parents.rs
+++ b/crates/testbed/tests/unnamed_parents.rs
@@ -21,6 +21,7 @@
     runs_of,
     start_customer_site,
     start_parent,
+    wait_runs,
     ANN_KEY,
     BOB_KEY,
     ROUTE_TIMEOUT_MS, //
@@ -60,21 +61,13 @@
     };
     let parent = ask(site, 0, "POST /orders/parent", &id, &lines);
     let nested = async {
-        wait_run(site, &id).await;
+        wait_runs(site, &id, 1).await;
         orders.slow_ms.set(0);
         during().await;
     };
     futures::future::join(parent, nested).await.0
 }
 
-async fn wait_run(site: &Site, id: &str) {
-    let deadline = Instant::now() + Duration::from_secs(2);
-    while runs_of(site, id).is_empty() {
-        assert!(Instant::now() < deadline, "{id} does not run");
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-}
-
 /// Asserts that the host's node serves a nested call whose id names no parent, for no customer.
 async fn assert_nested_served(site: &Site, index: usize, id: &str) {
     let status = ask_keyless(site, index, "GET /reads/nested", id, NESTED_BUDGET_MS).await;
@@ -196,7 +189,7 @@
         let id = new_id();
         let nested = ask_keyless(&site, 1, "GET /reads/nested", &id, NESTED_BUDGET_MS);
         let inner = async {
-            wait_run(&site, &id).await;
+            wait_runs(&site, &id, 1).await;
             reads.slow_ms.set(0);
             assert_nested_served(&site, 0, &new_id()).await;
         };
@@ -214,7 +207,7 @@
     let lines = key_line(ANN_KEY);
     let parent = ask(&site, 0, "POST /orders/parent", &id, &lines);
     assert!(tokio::time::timeout(Duration::from_millis(150), async {
-        futures::future::join(parent, wait_run(&site, &id)).await
+        futures::future::join(parent, wait_runs(&site, &id, 1)).await
     })
     .await
     .is_err());
@@ -257,7 +250,7 @@
     let id = new_id();
     let parent = ask(&site, 1, "GET /reads/parent", &id, &lines);
     let nested = async {
-        wait_run(&site, &id).await;
+        wait_runs(&site, &id, 1).await;
         let first = usize::from(reads[0].backend.runs().iter().all(|run| run.id != id));
         for host in reads {
             host.backend.slow_ms.set(0);
