Read-through: draw for a retry only where one is drawn; one comparison of runs

A call whose id names its run drew a random number that nothing used, under the mesh's lock, on each nested call; ParentCall::is_repeat now draws it itself, for one of several calls alone. Target::is_run serves AnnouncementOrder and TargetState, which compared instance and start in the same words.

--- a/crates/dataplane/src/parent.rs
+++ b/crates/dataplane/src/parent.rs
@@ -93,11 +93,11 @@
     }
 
     /// Returns whether the call counts as a retry or hedge. Of several calls one is drawn by `random_ratio`,
-    /// from 0 to 1, so that the number of retries is right for many requests.
-    pub(crate) fn is_repeat(&self, random_ratio: f64) -> bool {
+    /// which returns 0 to 1, so that the number of retries is right for many requests.
+    pub(crate) fn is_repeat(&self, random_ratio: impl FnOnce() -> f64) -> bool {
         match self {
             ParentCall::Named(call) => call.is_repeat(),
-            ParentCall::OneOf(calls) => random_ratio < calls.repeat_ratio,
+            ParentCall::OneOf(calls) => random_ratio() < calls.repeat_ratio,
         }
     }
 
--- a/crates/dataplane/src/routed.rs
+++ b/crates/dataplane/src/routed.rs
@@ -118,7 +118,8 @@
     let properties = CallProperties {
         budget_ms: route.budget_ms,
         key: None,
-        parent_is_repeat: parent.is_some_and(|parent| parent.is_repeat(plane.mesh.random_ratio())),
+        parent_is_repeat: parent
+            .is_some_and(|parent| parent.is_repeat(|| plane.mesh.random_ratio())),
         caller: Caller {
             customer: caller.customer.as_deref(),
             key: caller.key,
--- a/crates/dataplane/src/target_state.rs
+++ b/crates/dataplane/src/target_state.rs
@@ -40,7 +40,7 @@
 
     /// Returns whether the state is that of the run that `target` announces.
     pub(crate) fn is_of_run(&self, target: &Target) -> bool {
-        self.instance == target.instance && self.started_at_ms == target.started_at_ms
+        target.is_run(&self.instance, self.started_at_ms)
     }
 
     /// Returns whether the state is that of the same run as `other`.
--- a/crates/membership/src/announcement_order.rs
+++ b/crates/membership/src/announcement_order.rs
@@ -28,7 +28,7 @@
     }
 
     fn is_of(&self, target: &Target) -> bool {
-        self.instance == target.instance && self.started_at_ms == target.started_at_ms
+        target.is_run(&self.instance, self.started_at_ms)
     }
 }
 
--- a/crates/types/src/member.rs
+++ b/crates/types/src/member.rs
@@ -94,6 +94,12 @@
     pub fn is_identified(&self) -> bool {
         !self.instance.is_empty() && self.started_at_ms > 0
     }
+
+    /// Returns whether the target is the run of `instance` that started at `started_at_ms`, in Unix
+    /// milliseconds.
+    pub fn is_run(&self, instance: &str, started_at_ms: u64) -> bool {
+        self.instance == instance && self.started_at_ms == started_at_ms
+    }
 }
 
 fn is_zero(value: &u64) -> bool {
